The whole path, thin: entry, control, tool and stand-ins as separate processes

Cause: nothing stood yet. Change: separate binaries over TCP by IP number. An operator publishes the configuration through a control process to the log; every process folds the log; an entry process serves a streamed completion from an engine and a confirmation from a plain service. Tests for the fold, the checked YAML reader, the document, HTTP and the engine stand-in. Ruled out: braced aggregates inside co_await expressions; g++ 12 destroys the temporaries twice (seen as an abort of the log stand-in), so HTTP messages have constructors.

--- /dev/null
+++ b/cmake/cicadaport.cmake
@@ -0,0 +1,73 @@
+# Build rules shared by all folders. A library NAME is made of src/NAME/*.cpp,
+# its test program NAME_test of test/NAME/*_test.cpp; either may be absent.
+
+set(cicadaport_sanitizer_flags "")
+if(CICADAPORT_ASAN)
+  set(cicadaport_sanitizer_flags -fsanitize=address,undefined -fno-omit-frame-pointer)
+elseif(CICADAPORT_TSAN)
+  set(cicadaport_sanitizer_flags -fsanitize=thread)
+  add_compile_definitions(BOOST_ASIO_DISABLE_FENCED_BLOCK)
+endif()
+add_compile_options(${cicadaport_sanitizer_flags})
+add_link_options(${cicadaport_sanitizer_flags})
+
+add_compile_definitions(
+  BOOST_ASIO_NO_DEPRECATED SPDLOG_FMT_EXTERNAL BOOST_BEAST_USE_STD_STRING_VIEW)
+
+# One precompiled header for the slow third-party headers.
+file(WRITE ${CMAKE_BINARY_DIR}/pch_anchor.cpp "")
+add_library(cicadaport_pch OBJECT ${CMAKE_BINARY_DIR}/pch_anchor.cpp)
+target_precompile_headers(cicadaport_pch PRIVATE ${CMAKE_SOURCE_DIR}/src/precompiled.h)
+find_package(Threads REQUIRED)
+target_link_libraries(cicadaport_pch PRIVATE Threads::Threads)
+set(cicadaport_warnings -Wall -Wextra -Wpedantic -Wshadow -Werror
+  # g++ 12 reports members of coroutine frames that it cannot follow.
+  -Wno-maybe-uninitialized)
+target_compile_options(cicadaport_pch PRIVATE ${cicadaport_warnings})
+
+function(cicadaport_protocol)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/protocol/generated/*.pb.cc)
+  add_library(protocol STATIC ${sources})
+  target_include_directories(protocol SYSTEM PUBLIC ${CMAKE_SOURCE_DIR}/protocol/generated)
+  target_link_libraries(protocol PUBLIC protobuf::libprotobuf)
+endfunction()
+
+function(cicadaport_options target)
+  target_compile_options(${target} PRIVATE ${cicadaport_warnings})
+  target_include_directories(${target} PUBLIC ${CMAKE_SOURCE_DIR}/include)
+  target_precompile_headers(${target} REUSE_FROM cicadaport_pch)
+endfunction()
+
+function(cicadaport_library name)
+  file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/${name}/*.cpp)
+  file(GLOB_RECURSE tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/${name}/*_test.cpp)
+  if(sources)
+    add_library(${name} STATIC ${sources})
+    cicadaport_options(${name})
+    target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/src/${name})
+    target_link_libraries(${name} PUBLIC Threads::Threads ${ARGN})
+  else()
+    add_library(${name} INTERFACE)
+    target_include_directories(${name} INTERFACE ${CMAKE_SOURCE_DIR}/include)
+    target_link_libraries(${name} INTERFACE Threads::Threads ${ARGN})
+  endif()
+  if(tests)
+    add_executable(${name}_test ${tests})
+    cicadaport_options(${name}_test)
+    target_include_directories(${name}_test PRIVATE ${CMAKE_SOURCE_DIR}/src/${name} ${CMAKE_SOURCE_DIR}/test)
+    target_link_libraries(${name}_test PRIVATE ${name} GTest::gmock_main)
+    add_test(NAME ${name}_test COMMAND ${name}_test)
+    set_tests_properties(${name}_test PROPERTIES TIMEOUT 300
+      ENVIRONMENT "CICADAPORT_ROOT=${CMAKE_SOURCE_DIR};CICADAPORT_BIN=${CMAKE_BINARY_DIR}/bin")
+  endif()
+endfunction()
+
+# A small binary: programs/NAME/main.cpp, built as cicadaport-NAME.
+function(cicadaport_program name)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/programs/${name}/*.cpp)
+  string(REPLACE "_" "-" dashed ${name})
+  add_executable(cicadaport-${dashed} ${sources})
+  cicadaport_options(cicadaport-${dashed})
+  target_link_libraries(cicadaport-${dashed} PRIVATE ${ARGN})
+  set_target_properties(cicadaport-${dashed} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+endfunction()
--- /dev/null
+++ b/include/cicadaport/control/admin_api.h
@@ -0,0 +1,41 @@
+// The administration API that operators and their tool use.
+#pragma once
+
+#include "cicadaport/fold/replica.h"
+#include "cicadaport/http/server.h"
+#include "cicadaport/platform/proposer.h"
+#include "cicadaport/relay/process_table.h"
+
+#include <string>
+
+namespace cicadaport::control {
+
+// Answers administration requests; all but health need the operator's key.
+//
+// Belongs to one event loop; what it is given must outlive it. The interface
+// is described in docs/reference/admin-api.md.
+class admin_api {
+public:
+    admin_api(const fold::replica& replica, const relay::process_table& processes,
+              platform::proposer& proposals, std::string operator_key_sha256);
+
+    boost::asio::awaitable<void> handle(const http::request& message,
+                                        http::response_writer& writer);
+
+private:
+    boost::asio::awaitable<http::response> answer(const http::request& message);
+    boost::asio::awaitable<http::response> publish(const http::request& message);
+    boost::asio::awaitable<http::response> change_endpoint(const std::string& path);
+    http::response show_configuration() const;
+    http::response show_processes() const;
+    http::response show_endpoints() const;
+    http::response show_leases() const;
+    bool is_operator(const http::request& message) const;
+
+    const fold::replica& m_replica;
+    const relay::process_table& m_processes;
+    platform::proposer& m_proposals;
+    std::string m_operator_key_sha256;
+};
+
+} // namespace cicadaport::control
--- /dev/null
+++ b/include/cicadaport/entry/errors.h
@@ -0,0 +1,65 @@
+// Refusals and failures as callers see them.
+#pragma once
+
+#include "cicadaport/base/verdict.h"
+#include "cicadaport/http/message.h"
+
+#include <chrono>
+#include <optional>
+#include <stdexcept>
+#include <string>
+
+namespace cicadaport::entry {
+
+// The header that carries the verdict on every response.
+constexpr std::string_view verdict_field = "Cicadaport-Verdict";
+constexpr std::string_view request_id_field = "X-Request-Id";
+
+// Why a request has no whole answer.
+enum class failure_kind {
+    unknown_key,
+    unknown_model,
+    unknown_route,
+    invalid_request,
+    no_endpoint,
+    overloaded,
+    endpoint_failed,
+    unavailable,
+};
+
+// A request's final failure. The edge turns it into a response; nothing else does.
+class request_failure : public std::runtime_error {
+public:
+    request_failure(failure_kind kind, base::verdict outcome, const std::string& reason,
+                    std::optional<std::chrono::milliseconds> retry_after = std::nullopt)
+        : std::runtime_error{reason}, m_kind{kind}, m_outcome{outcome}, m_retry_after{retry_after}
+    {
+    }
+
+    failure_kind kind() const noexcept { return m_kind; }
+    base::verdict outcome() const noexcept { return m_outcome; }
+
+    // When the caller may come back, if it makes sense to.
+    std::optional<std::chrono::milliseconds> retry_after() const noexcept { return m_retry_after; }
+
+private:
+    failure_kind m_kind;
+    base::verdict m_outcome;
+    std::optional<std::chrono::milliseconds> m_retry_after;
+};
+
+// The shape of an error's body.
+enum class error_shape {
+    // {"error": {...}}, as clients of language-model interfaces expect.
+    completion,
+    // RFC 9457 problem details.
+    problem,
+};
+
+// Returns the response for a failure.
+http::response to_response(const request_failure& failure, error_shape shape);
+
+// Returns the name of the failure in error bodies, logs and metrics.
+std::string_view to_string(failure_kind kind) noexcept;
+
+} // namespace cicadaport::entry
--- /dev/null
+++ b/include/cicadaport/entry/metrics.h
@@ -0,0 +1,38 @@
+// What an entry process counts, for Prometheus.
+#pragma once
+
+#include "cicadaport/base/verdict.h"
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace cicadaport::entry {
+
+// Counters and histograms of an entry process, by priority class.
+//
+// Thread safety: all members from any thread.
+class metrics {
+public:
+    metrics();
+    ~metrics();
+    metrics(const metrics&) = delete;
+    metrics& operator=(const metrics&) = delete;
+
+    // A request ended; `result` is "ok" or the name of its failure.
+    void request_ended(std::string_view priority, std::string_view result, base::verdict outcome,
+                       std::chrono::steady_clock::duration took);
+
+    void first_token(std::string_view priority, std::chrono::steady_clock::duration after);
+    void between_tokens(std::string_view priority, std::chrono::steady_clock::duration gap);
+
+    // Returns everything in Prometheus' text format.
+    std::string expose() const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_impl;
+};
+
+} // namespace cicadaport::entry
--- /dev/null
+++ b/include/cicadaport/fold/state.h
@@ -0,0 +1,101 @@
+// The state that the log's records add up to.
+//
+// Every process folds the same records in the same order with the same code
+// and reaches the same decisions; there is no other agreement. The fold reads
+// no clock and asks nobody.
+//
+//   state folded;
+//   for (const auto& entry : entries) folded.apply(entry.offset(), entry.payload());
+//
+// Not thread safe; see `replica` for that.
+#pragma once
+
+#include "cicadaport/configuration/document.h"
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+namespace cicadaport::protocol {
+class configuration_edit;
+class endpoint_request;
+class folded_state;
+class lease_claim;
+class lease_release;
+class lease_renewal;
+class order_intent;
+class order_settlement;
+class record;
+} // namespace cicadaport::protocol
+
+namespace cicadaport::fold {
+
+// What the fold made of one record.
+struct decision {
+    bool accepted = false;
+    std::string reason;
+};
+
+// A record that this build can't judge: deciding would diverge from the others.
+class unknown_record : public std::runtime_error {
+public:
+    using std::runtime_error::runtime_error;
+};
+
+class state {
+public:
+    state();
+    ~state();
+    state(const state& other);
+    state& operator=(const state& other);
+    state(state&&) noexcept;
+    state& operator=(state&&) noexcept;
+
+    // Folds the record at `offset`. Records at or below `offset()` have no
+    // effect. Throws `unknown_record`.
+    decision apply(std::uint64_t offset, std::string_view payload);
+
+    // The offset of the last record folded.
+    std::uint64_t offset() const noexcept;
+
+    // The offset of the last accepted configuration edit.
+    std::uint64_t configuration_offset() const noexcept;
+
+    // The configuration in force.
+    std::shared_ptr<const configuration::document> document() const noexcept { return m_document; }
+
+    // The whole state as a message, for readers of leases, orders and edits.
+    const protocol::folded_state& message() const noexcept { return *m_state; }
+
+    // Returns the state as bytes, equal for equal states.
+    std::string serialize() const;
+
+    // Throws std::invalid_argument if `bytes` is not a serialized state.
+    static state deserialize(std::string_view bytes);
+
+private:
+    decision decide(std::uint64_t offset, const protocol::record& record);
+    decision apply_edit(std::uint64_t offset, const protocol::record& record);
+    decision apply_claim(std::uint64_t offset, const std::string& author,
+                         const protocol::lease_claim& claim);
+    decision apply_renewal(std::uint64_t offset, const std::string& author,
+                           const protocol::lease_renewal& renewal);
+    decision apply_release(const std::string& author, const protocol::lease_release& release);
+    decision apply_intent(std::uint64_t offset, const std::string& author,
+                          const protocol::order_intent& intent);
+    decision apply_settlement(std::uint64_t offset, const std::string& author,
+                              const protocol::order_settlement& settlement);
+    decision apply_wish(std::uint64_t offset, const protocol::endpoint_request& wish);
+    bool holds(const std::string& author, const std::string& partition,
+               std::uint64_t fencing_number) const;
+    bool is_copy(const std::string& append_id);
+    std::string joined_sections() const;
+
+    std::unique_ptr<protocol::folded_state> m_state;
+    std::shared_ptr<const configuration::document> m_document;
+};
+
+} // namespace cicadaport::fold
--- /dev/null
+++ b/src/control/admin_api.cpp
@@ -0,0 +1,238 @@
+#include "cicadaport/control/admin_api.h"
+
+#include "cicadaport/base/digest.h"
+
+#include <nlohmann/json.hpp>
+#include <peer.pb.h>
+#include <record.pb.h>
+#include <state.pb.h>
+
+namespace cicadaport::control {
+namespace asio = boost::asio;
+using nlohmann::json;
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_unauthorized = 401;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_conflict = 409;
+constexpr unsigned status_unavailable = 503;
+
+constexpr std::string_view admin_prefix = "/v1/admin/";
+constexpr std::string_view endpoint_prefix = "endpoints/";
+
+http::response problem(unsigned status, std::string_view title, const std::string& detail)
+{
+    const json body{{"type", "urn:cicadaport:" + std::string{title}},
+                    {"title", title},
+                    {"status", status},
+                    {"detail", detail}};
+    return {status, {{"Content-Type", "application/problem+json"}}, body.dump()};
+}
+
+http::response log_unavailable(const platform::log_error& error)
+{
+    auto reply = problem(status_unavailable, "log_unavailable", error.what());
+    reply.fields.add("Retry-After", "5");
+    reply.fields.add("Cicadaport-Verdict", base::to_string(error.outcome()));
+    return reply;
+}
+
+protocol::record read_edit(const json& body)
+{
+    protocol::record record;
+    record.set_author(body.at("author").get<std::string>());
+    record.mutable_edit()->set_schema_version(configuration::schema_version);
+    for (const auto& section : body.at("sections")) {
+        auto& edit = *record.mutable_edit()->add_sections();
+        edit.set_section(section.at("name").get<std::string>());
+        edit.set_based_on_offset(section.at("based_on_offset").get<std::uint64_t>());
+        edit.set_text(section.at("text").get<std::string>());
+    }
+    return record;
+}
+
+} // namespace
+
+admin_api::admin_api(const fold::replica& replica, const relay::process_table& processes,
+                     platform::proposer& proposals, std::string operator_key_sha256)
+    : m_replica{replica}, m_processes{processes}, m_proposals{proposals},
+      m_operator_key_sha256{std::move(operator_key_sha256)}
+{
+}
+
+asio::awaitable<void> admin_api::handle(const http::request& message, http::response_writer& writer)
+{
+    auto reply = co_await answer(message);
+    co_await writer.send(std::move(reply));
+}
+
+asio::awaitable<http::response> admin_api::answer(const http::request& message)
+{
+    const http::target_view target{message.target};
+    const auto& path = target.path();
+    if (path == "/healthz" || path == "/readyz") {
+        co_return http::response{status_ok, {}, "ok\n"};
+    }
+    if (!is_operator(message)) {
+        co_return problem(status_unauthorized, "unknown_key", "the operator's key is not known");
+    }
+    if (!path.starts_with(admin_prefix)) {
+        co_return problem(status_not_found, "unknown_path", path);
+    }
+    const auto name = path.substr(admin_prefix.size());
+    if (name == "configuration" && message.method == "POST") {
+        co_return co_await publish(message);
+    }
+    if (name.starts_with(endpoint_prefix) && message.method == "POST") {
+        co_return co_await change_endpoint(name.substr(endpoint_prefix.size()));
+    }
+    if (name == "configuration") {
+        co_return show_configuration();
+    }
+    if (name == "processes") {
+        co_return show_processes();
+    }
+    if (name == "endpoints") {
+        co_return show_endpoints();
+    }
+    if (name == "leases") {
+        co_return show_leases();
+    }
+    co_return problem(status_not_found, "unknown_path", path);
+}
+
+bool admin_api::is_operator(const http::request& message) const
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const auto value = message.fields.find("Authorization");
+    return value && value->starts_with(scheme) &&
+           base::sha256_hex(value->substr(scheme.size())) == m_operator_key_sha256;
+}
+
+asio::awaitable<http::response> admin_api::publish(const http::request& message)
+{
+    protocol::record record;
+    try {
+        record = read_edit(json::parse(message.body));
+    }
+    catch (const json::exception& error) {
+        co_return problem(status_bad_request, "invalid_request", error.what());
+    }
+    std::optional<http::response> failure;
+    try {
+        const auto made = co_await m_proposals.propose(record);
+        if (!made.accepted) {
+            co_return problem(status_conflict, "refused", made.reason);
+        }
+    }
+    catch (const platform::log_error& error) {
+        failure = log_unavailable(error);
+    }
+    if (failure) {
+        co_return *failure;
+    }
+    std::uint64_t offset = 0;
+    m_replica.inspect([&](const fold::state& state) { offset = state.configuration_offset(); });
+    co_return http::json_response(status_ok, json{{"offset", offset}}.dump());
+}
+
+asio::awaitable<http::response> admin_api::change_endpoint(const std::string& path)
+{
+    const auto slash = path.find('/');
+    const auto action = slash == std::string::npos ? "" : path.substr(slash + 1);
+    if (action != "drain" && action != "undrain") {
+        co_return problem(status_not_found, "unknown_path", path);
+    }
+    protocol::record record;
+    auto& wish = *record.mutable_endpoint_wish();
+    wish.set_endpoint(path.substr(0, slash));
+    wish.set_drain(action == "drain");
+    std::shared_ptr<const configuration::document> document;
+    m_replica.inspect([&](const fold::state& state) { document = state.document(); });
+    if (document->find_endpoint(wish.endpoint()) == nullptr) {
+        co_return problem(status_not_found, "unknown_endpoint", wish.endpoint());
+    }
+    try {
+        co_await m_proposals.propose(record);
+        co_return http::json_response(status_ok, json{{"endpoint", wish.endpoint()}}.dump());
+    }
+    catch (const platform::log_error& error) {
+        co_return log_unavailable(error);
+    }
+}
+
+http::response admin_api::show_configuration() const
+{
+    json body;
+    m_replica.inspect([&](const fold::state& state) {
+        body["offset"] = state.configuration_offset();
+        body["sections"] = json::array();
+        for (const auto& [name, section] : state.message().sections()) {
+            body["sections"].push_back({{"name", name},
+                                        {"offset", section.offset()},
+                                        {"author", section.author()},
+                                        {"text", section.text()}});
+        }
+    });
+    return http::json_response(status_ok, body.dump());
+}
+
+http::response admin_api::show_processes() const
+{
+    auto list = json::array();
+    for (const auto& status : m_processes.list(relay::process_table::clock::now())) {
+        list.push_back({{"id", status.id()},
+                        {"kind", status.kind()},
+                        {"address", status.address()},
+                        {"availability_zone", status.availability_zone()},
+                        {"offset", status.offset_in_force()},
+                        {"configuration_offset", status.configuration_offset()},
+                        {"draining", status.draining()},
+                        {"age_ms", status.age_ms()}});
+    }
+    const json body{{"offset", m_replica.offset()}, {"processes", std::move(list)}};
+    return http::json_response(status_ok, body.dump());
+}
+
+http::response admin_api::show_endpoints() const
+{
+    auto list = json::array();
+    m_replica.inspect([&](const fold::state& state) {
+        for (const auto& endpoint : state.document()->endpoints) {
+            const auto& wishes = state.message().wishes();
+            const auto& orders = state.message().orders();
+            const auto wish = wishes.find(endpoint.name);
+            const auto order = orders.find(endpoint.name);
+            const bool ordered = order != orders.end() && !order->second.role().empty();
+            list.push_back(
+                {{"name", endpoint.name},
+                 {"serves", endpoint.serves},
+                 {"address", http::to_string(endpoint.address)},
+                 {"availability_zone", endpoint.availability_zone},
+                 {"role", ordered ? order->second.role() : endpoint.role},
+                 {"order_outstanding", order != orders.end() && order->second.has_intent()},
+                 {"drained", wish != wishes.end() && wish->second.drain()}});
+        }
+    });
+    return http::json_response(status_ok, json{{"endpoints", std::move(list)}}.dump());
+}
+
+http::response admin_api::show_leases() const
+{
+    auto list = json::array();
+    m_replica.inspect([&](const fold::state& state) {
+        for (const auto& [partition, lease] : state.message().leases()) {
+            list.push_back({{"partition", partition},
+                            {"holder", lease.holder()},
+                            {"fencing_number", lease.fencing_number()},
+                            {"renewed_offset", lease.renewed_offset()},
+                            {"released", lease.released()}});
+        }
+    });
+    return http::json_response(status_ok, json{{"leases", std::move(list)}}.dump());
+}
+
+} // namespace cicadaport::control
--- /dev/null
+++ b/src/entry/process.cpp
@@ -0,0 +1,175 @@
+#include "cicadaport/entry/process.h"
+
+#include "cicadaport/base/io_pool.h"
+#include "cicadaport/entry/gateway.h"
+#include "cicadaport/relay/follower.h"
+
+#include <nlohmann/json.hpp>
+#include <peer.pb.h>
+#include <spdlog/spdlog.h>
+#include <state.pb.h>
+
+#include <csignal>
+
+namespace cicadaport::entry {
+namespace asio = boost::asio;
+
+namespace {
+
+// How long the balancer gets to see that this process is not ready any more.
+constexpr std::chrono::milliseconds balancer_notice{500};
+constexpr std::chrono::milliseconds drain_poll{20};
+
+// Returns the endpoints that operators asked to drain.
+std::vector<std::string> drained_endpoints(const fold::state& state)
+{
+    std::vector<std::string> out;
+    for (const auto& [name, wish] : state.message().wishes()) {
+        if (wish.drain()) {
+            out.push_back(name);
+        }
+    }
+    return out;
+}
+
+class process {
+public:
+    explicit process(const settings::entry_settings& settings)
+        : m_settings{settings}, m_pool{settings.common.workers},
+          m_view{std::make_unique<routing::view>(std::make_shared<configuration::document>(), 0,
+                                                 std::vector<std::string>{}, m_loads)},
+          m_gateway{m_pool, m_view, m_metrics}, m_callers{m_pool,
+                                                          settings.caller_address.ip,
+                                                          settings.caller_address.port,
+                                                          {},
+                                                          [this](std::size_t worker,
+                                                                 const http::request& message,
+                                                                 http::response_writer& writer) {
+                                                              return m_gateway.handle(
+                                                                  worker, message, writer);
+                                                          }},
+          m_admin{m_pool,
+                  settings.common.admin_address.ip,
+                  settings.common.admin_address.port,
+                  {},
+                  [this](std::size_t, const http::request& message, http::response_writer& writer) {
+                      return serve_admin(message, writer);
+                  }},
+          m_signals{m_pool.context(0), SIGTERM, SIGINT}
+    {
+        m_replica.add_listener([this](const fold::state& state) { take(state); });
+        m_follower = std::make_unique<relay::follower>(settings.relays, m_replica, m_processes,
+                                                       [this] { return status(); });
+        m_signals.async_wait([this](const boost::system::error_code& error, int) {
+            if (!error) {
+                asio::co_spawn(m_pool.context(0), drain(), asio::detached);
+            }
+        });
+    }
+
+    void run()
+    {
+        spdlog::info("entry_started id={} callers={}", m_settings.common.id,
+                     http::to_string(m_settings.caller_address));
+        m_pool.run();
+        spdlog::info("entry_stopped id={}", m_settings.common.id);
+    }
+
+private:
+    void take(const fold::state& state)
+    {
+        auto drained = drained_endpoints(state);
+        if (state.configuration_offset() == m_viewed_offset && drained == m_viewed_drained) {
+            return;
+        }
+        m_view.replace(std::make_unique<routing::view>(
+            state.document(), state.configuration_offset(), drained, m_loads));
+        m_viewed_offset = state.configuration_offset();
+        m_viewed_drained = std::move(drained);
+        m_configuration_offset.store(m_viewed_offset, std::memory_order_release);
+        spdlog::info("configuration_in_force offset={}", m_viewed_offset);
+    }
+
+    protocol::process_status status() const
+    {
+        protocol::process_status out;
+        out.set_id(m_settings.common.id);
+        out.set_kind("entry");
+        out.set_address(http::to_string(m_settings.caller_address));
+        out.set_availability_zone(m_settings.common.availability_zone);
+        out.set_offset_in_force(m_replica.offset());
+        out.set_configuration_offset(m_configuration_offset.load(std::memory_order_acquire));
+        out.set_draining(m_draining.load(std::memory_order_acquire));
+        return out;
+    }
+
+    bool is_ready() const
+    {
+        return m_configuration_offset.load(std::memory_order_acquire) > 0 &&
+               !m_draining.load(std::memory_order_acquire);
+    }
+
+    asio::awaitable<void> serve_admin(const http::request& message, http::response_writer& writer)
+    {
+        const http::target_view target{message.target};
+        constexpr unsigned ok = 200;
+        constexpr unsigned not_found = 404;
+        constexpr unsigned unavailable = 503;
+        if (target.path() == "/healthz") {
+            return writer.send({ok, {}, "ok\n"});
+        }
+        if (target.path() == "/readyz") {
+            return writer.send({is_ready() ? ok : unavailable, {}, is_ready() ? "ok\n" : "no\n"});
+        }
+        if (target.path() == "/metrics") {
+            return writer.send(
+                {ok, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.expose()});
+        }
+        return writer.send({not_found, {}, "not found\n"});
+    }
+
+    // Readiness turns first, then accepting stops, then the requests that run
+    // go on to their end within the grace time.
+    asio::awaitable<void> drain()
+    {
+        spdlog::info("drain_started active={}", m_callers.active_requests());
+        m_draining.store(true, std::memory_order_release);
+        asio::steady_timer timer{co_await asio::this_coro::executor, balancer_notice};
+        co_await timer.async_wait(asio::use_awaitable);
+        m_callers.drain();
+        const auto until = std::chrono::steady_clock::now() + m_settings.common.grace_time;
+        do {
+            timer.expires_after(drain_poll);
+            co_await timer.async_wait(asio::use_awaitable);
+        } while (m_callers.active_requests() > 0 && std::chrono::steady_clock::now() < until);
+        spdlog::info("drain_ended active={}", m_callers.active_requests());
+        m_follower.reset();
+        m_pool.stop();
+    }
+
+    settings::entry_settings m_settings;
+    base::io_pool m_pool;
+    routing::load_table m_loads;
+    base::published<routing::view> m_view;
+    metrics m_metrics;
+    fold::replica m_replica;
+    relay::process_table m_processes;
+    std::uint64_t m_viewed_offset = 0;
+    std::vector<std::string> m_viewed_drained;
+    std::atomic<std::uint64_t> m_configuration_offset{0};
+    std::atomic<bool> m_draining{false};
+    gateway m_gateway;
+    http::server m_callers;
+    http::server m_admin;
+    asio::signal_set m_signals;
+    std::unique_ptr<relay::follower> m_follower;
+};
+
+} // namespace
+
+void run(const settings::entry_settings& settings)
+{
+    process{settings}.run();
+}
+
+} // namespace cicadaport::entry
--- /dev/null
+++ b/src/fold/state.cpp
@@ -0,0 +1,313 @@
+#include "cicadaport/fold/state.h"
+
+#include "cicadaport/yaml/reader.h"
+
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+#include <record.pb.h>
+#include <state.pb.h>
+
+#include <algorithm>
+
+namespace cicadaport::fold {
+namespace {
+
+// How many append ids and edit decisions are remembered. An append is retried
+// for seconds only, so a copy comes well within this window.
+constexpr int recent_append_ids = 2'048;
+constexpr int recent_edits = 64;
+
+decision accept()
+{
+    return {true, {}};
+}
+
+decision refuse(std::string reason)
+{
+    return {false, std::move(reason)};
+}
+
+// Drops the oldest elements of `list` beyond `most`.
+template <typename List>
+void trim(List& list, int most)
+{
+    if (list.size() > most) {
+        list.DeleteSubrange(0, list.size() - most);
+    }
+}
+
+} // namespace
+
+state::state()
+    : m_state{std::make_unique<protocol::folded_state>()},
+      m_document{std::make_shared<configuration::document>()}
+{
+}
+
+state::~state() = default;
+state::state(state&&) noexcept = default;
+state& state::operator=(state&&) noexcept = default;
+
+state::state(const state& other)
+    : m_state{std::make_unique<protocol::folded_state>(*other.m_state)}, m_document{
+                                                                             other.m_document}
+{
+}
+
+state& state::operator=(const state& other)
+{
+    if (this != &other) {
+        *m_state = *other.m_state;
+        m_document = other.m_document;
+    }
+    return *this;
+}
+
+std::uint64_t state::offset() const noexcept
+{
+    return m_state->offset();
+}
+
+std::uint64_t state::configuration_offset() const noexcept
+{
+    return m_state->configuration_offset();
+}
+
+decision state::apply(std::uint64_t offset, std::string_view payload)
+{
+    if (offset <= m_state->offset()) {
+        return refuse("already folded");
+    }
+    protocol::record record;
+    if (!record.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
+        m_state->set_offset(offset);
+        return refuse("not a record");
+    }
+    if (record.has_edit() && record.edit().schema_version() > configuration::schema_version) {
+        throw unknown_record{"edit of schema version " +
+                             std::to_string(record.edit().schema_version())};
+    }
+    if (record.body_case() == protocol::record::BODY_NOT_SET) {
+        throw unknown_record{"record of an unknown kind"};
+    }
+    m_state->set_offset(offset);
+    if (is_copy(record.append_id())) {
+        return refuse("a copy");
+    }
+    return decide(offset, record);
+}
+
+decision state::decide(std::uint64_t offset, const protocol::record& record)
+{
+    switch (record.body_case()) {
+    case protocol::record::kEdit:
+        return apply_edit(offset, record);
+    case protocol::record::kClaimLease:
+        return apply_claim(offset, record.author(), record.claim_lease());
+    case protocol::record::kRenewLease:
+        return apply_renewal(offset, record.author(), record.renew_lease());
+    case protocol::record::kReleaseLease:
+        return apply_release(record.author(), record.release_lease());
+    case protocol::record::kIntent:
+        return apply_intent(offset, record.author(), record.intent());
+    case protocol::record::kSettlement:
+        return apply_settlement(offset, record.author(), record.settlement());
+    case protocol::record::kEndpointWish:
+        return apply_wish(offset, record.endpoint_wish());
+    case protocol::record::kStateSnapshot:
+        // It repeats what was folded here already.
+        return accept();
+    case protocol::record::BODY_NOT_SET:
+        break;
+    }
+    return refuse("nothing in the record");
+}
+
+bool state::is_copy(const std::string& append_id)
+{
+    auto& seen = *m_state->mutable_recent_append_ids();
+    if (std::find(seen.rbegin(), seen.rend(), append_id) != seen.rend()) {
+        return true;
+    }
+    seen.Add(std::string{append_id});
+    trim(seen, recent_append_ids);
+    return false;
+}
+
+decision state::apply_edit(std::uint64_t offset, const protocol::record& record)
+{
+    auto& outcome = *m_state->add_recent_edits();
+    outcome.set_append_id(record.append_id());
+    outcome.set_offset(offset);
+    const auto finish = [&](decision made) {
+        outcome.set_accepted(made.accepted);
+        outcome.set_reason(made.reason);
+        trim(*m_state->mutable_recent_edits(), recent_edits);
+        return made;
+    };
+    const auto before = m_state->sections();
+    auto& sections = *m_state->mutable_sections();
+    for (const auto& edit : record.edit().sections()) {
+        auto& section = sections[edit.section()];
+        if (section.offset() != edit.based_on_offset()) {
+            outcome.set_winner_offset(section.offset());
+            outcome.set_winner_author(section.author());
+            sections = before;
+            return finish(refuse("section " + edit.section() + " was changed at offset " +
+                                 std::to_string(outcome.winner_offset()) + " by " +
+                                 outcome.winner_author()));
+        }
+        section.set_text(edit.text());
+        section.set_offset(offset);
+        section.set_author(record.author());
+    }
+    try {
+        m_document = std::make_shared<configuration::document>(
+            configuration::parse_document(joined_sections(), "configuration"));
+    }
+    catch (const yaml::document_error& error) {
+        sections = before;
+        return finish(refuse(error.what()));
+    }
+    m_state->set_configuration_offset(offset);
+    return finish(accept());
+}
+
+std::string state::joined_sections() const
+{
+    std::string text;
+    for (const auto name : configuration::section_names) {
+        const auto found = m_state->sections().find(std::string{name});
+        if (found != m_state->sections().end()) {
+            text += found->second.text();
+        }
+    }
+    for (const auto& [name, section] : m_state->sections()) {
+        if (std::find(std::begin(configuration::section_names),
+                      std::end(configuration::section_names),
+                      name) == std::end(configuration::section_names)) {
+            // An unknown section has to make the check fail.
+            text += section.text();
+        }
+    }
+    return text;
+}
+
+decision state::apply_claim(std::uint64_t offset, const std::string& author,
+                            const protocol::lease_claim& claim)
+{
+    auto& lease = (*m_state->mutable_leases())[claim.partition()];
+    if (!lease.released() && lease.renewed_offset() != claim.observed_renewal_offset()) {
+        return refuse("the lease was renewed at offset " + std::to_string(lease.renewed_offset()));
+    }
+    lease.set_holder(author);
+    lease.set_fencing_number(offset);
+    lease.set_renewed_offset(offset);
+    lease.set_duration_ms(claim.duration_ms());
+    lease.set_released(false);
+    return accept();
+}
+
+bool state::holds(const std::string& author, const std::string& partition,
+                  std::uint64_t fencing_number) const
+{
+    const auto found = m_state->leases().find(partition);
+    return found != m_state->leases().end() && !found->second.released() &&
+           found->second.holder() == author && found->second.fencing_number() == fencing_number;
+}
+
+decision state::apply_renewal(std::uint64_t offset, const std::string& author,
+                              const protocol::lease_renewal& renewal)
+{
+    if (!holds(author, renewal.partition(), renewal.fencing_number())) {
+        return refuse("the lease is held by another");
+    }
+    (*m_state->mutable_leases())[renewal.partition()].set_renewed_offset(offset);
+    return accept();
+}
+
+decision state::apply_release(const std::string& author, const protocol::lease_release& release)
+{
+    if (!holds(author, release.partition(), release.fencing_number())) {
+        return refuse("the lease is held by another");
+    }
+    (*m_state->mutable_leases())[release.partition()].set_released(true);
+    return accept();
+}
+
+decision state::apply_intent(std::uint64_t offset, const std::string& author,
+                             const protocol::order_intent& intent)
+{
+    if (!holds(author, intent.partition(), intent.fencing_number())) {
+        return refuse("the lease is held by another");
+    }
+    auto& orders = (*m_state->mutable_orders())[intent.order().endpoint()];
+    if (orders.has_intent()) {
+        return refuse("order " + orders.intent().order_id() + " is not settled");
+    }
+    *orders.mutable_intent() = intent.order();
+    orders.set_intent_offset(offset);
+    orders.set_intent_fencing_number(intent.fencing_number());
+    return accept();
+}
+
+decision state::apply_settlement(std::uint64_t offset, const std::string& author,
+                                 const protocol::order_settlement& settlement)
+{
+    if (!holds(author, settlement.partition(), settlement.fencing_number())) {
+        return refuse("the lease is held by another");
+    }
+    auto& orders = (*m_state->mutable_orders())[settlement.endpoint()];
+    if (!orders.has_intent() || orders.intent().order_id() != settlement.order_id()) {
+        return refuse("no such order is outstanding");
+    }
+    if (settlement.applied() && orders.intent().has_set_role()) {
+        orders.set_role(orders.intent().set_role());
+        orders.set_role_changes(orders.role_changes() + 1);
+    }
+    if (settlement.applied() && orders.intent().has_load_model()) {
+        orders.set_model(orders.intent().load_model().model());
+        orders.set_version(orders.intent().load_model().version());
+    }
+    orders.clear_intent();
+    orders.set_settled_offset(offset);
+    return accept();
+}
+
+decision state::apply_wish(std::uint64_t offset, const protocol::endpoint_request& wish)
+{
+    auto& wishes = *m_state->mutable_wishes();
+    if (!wish.drain() && wish.role().empty()) {
+        wishes.erase(wish.endpoint());
+        return accept();
+    }
+    auto& kept = wishes[wish.endpoint()];
+    kept.set_drain(wish.drain());
+    kept.set_role(wish.role());
+    kept.set_offset(offset);
+    return accept();
+}
+
+std::string state::serialize() const
+{
+    std::string bytes;
+    google::protobuf::io::StringOutputStream sink{&bytes};
+    google::protobuf::io::CodedOutputStream coded{&sink};
+    coded.SetSerializationDeterministic(true);
+    m_state->SerializeToCodedStream(&coded);
+    coded.Trim();
+    return bytes;
+}
+
+state state::deserialize(std::string_view bytes)
+{
+    state out;
+    if (!out.m_state->ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        throw std::invalid_argument{"not a folded state"};
+    }
+    out.m_document = std::make_shared<configuration::document>(
+        configuration::parse_document(out.joined_sections(), "configuration"));
+    return out;
+}
+
+} // namespace cicadaport::fold
--- /dev/null
+++ b/src/relay/relay_server.cpp
@@ -0,0 +1,134 @@
+#include "cicadaport/relay/relay_server.h"
+
+#include <peer.pb.h>
+#include <spdlog/spdlog.h>
+#include <zmq.hpp>
+#include <zmq_addon.hpp>
+
+#include <atomic>
+#include <thread>
+
+namespace cicadaport::relay {
+namespace {
+
+using clock = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds wake_interval{20};
+constexpr std::chrono::milliseconds longest_wait{5'000};
+constexpr std::size_t most_waiting = 4'096;
+
+// A pull that waits for something newer.
+struct waiting_pull {
+    std::string peer;
+    std::uint64_t after_offset = 0;
+    clock::time_point until;
+};
+
+} // namespace
+
+class relay_server::implementation {
+public:
+    implementation(const http::address& listen, fold::replica& log, process_table& processes)
+        : m_log{log}, m_processes{processes}, m_socket{m_context, zmq::socket_type::router}
+    {
+        m_socket.set(zmq::sockopt::linger, 0);
+        m_socket.bind("tcp://" + http::to_string(listen));
+        m_thread = std::jthread{[this](const std::stop_token& stop) { run(stop); }};
+    }
+
+private:
+    void run(const std::stop_token& stop)
+    {
+        while (!stop.stop_requested()) {
+            zmq::pollitem_t item{m_socket.handle(), 0, ZMQ_POLLIN, 0};
+            zmq::poll(&item, 1, wake_interval);
+            while (receive_one()) {
+            }
+            answer_waiting();
+        }
+    }
+
+    bool receive_one()
+    {
+        constexpr std::size_t frames_of_a_pull = 2;
+        std::vector<zmq::message_t> frames;
+        if (!zmq::recv_multipart(m_socket, std::back_inserter(frames), zmq::recv_flags::dontwait)) {
+            return false;
+        }
+        protocol::pull_request request;
+        if (frames.size() != frames_of_a_pull ||
+            !request.ParseFromArray(frames[1].data(), static_cast<int>(frames[1].size()))) {
+            return true;
+        }
+        const auto peer = frames[0].to_string();
+        if (request.protocol_version() != protocol_version) {
+            refuse(peer, request);
+            return true;
+        }
+        const auto now = clock::now();
+        m_processes.note(request.sender(), now);
+        const auto wait = std::min<std::chrono::milliseconds>(
+            std::chrono::milliseconds{request.wait_ms()}, longest_wait);
+        if (m_waiting.size() < most_waiting) {
+            m_waiting.push_back({peer, request.after_offset(), now + wait});
+        }
+        return true;
+    }
+
+    void refuse(const std::string& peer, const protocol::pull_request& request)
+    {
+        protocol::pull_reply reply;
+        reply.set_protocol_version(protocol_version);
+        reply.set_refused("protocol version " + std::to_string(request.protocol_version()) +
+                          " is not " + std::to_string(protocol_version));
+        spdlog::warn("pull_refused peer={} reason=\"{}\"", request.sender().id(), reply.refused());
+        send(peer, reply);
+    }
+
+    void answer_waiting()
+    {
+        const auto now = clock::now();
+        const auto newest = m_log.offset();
+        std::erase_if(m_waiting, [&](const waiting_pull& pull) {
+            if (pull.after_offset >= newest && pull.until > now) {
+                return false;
+            }
+            answer(pull, now);
+            return true;
+        });
+    }
+
+    void answer(const waiting_pull& pull, clock::time_point now)
+    {
+        protocol::pull_reply reply;
+        reply.set_protocol_version(protocol_version);
+        m_log.answer(pull.after_offset, reply);
+        for (auto& status : m_processes.list(now)) {
+            *reply.add_members() = std::move(status);
+        }
+        send(pull.peer, reply);
+    }
+
+    void send(const std::string& peer, const protocol::pull_reply& reply)
+    {
+        m_socket.send(zmq::buffer(peer), zmq::send_flags::sndmore | zmq::send_flags::dontwait);
+        m_socket.send(zmq::buffer(reply.SerializeAsString()), zmq::send_flags::dontwait);
+    }
+
+    fold::replica& m_log;
+    process_table& m_processes;
+    zmq::context_t m_context;
+    zmq::socket_t m_socket;
+    std::vector<waiting_pull> m_waiting;
+    std::jthread m_thread;
+};
+
+relay_server::relay_server(const http::address& listen, fold::replica& log,
+                           process_table& processes)
+    : m_impl{std::make_unique<implementation>(listen, log, processes)}
+{
+}
+
+relay_server::~relay_server() = default;
+
+} // namespace cicadaport::relay
--- /dev/null
+++ b/src/routing/view.cpp
@@ -0,0 +1,66 @@
+#include "cicadaport/routing/view.h"
+
+#include <algorithm>
+
+namespace cicadaport::routing {
+namespace {
+
+std::string route_key(std::string_view method, std::string_view path)
+{
+    std::string key{method};
+    key += ' ';
+    key += path;
+    return key;
+}
+
+} // namespace
+
+std::shared_ptr<endpoint_load> load_table::get(const std::string& endpoint)
+{
+    const std::scoped_lock lock{m_mutex};
+    auto& load = m_loads[endpoint];
+    if (!load) {
+        load = std::make_shared<endpoint_load>();
+    }
+    return load;
+}
+
+view::view(std::shared_ptr<const configuration::document> document, std::uint64_t offset,
+           const std::vector<std::string>& drained, load_table& loads)
+    : m_document{std::move(document)}, m_offset{offset}
+{
+    for (const auto& caller : m_document->callers) {
+        m_callers.emplace(caller.key_sha256, &caller);
+    }
+    for (const auto& endpoint : m_document->endpoints) {
+        if (std::find(drained.begin(), drained.end(), endpoint.name) == drained.end()) {
+            m_candidates[endpoint.serves].push_back({&endpoint, loads.get(endpoint.name)});
+        }
+    }
+    for (const auto& service : m_document->services) {
+        for (const auto& route : service.routes) {
+            m_routes.emplace(route_key(route.method, route.path), service_route{&service, &route});
+        }
+    }
+}
+
+const configuration::caller* view::find_caller(const std::string& key_sha256) const
+{
+    const auto found = m_callers.find(key_sha256);
+    return found == m_callers.end() ? nullptr : found->second;
+}
+
+const std::vector<candidate>& view::candidates(const std::string& name) const
+{
+    static const std::vector<candidate> none;
+    const auto found = m_candidates.find(name);
+    return found == m_candidates.end() ? none : found->second;
+}
+
+const service_route* view::find_route(std::string_view method, std::string_view path) const
+{
+    const auto found = m_routes.find(route_key(method, path));
+    return found == m_routes.end() ? nullptr : &found->second;
+}
+
+} // namespace cicadaport::routing
--- /dev/null
+++ b/src/settings/process_settings.cpp
@@ -0,0 +1,110 @@
+#include "cicadaport/settings/process_settings.h"
+
+#include "cicadaport/base/identifier.h"
+#include "cicadaport/yaml/reader.h"
+
+namespace cicadaport::settings {
+namespace {
+
+using std::chrono::milliseconds;
+using yaml::mapping_reader;
+
+http::address read_address(mapping_reader& reader, std::string_view key)
+{
+    const auto text = reader.text(key);
+    if (text.empty()) {
+        return {};
+    }
+    try {
+        return http::parse_address(text);
+    }
+    catch (const std::invalid_argument&) {
+        reader.reject(key, "IP:PORT", "'" + text + "'");
+        return {};
+    }
+}
+
+std::vector<http::address> read_addresses(mapping_reader& reader, std::string_view key)
+{
+    std::vector<http::address> out;
+    for (const auto& text : reader.texts(key)) {
+        try {
+            out.push_back(http::parse_address(text));
+        }
+        catch (const std::invalid_argument&) {
+            reader.reject(key, "a list of IP:PORT", "'" + text + "'");
+        }
+    }
+    return out;
+}
+
+milliseconds read_time(mapping_reader& reader, std::string_view key, yaml::integer_range range,
+                       milliseconds fallback)
+{
+    return milliseconds{reader.integer_or(key, range, fallback.count())};
+}
+
+common_settings read_common(mapping_reader& reader)
+{
+    static constexpr std::string_view levels[] = {"trace", "debug", "info", "warn", "error"};
+    constexpr yaml::integer_range grace_range{0, 3'600'000};
+    constexpr yaml::integer_range worker_range{1, 256};
+    common_settings out;
+    out.id = reader.text_or("id", base::make_identifier());
+    out.region = reader.text_or("region", "");
+    out.availability_zone = reader.text("availability_zone");
+    if (reader.text_or("log_level", out.log_level) != out.log_level) {
+        out.log_level = reader.one_of("log_level", levels);
+    }
+    out.admin_address = read_address(reader, "admin_address");
+    out.grace_time = read_time(reader, "grace_time_ms", grace_range, out.grace_time);
+    out.workers =
+        static_cast<std::uint32_t>(reader.integer_or("workers", worker_range, out.workers));
+    return out;
+}
+
+template <typename Settings, typename Read>
+Settings read_settings(const std::string& file, Read read)
+{
+    yaml::problem_list problems{file};
+    const auto root = yaml::parse(yaml::read_file(file), problems);
+    problems.throw_if_any();
+    mapping_reader reader{root, "", problems};
+    Settings out;
+    out.common = read_common(reader);
+    read(reader, out);
+    reader.finish();
+    problems.throw_if_any();
+    return out;
+}
+
+} // namespace
+
+entry_settings read_entry_settings(const std::string& file)
+{
+    return read_settings<entry_settings>(file, [](mapping_reader& reader, entry_settings& out) {
+        out.caller_address = read_address(reader, "caller_address");
+        out.relays = read_addresses(reader, "relays");
+        if (out.relays.empty()) {
+            reader.reject("relays", "at least one IP:PORT", "none");
+        }
+    });
+}
+
+control_settings read_control_settings(const std::string& file)
+{
+    static constexpr yaml::integer_range lease_range{200, 600'000};
+    return read_settings<control_settings>(file, [](mapping_reader& reader, control_settings& out) {
+        out.relay_address = read_address(reader, "relay_address");
+        out.peers = read_addresses(reader, "peers");
+        reader.nested("platform", [&](mapping_reader& platform) {
+            out.platform.log = read_address(platform, "log");
+            out.platform.host_list = read_address(platform, "host_list");
+            out.platform.weight_store = read_address(platform, "weight_store");
+        });
+        out.operator_key_sha256 = reader.text("operator_key_sha256");
+        out.lease_time = read_time(reader, "lease_time_ms", lease_range, out.lease_time);
+    });
+}
+
+} // namespace cicadaport::settings
--- /dev/null
+++ b/test/fold/state_test.cpp
@@ -0,0 +1,138 @@
+#include "cicadaport/fold/state.h"
+
+#include <gtest/gtest.h>
+#include <record.pb.h>
+#include <state.pb.h>
+
+namespace cicadaport::fold {
+namespace {
+
+class state_test : public testing::Test {
+protected:
+    decision propose(protocol::record record, const std::string& author = "a")
+    {
+        ++m_offset;
+        record.set_append_id("append-" + std::to_string(m_offset));
+        record.set_author(author);
+        return m_state.apply(m_offset, record.SerializeAsString());
+    }
+
+    decision edit(std::uint64_t based_on, const std::string& text)
+    {
+        protocol::record record;
+        record.mutable_edit()->set_schema_version(configuration::schema_version);
+        auto& section = *record.mutable_edit()->add_sections();
+        section.set_section("models");
+        section.set_based_on_offset(based_on);
+        section.set_text(text);
+        return propose(record);
+    }
+
+    decision claim(const std::string& author, std::uint64_t observed)
+    {
+        protocol::record record;
+        record.mutable_claim_lease()->set_partition("p");
+        record.mutable_claim_lease()->set_observed_renewal_offset(observed);
+        return propose(record, author);
+    }
+
+    decision intend(const std::string& author, std::uint64_t fencing, const std::string& order)
+    {
+        protocol::record record;
+        auto& intent = *record.mutable_intent();
+        intent.set_partition("p");
+        intent.set_fencing_number(fencing);
+        intent.mutable_order()->set_endpoint("e");
+        intent.mutable_order()->set_order_id(order);
+        return propose(record, author);
+    }
+
+    state m_state;
+    std::uint64_t m_offset = 0;
+};
+
+TEST_F(state_test, of_two_racing_edits_the_first_wins_and_the_second_names_it)
+{
+    EXPECT_TRUE(edit(0, "models: [{name: m, version: a}]\n").accepted);
+    const auto second = edit(0, "models: [{name: m, version: b}]\n");
+    EXPECT_FALSE(second.accepted);
+    EXPECT_EQ(second.reason, "section models was changed at offset 1 by a");
+    EXPECT_EQ(m_state.document()->find_model("m")->version, "a");
+}
+
+TEST_F(state_test, an_edit_that_fails_the_checks_changes_nothing)
+{
+    EXPECT_TRUE(edit(0, "models: [{name: m, version: a}]\n").accepted);
+    EXPECT_FALSE(edit(1, "models: [{name: m}]\n").accepted);
+    EXPECT_EQ(m_state.configuration_offset(), 1U);
+    EXPECT_EQ(m_state.document()->find_model("m")->version, "a");
+}
+
+TEST_F(state_test, a_copy_of_a_record_has_no_effect)
+{
+    protocol::record record;
+    record.set_append_id("same");
+    record.set_author("a");
+    record.mutable_claim_lease()->set_partition("p");
+    EXPECT_TRUE(m_state.apply(1, record.SerializeAsString()).accepted);
+    EXPECT_FALSE(m_state.apply(2, record.SerializeAsString()).accepted);
+    EXPECT_EQ(m_state.message().leases().at("p").fencing_number(), 1U);
+}
+
+TEST_F(state_test, a_claim_that_did_not_see_the_last_renewal_is_refused)
+{
+    EXPECT_TRUE(claim("a", 0).accepted);
+    protocol::record renewal;
+    renewal.mutable_renew_lease()->set_partition("p");
+    renewal.mutable_renew_lease()->set_fencing_number(1);
+    EXPECT_TRUE(propose(renewal, "a").accepted);
+    EXPECT_FALSE(claim("b", 1).accepted);
+    EXPECT_TRUE(claim("b", 2).accepted);
+}
+
+TEST_F(state_test, an_intent_of_a_holder_that_lost_its_lease_is_refused)
+{
+    EXPECT_TRUE(claim("a", 0).accepted);
+    EXPECT_TRUE(claim("b", 1).accepted);
+    EXPECT_FALSE(intend("a", 1, "late").accepted);
+    EXPECT_TRUE(intend("b", 2, "good").accepted);
+}
+
+TEST_F(state_test, a_second_intent_waits_until_the_first_is_settled)
+{
+    EXPECT_TRUE(claim("a", 0).accepted);
+    EXPECT_TRUE(intend("a", 1, "first").accepted);
+    EXPECT_FALSE(intend("a", 1, "second").accepted);
+    protocol::record settlement;
+    settlement.mutable_settlement()->set_partition("p");
+    settlement.mutable_settlement()->set_fencing_number(1);
+    settlement.mutable_settlement()->set_endpoint("e");
+    settlement.mutable_settlement()->set_order_id("first");
+    EXPECT_TRUE(propose(settlement, "a").accepted);
+    EXPECT_TRUE(intend("a", 1, "second").accepted);
+}
+
+TEST_F(state_test, an_edit_of_a_newer_schema_stops_the_fold_instead_of_diverging)
+{
+    protocol::record record;
+    record.set_append_id("new");
+    record.mutable_edit()->set_schema_version(configuration::schema_version + 1);
+    EXPECT_THROW(m_state.apply(1, record.SerializeAsString()), unknown_record);
+    EXPECT_EQ(m_state.offset(), 0U);
+}
+
+TEST_F(state_test, a_serialized_state_folds_on_like_the_one_it_came_from)
+{
+    EXPECT_TRUE(edit(0, "models: [{name: m, version: a}]\n").accepted);
+    auto other = state::deserialize(m_state.serialize());
+    EXPECT_TRUE(claim("a", 0).accepted);
+    protocol::record record;
+    record.set_append_id("append-2");
+    record.set_author("a");
+    record.mutable_claim_lease()->set_partition("p");
+    other.apply(2, record.SerializeAsString());
+    EXPECT_EQ(other.serialize(), m_state.serialize());
+}
+
+} // namespace
+} // namespace cicadaport::fold
