--- a/cmake/cicadaport.cmake
+++ b/cmake/cicadaport.cmake
@@ -71,3 +71,12 @@
   target_link_libraries(cicadaport-${dashed} PRIVATE ${ARGN})
   set_target_properties(cicadaport-${dashed} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
 endfunction()
+
+# A program that measures: bench/NAME.cpp, built as bin/bench_NAME and run by
+# the script bench/NAME.
+function(cicadaport_bench name)
+  add_executable(bench_${name} ${CMAKE_SOURCE_DIR}/bench/${name}.cpp)
+  cicadaport_options(bench_${name})
+  target_link_libraries(bench_${name} PRIVATE ${ARGN} benchmark::benchmark)
+  set_target_properties(bench_${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+endfunction()
