--- a/src/relay/process_table.cpp
+++ b/src/relay/process_table.cpp
@@ -3,13 +3,26 @@
 #include <peer.pb.h>
 
 namespace cicadaport::relay {
+namespace {
+
+// Returns whether `status` was said before `known`, whatever its age says: a
+// message that waited while this process was paused looks younger than it is.
+// A process that has just started has no offset and is believed.
+bool is_outdated(const protocol::process_status& status, const std::string& known)
+{
+    protocol::process_status before;
+    before.ParseFromString(known);
+    return status.offset_in_force() > 0 && status.offset_in_force() < before.offset_in_force();
+}
+
+} // namespace
 
 void process_table::note(const protocol::process_status& status, clock::time_point now)
 {
     const auto said_at = now - std::chrono::milliseconds{status.age_ms()};
     const std::scoped_lock lock{m_mutex};
     auto& known = m_entries[status.id()];
-    if (known.status.empty() || known.said_at < said_at) {
+    if (known.status.empty() || (known.said_at < said_at && !is_outdated(status, known.status))) {
         known = {status.SerializeAsString(), said_at};
     }
     std::erase_if(m_entries,
