--- a/include/cicadaport/configuration/document.h
+++ b/include/cicadaport/configuration/document.h
@@ -4,7 +4,7 @@
 // section is owned by a team and edited on its own.
 #pragma once
 
-#include "cicadaport/http/client.h"
+#include "cicadaport/http/address.h"
 
 #include <chrono>
 #include <cstdint>
--- /dev/null
+++ b/include/cicadaport/http/address.h
@@ -0,0 +1,25 @@
+// Where a process listens.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace cicadaport::http {
+
+// An IP number and a port; names are not resolved.
+struct address {
+    std::string ip;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const address&) const = default;
+};
+
+// Returns "ip:port".
+std::string to_string(const address& value);
+
+// Parses "ip:port"; throws std::invalid_argument if it is not one.
+address parse_address(std::string_view text);
+
+} // namespace cicadaport::http
--- a/include/cicadaport/http/client.h
+++ b/include/cicadaport/http/client.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "cicadaport/base/verdict.h"
+#include "cicadaport/http/address.h"
 #include "cicadaport/http/message.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -22,20 +23,6 @@
 
 namespace cicadaport::http {
 
-// Where a process listens. Addresses are IP numbers; names are not resolved.
-struct address {
-    std::string ip;
-    std::uint16_t port = 0;
-
-    auto operator<=>(const address&) const = default;
-};
-
-// Returns "ip:port".
-std::string to_string(const address& value);
-
-// Parses "ip:port"; throws std::invalid_argument if it is not one.
-address parse_address(std::string_view text);
-
 // An exchange that brought no whole response.
 class exchange_error : public std::runtime_error {
 public:
--- a/include/cicadaport/relay/process_table.h
+++ b/include/cicadaport/relay/process_table.h
@@ -1,7 +1,7 @@
 // What is known of the system's other processes, from what they tell.
 #pragma once
 
-#include "cicadaport/http/client.h"
+#include "cicadaport/http/address.h"
 
 #include <chrono>
 #include <cstdint>
--- a/include/cicadaport/relay/relay_server.h
+++ b/include/cicadaport/relay/relay_server.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "cicadaport/fold/replica.h"
-#include "cicadaport/http/client.h"
+#include "cicadaport/http/address.h"
 #include "cicadaport/relay/process_table.h"
 
 #include <memory>
--- a/include/cicadaport/settings/process_settings.h
+++ b/include/cicadaport/settings/process_settings.h
@@ -1,7 +1,7 @@
 // What one process is told at its start: addresses, availability zone, platform.
 #pragma once
 
-#include "cicadaport/http/client.h"
+#include "cicadaport/http/address.h"
 
 #include <chrono>
 #include <cstdint>
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -2,8 +2,6 @@
 
 #include "internal/convert.h"
 
-#include <charconv>
-
 namespace cicadaport::http {
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -36,29 +34,6 @@
 
 } // namespace
 
-std::string to_string(const address& value)
-{
-    return value.ip + ":" + std::to_string(value.port);
-}
-
-address parse_address(std::string_view text)
-{
-    const auto colon = text.rfind(':');
-    address out;
-    if (colon != std::string_view::npos) {
-        const auto digits = text.substr(colon + 1);
-        const auto [end, error] =
-            std::from_chars(digits.data(), digits.data() + digits.size(), out.port);
-        beast::error_code bad_ip;
-        out.ip = text.substr(0, colon);
-        asio::ip::make_address(out.ip, bad_ip);
-        if (error == std::errc{} && end == digits.data() + digits.size() && !bad_ip) {
-            return out;
-        }
-    }
-    throw std::invalid_argument{"'" + std::string{text} + "' is not IP:PORT"};
-}
-
 // A connection with the bytes read ahead of what was asked for.
 struct connection {
     explicit connection(asio::io_context& context) : stream{context} {}
