--- a/include/cicadaport/fold/state.h
+++ b/include/cicadaport/fold/state.h
@@ -14,10 +14,12 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 namespace cicadaport::protocol {
 class configuration_edit;
@@ -29,6 +31,7 @@
 class order_intent;
 class order_settlement;
 class record;
+class snapshot;
 } // namespace cicadaport::protocol
 
 namespace cicadaport::fold {
@@ -39,6 +42,19 @@
     std::string reason;
 };
 
+// How many offsets a record may lie behind the one its author had folded. The
+// append ids of at least as many records are remembered, so that no copy can
+// take effect, however late it arrives.
+constexpr std::uint64_t append_window = 2'048;
+
+// A state that may be appended to the log as a snapshot.
+struct due_snapshot {
+    std::uint64_t covers_offset = 0;
+    std::string digest;
+    // Empty if this process took over a later state.
+    std::shared_ptr<const std::string> bytes;
+};
+
 // A record that this build can't judge: deciding would diverge from the others.
 class unknown_record : public std::runtime_error {
 public:
@@ -58,6 +74,14 @@
     // effect. Throws `unknown_record`.
     decision apply(std::uint64_t offset, std::string_view payload);
 
+    // Returns what became of the record with this append id, if it is among
+    // the last `append_window`. The reason is lost where the state was taken
+    // over from another process.
+    std::optional<decision> decision_of(const std::string& append_id) const;
+
+    // Returns the snapshot that is due and that no accepted one covers yet.
+    std::optional<due_snapshot> pending_snapshot() const;
+
     // The offset of the last record folded.
     std::uint64_t offset() const noexcept;
 
@@ -73,7 +97,8 @@
     // Returns the state as bytes, equal for equal states.
     std::string serialize() const;
 
-    // Throws std::invalid_argument if `bytes` is not a serialized state.
+    // Throws std::invalid_argument if `bytes` is not a serialized state, and
+    // `unknown_record` if it takes a newer build to fold on from it.
     static state deserialize(std::string_view bytes);
 
 private:
@@ -91,10 +116,16 @@
     decision apply_wish(std::uint64_t offset, const protocol::endpoint_request& wish);
     bool holds(const std::string& author, const std::string& partition,
                std::uint64_t fencing_number) const;
-    bool is_copy(const std::string& append_id);
+    decision apply_snapshot(std::uint64_t offset, const protocol::snapshot& taken);
+    void remember(const std::string& append_id, const decision& made);
+    void take_snapshot_if_due();
+    void index_append_ids();
     std::string joined_sections() const;
 
     std::unique_ptr<protocol::folded_state> m_state;
+    // The recent append ids, for look-up.
+    std::unordered_map<std::string, decision> m_recent;
+    std::shared_ptr<const std::string> m_due_bytes;
     std::shared_ptr<const configuration::document> m_document;
 };
 
--- a/include/cicadaport/platform/proposer.h
+++ b/include/cicadaport/platform/proposer.h
@@ -6,7 +6,9 @@
 
 #include <boost/asio/awaitable.hpp>
 
-#include <memory>
+#include <cstdint>
+#include <optional>
+#include <random>
 #include <string>
 
 namespace cicadaport::protocol {
@@ -18,7 +20,8 @@
 // Proposes records on behalf of one process.
 //
 // An append whose answer was lost is looked for in the log before it is sent
-// again, with the same append id, so that it takes effect at most once.
+// again, with the same append id, so that it takes effect at most once. Tries
+// are bounded in number and spread by random pauses.
 //
 //   const auto made = co_await proposals.propose(record);
 //   if (!made.accepted) spdlog::info("refused reason=\"{}\"", made.reason);
@@ -35,7 +38,11 @@
     boost::asio::awaitable<fold::decision> propose(protocol::record record);
 
 private:
-    boost::asio::awaitable<bool> append_once(const std::string& payload);
+    // What one try told.
+    enum class append_result { confirmed, answer_lost, not_appended };
+
+    boost::asio::awaitable<append_result> append_once(const std::string& payload);
+    boost::asio::awaitable<void> pause_before_retry(int attempt);
     boost::asio::awaitable<std::optional<fold::decision>>
     wait_for_decision(const std::string& append_id, std::chrono::milliseconds limit);
 
@@ -43,6 +50,7 @@
     log_client& m_log;
     const fold::replica& m_replica;
     std::string m_author;
+    std::mt19937_64 m_random;
 };
 
 } // namespace cicadaport::platform
--- a/src/fold/replica.cpp
+++ b/src/fold/replica.cpp
@@ -7,7 +7,23 @@
 namespace {
 
 constexpr std::size_t kept_entries = 1'024;
+constexpr std::size_t kept_bytes = 4UL * 1024 * 1024;
 constexpr int entries_per_answer = 256;
+constexpr std::size_t bytes_per_answer = 256UL * 1024;
+
+// Returns the entry as it is passed on: a snapshot without the state in it.
+protocol::log_entry without_snapshot_state(const protocol::log_entry& entry)
+{
+    protocol::record record;
+    if (!record.ParseFromString(entry.payload()) || !record.has_state_snapshot()) {
+        return entry;
+    }
+    record.mutable_state_snapshot()->clear_state();
+    protocol::log_entry out;
+    out.set_offset(entry.offset());
+    out.set_payload(record.SerializeAsString());
+    return out;
+}
 
 } // namespace
 
@@ -19,46 +35,49 @@
 void replica::apply(std::span<const protocol::log_entry> entries)
 {
     const std::scoped_lock order{m_order};
-    {
-        const std::scoped_lock lock{m_mutex};
-        const auto before = m_state.offset();
+    if (fold_all(entries)) {
+        notify();
+    }
+}
+
+// Returns whether the state moved on.
+bool replica::fold_all(std::span<const protocol::log_entry> entries)
+{
+    const std::scoped_lock lock{m_mutex};
+    const auto before = m_state.offset();
+    try {
         for (const auto& entry : entries) {
             if (entry.offset() <= m_state.offset()) {
                 continue;
             }
-            remember(entry, m_state.apply(entry.offset(), entry.payload()));
-            m_recent.push_back(entry);
-            if (m_recent.size() > kept_entries) {
-                m_recent_after = m_recent.front().offset();
-                m_recent.pop_front();
+            if (entry.offset() != m_state.offset() + 1) {
+                break;
             }
-        }
-        if (m_state.offset() == before) {
-            return;
+            m_state.apply(entry.offset(), entry.payload());
+            keep(entry);
         }
     }
-    notify();
+    catch (const unknown_record& error) {
+        m_halted = "offset " + std::to_string(m_state.offset() + 1) + ": " + error.what();
+    }
+    return m_state.offset() != before;
 }
 
-void replica::remember(const protocol::log_entry& entry, decision made)
+void replica::keep(const protocol::log_entry& entry)
 {
-    protocol::record record;
-    if (!record.ParseFromString(entry.payload()) ||
-        !m_decisions.emplace(record.append_id(), std::move(made)).second) {
-        return;
-    }
-    m_decided.push_back(record.append_id());
-    if (m_decided.size() > kept_entries) {
-        m_decisions.erase(m_decided.front());
-        m_decided.pop_front();
+    m_recent.push_back(without_snapshot_state(entry));
+    m_recent_bytes += m_recent.back().payload().size();
+    while (m_recent.size() > kept_entries || m_recent_bytes > kept_bytes) {
+        m_recent_after = m_recent.front().offset();
+        m_recent_bytes -= m_recent.front().payload().size();
+        m_recent.pop_front();
     }
 }
 
 std::optional<decision> replica::decision_of(const std::string& append_id) const
 {
     const std::scoped_lock lock{m_mutex};
-    const auto found = m_decisions.find(append_id);
-    return found == m_decisions.end() ? std::nullopt : std::optional{found->second};
+    return m_state.decision_of(append_id);
 }
 
 bool replica::install(std::string_view serialized)
@@ -67,11 +86,14 @@
     const std::scoped_lock order{m_order};
     {
         const std::scoped_lock lock{m_mutex};
-        if (newer.offset() <= m_state.offset()) {
+        if (newer.offset() <= m_state.offset() ||
+            newer.configuration_offset() < m_state.configuration_offset()) {
             return false;
         }
         m_state = std::move(newer);
+        m_halted.reset();
         m_recent.clear();
+        m_recent_bytes = 0;
         m_recent_after = m_state.offset();
     }
     notify();
@@ -92,6 +114,12 @@
     return m_state.offset();
 }
 
+std::optional<std::string> replica::halted() const
+{
+    const std::scoped_lock lock{m_mutex};
+    return m_halted;
+}
+
 state replica::copy() const
 {
     const std::scoped_lock lock{m_mutex};
@@ -112,10 +140,13 @@
         reply.set_state(m_state.serialize());
         return;
     }
-    for (const auto& entry : m_recent) {
-        if (entry.offset() > after_offset && reply.entries_size() < entries_per_answer) {
-            *reply.add_entries() = entry;
+    std::size_t bytes = 0;
+    for (auto i = after_offset - m_recent_after; i < m_recent.size(); ++i) {
+        if (reply.entries_size() == entries_per_answer || bytes > bytes_per_answer) {
+            break;
         }
+        *reply.add_entries() = m_recent[i];
+        bytes += m_recent[i].payload().size();
     }
 }
 
--- a/src/fold/state.cpp
+++ b/src/fold/state.cpp
@@ -1,5 +1,6 @@
 #include "cicadaport/fold/state.h"
 
+#include "cicadaport/base/digest.h"
 #include "cicadaport/yaml/reader.h"
 
 #include <google/protobuf/io/coded_stream.h>
@@ -12,11 +13,16 @@
 namespace cicadaport::fold {
 namespace {
 
-// How many append ids and edit decisions are remembered. An append is retried
-// for seconds only, so a copy comes well within this window.
-constexpr int recent_append_ids = 2'048;
 constexpr int recent_edits = 64;
 
+// Append ids are dropped a window at a time, so that dropping costs little.
+constexpr int most_append_ids = 2 * static_cast<int>(append_window);
+
+// Snapshots cost the log this many bytes a record on average, and there are at
+// least this many records between two of them.
+constexpr std::uint64_t snapshot_bytes_per_record = 64;
+constexpr std::uint64_t least_snapshot_interval = 256;
+
 decision accept()
 {
     return {true, {}};
@@ -36,6 +42,17 @@
     }
 }
 
+void throw_if_unknown(const protocol::record& record)
+{
+    if (record.has_edit() && record.edit().schema_version() > configuration::schema_version) {
+        throw unknown_record{"edit of schema version " +
+                             std::to_string(record.edit().schema_version())};
+    }
+    if (record.body_case() == protocol::record::BODY_NOT_SET) {
+        throw unknown_record{"record of an unknown kind"};
+    }
+}
+
 } // namespace
 
 state::state()
@@ -49,8 +66,8 @@
 state& state::operator=(state&&) noexcept = default;
 
 state::state(const state& other)
-    : m_state{std::make_unique<protocol::folded_state>(*other.m_state)}, m_document{
-                                                                             other.m_document}
+    : m_state{std::make_unique<protocol::folded_state>(*other.m_state)}, m_recent{other.m_recent},
+      m_due_bytes{other.m_due_bytes}, m_document{other.m_document}
 {
 }
 
@@ -58,6 +75,8 @@
 {
     if (this != &other) {
         *m_state = *other.m_state;
+        m_recent = other.m_recent;
+        m_due_bytes = other.m_due_bytes;
         m_document = other.m_document;
     }
     return *this;
@@ -79,22 +98,102 @@
         return refuse("already folded");
     }
     protocol::record record;
-    if (!record.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
-        m_state->set_offset(offset);
+    const bool readable = record.ParseFromArray(payload.data(), static_cast<int>(payload.size()));
+    if (readable) {
+        throw_if_unknown(record);
+    }
+    take_snapshot_if_due();
+    m_state->set_offset(offset);
+    if (!readable) {
         return refuse("not a record");
     }
-    if (record.has_edit() && record.edit().schema_version() > configuration::schema_version) {
-        throw unknown_record{"edit of schema version " +
-                             std::to_string(record.edit().schema_version())};
+    if (m_recent.contains(record.append_id())) {
+        return refuse("a copy");
     }
-    if (record.body_case() == protocol::record::BODY_NOT_SET) {
-        throw unknown_record{"record of an unknown kind"};
+    if (offset > record.proposed_after() + append_window) {
+        return refuse("proposed too long ago");
     }
-    m_state->set_offset(offset);
-    if (is_copy(record.append_id())) {
-        return refuse("a copy");
+    auto made = decide(offset, record);
+    remember(record.append_id(), made);
+    return made;
+}
+
+// The list is trimmed by rules that depend on the records alone, so that equal
+// states stay equal byte for byte.
+void state::remember(const std::string& append_id, const decision& made)
+{
+    auto& ids = *m_state->mutable_recent_append_ids();
+    auto& accepted = *m_state->mutable_recent_accepted();
+    ids.Add(std::string{append_id});
+    accepted.Add(made.accepted);
+    m_recent.emplace(append_id, made);
+    if (ids.size() < most_append_ids) {
+        return;
+    }
+    const auto dropped = static_cast<int>(append_window);
+    for (int i = 0; i < dropped; ++i) {
+        m_recent.erase(ids.Get(i));
+    }
+    ids.DeleteSubrange(0, dropped);
+    accepted.erase(accepted.begin(), accepted.begin() + dropped);
+}
+
+void state::index_append_ids()
+{
+    m_recent.clear();
+    const auto& ids = m_state->recent_append_ids();
+    for (int i = 0; i < ids.size(); ++i) {
+        const bool accepted = i < m_state->recent_accepted_size() && m_state->recent_accepted(i);
+        m_recent.emplace(ids.Get(i), decision{accepted, "folded by another process"});
+    }
+}
+
+std::optional<decision> state::decision_of(const std::string& append_id) const
+{
+    const auto found = m_recent.find(append_id);
+    return found == m_recent.end() ? std::nullopt : std::optional{found->second};
+}
+
+// Called between two records: a process that starts from the snapshot comes by
+// here with the same state.
+void state::take_snapshot_if_due()
+{
+    const auto due = std::max(m_state->next_snapshot_offset(), least_snapshot_interval);
+    if (m_state->offset() < due) {
+        return;
+    }
+    m_due_bytes = std::make_shared<const std::string>(serialize());
+    const auto interval =
+        std::max(least_snapshot_interval, m_due_bytes->size() / snapshot_bytes_per_record);
+    m_state->set_due_snapshot_offset(m_state->offset());
+    m_state->set_due_snapshot_digest(base::sha256_hex(*m_due_bytes));
+    m_state->set_next_snapshot_offset(m_state->offset() + interval);
+}
+
+std::optional<due_snapshot> state::pending_snapshot() const
+{
+    if (m_state->due_snapshot_offset() == m_state->snapshot_covers()) {
+        return std::nullopt;
     }
-    return decide(offset, record);
+    return due_snapshot{m_state->due_snapshot_offset(), m_state->due_snapshot_digest(),
+                        m_due_bytes};
+}
+
+decision state::apply_snapshot(std::uint64_t offset, const protocol::snapshot& taken)
+{
+    if (taken.covers_offset() != m_state->due_snapshot_offset()) {
+        return refuse("the snapshot due covers offset " +
+                      std::to_string(m_state->due_snapshot_offset()));
+    }
+    if (taken.covers_offset() == m_state->snapshot_covers()) {
+        return refuse("offset " + std::to_string(m_state->snapshot_offset()) + " has it already");
+    }
+    if (taken.digest() != m_state->due_snapshot_digest()) {
+        return refuse("the snapshot differs from the state that it covers");
+    }
+    m_state->set_snapshot_covers(taken.covers_offset());
+    m_state->set_snapshot_offset(offset);
+    return accept();
 }
 
 decision state::decide(std::uint64_t offset, const protocol::record& record)
@@ -115,25 +214,13 @@
     case protocol::record::kEndpointWish:
         return apply_wish(offset, record.endpoint_wish());
     case protocol::record::kStateSnapshot:
-        // It repeats what was folded here already.
-        return accept();
+        return apply_snapshot(offset, record.state_snapshot());
     case protocol::record::BODY_NOT_SET:
         break;
     }
     return refuse("nothing in the record");
 }
 
-bool state::is_copy(const std::string& append_id)
-{
-    auto& seen = *m_state->mutable_recent_append_ids();
-    if (std::find(seen.rbegin(), seen.rend(), append_id) != seen.rend()) {
-        return true;
-    }
-    seen.Add(std::string{append_id});
-    trim(seen, recent_append_ids);
-    return false;
-}
-
 decision state::apply_edit(std::uint64_t offset, const protocol::record& record)
 {
     auto& outcome = *m_state->add_recent_edits();
@@ -152,6 +239,7 @@
         if (section.offset() != edit.based_on_offset()) {
             outcome.set_winner_offset(section.offset());
             outcome.set_winner_author(section.author());
+            outcome.set_winner_section(edit.section());
             sections = before;
             return finish(refuse("section " + edit.section() + " was changed at offset " +
                                  std::to_string(outcome.winner_offset()) + " by " +
@@ -170,6 +258,8 @@
         return finish(refuse(error.what()));
     }
     m_state->set_configuration_offset(offset);
+    m_state->set_reader_version(
+        std::max(m_state->reader_version(), record.edit().schema_version()));
     return finish(accept());
 }
 
@@ -305,6 +395,10 @@
     if (!out.m_state->ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
         throw std::invalid_argument{"not a folded state"};
     }
+    if (out.m_state->reader_version() > configuration::schema_version) {
+        throw unknown_record{"state of version " + std::to_string(out.m_state->reader_version())};
+    }
+    out.index_append_ids();
     out.m_document = std::make_shared<configuration::document>(
         configuration::parse_document(out.joined_sections(), "configuration"));
     return out;
--- a/test/fold/state_test.cpp
+++ b/test/fold/state_test.cpp
@@ -13,6 +13,7 @@
     {
         ++m_offset;
         record.set_append_id("append-" + std::to_string(m_offset));
+        record.set_proposed_after(m_offset - 1);
         record.set_author(author);
         return m_state.apply(m_offset, record.SerializeAsString());
     }
@@ -134,5 +135,79 @@
     EXPECT_EQ(other.serialize(), m_state.serialize());
 }
 
+TEST_F(state_test, a_copy_has_no_effect_however_late_it_arrives)
+{
+    protocol::record late;
+    late.set_append_id("late");
+    late.set_author("a");
+    late.mutable_claim_lease()->set_partition("other");
+    EXPECT_TRUE(m_state.apply(++m_offset, late.SerializeAsString()).accepted);
+    for (std::uint64_t i = 0; i < 3 * append_window; ++i) {
+        protocol::record wish;
+        wish.mutable_endpoint_wish()->set_endpoint("e");
+        propose(wish);
+    }
+    EXPECT_FALSE(m_state.apply(++m_offset, late.SerializeAsString()).accepted);
+    EXPECT_EQ(m_state.message().leases().at("other").fencing_number(), 1U);
+}
+
+TEST_F(state_test, remembers_what_became_of_a_record_across_a_serialization)
+{
+    EXPECT_TRUE(claim("a", 0).accepted);
+    EXPECT_FALSE(claim("b", 7).accepted);
+    const auto other = state::deserialize(m_state.serialize());
+    EXPECT_TRUE(other.decision_of("append-1")->accepted);
+    EXPECT_FALSE(other.decision_of("append-2")->accepted);
+    EXPECT_FALSE(other.decision_of("append-3").has_value());
+}
+
+class snapshot_test : public state_test {
+protected:
+    // Folds records until a snapshot is due.
+    due_snapshot next_due()
+    {
+        while (!m_state.pending_snapshot()) {
+            protocol::record wish;
+            wish.mutable_endpoint_wish()->set_endpoint("e");
+            propose(wish);
+        }
+        return *m_state.pending_snapshot();
+    }
+
+    decision propose_snapshot(const due_snapshot& due)
+    {
+        protocol::record record;
+        record.mutable_state_snapshot()->set_covers_offset(due.covers_offset);
+        record.mutable_state_snapshot()->set_digest(due.digest);
+        record.mutable_state_snapshot()->set_state(*due.bytes);
+        return propose(record);
+    }
+};
+
+TEST_F(snapshot_test, the_first_snapshot_of_a_due_state_is_accepted_and_the_second_refused)
+{
+    const auto due = next_due();
+    EXPECT_EQ(state::deserialize(*due.bytes).offset(), due.covers_offset);
+    EXPECT_TRUE(propose_snapshot(due).accepted);
+    EXPECT_FALSE(m_state.pending_snapshot().has_value());
+    EXPECT_FALSE(propose_snapshot(due).accepted);
+}
+
+TEST_F(snapshot_test, a_snapshot_that_differs_from_the_state_it_covers_is_refused)
+{
+    auto due = next_due();
+    due.digest.front() = due.digest.front() == '0' ? '1' : '0';
+    EXPECT_FALSE(propose_snapshot(due).accepted);
+    EXPECT_TRUE(m_state.pending_snapshot().has_value());
+}
+
+TEST_F(snapshot_test, a_snapshot_of_an_older_state_is_refused)
+{
+    const auto old = next_due();
+    EXPECT_TRUE(propose_snapshot(old).accepted);
+    next_due();
+    EXPECT_FALSE(propose_snapshot(old).accepted);
+}
+
 } // namespace
 } // namespace cicadaport::fold
