--- a/include/cicadaport/control/admin_api.h
+++ b/include/cicadaport/control/admin_api.h
@@ -26,6 +26,7 @@
     boost::asio::awaitable<http::response> answer(const http::request& message);
     boost::asio::awaitable<http::response> publish(const http::request& message);
     boost::asio::awaitable<http::response> change_endpoint(const std::string& path);
+    http::response refused(const fold::decision& made) const;
     http::response show_configuration() const;
     http::response show_processes() const;
     http::response show_endpoints() const;
--- a/include/cicadaport/fold/state.h
+++ b/include/cicadaport/fold/state.h
@@ -40,6 +40,10 @@
 struct decision {
     bool accepted = false;
     std::string reason;
+    // Where the record stands on the log.
+    std::uint64_t offset = 0;
+    // The section that another edit had moved, where that was the reason.
+    std::string winner_section = {};
 };
 
 // How many offsets a record may lie behind the one its author had folded. The
--- /dev/null
+++ b/include/cicadaport/relay/log_readers.h
@@ -0,0 +1,31 @@
+// Which of the control processes read the platform's log for all others.
+#pragma once
+
+#include "cicadaport/relay/process_table.h"
+
+#include <chrono>
+#include <cstddef>
+#include <span>
+#include <string_view>
+
+namespace cicadaport::relay {
+
+// A process whose last word is older than this gives up its place to the next.
+// Words travel by way of relays and are up to 3 s old when all is well.
+constexpr std::chrono::milliseconds live_age{4'000};
+
+// A reader that the log has not answered for this long does so too.
+constexpr std::chrono::milliseconds longest_log_silence{6'000};
+
+// Returns how many live control processes come before `id` in the order that
+// all of them use; the same everywhere where the same processes are heard.
+std::size_t rank_of(std::string_view id, std::span<const protocol::process_status> known);
+
+// Returns whether the control process `id` should read the log itself: it does
+// unless a live one before it in its availability zone reads it with success.
+// So there is one reader in each zone, and the next takes over when it is
+// silent or cut off from the log.
+bool should_read_log(std::string_view id, std::string_view availability_zone,
+                     std::span<const protocol::process_status> known);
+
+} // namespace cicadaport::relay
--- a/src/control/admin_api.cpp
+++ b/src/control/admin_api.cpp
@@ -122,11 +122,13 @@
         co_return problem(status_bad_request, "invalid_request", error.what());
     }
     std::optional<http::response> failure;
+    std::uint64_t offset = 0;
     try {
         const auto made = co_await m_proposals.propose(record);
         if (!made.accepted) {
-            co_return problem(status_conflict, "refused", made.reason);
+            co_return refused(made);
         }
+        offset = made.offset;
     }
     catch (const platform::log_error& error) {
         failure = log_unavailable(error);
@@ -134,11 +136,28 @@
     if (failure) {
         co_return *failure;
     }
-    std::uint64_t offset = 0;
-    m_replica.inspect([&](const fold::state& state) { offset = state.configuration_offset(); });
     co_return http::json_response(status_ok, json{{"offset", offset}}.dump());
 }
 
+// Names the edit that came first and shows what it made of the section.
+http::response admin_api::refused(const fold::decision& made) const
+{
+    auto reply = problem(status_conflict, "refused", made.reason);
+    m_replica.inspect([&](const fold::state& state) {
+        const auto found = state.message().sections().find(made.winner_section);
+        if (found == state.message().sections().end()) {
+            return;
+        }
+        auto body = json::parse(reply.body);
+        body["winner"] = {{"section", made.winner_section},
+                          {"offset", found->second.offset()},
+                          {"author", found->second.author()},
+                          {"text", found->second.text()}};
+        reply.body = body.dump();
+    });
+    return reply;
+}
+
 asio::awaitable<http::response> admin_api::change_endpoint(const std::string& path)
 {
     const auto slash = path.find('/');
@@ -191,6 +210,8 @@
                         {"offset", status.offset_in_force()},
                         {"configuration_offset", status.configuration_offset()},
                         {"draining", status.draining()},
+                        {"reads_log", status.reads_log()},
+                        {"halted", status.halted()},
                         {"age_ms", status.age_ms()}});
     }
     const json body{{"offset", m_replica.offset()}, {"processes", std::move(list)}};
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -2,13 +2,16 @@
 
 #include "cicadaport/base/io_pool.h"
 #include "cicadaport/control/admin_api.h"
+#include "cicadaport/platform/snapshotter.h"
 #include "cicadaport/platform/tailer.h"
 #include "cicadaport/relay/follower.h"
+#include "cicadaport/relay/log_readers.h"
 #include "cicadaport/relay/relay_server.h"
 
 #include <peer.pb.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <csignal>
 
 namespace cicadaport::control {
@@ -25,9 +28,10 @@
         : m_settings{settings}, m_pool{control_workers}, m_tail_log{m_pool.context(0),
                                                                     settings.platform.log,
                                                                     log_stream},
-          m_append_log{m_pool.context(0), settings.platform.log, log_stream}, m_tailer{m_tail_log,
-                                                                                       m_replica},
+          m_append_log{m_pool.context(0), settings.platform.log, log_stream},
+          m_tailer{m_tail_log, m_replica, [this] { return reads_log(); }},
           m_proposals{m_pool.context(0), m_append_log, m_replica, settings.common.id},
+          m_snapshots{m_replica, m_proposals, [this] { return rank(); }},
           m_admin_api{m_replica, m_processes, m_proposals, settings.operator_key_sha256},
           m_admin{m_pool,
                   settings.common.admin_address.ip,
@@ -36,11 +40,15 @@
                   [this](std::size_t, const http::request& message, http::response_writer& writer) {
                       return m_admin_api.handle(message, writer);
                   }},
-          m_relay{settings.relay_address, m_replica, m_processes},
-          m_follower{settings.peers, m_replica, m_processes, [this] { return status(); }},
           m_signals{m_pool.context(0), SIGTERM, SIGINT}
     {
+        m_replica.add_listener([this](const fold::state& state) { note(state); });
+        m_follower = std::make_unique<relay::follower>(settings.peers, m_replica, m_processes,
+                                                       [this] { return status(); });
+        m_relay = std::make_unique<relay::relay_server>(
+            settings.relay_address, m_replica, m_processes, [this] { return contact_age(); });
         asio::co_spawn(m_pool.context(0), m_tailer.run(), asio::detached);
+        asio::co_spawn(m_pool.context(0), m_snapshots.run(), asio::detached);
         m_signals.async_wait([this](const boost::system::error_code& error, int) {
             if (!error) {
                 m_pool.stop();
@@ -68,22 +76,56 @@
             out.set_offset_in_force(state.offset());
             out.set_configuration_offset(state.configuration_offset());
         });
+        const auto log_age = m_tailer.since_last_answer();
+        out.set_log_age_ms(log_age ? static_cast<std::uint32_t>(log_age->count()) : 0);
+        out.set_reads_log(log_age && *log_age < relay::longest_log_silence);
+        out.set_halted(m_replica.halted().value_or(""));
         return out;
     }
 
+    // Called by one thread at a time.
+    void note(const fold::state& state)
+    {
+        if (state.configuration_offset() != m_noted_configuration) {
+            m_noted_configuration = state.configuration_offset();
+            spdlog::info("configuration_in_force offset={}", m_noted_configuration);
+        }
+    }
+
+    bool reads_log() const
+    {
+        const auto known = m_processes.list(relay::process_table::clock::now());
+        return relay::should_read_log(m_settings.common.id, m_settings.common.availability_zone,
+                                      known);
+    }
+
+    std::size_t rank() const
+    {
+        return relay::rank_of(m_settings.common.id,
+                              m_processes.list(relay::process_table::clock::now()));
+    }
+
+    std::chrono::milliseconds contact_age() const
+    {
+        const auto by_peers = m_follower->since_last_answer();
+        return std::min(by_peers, m_tailer.since_last_answer().value_or(by_peers));
+    }
+
     settings::control_settings m_settings;
     base::io_pool m_pool;
     fold::replica m_replica;
+    std::uint64_t m_noted_configuration = 0;
     relay::process_table m_processes;
     platform::log_client m_tail_log;
     platform::log_client m_append_log;
     platform::tailer m_tailer;
     platform::proposer m_proposals;
+    platform::snapshotter m_snapshots;
     admin_api m_admin_api;
     http::server m_admin;
-    relay::relay_server m_relay;
-    relay::follower m_follower;
     asio::signal_set m_signals;
+    std::unique_ptr<relay::follower> m_follower;
+    std::unique_ptr<relay::relay_server> m_relay;
 };
 
 } // namespace
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -106,7 +106,7 @@
     bool is_ready() const
     {
         return m_configuration_offset.load(std::memory_order_acquire) > 0 &&
-               !m_draining.load(std::memory_order_acquire);
+               !m_draining.load(std::memory_order_acquire) && !m_follower->is_stale();
     }
 
     asio::awaitable<void> serve_admin(const http::request& message, http::response_writer& writer)
--- a/src/fold/state.cpp
+++ b/src/fold/state.cpp
@@ -114,6 +114,7 @@
         return refuse("proposed too long ago");
     }
     auto made = decide(offset, record);
+    made.offset = offset;
     remember(record.append_id(), made);
     return made;
 }
@@ -146,6 +147,12 @@
         const bool accepted = i < m_state->recent_accepted_size() && m_state->recent_accepted(i);
         m_recent.emplace(ids.Get(i), decision{accepted, "folded by another process"});
     }
+    for (const auto& edit : m_state->recent_edits()) {
+        const auto found = m_recent.find(edit.append_id());
+        if (found != m_recent.end()) {
+            found->second = {edit.accepted(), edit.reason(), edit.offset(), edit.winner_section()};
+        }
+    }
 }
 
 std::optional<decision> state::decision_of(const std::string& append_id) const
@@ -241,9 +248,11 @@
             outcome.set_winner_author(section.author());
             outcome.set_winner_section(edit.section());
             sections = before;
-            return finish(refuse("section " + edit.section() + " was changed at offset " +
-                                 std::to_string(outcome.winner_offset()) + " by " +
-                                 outcome.winner_author()));
+            auto made =
+                refuse("section " + edit.section() + " was changed at offset " +
+                       std::to_string(outcome.winner_offset()) + " by " + outcome.winner_author());
+            made.winner_section = edit.section();
+            return finish(std::move(made));
         }
         section.set_text(edit.text());
         section.set_offset(offset);
--- a/src/platform/tailer.cpp
+++ b/src/platform/tailer.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr milliseconds read_wait{2'000};
+constexpr milliseconds read_wait{1'000};
 constexpr milliseconds turn_poll{100};
 constexpr milliseconds halted_pause{1'000};
 constexpr milliseconds least_outage_pause{50};
--- a/src/relay/follower.cpp
+++ b/src/relay/follower.cpp
@@ -1,11 +1,13 @@
 #include "cicadaport/relay/follower.h"
 
+#include "cicadaport/relay/log_readers.h"
 #include "cicadaport/relay/relay_server.h"
 
 #include <peer.pb.h>
 #include <spdlog/spdlog.h>
 #include <zmq.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <random>
 #include <thread>
@@ -20,6 +22,8 @@
 constexpr milliseconds answer_slack{500};
 constexpr milliseconds cross_check_interval{2'000};
 constexpr milliseconds retry_pause{100};
+constexpr milliseconds halted_pause{1'000};
+constexpr milliseconds preference_interval{500};
 
 } // namespace
 
@@ -35,26 +39,72 @@
         }
     }
 
-    milliseconds since_last_answer() const
+    milliseconds since_last_answer() const { return since(m_last_answer); }
+    milliseconds since_contact() const { return since(m_last_contact); }
+
+private:
+    static milliseconds since(const std::atomic<clock::duration>& event)
     {
-        const auto last = m_last_answer.load(std::memory_order_acquire);
+        const auto last = event.load(std::memory_order_acquire);
         return std::chrono::duration_cast<milliseconds>(clock::now().time_since_epoch() - last);
     }
 
-private:
     void run(const std::stop_token& stop)
     {
-        std::size_t current = 0;
+        ask_everyone(stop);
         auto next_cross_check = clock::now() + cross_check_interval;
         while (!stop.stop_requested()) {
-            if (!pull(m_relays[current], pull_wait)) {
-                current = (current + 1) % m_relays.size();
+            prefer_a_log_reader();
+            if (!pull(m_relays[m_current], pull_wait)) {
+                m_current = (m_current + 1) % m_relays.size();
+                m_passed_over_until = clock::now() + cross_check_interval;
                 std::this_thread::sleep_for(retry_pause);
             }
             if (clock::now() >= next_cross_check && m_relays.size() > 1) {
-                pull(another_than(current), milliseconds{0});
+                pull(another_than(m_current), milliseconds{0});
                 next_cross_check = clock::now() + cross_check_interval;
             }
+            if (m_log.halted()) {
+                std::this_thread::sleep_for(halted_pause);
+            }
+        }
+    }
+
+    // The log may be down, and any relay may lag.
+    void ask_everyone(const std::stop_token& stop)
+    {
+        for (const auto& relay : m_relays) {
+            if (stop.stop_requested()) {
+                return;
+            }
+            pull(relay, milliseconds{0});
+        }
+    }
+
+    // Two processes that follow each other learn nothing, so a relay that reads
+    // the log is better than another. After a failure the next in the list has
+    // its turn first.
+    void prefer_a_log_reader()
+    {
+        const auto now = clock::now();
+        if (now < m_next_preference || now < m_passed_over_until) {
+            return;
+        }
+        m_next_preference = now + preference_interval;
+        const auto known = m_processes.list(now);
+        const auto reads_log = [&](const http::address& relay) {
+            const auto text = http::to_string(relay);
+            return std::any_of(known.begin(), known.end(), [&](const auto& each) {
+                return each.address() == text && each.reads_log() &&
+                       each.age_ms() < live_age.count();
+            });
+        };
+        if (reads_log(m_relays[m_current])) {
+            return;
+        }
+        const auto found = std::find_if(m_relays.begin(), m_relays.end(), reads_log);
+        if (found != m_relays.end()) {
+            m_current = static_cast<std::size_t>(found - m_relays.begin());
         }
     }
 
@@ -102,7 +152,7 @@
             return false;
         }
         if (!reply.state().empty()) {
-            m_log.install(reply.state());
+            install(relay, reply.state());
         }
         const std::vector<protocol::log_entry> entries{reply.entries().begin(),
                                                        reply.entries().end()};
@@ -112,9 +162,26 @@
             m_processes.note(member, now);
         }
         m_last_answer.store(now.time_since_epoch(), std::memory_order_release);
+        const auto contact = (now - milliseconds{reply.contact_age_ms()}).time_since_epoch();
+        if (contact > m_last_contact.load(std::memory_order_acquire)) {
+            m_last_contact.store(contact, std::memory_order_release);
+        }
         return true;
     }
 
+    // A state that this build can't read leaves the one it has in force.
+    void install(const http::address& relay, const std::string& state)
+    {
+        try {
+            m_log.install(state);
+        }
+        catch (const std::exception& error) {
+            spdlog::error("state_unreadable relay={} error=\"{}\"", http::to_string(relay),
+                          error.what());
+            std::this_thread::sleep_for(halted_pause);
+        }
+    }
+
     zmq::socket_t& socket_of(const http::address& relay)
     {
         auto found = m_sockets.find(relay);
@@ -134,7 +201,11 @@
     std::mt19937_64 m_random;
     zmq::context_t m_context;
     std::map<http::address, zmq::socket_t> m_sockets;
+    std::size_t m_current = 0;
+    clock::time_point m_next_preference;
+    clock::time_point m_passed_over_until;
     std::atomic<clock::duration> m_last_answer{clock::duration{}};
+    std::atomic<clock::duration> m_last_contact{clock::duration{}};
     std::jthread m_thread;
 };
 
@@ -151,4 +222,9 @@
     return m_impl->since_last_answer();
 }
 
+milliseconds follower::since_contact() const
+{
+    return m_impl->since_contact();
+}
+
 } // namespace cicadaport::relay
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <thread>
+#include <unordered_map>
 
 namespace cicadaport::relay {
 namespace {
@@ -15,7 +16,10 @@
 
 constexpr std::chrono::milliseconds wake_interval{20};
 constexpr std::chrono::milliseconds longest_wait{5'000};
+constexpr std::chrono::milliseconds members_interval{1'000};
+constexpr std::chrono::hours longest_age{24};
 constexpr std::size_t most_waiting = 4'096;
+constexpr std::size_t most_followers = 4'096;
 
 // A pull that waits for something newer.
 struct waiting_pull {
@@ -28,14 +32,22 @@
 
 class relay_server::implementation {
 public:
-    implementation(const http::address& listen, fold::replica& log, process_table& processes)
-        : m_log{log}, m_processes{processes}, m_socket{m_context, zmq::socket_type::router}
+    implementation(const http::address& listen, fold::replica& log, process_table& processes,
+                   contact_age_source contact_age)
+        : m_log{log}, m_processes{processes},
+          m_contact_age{std::move(contact_age)}, m_socket{m_context, zmq::socket_type::router}
     {
         m_socket.set(zmq::sockopt::linger, 0);
-        m_socket.bind("tcp://" + http::to_string(listen));
+        const auto port = listen.port == 0 ? "*" : std::to_string(listen.port);
+        m_socket.bind("tcp://" + listen.ip + ":" + port);
+        constexpr std::string_view scheme = "tcp://";
+        const auto endpoint = m_socket.get(zmq::sockopt::last_endpoint);
+        m_address = http::parse_address(endpoint.substr(scheme.size()));
         m_thread = std::jthread{[this](const std::stop_token& stop) { run(stop); }};
     }
 
+    const http::address& address() const noexcept { return m_address; }
+
 private:
     void run(const std::stop_token& stop)
     {
@@ -103,12 +115,31 @@
         protocol::pull_reply reply;
         reply.set_protocol_version(protocol_version);
         m_log.answer(pull.after_offset, reply);
-        for (auto& status : m_processes.list(now)) {
-            *reply.add_members() = std::move(status);
+        if (m_contact_age) {
+            const auto age = std::min<std::chrono::milliseconds>(m_contact_age(), longest_age);
+            reply.set_contact_age_ms(static_cast<std::uint32_t>(age.count()));
+        }
+        if (is_time_for_members(pull.peer, now)) {
+            for (auto& status : m_processes.list(now)) {
+                *reply.add_members() = std::move(status);
+            }
         }
         send(pull.peer, reply);
     }
 
+    bool is_time_for_members(const std::string& peer, clock::time_point now)
+    {
+        if (m_members_sent.size() > most_followers) {
+            m_members_sent.clear();
+        }
+        auto& last = m_members_sent[peer];
+        if (now - last < members_interval) {
+            return false;
+        }
+        last = now;
+        return true;
+    }
+
     void send(const std::string& peer, const protocol::pull_reply& reply)
     {
         m_socket.send(zmq::buffer(peer), zmq::send_flags::sndmore | zmq::send_flags::dontwait);
@@ -117,18 +148,26 @@
 
     fold::replica& m_log;
     process_table& m_processes;
+    contact_age_source m_contact_age;
+    std::unordered_map<std::string, clock::time_point> m_members_sent;
     zmq::context_t m_context;
     zmq::socket_t m_socket;
+    http::address m_address;
     std::vector<waiting_pull> m_waiting;
     std::jthread m_thread;
 };
 
 relay_server::relay_server(const http::address& listen, fold::replica& log,
-                           process_table& processes)
-    : m_impl{std::make_unique<implementation>(listen, log, processes)}
+                           process_table& processes, contact_age_source contact_age)
+    : m_impl{std::make_unique<implementation>(listen, log, processes, std::move(contact_age))}
 {
 }
 
 relay_server::~relay_server() = default;
 
+const http::address& relay_server::address() const noexcept
+{
+    return m_impl->address();
+}
+
 } // namespace cicadaport::relay
--- a/test/fold/state_test.cpp
+++ b/test/fold/state_test.cpp
@@ -58,9 +58,20 @@
     const auto second = edit(0, "models: [{name: m, version: b}]\n");
     EXPECT_FALSE(second.accepted);
     EXPECT_EQ(second.reason, "section models was changed at offset 1 by a");
+    EXPECT_EQ(second.winner_section, "models");
     EXPECT_EQ(m_state.document()->find_model("m")->version, "a");
 }
 
+TEST_F(state_test, a_process_that_took_the_state_over_can_tell_who_won)
+{
+    EXPECT_TRUE(edit(0, "models: [{name: m, version: a}]\n").accepted);
+    EXPECT_FALSE(edit(0, "models: [{name: m, version: b}]\n").accepted);
+    const auto other = state::deserialize(m_state.serialize());
+    EXPECT_EQ(other.decision_of("append-1")->offset, 1U);
+    EXPECT_EQ(other.decision_of("append-2")->winner_section, "models");
+    EXPECT_EQ(other.decision_of("append-2")->reason, "section models was changed at offset 1 by a");
+}
+
 TEST_F(state_test, an_edit_that_fails_the_checks_changes_nothing)
 {
     EXPECT_TRUE(edit(0, "models: [{name: m, version: a}]\n").accepted);
--- a/test/platform/tailer_test.cpp
+++ b/test/platform/tailer_test.cpp
@@ -33,7 +33,7 @@
         return run_until([&] { return m_replica.offset() == m_whole.offset(); });
     }
 
-    static constexpr std::uint64_t size = 700;
+    static constexpr std::uint64_t log_size = 700;
 
     fold::state m_whole;
     fold::replica m_replica;
@@ -44,7 +44,7 @@
 TEST_F(tailer_test, a_reader_that_starts_after_the_originals_expired_ends_in_the_same_state)
 {
     set_fault("keep=300");
-    append_up_to(size);
+    append_up_to(log_size);
     EXPECT_GT(entries().front().offset(), 1U);
     EXPECT_TRUE(read_to_the_end());
     EXPECT_EQ(m_replica.copy().serialize(), m_whole.serialize());
@@ -56,7 +56,7 @@
     append_up_to(100);
     m_replica.apply(entries());
     EXPECT_EQ(m_replica.offset(), 100U);
-    append_up_to(size);
+    append_up_to(log_size);
     EXPECT_TRUE(read_to_the_end());
     EXPECT_EQ(m_replica.copy().serialize(), m_whole.serialize());
 }
