--- a/src/operator_tool/admin_client.cpp
+++ b/src/operator_tool/admin_client.cpp
@@ -26,7 +26,8 @@
             return call_one(m_addresses[i], message);
         }
         catch (const http::exchange_error& error) {
-            failures += http::to_string(m_addresses[i]) + ": " + error.what() + "\n";
+            failures += failures.empty() ? "" : "\n";
+            failures += http::to_string(m_addresses[i]) + ": " + error.what();
             const bool may_repeat = method == "GET" || error.outcome() == base::verdict::not_run;
             if (!may_repeat || i + 1 == m_addresses.size()) {
                 throw http::exchange_error{error.outcome(), failures};
