decisions: estimate, placement, admission and role control as pure units

Cause: placement was two random choices over this process's own counts; nothing was refused before it was late, and roles never followed the mix. Ruled out: the best of all endpoints by report (every process with the same old picture chooses the same one; placement_test shows it). Change: routing gets estimate, prediction, load history and a bounded prefix index; admission gets deadline admission and account limits; roles gets the capacity formula, three policies and a controller. Baselines stand beside. Conclusion: not yet wired into the entry process.

--- a/include/cicadaport/routing/view.h
+++ b/include/cicadaport/routing/view.h
@@ -5,12 +5,10 @@
 #pragma once
 
 #include "cicadaport/configuration/document.h"
+#include "cicadaport/routing/load.h"
 
-#include <atomic>
 #include <cstdint>
-#include <map>
 #include <memory>
-#include <mutex>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -18,13 +16,6 @@
 
 namespace cicadaport::routing {
 
-// What this process has in flight at one endpoint. Thread safety: atomic.
-struct endpoint_load {
-    std::atomic<std::uint32_t> requests{0};
-    std::atomic<std::uint64_t> prefill_tokens{0};
-    std::atomic<std::uint64_t> decode_tokens{0};
-};
-
 // One endpoint that may be given work.
 struct candidate {
     const configuration::endpoint* endpoint = nullptr;
@@ -37,16 +28,6 @@
     const configuration::route* route = nullptr;
 };
 
-// The loads of all endpoints by name; they outlive the views. Thread safe.
-class load_table {
-public:
-    std::shared_ptr<endpoint_load> get(const std::string& endpoint);
-
-private:
-    std::mutex m_mutex;
-    std::map<std::string, std::shared_ptr<endpoint_load>, std::less<>> m_loads;
-};
-
 class view {
 public:
     // Makes the view of `document`, without the endpoints named in `drained`.
@@ -56,7 +37,7 @@
     // Returns the account with this key hash, or null.
     const configuration::caller* find_caller(const std::string& key_sha256) const;
 
-    // Returns the endpoints that serve the model or service `name`.
+    // Returns the endpoints that serve the model or service `name`, by their index.
     const std::vector<candidate>& candidates(const std::string& name) const;
 
     // Returns the route for a method and path, if one is configured.
--- /dev/null
+++ b/src/admission/admission.cpp
@@ -0,0 +1,67 @@
+#include "cicadaport/admission/admission.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace cicadaport::admission {
+
+std::string_view to_string(refusal_reason reason) noexcept
+{
+    switch (reason) {
+    case refusal_reason::deadline:
+        return "the deadline can't be met";
+    case refusal_reason::reserved_for_urgent:
+        return "the capacity left is reserved for more urgent requests";
+    case refusal_reason::request_rate:
+        return "the account's request rate is used up";
+    case refusal_reason::token_rate:
+        return "the account's token rate is used up";
+    case refusal_reason::concurrency:
+        return "the account has too many requests in flight";
+    }
+    return "refused";
+}
+
+std::chrono::milliseconds spread_retry(std::chrono::milliseconds base, std::mt19937_64& random)
+{
+    std::uniform_int_distribution<std::int64_t> extra{0, base.count()};
+    return base + std::chrono::milliseconds{extra(random)};
+}
+
+std::optional<refusal_reason> deadline_admission::decide(const admission_question& question,
+                                                         clock::time_point now)
+{
+    age(now);
+    const auto rank = std::min<std::size_t>(question.rank, most_ranks - 1);
+    if (question.predicted.completion > usable_deadline * question.deadline) {
+        return refusal_reason::deadline;
+    }
+    const auto headroom = std::pow(headroom_per_rank, static_cast<double>(rank));
+    const bool delays_urgent =
+        rank > 0 && question.predicted.first_token > headroom * question.urgent_deadline;
+    const bool below_share = recent_share(question.rank) < question.least_share;
+    if (delays_urgent && !below_share) {
+        return refusal_reason::reserved_for_urgent;
+    }
+    m_admitted[rank] += question.work.count();
+    return std::nullopt;
+}
+
+double deadline_admission::recent_share(std::uint32_t rank) const noexcept
+{
+    const auto whole = std::accumulate(m_admitted.begin(), m_admitted.end(), 0.0);
+    return whole > 0 ? m_admitted[std::min<std::size_t>(rank, most_ranks - 1)] / whole : 0;
+}
+
+void deadline_admission::age(clock::time_point now)
+{
+    const auto passed = std::max(seconds{now - m_aged_at}, seconds{0});
+    m_aged_at = now;
+    const auto kept = std::exp2(-passed / share_half_life);
+    for (auto& each : m_admitted) {
+        each *= kept;
+    }
+}
+
+} // namespace cicadaport::admission
--- /dev/null
+++ b/src/roles/capacity.cpp
@@ -0,0 +1,29 @@
+#include "cicadaport/roles/capacity.h"
+
+#include <algorithm>
+
+namespace cicadaport::roles {
+namespace {
+
+double part_of(double engines, double work)
+{
+    return work > 0 ? std::min(engines / work, 1.0) : 1.0;
+}
+
+} // namespace
+
+double servable_part(const role_counts& roles, const offered_work& offered) noexcept
+{
+    const double prefill = roles.mixed + roles.prefill;
+    const double decode = roles.mixed + roles.decode;
+    const double all = roles.mixed + roles.prefill + roles.decode;
+    return std::min({part_of(prefill, offered.prefill), part_of(decode, offered.decode),
+                     part_of(all, offered.prefill + offered.decode)});
+}
+
+double servable_requests(const role_counts& roles, const offered_work& offered) noexcept
+{
+    return servable_part(roles, offered) * offered.requests_per_second;
+}
+
+} // namespace cicadaport::roles
--- /dev/null
+++ b/src/roles/policy.cpp
@@ -0,0 +1,103 @@
+#include "cicadaport/roles/policy.h"
+
+#include <algorithm>
+
+namespace cicadaport::roles {
+namespace {
+
+double gain_of(const fleet_observation& seen, direction which)
+{
+    return servable_requests(after_change(seen.roles, which), seen.offered) -
+           servable_requests(seen.roles, seen.offered);
+}
+
+policy_verdict make_verdict(std::string policy, const fleet_observation& seen, direction which,
+                            double lost, double price)
+{
+    const auto after = after_change(seen.roles, which);
+    return {
+        which,
+        {std::move(policy), lost, price, gain_of(seen, which), seen.offered, seen.roles, after}};
+}
+
+bool may_change(const fleet_observation& seen, direction which)
+{
+    return which == direction::to_prefill ? seen.may_go_to_prefill : seen.may_go_to_decode;
+}
+
+// Returns the direction in which the utilization of the roles calls.
+std::optional<direction> wanted_direction(const fleet_observation& seen)
+{
+    const double prefill_engines = seen.roles.prefill + seen.roles.mixed;
+    const double decode_engines = seen.roles.decode + seen.roles.mixed;
+    const auto prefill = seen.offered.prefill / std::max(prefill_engines, 1.0);
+    const auto decode = seen.offered.decode / std::max(decode_engines, 1.0);
+    if (prefill > threshold_policy::upper_utilization &&
+        decode < threshold_policy::lower_utilization) {
+        return direction::to_prefill;
+    }
+    if (decode > threshold_policy::upper_utilization &&
+        prefill < threshold_policy::lower_utilization) {
+        return direction::to_decode;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string_view to_string(direction value) noexcept
+{
+    return value == direction::to_prefill ? "prefill" : "decode";
+}
+
+role_counts after_change(role_counts roles, direction which) noexcept
+{
+    auto& from = which == direction::to_prefill ? roles.decode : roles.prefill;
+    auto& into = which == direction::to_prefill ? roles.prefill : roles.decode;
+    if (from > 0) {
+        --from;
+        ++into;
+    }
+    return roles;
+}
+
+std::optional<policy_verdict> threshold_policy::decide(const fleet_observation& seen,
+                                                       clock::time_point now)
+{
+    const auto wanted = wanted_direction(seen);
+    if (wanted != m_wanted) {
+        m_wanted = wanted;
+        m_wanted_since = now;
+    }
+    if (!wanted || !may_change(seen, *wanted) || now - m_wanted_since < hold_time) {
+        return std::nullopt;
+    }
+    m_wanted.reset();
+    return make_verdict("threshold", seen, *wanted, 0, 0);
+}
+
+std::optional<policy_verdict> rent_or_buy_policy::decide(const fleet_observation& seen,
+                                                         clock::time_point now)
+{
+    const auto passed = m_last ? std::min(seconds{now - *m_last}, longest_step) : seconds{0};
+    m_last = now;
+    const auto add = [&](double& lost, direction which) {
+        lost = std::max(lost + gain_of(seen, which) * passed.count(), 0.0);
+    };
+    add(m_lost_to_prefill, direction::to_prefill);
+    add(m_lost_to_decode, direction::to_decode);
+    const auto which =
+        m_lost_to_prefill >= m_lost_to_decode ? direction::to_prefill : direction::to_decode;
+    const auto lost = std::max(m_lost_to_prefill, m_lost_to_decode);
+    // A change that wins nothing now would be paid for what is over.
+    if (lost < m_price || gain_of(seen, which) <= 0 || !may_change(seen, which)) {
+        return std::nullopt;
+    }
+    m_lost_to_prefill = 0;
+    m_lost_to_decode = 0;
+    // What is offered until the change is done is not a loss of the new roles.
+    m_last.reset();
+    return make_verdict("rent_or_buy", seen, which, lost, m_price);
+}
+
+} // namespace cicadaport::roles
--- /dev/null
+++ b/src/routing/placement.cpp
@@ -0,0 +1,204 @@
+#include "cicadaport/routing/placement.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace cicadaport::routing {
+namespace {
+
+// Tries at random before all are searched for one that serves.
+constexpr int most_draws = 8;
+
+const candidate& draw(std::span<const candidate> among, random_source& random)
+{
+    // Multiplication in place of division; the bias is below 2^-32 per endpoint.
+    const auto high = random() >> 32U;
+    return among[static_cast<std::size_t>((high * among.size()) >> 32U)];
+}
+
+const candidate* draw_serving(const placement_question& question, random_source& random)
+{
+    if (question.among.empty()) {
+        return nullptr;
+    }
+    for (int i = 0; i < most_draws; ++i) {
+        const auto& drawn = draw(question.among, random);
+        if (serves_whole_requests(question, drawn)) {
+            return &drawn;
+        }
+    }
+    const auto found =
+        std::find_if(question.among.begin(), question.among.end(),
+                     [&](const candidate& each) { return serves_whole_requests(question, each); });
+    return found == question.among.end() ? nullptr : &*found;
+}
+
+work_sum backlog_of(const placement_question& question, const candidate& at) noexcept
+{
+    auto out = own_work(*at.load);
+    if (question.loads != nullptr) {
+        out += question.loads->at(at.load->index).others;
+    }
+    return out;
+}
+
+placement_choice choice_of(const placement_question& question, const candidate* chosen)
+{
+    return {chosen, chosen == nullptr ? predicted_times{} : predict_at(question, *chosen)};
+}
+
+const candidate* find_by_index(std::span<const candidate> among, std::uint32_t index)
+{
+    // Candidates of one view are ordered by their index.
+    const auto found = std::lower_bound(
+        among.begin(), among.end(), index,
+        [](const candidate& each, std::uint32_t wanted) { return each.load->index < wanted; });
+    return found != among.end() && found->load->index == index ? &*found : nullptr;
+}
+
+// Keeps the best predicted of the candidates it is shown.
+class best_choice {
+public:
+    explicit best_choice(const placement_question& question) : m_question{question} {}
+
+    // Endpoints that were considered before, or are none, change nothing.
+    void consider(const candidate* each)
+    {
+        const auto seen = std::span{m_seen}.first(m_considered);
+        if (each == nullptr || m_considered == m_seen.size() ||
+            std::find(seen.begin(), seen.end(), each) != seen.end()) {
+            return;
+        }
+        m_seen[m_considered++] = each;
+        const auto predicted = predict_at(m_question, *each);
+        if (m_best.chosen == nullptr || predicted.completion < m_best.predicted.completion) {
+            m_best = {each, predicted};
+        }
+    }
+
+    std::size_t considered() const noexcept { return m_considered; }
+    const placement_choice& best() const noexcept { return m_best; }
+
+private:
+    const placement_question& m_question;
+    placement_choice m_best;
+    std::array<const candidate*, predicted_completion::sampled + predicted_completion::most_holders>
+        m_seen{};
+    std::size_t m_considered = 0;
+};
+
+} // namespace
+
+predicted_times predict_at(const placement_question& question, const candidate& at) noexcept
+{
+    const auto cached = question.prefix.tokens_at(at.load->index);
+    auto out = predict(question.speed, backlog_of(question, at), question.needs, cached);
+    const double correction = at.load->correction.load(std::memory_order_relaxed);
+    out.first_token *= correction;
+    out.completion *= correction;
+    return out;
+}
+
+bool serves_whole_requests(const placement_question& question, const candidate& at) noexcept
+{
+    if (question.loads == nullptr) {
+        return true;
+    }
+    const auto& report = question.loads->at(at.load->index);
+    return report.serving && report.role != engine_role::prefill;
+}
+
+placement_choice predicted_completion::choose(const placement_question& question,
+                                              random_source& random) const
+{
+    best_choice best{question};
+    const auto wanted = std::min(sampled, question.among.size());
+    for (std::size_t draws = 0; best.considered() < wanted && draws < 2 * sampled; ++draws) {
+        best.consider(draw_serving(question, random));
+    }
+    const auto holders = question.prefix.holders();
+    for (const auto& holder : holders.first(std::min(most_holders, holders.size()))) {
+        const auto* each = find_by_index(question.among, holder.endpoint);
+        if (each != nullptr && serves_whole_requests(question, *each)) {
+            best.consider(each);
+        }
+    }
+    return best.best();
+}
+
+placement_choice two_random_choices::choose(const placement_question& question,
+                                            random_source& random) const
+{
+    const auto* first = draw_serving(question, random);
+    const auto* second = draw_serving(question, random);
+    if (first == nullptr) {
+        return {};
+    }
+    const bool second_is_less =
+        backlog_of(question, *second).requests < backlog_of(question, *first).requests;
+    return choice_of(question, second_is_less ? second : first);
+}
+
+const candidate* two_random_choices::choose(std::span<const candidate> among,
+                                            random_source& random) const
+{
+    if (among.empty()) {
+        return nullptr;
+    }
+    const auto& first = draw(among, random);
+    const auto& second = draw(among, random);
+    const auto load = [](const candidate& each) {
+        return each.load->requests.load(std::memory_order_relaxed);
+    };
+    return load(second) < load(first) ? &second : &first;
+}
+
+placement_choice random_choice::choose(const placement_question& question,
+                                       random_source& random) const
+{
+    return choice_of(question, draw_serving(question, random));
+}
+
+placement_choice round_robin::choose(const placement_question& question, random_source& random)
+{
+    static_cast<void>(random);
+    for (std::size_t tries = 0; tries < question.among.size(); ++tries) {
+        const auto& each = question.among[m_next++ % question.among.size()];
+        if (serves_whole_requests(question, each)) {
+            return choice_of(question, &each);
+        }
+    }
+    return {};
+}
+
+placement_choice least_outstanding::choose(const placement_question& question,
+                                           random_source& random) const
+{
+    static_cast<void>(random);
+    const candidate* best = nullptr;
+    auto least = std::numeric_limits<double>::max();
+    for (const auto& each : question.among) {
+        const auto requests = backlog_of(question, each).requests;
+        if (requests < least && serves_whole_requests(question, each)) {
+            best = &each;
+            least = requests;
+        }
+    }
+    return choice_of(question, best);
+}
+
+placement_choice cache_only::choose(const placement_question& question, random_source& random) const
+{
+    const candidate* best = nullptr;
+    std::uint32_t most = 0;
+    for (const auto& holder : question.prefix.holders()) {
+        const auto* each = find_by_index(question.among, holder.endpoint);
+        if (each != nullptr && holder.tokens > most && serves_whole_requests(question, *each)) {
+            best = each;
+            most = holder.tokens;
+        }
+    }
+    return choice_of(question, best != nullptr ? best : draw_serving(question, random));
+}
+
+} // namespace cicadaport::routing
--- /dev/null
+++ b/src/routing/prediction.cpp
@@ -0,0 +1,48 @@
+#include "cicadaport/routing/prediction.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cicadaport::routing {
+namespace {
+
+// Weight of the newest observation in an endpoint's correction.
+constexpr float newest_weight = 1.0F / 16;
+constexpr float least_correction = 0.25F;
+constexpr float most_correction = 8.0F;
+// Predictions shorter than this say nothing about the endpoint's speed.
+constexpr seconds least_observed{5e-3};
+
+} // namespace
+
+predicted_times predict(const engine_speed& speed, const work_sum& backlog,
+                        const request_needs& needs, double cached_tokens) noexcept
+{
+    const auto own_prefill = std::max(needs.prompt_tokens - cached_tokens, 1.0);
+    const auto prefill = backlog.prefill_tokens + own_prefill;
+    const auto running = std::min(backlog.requests, speed.most_running);
+    const auto decode_step = speed.step_base + running * speed.per_decode_token;
+    const auto steps = std::floor(prefill / speed.prefill_chunk) + 1;
+    // Requests beyond the largest batch wait until as many have ended.
+    const auto beyond = std::max(backlog.requests + 1 - speed.most_running, 0.0);
+    const auto decode_each = backlog.decode_tokens / std::max(backlog.requests, 1.0);
+    const auto batch_wait = beyond / speed.most_running * decode_each * decode_step;
+    predicted_times out;
+    out.first_token = prefill * speed.per_prefill_token + steps * decode_step + batch_wait;
+    out.completion = out.first_token + needs.output_tokens * (decode_step + speed.per_decode_token);
+    return out;
+}
+
+void learn_correction(endpoint_load& load, seconds predicted, seconds observed) noexcept
+{
+    if (predicted < least_observed) {
+        return;
+    }
+    const auto ratio = static_cast<float>(observed / predicted);
+    const auto bounded = std::clamp(ratio, least_correction, most_correction);
+    // Two threads at once may lose one observation; the average stays sound.
+    const auto known = load.correction.load(std::memory_order_relaxed);
+    load.correction.store(known + newest_weight * (bounded - known), std::memory_order_relaxed);
+}
+
+} // namespace cicadaport::routing
--- a/src/routing/view.cpp
+++ b/src/routing/view.cpp
@@ -15,16 +15,6 @@
 
 } // namespace
 
-std::shared_ptr<endpoint_load> load_table::get(const std::string& endpoint)
-{
-    const std::scoped_lock lock{m_mutex};
-    auto& load = m_loads[endpoint];
-    if (!load) {
-        load = std::make_shared<endpoint_load>();
-    }
-    return load;
-}
-
 view::view(std::shared_ptr<const configuration::document> document, std::uint64_t offset,
            const std::vector<std::string>& drained, load_table& loads)
     : m_document{std::move(document)}, m_offset{offset}
@@ -37,6 +27,11 @@
             m_candidates[endpoint.serves].push_back({&endpoint, loads.get(endpoint.name)});
         }
     }
+    for (auto& [name, list] : m_candidates) {
+        std::sort(list.begin(), list.end(), [](const candidate& left, const candidate& right) {
+            return left.load->index < right.load->index;
+        });
+    }
     for (const auto& service : m_document->services) {
         for (const auto& route : service.routes) {
             m_routes.emplace(route_key(route.method, route.path), service_route{&service, &route});
--- /dev/null
+++ b/test/admission/admission_test.cpp
@@ -0,0 +1,90 @@
+#include "cicadaport/admission/admission.h"
+
+#include <gtest/gtest.h>
+
+namespace cicadaport::admission {
+namespace {
+
+using namespace std::chrono_literals;
+
+const clock::time_point start{std::chrono::hours{1}};
+
+admission_question ask(std::uint32_t rank, double first_token, double completion)
+{
+    admission_question out;
+    out.rank = rank;
+    out.deadline = seconds{rank == 0 ? 4 : 30};
+    out.urgent_deadline = seconds{4};
+    out.predicted = {seconds{first_token}, seconds{completion}};
+    out.work = seconds{0.1};
+    return out;
+}
+
+TEST(admission_test, refuses_what_would_miss_its_deadline)
+{
+    deadline_admission rule;
+    EXPECT_EQ(rule.decide(ask(0, 0.1, 2), start), std::nullopt);
+    EXPECT_EQ(rule.decide(ask(0, 3, 5), start), refusal_reason::deadline);
+    EXPECT_EQ(admit_all{}.decide(ask(0, 3, 5), start), std::nullopt) << "the baseline takes it";
+}
+
+TEST(admission_test, refuses_less_urgent_work_before_it_delays_urgent_work)
+{
+    deadline_admission rule;
+    EXPECT_EQ(rule.decide(ask(1, 1, 5), start), std::nullopt);
+    EXPECT_EQ(rule.decide(ask(2, 1.5, 5), start), refusal_reason::reserved_for_urgent);
+    EXPECT_EQ(rule.decide(ask(1, 2.5, 5), start), refusal_reason::reserved_for_urgent);
+    EXPECT_EQ(rule.decide(ask(0, 2.5, 3), start), std::nullopt);
+}
+
+TEST(admission_test, at_any_queue_a_refused_rank_means_that_all_below_it_are_refused)
+{
+    for (double queue = 0; queue < 6; queue += 0.1) {
+        bool refused = false;
+        for (std::uint32_t rank = 0; rank < 4; ++rank) {
+            auto question = ask(rank, queue, queue + 0.3);
+            question.deadline = seconds{4};
+            const bool now_refused = deadline_admission{}.decide(question, start).has_value();
+            EXPECT_TRUE(now_refused || !refused) << "rank " << rank << " queue " << queue;
+            refused = now_refused;
+        }
+    }
+}
+
+TEST(admission_test, the_lowest_rank_gets_its_least_share_under_a_flood_of_urgent_work)
+{
+    const auto flood = [](double least_share) {
+        deadline_admission rule;
+        int admitted = 0;
+        for (int i = 0; i < 1'000; ++i) {
+            const auto now = start + i * 10ms;
+            rule.decide(ask(0, 2, 3), now);
+            auto low = ask(2, 2, 5);
+            low.least_share = least_share;
+            admitted += rule.decide(low, now) ? 0 : 1;
+        }
+        return admitted;
+    };
+    EXPECT_EQ(flood(0), 0) << "without a share it starves";
+    const auto admitted = flood(0.05);
+    EXPECT_GE(admitted, 1'000 * 0.05 * 0.9);
+    EXPECT_LE(admitted, 1'000 * 0.05 * 1.3) << "and it gets no more than that";
+}
+
+TEST(admission_test, come_back_times_are_spread)
+{
+    std::mt19937_64 random{3};
+    auto least = 10'000ms;
+    auto most = 0ms;
+    for (int i = 0; i < 200; ++i) {
+        const auto each = spread_retry(1'000ms, random);
+        least = std::min(least, each);
+        most = std::max(most, each);
+    }
+    EXPECT_GE(least, 1'000ms);
+    EXPECT_LE(most, 2'000ms);
+    EXPECT_GT(most - least, 800ms);
+}
+
+} // namespace
+} // namespace cicadaport::admission
--- /dev/null
+++ b/test/routing/load_test.cpp
@@ -0,0 +1,55 @@
+#include "cicadaport/routing/load.h"
+
+#include <gtest/gtest.h>
+
+namespace cicadaport::routing {
+namespace {
+
+using namespace std::chrono_literals;
+
+const report_history::time_point start{std::chrono::hours{1}};
+
+TEST(report_history_test, takes_off_what_this_process_had_there_when_the_report_was_made)
+{
+    report_history history;
+    history.note_own(start, {2, 100, 10});
+    history.note_own(start + 1s, {9, 900, 90});
+    history.note_report(start + 500ms, {5, 400, 30});
+    EXPECT_EQ(history.others().requests, 3) << "own work sent later is not in the report";
+    EXPECT_EQ(history.others().prefill_tokens, 300);
+}
+
+TEST(report_history_test, own_work_that_a_report_does_not_show_leaves_no_debt)
+{
+    report_history history;
+    history.note_own(start, {4, 100, 10});
+    history.note_report(start, {1, 0, 0});
+    EXPECT_EQ(history.others().requests, 0);
+}
+
+TEST(report_history_test, the_younger_of_report_and_told_sums_counts)
+{
+    report_history history;
+    history.note_report(start, {5, 0, 0});
+    history.note_told(start + 1s, {7, 0, 0});
+    EXPECT_EQ(history.others().requests, 7);
+    history.note_report(start + 2s, {6, 0, 0});
+    EXPECT_EQ(history.others().requests, 6);
+}
+
+TEST(report_history_test, knows_of_nobody_before_anything_was_heard)
+{
+    EXPECT_EQ(report_history{}.others().requests, 0);
+}
+
+TEST(load_table_test, gives_each_endpoint_a_lasting_place)
+{
+    load_table loads;
+    EXPECT_EQ(loads.get("b")->index, 0U);
+    EXPECT_EQ(loads.get("a")->index, 1U);
+    EXPECT_EQ(loads.get("b")->index, 0U);
+    EXPECT_EQ(loads.names(), (std::vector<std::string>{"b", "a"}));
+}
+
+} // namespace
+} // namespace cicadaport::routing
--- /dev/null
+++ b/test/routing/placement_test.cpp
@@ -0,0 +1,150 @@
+#include "cicadaport/routing/placement.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace cicadaport::routing {
+namespace {
+
+// Engines without a configuration, and a question about them.
+class placement_test : public testing::Test {
+protected:
+    explicit placement_test(std::size_t engines = 4)
+    {
+        for (std::size_t i = 0; i < engines; ++i) {
+            auto load = std::make_shared<endpoint_load>();
+            load->index = static_cast<std::uint32_t>(i);
+            m_candidates.push_back({nullptr, std::move(load)});
+        }
+        m_loads.endpoints.resize(engines);
+    }
+
+    placement_question ask(double prompt_tokens = 200, double output_tokens = 40) const
+    {
+        placement_question out;
+        out.among = m_candidates;
+        out.loads = &m_loads;
+        out.needs = {prompt_tokens, output_tokens};
+        return out;
+    }
+
+    std::size_t index_of(const placement_choice& choice) const
+    {
+        return static_cast<std::size_t>(choice.chosen - m_candidates.data());
+    }
+
+    template <typename Rule>
+    std::map<std::size_t, int> choose_often(Rule rule, const placement_question& question)
+    {
+        std::map<std::size_t, int> out;
+        for (int i = 0; i < 400; ++i) {
+            ++out[index_of(rule.choose(question, m_random))];
+        }
+        return out;
+    }
+
+    std::vector<candidate> m_candidates;
+    load_snapshot m_loads;
+    random_source m_random{7};
+};
+
+TEST_F(placement_test, predicts_later_tokens_behind_a_longer_queue)
+{
+    m_loads.endpoints[1].others = {10, 20'000, 500};
+    const auto idle = predict_at(ask(), m_candidates[0]);
+    const auto busy = predict_at(ask(), m_candidates[1]);
+    EXPECT_GT(busy.first_token, idle.first_token);
+    EXPECT_GT(busy.completion, idle.completion);
+    EXPECT_GT(idle.completion, idle.first_token);
+}
+
+TEST_F(placement_test, own_work_sent_since_the_report_counts_at_once)
+{
+    const auto before = predict_at(ask(), m_candidates[0]).first_token;
+    m_candidates[0].load->prefill_tokens += 10'000;
+    EXPECT_GT(predict_at(ask(), m_candidates[0]).first_token, before + seconds{0.5});
+}
+
+TEST_F(placement_test, avoids_the_engine_with_the_longest_prefill_queue)
+{
+    m_loads.endpoints[2].others = {1, 50'000, 10};
+    EXPECT_LT(choose_often(predicted_completion{}, ask())[2], 8);
+    EXPECT_GT(choose_often(random_choice{}, ask())[2], 50);
+}
+
+TEST_F(placement_test, spreads_over_engines_that_look_alike)
+{
+    const auto chosen = choose_often(predicted_completion{}, ask());
+    EXPECT_EQ(chosen.size(), m_candidates.size());
+}
+
+TEST_F(placement_test, prefers_a_holder_of_the_prefix_until_its_queue_costs_more)
+{
+    auto question = ask(4'000);
+    question.prefix.note(3, 3'900);
+    EXPECT_EQ(choose_often(predicted_completion{}, question)[3], 400);
+    m_loads.endpoints[3].others = {5, 8'000, 200};
+    EXPECT_EQ(choose_often(predicted_completion{}, question)[3], 0);
+    EXPECT_EQ(choose_often(cache_only{}, question)[3], 400) << "the baseline never yields";
+}
+
+TEST_F(placement_test, no_rule_chooses_an_engine_that_does_not_take_whole_requests)
+{
+    m_loads.endpoints[0].role = engine_role::prefill;
+    m_loads.endpoints[1].serving = false;
+    auto question = ask();
+    question.prefix.note(0, 160);
+    EXPECT_EQ(choose_often(predicted_completion{}, question).count(0), 0U);
+    EXPECT_EQ(choose_often(two_random_choices{}, question).count(1), 0U);
+    EXPECT_EQ(choose_often(random_choice{}, question).count(1), 0U);
+    EXPECT_EQ(choose_often(round_robin{}, question).count(0), 0U);
+    EXPECT_EQ(choose_often(least_outstanding{}, question).count(1), 0U);
+    EXPECT_EQ(choose_often(cache_only{}, question).count(0), 0U);
+}
+
+TEST_F(placement_test, no_rule_finds_an_engine_where_none_serves)
+{
+    for (auto& each : m_loads.endpoints) {
+        each.serving = false;
+    }
+    EXPECT_EQ(predicted_completion{}.choose(ask(), m_random).chosen, nullptr);
+    EXPECT_EQ(two_random_choices{}.choose(ask(), m_random).chosen, nullptr);
+    EXPECT_EQ(round_robin{}.choose(ask(), m_random).chosen, nullptr);
+    EXPECT_EQ(least_outstanding{}.choose(ask(), m_random).chosen, nullptr);
+}
+
+TEST_F(placement_test, a_slow_engine_loses_work_as_its_predictions_are_corrected)
+{
+    for (int i = 0; i < 100; ++i) {
+        learn_correction(*m_candidates[1].load, seconds{1}, seconds{4});
+    }
+    EXPECT_LT(choose_often(predicted_completion{}, ask())[1], 8);
+}
+
+TEST_F(placement_test, deciders_with_the_same_old_picture_do_not_all_choose_the_same_engine)
+{
+    // One engine looks best to everybody; the minimum of all would take all.
+    std::vector<candidate> many;
+    load_snapshot loads;
+    for (std::uint32_t i = 0; i < 64; ++i) {
+        auto load = std::make_shared<endpoint_load>();
+        load->index = i;
+        many.push_back({nullptr, std::move(load)});
+        loads.endpoints.push_back({{i == 0 ? 0.0 : 2.0, i == 0 ? 0.0 : 500.0, 10}, {}, true});
+    }
+    auto question = ask();
+    question.among = many;
+    question.loads = &loads;
+    int best = 0;
+    int least = 0;
+    for (int i = 0; i < 400; ++i) {
+        best += predicted_completion{}.choose(question, m_random).chosen == many.data() ? 1 : 0;
+        least += least_outstanding{}.choose(question, m_random).chosen == many.data() ? 1 : 0;
+    }
+    EXPECT_LT(best, 400 / 4);
+    EXPECT_EQ(least, 400);
+}
+
+} // namespace
+} // namespace cicadaport::routing
