requests: split the gateway into small units, the choice of an engine behind one function

Cause: the gateway held authentication, both paths, the choice of an endpoint and the reports of ends in one file. Change: request_context, engine_choice, pass_through, service_call, request_end and a gateway that dispatches. completion_path: pass_through keeps the first path callable. Measured: builds; no figures.

--- /dev/null
+++ b/include/cicadaport/entry/endpoint_filter.h
@@ -0,0 +1,42 @@
+// Which endpoints a try may not use.
+#pragma once
+
+#include "cicadaport/entry/circuit_breaker.h"
+
+#include <algorithm>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace cicadaport::entry {
+
+// Leaves out the endpoints that an earlier try of the same request used and
+// those whose circuit is open. Refers to what it is made of; belongs to one
+// event loop.
+class endpoint_filter {
+public:
+    endpoint_filter(std::span<const std::string> tried, breaker_table& breakers,
+                    std::chrono::steady_clock::time_point now) noexcept
+        : m_tried{tried}, m_breakers{breakers}, m_now{now}
+    {
+    }
+
+    // Returns whether this request has tried the endpoint `name` before.
+    bool tried(std::string_view name) const noexcept
+    {
+        return std::find(m_tried.begin(), m_tried.end(), name) != m_tried.end();
+    }
+
+    // Returns whether a try may go to the endpoint `name`.
+    bool allows(const std::string& name) const
+    {
+        return !tried(name) && m_breakers.allows(name, m_now);
+    }
+
+private:
+    std::span<const std::string> m_tried;
+    breaker_table& m_breakers;
+    std::chrono::steady_clock::time_point m_now;
+};
+
+} // namespace cicadaport::entry
--- a/include/cicadaport/entry/gateway.h
+++ b/include/cicadaport/entry/gateway.h
@@ -1,66 +1,52 @@
-// Answers callers: finds who asks, where the request goes, and sends it there.
+// Answers callers: finds who asks, and sends the request along its path.
 #pragma once
 
+#include "cicadaport/base/io_pool.h"
 #include "cicadaport/base/rcu.h"
 #include "cicadaport/entry/errors.h"
 #include "cicadaport/entry/metrics.h"
-#include "cicadaport/http/client.h"
+#include "cicadaport/entry/paths.h"
+#include "cicadaport/entry/worker.h"
 #include "cicadaport/http/server.h"
-#include "cicadaport/routing/placement.h"
 #include "cicadaport/routing/view.h"
+#include "cicadaport/settings/process_settings.h"
 
 #include <memory>
 #include <vector>
 
 namespace cicadaport::entry {
 
-// What is known of a request before it is sent anywhere.
-struct request_context {
-    std::string id;
-    std::string account;
-    std::string priority;
-    std::chrono::steady_clock::time_point arrived;
-};
-
 // The handler of the callers' server.
 //
 // Thread safety: `handle` runs on every event loop at once; the view is read
 // by read-copy-update and everything else is kept per event loop.
 class gateway {
 public:
-    gateway(base::io_pool& pool, const base::published<routing::view>& view, metrics& counters);
+    // `claims` may be null: requests that need a claim are refused then.
+    gateway(base::io_pool& pool, const base::published<routing::view>& view, metrics& counters,
+            settings::completion_path path, claims::claim_store* claims = nullptr);
 
-    boost::asio::awaitable<void> handle(std::size_t worker, const http::request& message,
+    boost::asio::awaitable<void> handle(std::size_t worker_index, const http::request& message,
                                         http::response_writer& writer);
 
-private:
-    // What one event loop keeps for itself.
-    struct worker_state {
-        explicit worker_state(boost::asio::io_context& context);
-        http::client endpoints;
-        routing::random_source random;
-    };
+    // Ends the streams that run with an event that says how to go on with them
+    // at another entry process. Thread safety: any thread.
+    void hand_over_streams();
 
-    boost::asio::awaitable<void> dispatch(worker_state& worker, const request_context& context,
-                                          const http::request& message,
-                                          const http::target_view& target,
-                                          http::response_writer& writer);
-    boost::asio::awaitable<void> complete(worker_state& worker, const request_context& context,
-                                          const http::request& message,
-                                          http::response_writer& writer);
-    boost::asio::awaitable<void> call_service(worker_state& worker, const request_context& context,
-                                              const http::request& message,
-                                              const http::target_view& target,
-                                              http::response_writer& writer);
-    boost::asio::awaitable<void> fail(const request_context& context,
-                                      const request_failure& failure, error_shape shape,
-                                      http::response_writer& writer);
-    request_context identify(const http::request& message) const;
+private:
+    boost::asio::awaitable<void> dispatch(path_resources resources, caller_exchange exchange,
+                                          const http::target_view& target);
+    request_context identify_caller(const http::request& message) const;
+    boost::asio::awaitable<void> refuse(const request_context& context,
+                                        const request_failure& failure, error_shape shape,
+                                        http::response_writer& writer);
     http::response list_models() const;
 
     const base::published<routing::view>& m_view;
     metrics& m_metrics;
-    std::vector<std::unique_ptr<worker_state>> m_workers;
+    settings::completion_path m_path;
+    claims::claim_store* m_claims;
+    std::vector<std::unique_ptr<worker>> m_workers;
 };
 
 } // namespace cicadaport::entry
--- a/include/cicadaport/settings/process_settings.h
+++ b/include/cicadaport/settings/process_settings.h
@@ -23,8 +23,15 @@
     std::uint32_t workers = 2;
 };
 
+// How completions go through an entry process. Pass-through neither retries
+// nor resumes; it is the baseline for measurements.
+enum class completion_path { resumable, pass_through };
+
 struct entry_settings {
     common_settings common;
+    completion_path path = completion_path::resumable;
+    // The platform's log, for claims; port 0 if there is none.
+    http::address log;
     // Where callers connect.
     http::address caller_address;
     // The control processes to follow; the one on the same host first.
--- /dev/null
+++ b/src/entry/engine_choice.cpp
@@ -0,0 +1,86 @@
+#include "cicadaport/entry/engine_choice.h"
+
+#include "cicadaport/entry/errors.h"
+
+namespace cicadaport::entry {
+namespace {
+
+using base::verdict;
+
+std::vector<routing::candidate> allowed_of(const std::vector<routing::candidate>& all,
+                                           const endpoint_filter& filter)
+{
+    std::vector<routing::candidate> out;
+    out.reserve(all.size());
+    for (const auto& each : all) {
+        if (filter.allows(each.endpoint->name)) {
+            out.push_back(each);
+        }
+    }
+    return out;
+}
+
+chosen_endpoint choose(const routing::view& view, const std::string& name,
+                       const endpoint_filter& filter, routing::random_source& random)
+{
+    const auto among = allowed_of(view.candidates(name), filter);
+    const auto* chosen = routing::two_random_choices{}.choose(among, random);
+    if (chosen == nullptr) {
+        throw request_failure{failure_kind::no_endpoint, verdict::not_run,
+                              "no endpoint serves '" + name + "'", spread_retry_time(random)};
+    }
+    return {chosen->endpoint->name, chosen->endpoint->address, in_flight_charge{chosen->load}};
+}
+
+} // namespace
+
+in_flight_charge::in_flight_charge(std::shared_ptr<routing::endpoint_load> load)
+    : m_load{std::move(load)}
+{
+    m_load->requests.fetch_add(1, std::memory_order_relaxed);
+}
+
+in_flight_charge& in_flight_charge::operator=(in_flight_charge&& other) noexcept
+{
+    release();
+    m_load = std::move(other.m_load);
+    return *this;
+}
+
+in_flight_charge::~in_flight_charge()
+{
+    release();
+}
+
+void in_flight_charge::release() noexcept
+{
+    if (m_load) {
+        m_load->requests.fetch_sub(1, std::memory_order_relaxed);
+        m_load.reset();
+    }
+}
+
+chosen_endpoint choose_engine(const routing::view& view, const engine_request& wanted,
+                              const endpoint_filter& filter, routing::random_source& random)
+{
+    const std::string model{wanted.model};
+    if (view.document().find_model(model) == nullptr) {
+        throw request_failure{failure_kind::unknown_model, verdict::not_run,
+                              "no model '" + model + "'"};
+    }
+    return choose(view, model, filter, random);
+}
+
+chosen_endpoint choose_replica(const routing::view& view, const std::string& service,
+                               const endpoint_filter& filter, routing::random_source& random)
+{
+    return choose(view, service, filter, random);
+}
+
+std::chrono::milliseconds spread_retry_time(routing::random_source& random)
+{
+    std::uniform_int_distribution<int> spread{1'000, 4'000};
+    return std::chrono::milliseconds{spread(random)};
+}
+
+} // namespace cicadaport::entry
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -38,16 +38,15 @@
         : m_settings{settings}, m_pool{settings.common.workers},
           m_view{std::make_unique<routing::view>(std::make_shared<configuration::document>(), 0,
                                                  std::vector<std::string>{}, m_loads)},
-          m_gateway{m_pool, m_view, m_metrics}, m_callers{m_pool,
-                                                          settings.caller_address.ip,
-                                                          settings.caller_address.port,
-                                                          {},
-                                                          [this](std::size_t worker,
-                                                                 const http::request& message,
-                                                                 http::response_writer& writer) {
-                                                              return m_gateway.handle(
-                                                                  worker, message, writer);
-                                                          }},
+          m_gateway{m_pool, m_view, m_metrics, settings.path},
+          m_callers{m_pool,
+                    settings.caller_address.ip,
+                    settings.caller_address.port,
+                    {},
+                    [this](std::size_t worker, const http::request& message,
+                           http::response_writer& writer) {
+                        return m_gateway.handle(worker, message, writer);
+                    }},
           m_admin{m_pool,
                   settings.common.admin_address.ip,
                   settings.common.admin_address.port,
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -83,7 +83,14 @@
 entry_settings read_entry_settings(const std::string& file)
 {
     return read_settings<entry_settings>(file, [](mapping_reader& reader, entry_settings& out) {
+        static constexpr std::string_view paths[] = {"resumable", "pass_through"};
         out.caller_address = read_address(reader, "caller_address");
+        if (reader.text_or("completion_path", "resumable") != "resumable" &&
+            reader.one_of("completion_path", paths) == "pass_through") {
+            out.path = completion_path::pass_through;
+        }
+        reader.nested("platform",
+                      [&](mapping_reader& platform) { out.log = read_address(platform, "log"); });
         out.relays = read_addresses(reader, "relays");
         if (out.relays.empty()) {
             reader.reject("relays", "at least one IP:PORT", "none");
