decisions: place and admit in the entry process, fed by reports and peers

Cause: the decision units were not used by requests. Conclusion: whole requests go to mixed and decode engines; a request is not yet split over a prefill and a decode engine.

--- a/include/cicadaport/entry/endpoint_filter.h
+++ b/include/cicadaport/entry/endpoint_filter.h
@@ -21,6 +21,9 @@
     {
     }
 
+    // Returns whether no endpoint was tried before.
+    bool is_first_try() const noexcept { return m_tried.empty(); }
+
     // Returns whether this request has tried the endpoint `name` before.
     bool tried(std::string_view name) const noexcept
     {
--- a/include/cicadaport/entry/gateway.h
+++ b/include/cicadaport/entry/gateway.h
@@ -22,9 +22,11 @@
 // by read-copy-update and everything else is kept per event loop.
 class gateway {
 public:
-    // `claims` may be null: requests that need a claim are refused then.
+    // `claims` may be null: requests that need a claim are refused then. Without
+    // `decisions` all completions are admitted.
     gateway(base::io_pool& pool, const base::published<routing::view>& view, metrics& counters,
-            settings::completion_path path, claims::claim_store* claims = nullptr);
+            settings::completion_path path, claims::claim_store* claims = nullptr,
+            decision_state* decisions = nullptr);
 
     boost::asio::awaitable<void> handle(std::size_t worker_index, const http::request& message,
                                         http::response_writer& writer);
--- a/include/cicadaport/routing/load.h
+++ b/include/cicadaport/routing/load.h
@@ -77,8 +77,14 @@
 public:
     std::shared_ptr<endpoint_load> get(const std::string& endpoint);
 
-    // Returns all endpoints that were ever asked for, by index.
-    std::vector<std::string> names() const;
+    // One endpoint's name and the work that this process has there.
+    struct named_work {
+        std::string endpoint;
+        work_sum work;
+    };
+
+    // Returns the endpoints at which this process has work in flight.
+    std::vector<named_work> work_in_flight() const;
 
 private:
     mutable std::mutex m_mutex;
--- a/include/cicadaport/routing/prediction.h
+++ b/include/cicadaport/routing/prediction.h
@@ -37,8 +37,9 @@
 predicted_times predict(const engine_speed& speed, const work_sum& backlog,
                         const request_needs& needs, double cached_tokens) noexcept;
 
-// Corrects an endpoint's predictions by what came of one of them. A slow
-// engine thus loses work even while its reports look good. Thread safe.
+// Corrects an endpoint's predictions by what came of one of them, which was
+// made with the correction known so far. A slow engine thus loses work even
+// while its reports look good. Thread safe.
 void learn_correction(endpoint_load& load, seconds predicted, seconds observed) noexcept;
 
 } // namespace cicadaport::routing
--- a/include/cicadaport/routing/view.h
+++ b/include/cicadaport/routing/view.h
@@ -37,6 +37,9 @@
     // Returns the account with this key hash, or null.
     const configuration::caller* find_caller(const std::string& key_sha256) const;
 
+    // Returns the account of this name, or null.
+    const configuration::caller* find_account(const std::string& account) const;
+
     // Returns the endpoints that serve the model or service `name`, by their index.
     const std::vector<candidate>& candidates(const std::string& name) const;
 
@@ -51,6 +54,7 @@
     std::shared_ptr<const configuration::document> m_document;
     std::uint64_t m_offset;
     std::unordered_map<std::string, const configuration::caller*> m_callers;
+    std::unordered_map<std::string, const configuration::caller*> m_accounts;
     std::unordered_map<std::string, std::vector<candidate>> m_candidates;
     std::unordered_map<std::string, service_route> m_routes;
 };
--- a/include/cicadaport/settings/process_settings.h
+++ b/include/cicadaport/settings/process_settings.h
@@ -27,9 +27,21 @@
 // nor resumes; it is the baseline for measurements.
 enum class completion_path { resumable, pass_through };
 
+// How an engine is chosen. All but `predicted` are baselines that admit
+// everything.
+enum class placement_policy {
+    predicted,
+    two_random_choices,
+    random,
+    round_robin,
+    least_outstanding,
+    cache_only,
+};
+
 struct entry_settings {
     common_settings common;
     completion_path path = completion_path::resumable;
+    placement_policy placement = placement_policy::predicted;
     // The platform's log, for claims; port 0 if there is none.
     http::address log;
     // Where callers connect.
--- a/src/entry/engine_choice.cpp
+++ b/src/entry/engine_choice.cpp
@@ -1,6 +1,7 @@
 #include "cicadaport/entry/engine_choice.h"
 
 #include "cicadaport/entry/errors.h"
+#include "internal/engine_decision.h"
 
 namespace cicadaport::entry {
 namespace {
@@ -34,41 +35,18 @@
 
 } // namespace
 
-in_flight_charge::in_flight_charge(std::shared_ptr<routing::endpoint_load> load)
-    : m_load{std::move(load)}
-{
-    m_load->requests.fetch_add(1, std::memory_order_relaxed);
-}
-
-in_flight_charge& in_flight_charge::operator=(in_flight_charge&& other) noexcept
-{
-    release();
-    m_load = std::move(other.m_load);
-    return *this;
-}
-
-in_flight_charge::~in_flight_charge()
-{
-    release();
-}
-
-void in_flight_charge::release() noexcept
-{
-    if (m_load) {
-        m_load->requests.fetch_sub(1, std::memory_order_relaxed);
-        m_load.reset();
-    }
-}
-
 chosen_endpoint choose_engine(const routing::view& view, const engine_request& wanted,
-                              const endpoint_filter& filter, routing::random_source& random)
+                              const endpoint_filter& filter, worker& own)
 {
     const std::string model{wanted.model};
     if (view.document().find_model(model) == nullptr) {
         throw request_failure{failure_kind::unknown_model, verdict::not_run,
                               "no model '" + model + "'"};
     }
-    return choose(view, model, filter, random);
+    if (own.decisions == nullptr) {
+        return choose(view, model, filter, own.random);
+    }
+    return decide_engine(view, wanted, filter, own);
 }
 
 chosen_endpoint choose_replica(const routing::view& view, const std::string& service,
--- a/src/entry/gateway.cpp
+++ b/src/entry/gateway.cpp
@@ -28,11 +28,12 @@
 } // namespace
 
 gateway::gateway(base::io_pool& pool, const base::published<routing::view>& view, metrics& counters,
-                 settings::completion_path path, claims::claim_store* claims)
+                 settings::completion_path path, claims::claim_store* claims,
+                 decision_state* decisions)
     : m_view{view}, m_metrics{counters}, m_path{path}, m_claims{claims}
 {
     for (std::size_t index = 0; index < pool.size(); ++index) {
-        m_workers.push_back(std::make_unique<worker>(pool.context(index)));
+        m_workers.push_back(std::make_unique<worker>(pool.context(index), decisions));
     }
 }
 
--- a/src/entry/pass_through.cpp
+++ b/src/entry/pass_through.cpp
@@ -18,11 +18,11 @@
     const endpoint_filter filter{{}, resources.own.breakers, clock::now()};
     const engine_request wanted{exchange.context, model, exchange.message.body};
     const base::rcu_reader guard;
-    return choose_engine(resources.view.read(guard), wanted, filter, resources.own.random);
+    return choose_engine(resources.view.read(guard), wanted, filter, resources.own);
 }
 
 asio::awaitable<void> copy_body(path_resources& resources, const caller_exchange& exchange,
-                                http::response_stream& answer)
+                                http::response_stream& answer, in_flight_charge& charge)
 {
     auto last = exchange.context.arrived;
     bool first = true;
@@ -35,6 +35,7 @@
             resources.counters.between_tokens(exchange.context.priority, now - last);
         }
         last = now;
+        charge.note_tokens(count_events(*piece), now);
         co_await exchange.writer.write(*piece);
     }
     co_await exchange.writer.end_stream();
@@ -45,9 +46,10 @@
 asio::awaitable<void> pass_through_completion(path_resources resources, caller_exchange exchange)
 {
     const auto& message = exchange.message;
-    const auto engine = choose(resources, exchange, parse_completion(message.body).model);
+    auto engine = choose(resources, exchange, parse_completion(message.body).model);
     http::request onward{"POST", message.target, forwarded_fields(message, exchange.context.id),
                          message.body};
+    add_engine_fields(onward.fields, engine);
     http::exchange_options options;
     options.response_time = engine_response_time;
     bool begun = false;
@@ -59,7 +61,8 @@
         head.fields.add(verdict_field, base::to_string(verdict::ran));
         begun = true;
         co_await exchange.writer.begin_stream(std::move(head));
-        co_await copy_body(resources, exchange, answer);
+        co_await copy_body(resources, exchange, answer, engine.charge);
+        engine.charge.note_answered();
         report_answered(resources.counters, exchange.context, engine.name);
     }
     catch (const http::exchange_error& error) {
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -2,6 +2,7 @@
 
 #include "cicadaport/base/io_pool.h"
 #include "cicadaport/entry/gateway.h"
+#include "cicadaport/entry/load_feed.h"
 #include "cicadaport/relay/follower.h"
 
 #include <nlohmann/json.hpp>
@@ -38,7 +39,10 @@
         : m_settings{settings}, m_pool{settings.common.workers},
           m_view{std::make_unique<routing::view>(std::make_shared<configuration::document>(), 0,
                                                  std::vector<std::string>{}, m_loads)},
-          m_gateway{m_pool, m_view, m_metrics, settings.path},
+          m_decisions{settings.placement}, m_gateway{m_pool,        m_view,  m_metrics,
+                                                     settings.path, nullptr, &m_decisions},
+          m_load_feed{m_pool.context(0), m_view,      m_loads,
+                      m_decisions,       m_processes, settings.common.id},
           m_callers{m_pool,
                     settings.caller_address.ip,
                     settings.caller_address.port,
@@ -59,6 +63,7 @@
         m_replica.add_listener([this](const fold::state& state) { take(state); });
         m_follower = std::make_unique<relay::follower>(settings.relays, m_replica, m_processes,
                                                        [this] { return status(); });
+        asio::co_spawn(m_pool.context(0), m_load_feed.run(), asio::detached);
         m_signals.async_wait([this](const boost::system::error_code& error, int) {
             if (!error) {
                 asio::co_spawn(m_pool.context(0), drain(), asio::detached);
@@ -99,9 +104,22 @@
         out.set_offset_in_force(m_replica.offset());
         out.set_configuration_offset(m_configuration_offset.load(std::memory_order_acquire));
         out.set_draining(m_draining.load(std::memory_order_acquire));
+        tell_work(out);
         return out;
     }
 
+    // Adds what this process has in flight, for the decisions of its peers.
+    void tell_work(protocol::process_status& out) const
+    {
+        for (const auto& [name, work] : m_loads.work_in_flight()) {
+            auto& told = *out.add_work();
+            told.set_endpoint(name);
+            told.set_requests(static_cast<std::uint32_t>(work.requests));
+            told.set_prefill_tokens(static_cast<std::uint64_t>(work.prefill_tokens));
+            told.set_decode_tokens(static_cast<std::uint64_t>(work.decode_tokens));
+        }
+    }
+
     bool is_ready() const
     {
         return m_configuration_offset.load(std::memory_order_acquire) > 0 &&
@@ -151,6 +169,7 @@
     routing::load_table m_loads;
     base::published<routing::view> m_view;
     metrics m_metrics;
+    decision_state m_decisions;
     fold::replica m_replica;
     relay::process_table m_processes;
     std::uint64_t m_viewed_offset = 0;
@@ -158,6 +177,7 @@
     std::atomic<std::uint64_t> m_configuration_offset{0};
     std::atomic<bool> m_draining{false};
     gateway m_gateway;
+    load_feed m_load_feed;
     http::server m_callers;
     http::server m_admin;
     asio::signal_set m_signals;
--- a/src/routing/load.cpp
+++ b/src/routing/load.cpp
@@ -67,12 +67,15 @@
     return load;
 }
 
-std::vector<std::string> load_table::names() const
+std::vector<load_table::named_work> load_table::work_in_flight() const
 {
     const std::scoped_lock lock{m_mutex};
-    std::vector<std::string> out(m_loads.size());
+    std::vector<named_work> out;
     for (const auto& [name, load] : m_loads) {
-        out[load->index] = name;
+        const auto work = own_work(*load);
+        if (work.requests > 0) {
+            out.push_back({name, work});
+        }
     }
     return out;
 }
--- a/src/routing/prediction.cpp
+++ b/src/routing/prediction.cpp
@@ -38,10 +38,10 @@
     if (predicted < least_observed) {
         return;
     }
-    const auto ratio = static_cast<float>(observed / predicted);
-    const auto bounded = std::clamp(ratio, least_correction, most_correction);
     // Two threads at once may lose one observation; the average stays sound.
     const auto known = load.correction.load(std::memory_order_relaxed);
+    const auto ratio = known * static_cast<float>(observed / predicted);
+    const auto bounded = std::clamp(ratio, least_correction, most_correction);
     load.correction.store(known + newest_weight * (bounded - known), std::memory_order_relaxed);
 }
 
--- a/src/routing/view.cpp
+++ b/src/routing/view.cpp
@@ -21,6 +21,7 @@
 {
     for (const auto& caller : m_document->callers) {
         m_callers.emplace(caller.key_sha256, &caller);
+        m_accounts.emplace(caller.account, &caller);
     }
     for (const auto& endpoint : m_document->endpoints) {
         if (std::find(drained.begin(), drained.end(), endpoint.name) == drained.end()) {
@@ -45,6 +46,12 @@
     return found == m_callers.end() ? nullptr : found->second;
 }
 
+const configuration::caller* view::find_account(const std::string& account) const
+{
+    const auto found = m_accounts.find(account);
+    return found == m_accounts.end() ? nullptr : found->second;
+}
+
 const std::vector<candidate>& view::candidates(const std::string& name) const
 {
     static const std::vector<candidate> none;
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -3,6 +3,9 @@
 #include "cicadaport/base/identifier.h"
 #include "cicadaport/yaml/reader.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace cicadaport::settings {
 namespace {
 
@@ -44,6 +47,20 @@
     return milliseconds{reader.integer_or(key, range, fallback.count())};
 }
 
+placement_policy read_placement(mapping_reader& reader)
+{
+    // In the order of the enumeration.
+    static constexpr std::string_view names[] = {"predicted",   "two_random_choices", "random",
+                                                 "round_robin", "least_outstanding",  "cache_only"};
+    if (reader.text_or("placement", std::string{names[0]}) == names[0]) {
+        return placement_policy::predicted;
+    }
+    const auto name = reader.one_of("placement", names);
+    const auto* found = std::find(std::begin(names), std::end(names), name);
+    return found == std::end(names) ? placement_policy::predicted
+                                    : static_cast<placement_policy>(found - std::begin(names));
+}
+
 common_settings read_common(mapping_reader& reader)
 {
     static constexpr std::string_view levels[] = {"trace", "debug", "info", "warn", "error"};
@@ -83,6 +100,7 @@
 entry_settings read_entry_settings(const std::string& file)
 {
     return read_settings<entry_settings>(file, [](mapping_reader& reader, entry_settings& out) {
+        out.placement = read_placement(reader);
         static constexpr std::string_view paths[] = {"resumable", "pass_through"};
         out.caller_address = read_address(reader, "caller_address");
         if (reader.text_or("completion_path", "resumable") != "resumable" &&
--- a/test/routing/load_test.cpp
+++ b/test/routing/load_test.cpp
@@ -48,7 +48,17 @@
     EXPECT_EQ(loads.get("b")->index, 0U);
     EXPECT_EQ(loads.get("a")->index, 1U);
     EXPECT_EQ(loads.get("b")->index, 0U);
-    EXPECT_EQ(loads.names(), (std::vector<std::string>{"b", "a"}));
+}
+
+TEST(load_table_test, tells_only_endpoints_with_work_in_flight)
+{
+    load_table loads;
+    loads.get("idle");
+    loads.get("busy")->requests = 2;
+    const auto told = loads.work_in_flight();
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_EQ(told.front().endpoint, "busy");
+    EXPECT_EQ(told.front().work.requests, 2);
 }
 
 } // namespace
--- a/test/routing/placement_test.cpp
+++ b/test/routing/placement_test.cpp
@@ -122,6 +122,16 @@
     EXPECT_LT(choose_often(predicted_completion{}, ask())[1], 8);
 }
 
+TEST_F(placement_test, a_correction_that_fits_stays_as_it_is)
+{
+    auto& load = *m_candidates[0].load;
+    const auto plain = predict_at(ask(), m_candidates[0]).first_token;
+    for (int i = 0; i < 400; ++i) {
+        learn_correction(load, predict_at(ask(), m_candidates[0]).first_token, 2 * plain);
+    }
+    EXPECT_NEAR(load.correction.load(), 2, 0.05);
+}
+
 TEST_F(placement_test, deciders_with_the_same_old_picture_do_not_all_choose_the_same_engine)
 {
     // One engine looks best to everybody; the minimum of all would take all.
