--- a/src/routing/view.cpp
+++ b/src/routing/view.cpp
@@ -15,28 +15,24 @@
 
 } // namespace
 
-std::shared_ptr<endpoint_load> load_table::get(const std::string& endpoint)
-{
-    const std::scoped_lock lock{m_mutex};
-    auto& load = m_loads[endpoint];
-    if (!load) {
-        load = std::make_shared<endpoint_load>();
-    }
-    return load;
-}
-
 view::view(std::shared_ptr<const configuration::document> document, std::uint64_t offset,
            const std::vector<std::string>& drained, load_table& loads)
     : m_document{std::move(document)}, m_offset{offset}
 {
     for (const auto& caller : m_document->callers) {
         m_callers.emplace(caller.key_sha256, &caller);
+        m_accounts.emplace(caller.account, &caller);
     }
     for (const auto& endpoint : m_document->endpoints) {
         if (std::find(drained.begin(), drained.end(), endpoint.name) == drained.end()) {
             m_candidates[endpoint.serves].push_back({&endpoint, loads.get(endpoint.name)});
         }
     }
+    for (auto& [name, list] : m_candidates) {
+        std::sort(list.begin(), list.end(), [](const candidate& left, const candidate& right) {
+            return left.load->index < right.load->index;
+        });
+    }
     for (const auto& service : m_document->services) {
         for (const auto& route : service.routes) {
             m_routes.emplace(route_key(route.method, route.path), service_route{&service, &route});
@@ -50,6 +46,12 @@
     return found == m_callers.end() ? nullptr : found->second;
 }
 
+const configuration::caller* view::find_account(const std::string& account) const
+{
+    const auto found = m_accounts.find(account);
+    return found == m_accounts.end() ? nullptr : found->second;
+}
+
 const std::vector<candidate>& view::candidates(const std::string& name) const
 {
     static const std::vector<candidate> none;
