--- a/include/cicadaport/scenario/script.h
+++ b/include/cicadaport/scenario/script.h
@@ -117,7 +117,7 @@
     std::string parameters;
 };
 
-// Cuts or mends the link between a control process and the log.
+// Cuts or mends the link between a control or entry process and the log.
 struct change_link {
     std::string process;
     bool cut = true;
--- a/src/scenario/fleet.cpp
+++ b/src/scenario/fleet.cpp
@@ -29,8 +29,8 @@
     std::uint16_t first = 0;
     std::uint16_t count = 0;
 };
-constexpr port_group used_ports[] = {{1, 3},  {10, 6}, {20, 6},   {30, 6},
-                                     {40, 6}, {60, 6}, {100, 18}, {200, 4}};
+constexpr port_group used_ports[] = {{1, 3},  {10, 6}, {20, 6},   {30, 6}, {40, 6},
+                                     {60, 6}, {70, 6}, {100, 18}, {200, 4}};
 
 bool is_free(asio::io_context& context, std::uint16_t port)
 {
