requests: streams stay whole over broken connections, lost engines and entry processes

Cause: an answer was cut when its connection to the engine broke, and a caller who left kept its engine busy. Ruled out: keeping the tokens of each stream to compare a second run with; a digest of them in the event id does the same with bounded memory and travels with the caller to another entry process. Change: completions are parsed as events; duplicates are dropped, gaps and breaks resumed at the same engine, a lost engine replaced only if the new answer begins with what was delivered. Otherwise an error event and no final chunk. Event ids carry position, digest, stream and engine. A stop hands streams over with a resume event. A caller who leaves cancels at the engine. Tries follow the verdict, the deadline and a retry budget, other endpoint first.

--- a/include/cicadaport/entry/errors.h
+++ b/include/cicadaport/entry/errors.h
@@ -24,6 +24,18 @@
     no_endpoint,
     overloaded,
     endpoint_failed,
+    // The caller closed its connection before the answer.
+    caller_gone,
+    // The route needs an Idempotency-Key.
+    key_required,
+    // The key was used for a request with another body.
+    key_reused,
+    // The key is older than claims are kept.
+    key_expired,
+    // A request with this key was begun and its answer is not known.
+    key_in_use,
+    // The log can't record the claim.
+    claims_unavailable,
     unavailable,
 };
 
--- a/include/cicadaport/entry/gateway.h
+++ b/include/cicadaport/entry/gateway.h
@@ -46,7 +46,7 @@
     metrics& m_metrics;
     settings::completion_path m_path;
     claims::claim_store* m_claims;
-    std::vector<std::unique_ptr<worker>> m_workers;
+    std::vector<std::shared_ptr<worker>> m_workers;
 };
 
 } // namespace cicadaport::entry
--- a/include/cicadaport/entry/paths.h
+++ b/include/cicadaport/entry/paths.h
@@ -16,13 +16,23 @@
 
 namespace cicadaport::entry {
 
-// What all paths use. Refers to what the gateway owns.
+// What all paths use. Refers to what the gateway owns, but for the worker: a
+// path that is abandoned when its event loop ends still takes itself off it.
 struct path_resources {
+    path_resources(std::shared_ptr<worker> with_worker,
+                   const base::published<routing::view>& with_view, metrics& with_counters,
+                   claims::claim_store* with_claims)
+        : kept{std::move(with_worker)}, own{*kept}, view{with_view}, counters{with_counters},
+          claims{with_claims}
+    {
+    }
+
+    std::shared_ptr<worker> kept;
     worker& own;
     const base::published<routing::view>& view;
     metrics& counters;
     // Null if this process knows no log to keep claims on.
-    claims::claim_store* claims = nullptr;
+    claims::claim_store* claims;
 };
 
 // One exchange with a caller.
--- a/include/cicadaport/http/client.h
+++ b/include/cicadaport/http/client.h
@@ -15,6 +15,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <stdexcept>
@@ -51,6 +52,29 @@
     base::verdict m_outcome;
 };
 
+// Lets its owner end an exchange that waits. Belongs to the client's loop and
+// must outlive the exchanges that it is given to.
+class cancellation {
+public:
+    // Ends the exchange that is under way, and all that begin afterwards.
+    void request()
+    {
+        m_requested = true;
+        if (m_close) {
+            m_close();
+        }
+    }
+
+    bool requested() const noexcept { return m_requested; }
+
+    // For the client: what closes the connection in use, or nothing.
+    void attach(std::function<void()> close) { m_close = std::move(close); }
+
+private:
+    bool m_requested = false;
+    std::function<void()> m_close;
+};
+
 struct exchange_options {
     std::chrono::milliseconds connect_time{1'000};
     // For the response's head, and then for each further piece of its body.
@@ -62,6 +86,8 @@
     // Discards unsent bytes when the connection ends and bounds how long the
     // kernel goes on sending them.
     std::optional<std::chrono::milliseconds> unsent_data_time;
+    // Ends the exchange early when asked to; may be null.
+    cancellation* cancel = nullptr;
 };
 
 // A response whose body arrives in pieces. Destroying it before the end closes
--- a/include/cicadaport/http/server.h
+++ b/include/cicadaport/http/server.h
@@ -28,6 +28,20 @@
     std::chrono::milliseconds send_time{30'000};
 };
 
+// Watches for the peer to leave, for as long as it lives. Belongs to the
+// session's event loop.
+class peer_watch {
+public:
+    class implementation;
+    explicit peer_watch(std::shared_ptr<implementation> impl) noexcept;
+    peer_watch(peer_watch&&) noexcept = default;
+    peer_watch& operator=(peer_watch&&) = delete;
+    ~peer_watch();
+
+private:
+    std::shared_ptr<implementation> m_impl;
+};
+
 // Writes the response to one request. Belongs to the session's event loop.
 // Each function throws boost::system::system_error when the peer is gone.
 class response_writer {
@@ -50,6 +64,11 @@
     // Returns whether the peer has closed its connection, without waiting.
     bool peer_gone() const;
 
+    // Calls `on_gone` once if the peer closes its connection, or its sending
+    // half, while the watch lives. A peer that sends more than its request is
+    // not watched any longer.
+    peer_watch watch_peer(std::function<void()> on_gone);
+
 private:
     implementation& m_impl;
 };
--- a/src/entry/errors.cpp
+++ b/src/entry/errors.cpp
@@ -28,6 +28,18 @@
         return {"overloaded", 429, "rate_limit_error"};
     case failure_kind::endpoint_failed:
         return {"endpoint_failed", 502, "server_error"};
+    case failure_kind::caller_gone:
+        return {"caller_gone", 499, "server_error"};
+    case failure_kind::key_required:
+        return {"key_required", 400, "invalid_request_error"};
+    case failure_kind::key_reused:
+        return {"key_reused", 422, "invalid_request_error"};
+    case failure_kind::key_expired:
+        return {"key_expired", 410, "invalid_request_error"};
+    case failure_kind::key_in_use:
+        return {"key_in_use", 409, "invalid_request_error"};
+    case failure_kind::claims_unavailable:
+        return {"claims_unavailable", 503, "server_error"};
     case failure_kind::unavailable:
         break;
     }
--- a/src/entry/gateway.cpp
+++ b/src/entry/gateway.cpp
@@ -32,7 +32,7 @@
     : m_view{view}, m_metrics{counters}, m_path{path}, m_claims{claims}
 {
     for (std::size_t index = 0; index < pool.size(); ++index) {
-        m_workers.push_back(std::make_unique<worker>(pool.context(index)));
+        m_workers.push_back(std::make_shared<worker>(pool.context(index)));
     }
 }
 
@@ -47,7 +47,7 @@
         const http::target_view target{message.target};
         shape = shape_of(target.path());
         context = identify_caller(message);
-        const path_resources resources{*m_workers[worker_index], m_view, m_metrics, m_claims};
+        const path_resources resources{m_workers[worker_index], m_view, m_metrics, m_claims};
         const caller_exchange exchange{context, message, writer};
         co_await dispatch(resources, exchange, target);
     }
@@ -108,8 +108,8 @@
 void gateway::hand_over_streams()
 {
     for (const auto& each : m_workers) {
-        asio::post(each->context, [&own = *each] {
-            const auto calls = own.hand_over_calls;
+        asio::post(each->context, [own = each] {
+            const auto calls = own->hand_over_calls;
             for (const auto& [id, call] : calls) {
                 call();
             }
--- /dev/null
+++ b/src/entry/internal/resumable_stream.h
@@ -0,0 +1,80 @@
+// One streamed answer, kept whole over broken connections and lost engines.
+#pragma once
+
+#include "internal/completion_request.h"
+#include "internal/event_parser.h"
+#include "internal/stream_position.h"
+#include "internal/tries.h"
+
+#include <optional>
+#include <string>
+
+namespace cicadaport::entry {
+
+// Sends the events of an answer to its caller in order, each once.
+//
+// When the connection to the engine breaks, the stream is resumed at the same
+// engine; when the engine has lost it, the request is run again elsewhere and
+// goes on only if the new answer begins with what the caller has. Otherwise
+// the caller's stream ends with an error event and without its final chunk.
+// Memory is bounded: one event that is not whole, and a digest of the others.
+// Events are read from the engine only as fast as the caller takes them.
+//
+// Belongs to one event loop.
+class resumable_stream {
+public:
+    resumable_stream(path_resources& resources, const caller_exchange& exchange,
+                     completion_request wanted);
+    ~resumable_stream();
+    resumable_stream(const resumable_stream&) = delete;
+    resumable_stream& operator=(const resumable_stream&) = delete;
+
+    // Answers the caller; throws `request_failure` if no event was sent yet.
+    boost::asio::awaitable<void> run();
+
+private:
+    // How one connection to an engine ended.
+    enum class ending { whole, broken, lost, different };
+
+    boost::asio::awaitable<void> answer();
+    void take_position_from_caller();
+    void watch_caller();
+    boost::asio::awaitable<ending> start_anew();
+    boost::asio::awaitable<ending> resume();
+    boost::asio::awaitable<ending> read_from(const http::address& engine, http::request message);
+    boost::asio::awaitable<ending> read_events(http::response_stream& answer);
+    boost::asio::awaitable<std::optional<ending>> take(const stream_event& event);
+    boost::asio::awaitable<void> forward(const stream_event& event);
+    boost::asio::awaitable<void> begin();
+    boost::asio::awaitable<void> finish();
+    boost::asio::awaitable<void> hand_over();
+    boost::asio::awaitable<void> end_visibly(const request_failure& failure);
+    boost::asio::awaitable<void> pause();
+    http::exchange_options options();
+    std::optional<http::address> engine_address() const;
+    void count_token();
+    void cancel_at_engine();
+
+    path_resources& m_resources;
+    const caller_exchange& m_exchange;
+    completion_request m_wanted;
+    std::string m_prefix;
+    try_sequence m_tries;
+    // What the caller has.
+    stream_position m_position;
+    // What this connection to an engine has brought; behind `m_position` while
+    // a new run is compared with what the caller has.
+    stream_position m_read;
+    http::cancellation m_cancel;
+    std::optional<http::peer_watch> m_watch;
+    std::uint64_t m_number;
+    std::chrono::steady_clock::time_point m_last_event;
+    std::string m_reason;
+    base::verdict m_outcome = base::verdict::not_run;
+    std::uint32_t m_resumes = 0;
+    bool m_begun = false;
+    bool m_caller_gone = false;
+    bool m_handing_over = false;
+};
+
+} // namespace cicadaport::entry
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -19,6 +19,8 @@
 // How long the balancer gets to see that this process is not ready any more.
 constexpr std::chrono::milliseconds balancer_notice{500};
 constexpr std::chrono::milliseconds drain_poll{20};
+// No request that can't be handed over runs longer.
+constexpr std::chrono::milliseconds longest_request{70'000};
 
 // Returns the endpoints that operators asked to drain.
 std::vector<std::string> drained_endpoints(const fold::state& state)
@@ -128,7 +130,8 @@
     }
 
     // Readiness turns first, then accepting stops, then the requests that run
-    // go on to their end within the grace time.
+    // go on to their end within the grace time. Streams that are longer go on
+    // at another entry process; other requests are bounded by their timeouts.
     asio::awaitable<void> drain()
     {
         spdlog::info("drain_started active={}", m_callers.active_requests());
@@ -136,14 +139,24 @@
         asio::steady_timer timer{co_await asio::this_coro::executor, balancer_notice};
         co_await timer.async_wait(asio::use_awaitable);
         m_callers.drain();
-        const auto until = std::chrono::steady_clock::now() + m_settings.common.grace_time;
+        co_await wait_for_requests(m_settings.common.grace_time);
+        spdlog::info("hand_over_started active={}", m_callers.active_requests());
+        m_gateway.hand_over_streams();
+        co_await wait_for_requests(longest_request);
+        spdlog::info("drain_ended active={}", m_callers.active_requests());
+        m_follower.reset();
+        m_pool.stop();
+    }
+
+    // Returns once no request is being answered, or after `limit`.
+    asio::awaitable<void> wait_for_requests(std::chrono::milliseconds limit)
+    {
+        const auto until = std::chrono::steady_clock::now() + limit;
+        asio::steady_timer timer{co_await asio::this_coro::executor};
         do {
             timer.expires_after(drain_poll);
             co_await timer.async_wait(asio::use_awaitable);
         } while (m_callers.active_requests() > 0 && std::chrono::steady_clock::now() < until);
-        spdlog::info("drain_ended active={}", m_callers.active_requests());
-        m_follower.reset();
-        m_pool.stop();
     }
 
     settings::entry_settings m_settings;
--- /dev/null
+++ b/src/entry/resumable_stream.cpp
@@ -0,0 +1,371 @@
+#include "internal/resumable_stream.h"
+
+#include "cicadaport/base/identifier.h"
+#include "cicadaport/entry/request_end.h"
+#include "internal/stream_cancel.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cicadaport::entry {
+namespace asio = boost::asio;
+using base::verdict;
+using clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::string_view final_data = "[DONE]";
+constexpr std::string_view endpoint_field = "Cicadaport-Endpoint";
+constexpr std::string_view last_event_field = "Last-Event-ID";
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_found = 404;
+// An engine that sends nothing for so long is asked again.
+constexpr milliseconds event_time{15'000};
+constexpr milliseconds resume_pause{20};
+// Resumes in a row without a new event.
+constexpr std::uint32_t most_resumes = 4;
+
+} // namespace
+
+resumable_stream::resumable_stream(path_resources& resources, const caller_exchange& exchange,
+                                   completion_request wanted)
+    : m_resources{resources}, m_exchange{exchange}, m_wanted{std::move(wanted)},
+      m_prefix{stream_prefix(exchange.context.account, exchange.context.id, exchange.message.body)},
+      m_tries{resources.own, exchange.context, true}, m_number{resources.own.next_stream++},
+      m_last_event{exchange.context.arrived}
+{
+    m_resources.own.hand_over_calls[m_number] = [this] {
+        m_handing_over = true;
+        m_cancel.request();
+    };
+}
+
+resumable_stream::~resumable_stream()
+{
+    m_resources.own.hand_over_calls.erase(m_number);
+}
+
+asio::awaitable<void> resumable_stream::run()
+{
+    std::exception_ptr failure;
+    try {
+        co_await answer();
+    }
+    catch (...) {
+        failure = std::current_exception();
+    }
+    // Nobody will read the rest of a stream that ended in either way.
+    if (m_caller_gone || failure) {
+        cancel_at_engine();
+    }
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
+}
+
+asio::awaitable<void> resumable_stream::answer()
+{
+    take_position_from_caller();
+    watch_caller();
+    auto end = ending::lost;
+    if (!m_position.stream.empty()) {
+        end = co_await resume();
+    }
+    std::optional<request_failure> failure;
+    try {
+        while (end != ending::whole && end != ending::different && !m_cancel.requested()) {
+            end = end == ending::lost ? co_await start_anew() : co_await resume();
+        }
+    }
+    catch (const request_failure& error) {
+        failure = error;
+    }
+    if (m_caller_gone) {
+        report_interrupted(m_resources.counters, m_exchange.context, m_position.engine,
+                           "caller_gone", "the caller left");
+    }
+    else if (m_handing_over && end != ending::whole) {
+        co_await hand_over();
+    }
+    else if (failure || end == ending::different) {
+        co_await end_visibly(failure.value_or(
+            request_failure{failure_kind::endpoint_failed, verdict::may_have_run,
+                            "the engine was lost and another one answered differently"}));
+    }
+    else {
+        co_await finish();
+    }
+}
+
+void resumable_stream::take_position_from_caller()
+{
+    const auto id = m_exchange.message.fields.find(last_event_field);
+    if (!id || id->empty()) {
+        return;
+    }
+    const auto position = parse_event_id(*id);
+    if (!position || !position->stream.starts_with(m_prefix)) {
+        throw request_failure{failure_kind::invalid_request, verdict::not_run,
+                              std::string{last_event_field} +
+                                  " is not of this account's request with this id and body"};
+    }
+    m_position = *position;
+}
+
+void resumable_stream::watch_caller()
+{
+    m_watch.emplace(m_exchange.writer.watch_peer([this] {
+        m_caller_gone = true;
+        m_cancel.request();
+    }));
+}
+
+// Runs the request from its beginning at an engine that it has not been at.
+asio::awaitable<resumable_stream::ending> resumable_stream::start_anew()
+{
+    const auto& message = m_exchange.message;
+    const auto engine = m_tries.next([this](const endpoint_filter& filter) {
+        const engine_request wanted{m_exchange.context, m_wanted.model, m_exchange.message.body};
+        const base::rcu_reader guard;
+        return choose_engine(m_resources.view.read(guard), wanted, filter, m_resources.own.random);
+    });
+    m_read = {0, 0, m_prefix + base::make_identifier(), engine.name};
+    if (m_position.delivered == 0) {
+        m_position = m_read;
+    }
+    http::request onward{"POST", message.target, forwarded_fields(message, m_read.stream),
+                         message.body};
+    auto end = co_await read_from(engine.address, std::move(onward));
+    if (end == ending::broken && m_read.delivered < m_position.delivered) {
+        // Not yet level with the caller: nothing there to resume from.
+        end = ending::lost;
+    }
+    while (end == ending::broken && !m_cancel.requested()) {
+        end = co_await resume();
+    }
+    if (end == ending::whole || end == ending::different) {
+        m_tries.succeeded(engine.name);
+    }
+    else if (!m_cancel.requested()) {
+        m_tries.failed(engine.name, m_outcome, m_reason);
+    }
+    co_return end;
+}
+
+// Goes on at the engine that has the caller's stream.
+asio::awaitable<resumable_stream::ending> resumable_stream::resume()
+{
+    const auto engine = engine_address();
+    if (!engine || ++m_resumes > most_resumes) {
+        m_reason = "the engine can't go on with the stream";
+        m_outcome = verdict::may_have_run;
+        co_return ending::lost;
+    }
+    if (m_resumes > 1) {
+        co_await pause();
+    }
+    m_read = m_position;
+    http::request message{"GET",
+                          "/v1/streams/" + m_position.stream +
+                              "?from=" + std::to_string(m_position.delivered),
+                          {},
+                          {}};
+    const auto end = co_await read_from(*engine, std::move(message));
+    m_outcome = verdict::may_have_run;
+    co_return end;
+}
+
+asio::awaitable<resumable_stream::ending> resumable_stream::read_from(const http::address& engine,
+                                                                      http::request message)
+{
+    const bool is_resume = message.method == "GET";
+    try {
+        auto answer =
+            co_await m_resources.own.endpoints.open(engine, std::move(message), options());
+        const auto& head = answer.head();
+        if (head.status == status_ok) {
+            co_return co_await read_events(answer);
+        }
+        m_outcome = is_not_started(head) ? verdict::not_run : verdict::may_have_run;
+        m_reason = "the engine answered " + std::to_string(head.status);
+        if (!is_resume && is_answer(head)) {
+            throw request_failure{failure_kind::invalid_request, m_outcome, m_reason};
+        }
+        co_return is_resume&& head.status != status_not_found ? ending::broken : ending::lost;
+    }
+    catch (const http::exchange_error& error) {
+        m_outcome = error.outcome();
+        m_reason = error.what();
+    }
+    catch (const std::length_error& error) {
+        m_outcome = verdict::may_have_run;
+        m_reason = error.what();
+        co_return ending::lost;
+    }
+    // Without a connection there is no engine to ask again.
+    co_return m_outcome == verdict::not_run ? ending::lost : ending::broken;
+}
+
+asio::awaitable<resumable_stream::ending>
+resumable_stream::read_events(http::response_stream& answer)
+{
+    event_parser parser;
+    while (auto piece = co_await answer.next()) {
+        parser.feed(*piece);
+        while (const auto event = parser.next()) {
+            if (const auto end = co_await take(*event)) {
+                co_return *end;
+            }
+            if (m_cancel.requested()) {
+                co_return ending::broken;
+            }
+        }
+    }
+    m_reason = "the engine's stream ended without its final event";
+    co_return ending::broken;
+}
+
+asio::awaitable<std::optional<resumable_stream::ending>>
+resumable_stream::take(const stream_event& event)
+{
+    if (event.data == final_data) {
+        co_return m_read.delivered < m_position.delivered ? ending::different : ending::whole;
+    }
+    if (!event.position || *event.position < m_read.delivered) {
+        // A duplicate, or a comment that keeps the connection alive.
+        co_return std::nullopt;
+    }
+    if (*event.position > m_read.delivered) {
+        m_reason = "the engine's stream has a gap";
+        co_return ending::broken;
+    }
+    const bool is_new = m_read.delivered == m_position.delivered;
+    count_event(m_read, event.data);
+    if (is_new) {
+        m_position = m_read;
+        m_resumes = 0;
+        co_await forward(event);
+    }
+    else if (m_read.delivered == m_position.delivered) {
+        if (m_read.digest != m_position.digest) {
+            co_return ending::different;
+        }
+        // The new run is level with the caller and takes the old one's place.
+        m_position = m_read;
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<void> resumable_stream::forward(const stream_event& event)
+{
+    if (!m_begun) {
+        co_await begin();
+    }
+    count_token();
+    const auto text = "id: " + to_event_id(m_position) + "\ndata: " + event.data + "\n\n";
+    co_await m_exchange.writer.write(text);
+}
+
+asio::awaitable<void> resumable_stream::begin()
+{
+    m_begun = true;
+    http::response head{status_ok, {}, {}};
+    head.fields.add("Content-Type", "text/event-stream");
+    head.fields.add("Cache-Control", "no-cache");
+    head.fields.add(request_id_field, m_exchange.context.id);
+    head.fields.add(endpoint_field, m_position.engine);
+    // Until the final event, nobody knows that the answer is whole.
+    head.fields.add(verdict_field, base::to_string(verdict::may_have_run));
+    co_await m_exchange.writer.begin_stream(std::move(head));
+}
+
+asio::awaitable<void> resumable_stream::finish()
+{
+    if (!m_begun) {
+        co_await begin();
+    }
+    co_await m_exchange.writer.write("data: [DONE]\n\n");
+    co_await m_exchange.writer.end_stream();
+    report_answered(m_resources.counters, m_exchange.context, m_position.engine);
+}
+
+asio::awaitable<void> resumable_stream::hand_over()
+{
+    if (m_position.stream.empty()) {
+        throw request_failure{failure_kind::unavailable, m_tries.outcome(),
+                              "this entry process stops", milliseconds{0}};
+    }
+    if (!m_begun) {
+        co_await begin();
+    }
+    const nlohmann::json body{{"request_id", m_exchange.context.id},
+                              {"last_event_id", to_event_id(m_position)},
+                              {"verdict", base::to_string(verdict::may_have_run)}};
+    const auto text = "event: resume\ndata: " + body.dump() + "\n\n";
+    co_await m_exchange.writer.write(text);
+    report_interrupted(m_resources.counters, m_exchange.context, m_position.engine, "handed_over",
+                       "this entry process stops");
+}
+
+// Without the final chunk and event, the caller sees that the answer is cut.
+asio::awaitable<void> resumable_stream::end_visibly(const request_failure& failure)
+{
+    if (!m_begun) {
+        throw request_failure{failure};
+    }
+    const nlohmann::json body{{"error",
+                               {{"message", failure.what()},
+                                {"type", "server_error"},
+                                {"code", to_string(failure.kind())},
+                                {"verdict", base::to_string(verdict::may_have_run)}}},
+                              {"request_id", m_exchange.context.id},
+                              {"last_event_id", to_event_id(m_position)}};
+    const auto text = "event: error\ndata: " + body.dump() + "\n\n";
+    co_await m_exchange.writer.write(text);
+    report_interrupted(m_resources.counters, m_exchange.context, m_position.engine, "cut",
+                       failure.what());
+}
+
+asio::awaitable<void> resumable_stream::pause()
+{
+    asio::steady_timer timer{m_resources.own.context, resume_pause * (1U << m_resumes)};
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+http::exchange_options resumable_stream::options()
+{
+    http::exchange_options out;
+    out.response_time = event_time;
+    out.cancel = &m_cancel;
+    return out;
+}
+
+std::optional<http::address> resumable_stream::engine_address() const
+{
+    const base::rcu_reader guard;
+    const auto* found = m_resources.view.read(guard).document().find_endpoint(m_position.engine);
+    return found == nullptr ? std::nullopt : std::optional{found->address};
+}
+
+void resumable_stream::count_token()
+{
+    const auto now = clock::now();
+    const auto& context = m_exchange.context;
+    if (m_last_event == context.arrived) {
+        m_resources.counters.first_token(context.priority, now - m_last_event);
+    }
+    else {
+        m_resources.counters.between_tokens(context.priority, now - m_last_event);
+    }
+    m_last_event = now;
+}
+
+void resumable_stream::cancel_at_engine()
+{
+    const auto engine = engine_address();
+    if (engine && !m_position.stream.empty()) {
+        cancel_stream(m_resources.own, *engine, m_position.stream);
+    }
+}
+
+} // namespace cicadaport::entry
--- a/src/entry/service_call.cpp
+++ b/src/entry/service_call.cpp
@@ -1,11 +1,11 @@
 #include "cicadaport/entry/engine_choice.h"
 #include "cicadaport/entry/paths.h"
 #include "cicadaport/entry/request_end.h"
+#include "internal/tries.h"
 
 namespace cicadaport::entry {
 namespace asio = boost::asio;
 using base::verdict;
-using clock = std::chrono::steady_clock;
 
 namespace {
 
@@ -28,11 +28,21 @@
     return {found->service->name, found->route->idempotent, found->route->timeout};
 }
 
-chosen_endpoint choose(path_resources& resources, const std::string& service)
+try_plan plan_of(path_resources& resources, const caller_exchange& exchange,
+                 const call_rules& rules)
 {
-    const endpoint_filter filter{{}, resources.own.breakers, clock::now()};
-    const base::rcu_reader guard;
-    return choose_replica(resources.view.read(guard), service, filter, resources.own.random);
+    const auto& message = exchange.message;
+    try_plan plan;
+    plan.choose = [&resources, service = rules.service](const endpoint_filter& filter) {
+        const base::rcu_reader guard;
+        return choose_replica(resources.view.read(guard), service, filter, resources.own.random);
+    };
+    plan.message = {message.method, message.target, forwarded_fields(message, exchange.context.id),
+                    message.body};
+    plan.options.response_time = rules.timeout;
+    plan.options.fresh_connection = !rules.idempotent;
+    plan.idempotent = rules.idempotent;
+    return plan;
 }
 
 } // namespace
@@ -40,30 +50,13 @@
 asio::awaitable<void> service_call(path_resources resources, caller_exchange exchange,
                                    const http::target_view& target)
 {
-    const auto& message = exchange.message;
-    const auto rules = find_rules(resources, message, target.path());
-    const auto replica = choose(resources, rules.service);
-    http::request onward{message.method, message.target,
-                         forwarded_fields(message, exchange.context.id), message.body};
-    http::exchange_options options;
-    options.response_time = rules.timeout;
-    options.fresh_connection = !rules.idempotent;
-    std::optional<request_failure> failure;
-    http::response reply;
-    try {
-        reply =
-            co_await resources.own.endpoints.exchange(replica.address, std::move(onward), options);
-    }
-    catch (const http::exchange_error& error) {
-        failure = request_failure{failure_kind::endpoint_failed, error.outcome(), error.what(),
-                                  spread_retry_time(resources.own.random)};
-    }
-    if (failure) {
-        throw request_failure{*failure};
-    }
-    reply.fields.add(verdict_field, base::to_string(verdict::ran));
-    co_await exchange.writer.send(std::move(reply));
-    report_answered(resources.counters, exchange.context, replica.name);
+    const auto rules = find_rules(resources, exchange.message, target.path());
+    const auto plan = plan_of(resources, exchange, rules);
+    auto answer = co_await exchange_with_retries(resources, exchange.context, plan);
+    const auto outcome = is_not_started(answer.reply) ? verdict::not_run : verdict::ran;
+    answer.reply.fields.add(verdict_field, base::to_string(outcome));
+    co_await exchange.writer.send(std::move(answer.reply));
+    report_answered(resources.counters, exchange.context, answer.endpoint);
 }
 
 } // namespace cicadaport::entry
--- /dev/null
+++ b/src/entry/stream_position.cpp
@@ -0,0 +1,79 @@
+#include "internal/stream_position.h"
+
+#include "cicadaport/base/digest.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+namespace cicadaport::entry {
+namespace {
+
+constexpr char separator = '.';
+constexpr std::size_t prefix_digits = 32;
+
+std::string_view take_part(std::string_view& text)
+{
+    const auto end = std::min(text.find(separator), text.size());
+    const auto part = text.substr(0, end);
+    text.remove_prefix(std::min(end + 1, text.size()));
+    return part;
+}
+
+bool parse_number(std::string_view text, std::uint64_t& into)
+{
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), into);
+    return error == std::errc{} && end == text.data() + text.size();
+}
+
+// Returns what of an event is the answer's: the same from every engine.
+std::string content_of(std::string_view data)
+{
+    const auto parsed = nlohmann::json::parse(data, nullptr, false);
+    if (!parsed.is_object() || !parsed.contains("choices")) {
+        return std::string{data};
+    }
+    return parsed["choices"].dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace
+
+std::string to_event_id(const stream_position& position)
+{
+    return std::to_string(position.delivered) + separator + std::to_string(position.digest) +
+           separator + position.stream + separator + position.engine;
+}
+
+std::optional<stream_position> parse_event_id(std::string_view id)
+{
+    stream_position out;
+    if (!parse_number(take_part(id), out.delivered) || !parse_number(take_part(id), out.digest)) {
+        return std::nullopt;
+    }
+    out.stream = take_part(id);
+    out.engine = id;
+    if (out.stream.empty() || out.engine.empty()) {
+        return std::nullopt;
+    }
+    return out;
+}
+
+void count_event(stream_position& position, std::string_view data)
+{
+    const auto content = content_of(data);
+    position.digest = XXH64(content.data(), content.size(), position.digest);
+    ++position.delivered;
+}
+
+std::string stream_prefix(std::string_view account, std::string_view request_id,
+                          std::string_view body)
+{
+    std::string text{account};
+    text += '\n';
+    text += request_id;
+    text += '\n';
+    text += body;
+    return base::sha256_hex(text).substr(0, prefix_digits);
+}
+
+} // namespace cicadaport::entry
--- /dev/null
+++ b/src/entry/tries.cpp
@@ -0,0 +1,119 @@
+#include "internal/tries.h"
+
+namespace cicadaport::entry {
+namespace asio = boost::asio;
+using base::verdict;
+using clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::size_t most_tries = 3;
+constexpr unsigned status_bad_request = 400;
+
+// The outcome of one try that brought no answer.
+struct failed_try {
+    failed_try() = default;
+    verdict outcome = verdict::not_run;
+    std::string reason;
+};
+
+} // namespace
+
+try_sequence::try_sequence(worker& own, const request_context& context, bool idempotent)
+    : m_own{own}, m_context{context}, m_idempotent{idempotent}
+{
+    m_own.retries.first_try();
+}
+
+chosen_endpoint
+try_sequence::next(const std::function<chosen_endpoint(const endpoint_filter&)>& choose)
+{
+    try {
+        return choose_other(choose);
+    }
+    catch (const request_failure& failure) {
+        // An earlier try may have run even if this one can't begin.
+        throw request_failure{failure.kind(), m_worst, failure.what(), failure.retry_after()};
+    }
+}
+
+chosen_endpoint
+try_sequence::choose_other(const std::function<chosen_endpoint(const endpoint_filter&)>& choose)
+{
+    const auto now = clock::now();
+    if (!m_tried.empty()) {
+        try {
+            return choose(endpoint_filter{m_tried, m_own.breakers, now});
+        }
+        catch (const request_failure&) {
+            // No other endpoint may take it: the same one is the next best.
+            m_tried.clear();
+        }
+    }
+    return choose(endpoint_filter{{}, m_own.breakers, now});
+}
+
+void try_sequence::succeeded(const std::string& endpoint)
+{
+    m_own.breakers.get(endpoint).succeeded();
+}
+
+void try_sequence::failed(const std::string& endpoint, verdict outcome, const std::string& reason)
+{
+    const auto now = clock::now();
+    m_own.breakers.get(endpoint).failed(now);
+    m_worst = std::max(m_worst, outcome);
+    m_tried.push_back(endpoint);
+    ++m_failures;
+    const bool allowed = base::may_retry(outcome, m_idempotent) && now < m_context.deadline &&
+                         m_failures < most_tries;
+    if (!allowed || !m_own.retries.take()) {
+        throw request_failure{failure_kind::endpoint_failed, m_worst, reason,
+                              spread_retry_time(m_own.random)};
+    }
+}
+
+bool is_not_started(const http::response& reply)
+{
+    return reply.fields.find("X-Not-Started") == "true";
+}
+
+bool is_answer(const http::response& reply)
+{
+    return !is_not_started(reply) || reply.status == status_bad_request;
+}
+
+asio::awaitable<endpoint_answer> exchange_with_retries(path_resources& resources,
+                                                       const request_context& context,
+                                                       const try_plan& plan)
+{
+    try_sequence tries{resources.own, context, plan.idempotent};
+    for (;;) {
+        const auto endpoint = tries.next(plan.choose);
+        endpoint_answer answer;
+        answer.endpoint = endpoint.name;
+        failed_try failure;
+        bool whole = false;
+        try {
+            answer.reply = co_await resources.own.endpoints.exchange(endpoint.address, plan.message,
+                                                                     plan.options);
+            whole = is_answer(answer.reply);
+            failure.reason = "the endpoint did not start it";
+        }
+        catch (const http::exchange_error& error) {
+            failure.outcome = error.outcome();
+            failure.reason = error.what();
+        }
+        if (whole) {
+            tries.succeeded(endpoint.name);
+            co_return answer;
+        }
+        if (plan.options.cancel != nullptr && plan.options.cancel->requested()) {
+            plan.cancelled(endpoint);
+            throw request_failure{failure_kind::caller_gone, failure.outcome, "the caller left"};
+        }
+        tries.failed(endpoint.name, failure.outcome, failure.reason);
+    }
+}
+
+} // namespace cicadaport::entry
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -133,8 +133,21 @@
                                                                                   std::move(made)}
     {
         m_parser.body_limit(response_body_limit);
+        if (m_options.cancel != nullptr) {
+            m_options.cancel->attach([this] { cancel(); });
+        }
     }
 
+    ~implementation()
+    {
+        if (m_options.cancel != nullptr) {
+            m_options.cancel->attach({});
+        }
+    }
+
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+
     asio::awaitable<void> send(request message)
     {
         auto wire = internal::to_beast(std::move(message), to_string(m_to));
@@ -155,7 +168,7 @@
 
     asio::awaitable<std::optional<std::string>> next()
     {
-        constexpr std::size_t piece_size = 16'384;
+        constexpr std::size_t piece_size = 4'096;
         while (!m_parser.is_done()) {
             std::string piece(piece_size, '\0');
             auto& body = m_parser.get().body();
@@ -229,6 +242,9 @@
 asio::awaitable<response_stream> client::open(address to, request message, exchange_options options)
 {
     auto made = co_await m_impl->connect(to, options);
+    if (options.cancel != nullptr && options.cancel->requested()) {
+        throw exchange_error{verdict::not_run, "cancelled"};
+    }
     auto stream =
         std::make_unique<response_stream::implementation>(m_impl, to, options, std::move(made));
     co_await stream->send(std::move(message));
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -40,6 +40,69 @@
 
 } // namespace
 
+namespace {
+
+enum class peer_state { quiet, sending, gone };
+
+peer_state state_of(tcp::socket& socket)
+{
+    char byte = 0;
+    const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got > 0) {
+        return peer_state::sending;
+    }
+    const bool waiting = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return waiting ? peer_state::quiet : peer_state::gone;
+}
+
+} // namespace
+
+class peer_watch::implementation : public std::enable_shared_from_this<implementation> {
+public:
+    implementation(tcp::socket& socket, std::function<void()> on_gone)
+        : m_socket{socket}, m_on_gone{std::move(on_gone)}
+    {
+    }
+
+    void start()
+    {
+        m_socket.async_wait(tcp::socket::wait_read,
+                            asio::bind_cancellation_slot(
+                                m_signal.slot(), [self = shared_from_this()](beast::error_code) {
+                                    self->readable();
+                                }));
+    }
+
+    void stop()
+    {
+        m_stopped = true;
+        m_signal.emit(asio::cancellation_type::terminal);
+    }
+
+private:
+    void readable()
+    {
+        // A stopped watch must not touch the socket: it may be gone.
+        if (!m_stopped && state_of(m_socket) == peer_state::gone) {
+            m_on_gone();
+        }
+    }
+
+    tcp::socket& m_socket;
+    std::function<void()> m_on_gone;
+    asio::cancellation_signal m_signal;
+    bool m_stopped = false;
+};
+
+peer_watch::peer_watch(std::shared_ptr<implementation> impl) noexcept : m_impl{std::move(impl)} {}
+
+peer_watch::~peer_watch()
+{
+    if (m_impl) {
+        m_impl->stop();
+    }
+}
+
 class response_writer::implementation {
 public:
     implementation(beast::tcp_stream& stream, std::chrono::milliseconds send_time) noexcept
@@ -85,12 +148,14 @@
     bool finished() const noexcept { return m_finished; }
     void keep_alive(bool value) noexcept { m_keep_alive = value; }
 
-    bool peer_gone() const
+    bool peer_gone() const { return state_of(m_stream.socket()) == peer_state::gone; }
+
+    peer_watch watch_peer(std::function<void()> on_gone)
     {
-        char byte = 0;
-        const auto got =
-            ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+        auto watch =
+            std::make_shared<peer_watch::implementation>(m_stream.socket(), std::move(on_gone));
+        watch->start();
+        return peer_watch{std::move(watch)};
     }
 
 private:
@@ -131,6 +196,10 @@
 {
     return m_impl.peer_gone();
 }
+peer_watch response_writer::watch_peer(std::function<void()> on_gone)
+{
+    return m_impl.watch_peer(std::move(on_gone));
+}
 
 // The idle connections of one event loop, so that a drain can close them.
 // Touched on that loop only.
@@ -259,6 +328,12 @@
         stream.expires_after(is_draining() ? drain_idle_time : m_limits.idle_time);
         idle.insert(&stream);
         auto [error, count] = co_await stream.async_read_some(buffer.prepare(read_size), as_result);
+        if (error == asio::error::operation_aborted && is_draining()) {
+            // A request may be on its way just now.
+            stream.expires_after(drain_idle_time);
+            std::tie(error, count) =
+                co_await stream.async_read_some(buffer.prepare(read_size), as_result);
+        }
         idle.erase(&stream);
         buffer.commit(count);
         co_return !error;
--- /dev/null
+++ b/test/entry/resumable_test.cpp
@@ -0,0 +1,201 @@
+#include "path_fixture.h"
+
+namespace cicadaport::entry {
+namespace {
+
+using engine = served<standins::engine_server>;
+constexpr std::uint32_t tokens = 40;
+
+class resumable_test : public testing::Test {
+protected:
+    engine m_engine{standins::engine_settings{}};
+    std::string m_configuration = test_configuration({m_engine.address()}, {});
+    served_gateway m_gateway{m_configuration};
+
+    std::uint64_t running_at_engine() const
+    {
+        const auto load = exchange(m_engine.address(), {"GET", "/v1/load", {}, {}});
+        const auto body = nlohmann::json::parse(load.body);
+        return body["waiting"].get<std::uint64_t>() + body["running"].get<std::uint64_t>();
+    }
+
+    bool engine_becomes_idle() const
+    {
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds{20};
+        while (std::chrono::steady_clock::now() < until) {
+            if (running_at_engine() == 0) {
+                return true;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds{10});
+        }
+        return false;
+    }
+};
+
+bool has_some_tokens(const seen_answer& seen)
+{
+    return seen.lines("id").size() >= 5;
+}
+
+TEST_F(resumable_test, brings_the_whole_answer)
+{
+    const auto seen = read_answer(m_gateway.address(), streamed_completion(tokens));
+    EXPECT_TRUE(seen.complete);
+    EXPECT_EQ(seen.text(), expected_text(tokens));
+    EXPECT_EQ(seen.lines("data").back(), "[DONE]");
+}
+
+TEST_F(resumable_test, resumes_at_the_engine_when_its_connection_breaks)
+{
+    order_fault(m_engine.address(), "cut_after_tokens=7");
+    const auto seen = read_answer(m_gateway.address(), streamed_completion(tokens));
+    EXPECT_TRUE(seen.complete);
+    EXPECT_EQ(seen.text(), expected_text(tokens));
+}
+
+TEST_F(resumable_test, without_resumption_a_broken_connection_cuts_the_answer)
+{
+    served_gateway baseline{m_configuration, settings::completion_path::pass_through};
+    order_fault(m_engine.address(), "cut_after_tokens=7");
+    const auto seen = read_answer(baseline.address(), streamed_completion(tokens));
+    EXPECT_FALSE(seen.complete);
+    EXPECT_NE(seen.text(), expected_text(tokens));
+}
+
+TEST_F(resumable_test, a_handed_over_stream_goes_on_elsewhere_without_a_token_twice_or_missing)
+{
+    auto message = streamed_completion(tokens);
+    message.fields.add(request_id_field, "order-17");
+    std::string first_text;
+    std::string last_id;
+    {
+        served_gateway stopping{m_configuration};
+        const auto seen = read_answer(stopping.address(), message, [&](const seen_answer& so_far) {
+            if (has_some_tokens(so_far)) {
+                stopping.handler().hand_over_streams();
+            }
+            return so_far.body.find("event: resume") != std::string::npos;
+        });
+        first_text = seen.text();
+        last_id = seen.lines("id").back();
+        EXPECT_FALSE(seen.complete);
+    }
+    message.fields.add("Last-Event-ID", last_id);
+    const auto rest = read_answer(m_gateway.address(), message);
+    EXPECT_TRUE(rest.complete);
+    EXPECT_EQ(first_text + rest.text(), expected_text(tokens));
+}
+
+TEST_F(resumable_test, a_stream_goes_on_elsewhere_after_the_death_of_its_entry_process)
+{
+    auto message = streamed_completion(tokens);
+    message.fields.add(request_id_field, "order-17");
+    auto dying = std::make_unique<served_gateway>(m_configuration);
+    const auto seen = read_answer(dying->address(), message, [&](const seen_answer& so_far) {
+        if (dying && has_some_tokens(so_far)) {
+            dying.reset();
+        }
+        return false;
+    });
+    EXPECT_FALSE(seen.complete);
+    EXPECT_EQ(seen.lines("event"), std::vector<std::string>{});
+    message.fields.add("Last-Event-ID", seen.lines("id").back());
+    const auto rest = read_answer(m_gateway.address(), message);
+    EXPECT_TRUE(rest.complete);
+    EXPECT_EQ(seen.text() + rest.text(), expected_text(tokens));
+}
+
+TEST_F(resumable_test, refuses_to_resume_the_stream_of_another_account)
+{
+    auto message = streamed_completion(tokens);
+    message.fields.add(request_id_field, "order-17");
+    const auto seen = read_answer(m_gateway.address(), message, has_some_tokens);
+    const auto body = message.body;
+    auto stolen = caller_request("POST", "/v1/completions", body, "other-key");
+    stolen.fields.add(request_id_field, "order-17");
+    stolen.fields.add("Last-Event-ID", seen.lines("id").back());
+    const auto refusal = exchange(m_gateway.address(), stolen);
+    EXPECT_EQ(refusal.status, 400U);
+    EXPECT_EQ(refusal.fields.find(verdict_field), "not_run");
+}
+
+TEST_F(resumable_test, cancels_at_the_engine_when_the_caller_leaves)
+{
+    constexpr std::uint32_t very_long = 100'000;
+    read_answer(m_gateway.address(), streamed_completion(very_long), has_some_tokens);
+    EXPECT_TRUE(engine_becomes_idle());
+}
+
+TEST_F(resumable_test, a_refusal_by_the_only_engine_says_not_run_and_when_to_come_back)
+{
+    order_fault(m_engine.address(), "refuse=true");
+    const auto refusal = exchange(m_gateway.address(), streamed_completion(tokens));
+    EXPECT_EQ(refusal.status, 502U);
+    EXPECT_EQ(refusal.fields.find(verdict_field), "not_run");
+    EXPECT_TRUE(refusal.fields.find("Retry-After"));
+}
+
+// Stands for an engine whose stream is lost after three tokens.
+class forgetful_engine {
+public:
+    forgetful_engine(boost::asio::io_context&, std::string word) : m_word{std::move(word)} {}
+
+    boost::asio::awaitable<void> handle(const http::request& message, http::response_writer& writer)
+    {
+        if (message.method != "POST") {
+            http::response missing{404, {}, "no such stream\n"};
+            missing.fields.add("X-Not-Started", "true");
+            co_return co_await writer.send(std::move(missing));
+        }
+        http::response head{200, {}, {}};
+        head.fields.add("Content-Type", "text/event-stream");
+        co_await writer.begin_stream(std::move(head));
+        for (std::uint32_t i = 0; i < 3; ++i) {
+            const auto token =
+                m_word.empty() ? standins::engine_core::answer_token({"how", "many", "sacks"}, i)
+                               : m_word;
+            const nlohmann::json choice{{"index", 0}, {"text", token}};
+            const nlohmann::json event{{"choices", nlohmann::json::array({choice})}};
+            const auto text = "id: " + std::to_string(i) + "\ndata: " + event.dump() + "\n\n";
+            co_await writer.write(text);
+        }
+    }
+
+private:
+    std::string m_word;
+};
+
+// Asks until the engine that loses its stream was chosen first.
+seen_answer answer_after_loss(const std::string& word)
+{
+    const engine good{standins::engine_settings{}};
+    const served<forgetful_engine> bad{word};
+    const auto configuration = test_configuration({bad.address(), good.address()}, {});
+    for (;;) {
+        const served_gateway gateway{configuration};
+        auto seen = read_answer(gateway.address(), streamed_completion(tokens));
+        if (seen.fields.find("Cicadaport-Endpoint") == "engine-1") {
+            return seen;
+        }
+    }
+}
+
+TEST(lost_engine_test, another_engine_goes_on_if_its_answer_begins_with_what_was_delivered)
+{
+    const auto seen = answer_after_loss("");
+    EXPECT_TRUE(seen.complete);
+    EXPECT_EQ(seen.text(), expected_text(tokens));
+}
+
+TEST(lost_engine_test, a_different_answer_ends_the_stream_visibly)
+{
+    const auto seen = answer_after_loss("different ");
+    EXPECT_FALSE(seen.complete);
+    EXPECT_EQ(seen.text(), "different different different ");
+    ASSERT_EQ(seen.lines("event"), std::vector<std::string>{"error"});
+    EXPECT_THAT(seen.lines("data").back(), testing::HasSubstr("\"verdict\":\"may_have_run\""));
+    EXPECT_EQ(seen.body.find("[DONE]"), std::string::npos);
+}
+
+} // namespace
+} // namespace cicadaport::entry
