requests: calls with an idempotency key run at most once over all entry processes

Ruled out: a claim kept by one process; it dies with its host. Change: claims on the log before an endpoint sees a byte, spread over eight streams, all that wait in one append; the first in log order wins. The answer, or that it is not known, is recorded; a key that surely did not run is released. Lost append answers are read back by content before the append is repeated. Entry settings get platform.log. A refusal is not retried at the endpoint that gave it; the refusal by the only engine is 503 no_endpoint now, still not_run.

--- /dev/null
+++ b/src/claims/claim_store.cpp
@@ -0,0 +1,395 @@
+#include "cicadaport/claims/claim_store.h"
+
+#include "cicadaport/base/digest.h"
+#include "cicadaport/base/identifier.h"
+#include "cicadaport/platform/log_client.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <charconv>
+#include <claims.pb.h>
+#include <platform.pb.h>
+#include <set>
+#include <spdlog/spdlog.h>
+
+namespace cicadaport::claims {
+namespace asio = boost::asio;
+using base::verdict;
+using platform::log_error;
+using std::chrono::milliseconds;
+using steady_time = std::chrono::steady_clock::time_point;
+
+namespace {
+
+constexpr int most_appends = 3;
+constexpr milliseconds answer_wait{500};
+constexpr milliseconds refresh_period{2'000};
+constexpr std::size_t longest_answer = 32 * 1024;
+
+std::int64_t now_ms()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<milliseconds>(now).count();
+}
+
+protocol::claim_record new_record(const std::string& key, const std::string& claim_id)
+{
+    protocol::claim_record out;
+    out.set_claim_id(claim_id);
+    out.set_key(key);
+    out.set_at_ms(now_ms());
+    return out;
+}
+
+// A record on its way to the log, and who waits for it.
+struct pending_record {
+    pending_record(asio::io_context& context, protocol::claim_record with_record)
+        : record{std::move(with_record)}, done{context, steady_time::max()}
+    {
+    }
+
+    protocol::claim_record record;
+    // Cancelled when the record was folded or failed.
+    asio::steady_timer done;
+    std::optional<log_error> error;
+};
+
+// Returns what is known for the author of `claim_id`, or nothing if it has to
+// wait for the holder.
+std::optional<claim_outcome> outcome_for(const claim_entry* holder, const claim_request& wanted,
+                                         const std::string& claim_id)
+{
+    if (holder == nullptr) {
+        return std::nullopt;
+    }
+    if (holder->claim_id == claim_id) {
+        return claim_outcome::won;
+    }
+    if (holder->request != wanted.request) {
+        return claim_outcome::other_request;
+    }
+    return holder->answer ? std::optional{claim_outcome::ended} : std::nullopt;
+}
+
+} // namespace
+
+// One stream of claims. Belongs to one event loop.
+class claim_store::shard : public std::enable_shared_from_this<shard> {
+public:
+    shard(asio::io_context& context, http::address log, const std::string& stream,
+          const claim_settings& settings)
+        : m_context{context}, m_log{context, std::move(log), stream},
+          m_settings{settings}, m_index{settings.retention}
+    {
+    }
+
+    const claim_index& index() const noexcept { return m_index; }
+    std::size_t pending() const noexcept { return m_pending.load(std::memory_order_acquire); }
+
+    // Returns once `record` is on the log and folded; throws `log_error`.
+    asio::awaitable<void> commit(protocol::claim_record record)
+    {
+        const auto waiting = enqueue(std::move(record));
+        co_await waiting->done.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (waiting->error) {
+            throw log_error{*waiting->error};
+        }
+    }
+
+    std::shared_ptr<pending_record> enqueue(protocol::claim_record record)
+    {
+        auto waiting = std::make_shared<pending_record>(m_context, std::move(record));
+        m_queue.push_back(waiting);
+        m_pending.fetch_add(1, std::memory_order_acq_rel);
+        if (!std::exchange(m_flushing, true)) {
+            asio::co_spawn(m_context, flush(shared_from_this()), asio::detached);
+        }
+        return waiting;
+    }
+
+    // Reads and folds what is new, waiting up to `wait` for it. Returns
+    // whether an entry with `payload` was among it.
+    asio::awaitable<bool> catch_up(milliseconds wait, std::string_view payload = {})
+    {
+        bool found = false;
+        for (;;) {
+            const auto reply = co_await m_log.read(m_offset, wait);
+            wait = milliseconds{0};
+            for (const auto& entry : reply.entries()) {
+                found = found || entry.payload() == payload;
+                fold(entry);
+            }
+            // What the log no longer keeps is older than any claim in force.
+            m_offset = std::max(m_offset, reply.first_offset() - 1);
+            if (reply.entries().empty() || m_offset >= reply.end_offset()) {
+                co_return found;
+            }
+        }
+    }
+
+    // Keeps the fold near the log's end, so that a claim reads little.
+    static asio::awaitable<void> refresh(std::weak_ptr<shard> watched)
+    {
+        asio::steady_timer timer{co_await asio::this_coro::executor};
+        while (co_await refresh_if_alive(watched)) {
+            timer.expires_after(refresh_period);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    }
+
+    // Counts a record that is about to be handed over from another thread.
+    void expect_record() noexcept { m_pending.fetch_add(1, std::memory_order_acq_rel); }
+
+    void enqueue_expected(protocol::claim_record record)
+    {
+        enqueue(std::move(record));
+        m_pending.fetch_sub(1, std::memory_order_acq_rel);
+    }
+
+private:
+    static asio::awaitable<bool> refresh_if_alive(const std::weak_ptr<shard>& watched)
+    {
+        const auto self = watched.lock();
+        if (self) {
+            co_await self->refresh_once();
+        }
+        co_return self != nullptr;
+    }
+
+    asio::awaitable<void> refresh_once()
+    {
+        try {
+            co_await catch_up(milliseconds{0});
+        }
+        catch (const log_error& error) {
+            spdlog::debug("claims_not_read error=\"{}\"", error.what());
+        }
+    }
+
+    void fold(const protocol::log_entry& entry)
+    {
+        protocol::claim_batch batch;
+        if (entry.offset() <= m_offset || !batch.ParseFromString(entry.payload())) {
+            return;
+        }
+        m_offset = entry.offset();
+        for (const auto& record : batch.records()) {
+            m_index.apply(record);
+            release_if_abandoned(record);
+        }
+    }
+
+    // A claim that its author gave up on reached the log after all.
+    void release_if_abandoned(const protocol::claim_record& record)
+    {
+        if (record.has_made() && m_abandoned.erase(record.claim_id()) > 0) {
+            auto release = new_record(record.key(), record.claim_id());
+            release.mutable_released();
+            enqueue(std::move(release));
+        }
+    }
+
+    // Appends what waits, batch after batch, until nothing does.
+    static asio::awaitable<void> flush(std::shared_ptr<shard> self)
+    {
+        while (!self->m_queue.empty()) {
+            const auto batch = self->take_batch();
+            std::optional<log_error> failure;
+            try {
+                co_await self->append(batch);
+            }
+            catch (const log_error& error) {
+                failure = error;
+            }
+            self->finish(batch, failure);
+        }
+        self->m_flushing = false;
+    }
+
+    std::vector<std::shared_ptr<pending_record>> take_batch()
+    {
+        const auto count = std::min(m_queue.size(), m_settings.most_per_append);
+        const auto end = m_queue.begin() + static_cast<std::ptrdiff_t>(count);
+        std::vector<std::shared_ptr<pending_record>> out{m_queue.begin(), end};
+        m_queue.erase(m_queue.begin(), end);
+        return out;
+    }
+
+    void finish(const std::vector<std::shared_ptr<pending_record>>& batch,
+                const std::optional<log_error>& failure)
+    {
+        for (const auto& each : batch) {
+            each->error = failure;
+            if (failure && failure->outcome() != verdict::not_run && each->record.has_made()) {
+                m_abandoned.insert(each->record.claim_id());
+            }
+            each->done.cancel();
+            m_pending.fetch_sub(1, std::memory_order_acq_rel);
+        }
+    }
+
+    asio::awaitable<void> append(const std::vector<std::shared_ptr<pending_record>>& batch)
+    {
+        protocol::claim_batch message;
+        for (const auto& each : batch) {
+            *message.add_records() = each->record;
+        }
+        const auto payload = message.SerializeAsString();
+        for (int attempt = 0; attempt < most_appends; ++attempt) {
+            const bool appended = co_await append_once(payload, attempt > 0);
+            if (co_await catch_up(milliseconds{0}, payload) || appended) {
+                co_return;
+            }
+        }
+        throw log_error{verdict::may_have_run, "the log did not confirm the claim"};
+    }
+
+    // Returns whether the log confirmed the append; false when its answer was
+    // lost. Throws only if no attempt can have taken effect.
+    asio::awaitable<bool> append_once(const std::string& payload, bool repeated)
+    {
+        try {
+            co_await m_log.append(payload);
+            co_return true;
+        }
+        catch (const log_error& error) {
+            if (error.outcome() == verdict::not_run && !repeated) {
+                throw;
+            }
+        }
+        co_return false;
+    }
+
+    asio::io_context& m_context;
+    platform::log_client m_log;
+    claim_settings m_settings;
+    claim_index m_index;
+    std::uint64_t m_offset = 0;
+    std::deque<std::shared_ptr<pending_record>> m_queue;
+    bool m_flushing = false;
+    // Claims that were given up without knowing whether they took effect.
+    std::set<std::string> m_abandoned;
+    std::atomic<std::size_t> m_pending{0};
+};
+
+claim_request::claim_request(std::string_view account, std::string_view key,
+                             std::string_view with_request)
+    : scoped_key{base::sha256_hex(std::string{account} + "\n" + std::string{key})},
+      request{base::sha256_hex(with_request)}
+{
+}
+
+claim_store::claim_store(asio::io_context& context, http::address log, claim_settings settings)
+    : m_context{context}, m_settings{settings}
+{
+    for (std::size_t i = 0; i < settings.shards; ++i) {
+        m_shards.push_back(
+            std::make_shared<shard>(context, log, "claims-" + std::to_string(i), settings));
+        asio::co_spawn(context, shard::refresh(m_shards.back()), asio::detached);
+    }
+}
+
+claim_store::~claim_store() = default;
+
+asio::awaitable<claim_result> claim_store::acquire(claim_request wanted, steady_time wait_until)
+{
+    auto work = acquire_here(std::move(wanted), wait_until);
+    co_return co_await asio::co_spawn(m_context, std::move(work), asio::use_awaitable);
+}
+
+asio::awaitable<claim_result> claim_store::acquire_here(claim_request wanted,
+                                                        steady_time wait_until)
+{
+    const auto own = shard_of(wanted.scoped_key);
+    claim_result out;
+    out.claim_id = base::make_identifier();
+    out.begin_before = std::chrono::steady_clock::now() + m_settings.retention / 2;
+    for (;;) {
+        if (!is_held(own->index().find(wanted.scoped_key))) {
+            // Also after the holder before released the key.
+            auto record = new_record(wanted.scoped_key, out.claim_id);
+            record.mutable_made()->set_request(wanted.request);
+            co_await own->commit(std::move(record));
+        }
+        const auto* holder = own->index().find(wanted.scoped_key);
+        if (const auto outcome = outcome_for(holder, wanted, out.claim_id)) {
+            out.outcome = *outcome;
+            out.answer = holder->answer.value_or(claim_answer{});
+            co_return out;
+        }
+        if (std::chrono::steady_clock::now() >= wait_until) {
+            co_return out;
+        }
+        co_await own->catch_up(answer_wait);
+    }
+}
+
+bool claim_store::is_held(const claim_entry* holder) const
+{
+    return holder != nullptr && now_ms() - holder->at_ms <= m_settings.retention.count();
+}
+
+void claim_store::hand_over(const std::shared_ptr<shard>& own, protocol::claim_record record)
+{
+    own->expect_record();
+    asio::post(m_context, [own, record = std::move(record)] { own->enqueue_expected(record); });
+}
+
+void claim_store::end(const claim_request& claimed, const std::string& claim_id,
+                      claim_answer answer)
+{
+    auto record = new_record(claimed.scoped_key, claim_id);
+    auto& ended = *record.mutable_ended();
+    ended.set_status(answer.status);
+    ended.set_unknown(answer.unknown);
+    ended.set_omitted(answer.body.size() > longest_answer);
+    if (!ended.omitted()) {
+        ended.set_content_type(std::move(answer.content_type));
+        ended.set_body(std::move(answer.body));
+    }
+    hand_over(shard_of(claimed.scoped_key), std::move(record));
+}
+
+void claim_store::release(const claim_request& claimed, const std::string& claim_id)
+{
+    auto record = new_record(claimed.scoped_key, claim_id);
+    record.mutable_released();
+    hand_over(shard_of(claimed.scoped_key), std::move(record));
+}
+
+std::size_t claim_store::pending() const noexcept
+{
+    std::size_t out = 0;
+    for (const auto& each : m_shards) {
+        out += each->pending();
+    }
+    return out;
+}
+
+std::shared_ptr<claim_store::shard> claim_store::shard_of(const std::string& scoped_key) const
+{
+    constexpr std::size_t digits = 8;
+    constexpr int hexadecimal = 16;
+    return m_shards[std::stoul(scoped_key.substr(0, digits), nullptr, hexadecimal) %
+                    m_shards.size()];
+}
+
+std::optional<std::chrono::system_clock::time_point> creation_time(std::string_view key)
+{
+    constexpr std::size_t uuid_size = 36;
+    constexpr std::size_t version_place = 14;
+    constexpr int hexadecimal = 16;
+    if (key.size() != uuid_size || key[8] != '-' || key[13] != '-' || key[version_place] != '7') {
+        return std::nullopt;
+    }
+    const std::string digits = std::string{key.substr(0, 8)} + std::string{key.substr(9, 4)};
+    std::int64_t value = 0;
+    const auto [end, error] =
+        std::from_chars(digits.data(), digits.data() + digits.size(), value, hexadecimal);
+    if (error != std::errc{} || end != digits.data() + digits.size()) {
+        return std::nullopt;
+    }
+    return std::chrono::system_clock::time_point{milliseconds{value}};
+}
+
+} // namespace cicadaport::claims
--- a/src/entry/internal/tries.h
+++ b/src/entry/internal/tries.h
@@ -59,6 +59,7 @@
     bool m_idempotent;
     std::vector<std::string> m_tried;
     std::size_t m_failures = 0;
+    base::verdict m_last = base::verdict::not_run;
     base::verdict m_worst = base::verdict::not_run;
 };
 
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -1,6 +1,7 @@
 #include "cicadaport/entry/process.h"
 
 #include "cicadaport/base/io_pool.h"
+#include "cicadaport/claims/claim_store.h"
 #include "cicadaport/entry/gateway.h"
 #include "cicadaport/relay/follower.h"
 
@@ -21,6 +22,7 @@
 constexpr std::chrono::milliseconds drain_poll{20};
 // No request that can't be handed over runs longer.
 constexpr std::chrono::milliseconds longest_request{70'000};
+constexpr std::chrono::milliseconds claim_time{2'000};
 
 // Returns the endpoints that operators asked to drain.
 std::vector<std::string> drained_endpoints(const fold::state& state)
@@ -40,7 +42,10 @@
         : m_settings{settings}, m_pool{settings.common.workers},
           m_view{std::make_unique<routing::view>(std::make_shared<configuration::document>(), 0,
                                                  std::vector<std::string>{}, m_loads)},
-          m_gateway{m_pool, m_view, m_metrics, settings.path},
+          m_claims{settings.log.port == 0
+                       ? nullptr
+                       : std::make_unique<claims::claim_store>(m_pool.context(0), settings.log)},
+          m_gateway{m_pool, m_view, m_metrics, settings.path, m_claims.get()},
           m_callers{m_pool,
                     settings.caller_address.ip,
                     settings.caller_address.port,
@@ -143,6 +148,7 @@
         spdlog::info("hand_over_started active={}", m_callers.active_requests());
         m_gateway.hand_over_streams();
         co_await wait_for_requests(longest_request);
+        co_await wait_for_claims();
         spdlog::info("drain_ended active={}", m_callers.active_requests());
         m_follower.reset();
         m_pool.stop();
@@ -159,6 +165,17 @@
         } while (m_callers.active_requests() > 0 && std::chrono::steady_clock::now() < until);
     }
 
+    // Gives the answers of the last requests time to reach the log.
+    asio::awaitable<void> wait_for_claims()
+    {
+        const auto until = std::chrono::steady_clock::now() + claim_time;
+        asio::steady_timer timer{co_await asio::this_coro::executor};
+        while (m_claims && m_claims->pending() > 0 && std::chrono::steady_clock::now() < until) {
+            timer.expires_after(drain_poll);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    }
+
     settings::entry_settings m_settings;
     base::io_pool m_pool;
     routing::load_table m_loads;
@@ -170,6 +187,7 @@
     std::vector<std::string> m_viewed_drained;
     std::atomic<std::uint64_t> m_configuration_offset{0};
     std::atomic<bool> m_draining{false};
+    std::unique_ptr<claims::claim_store> m_claims;
     gateway m_gateway;
     http::server m_callers;
     http::server m_admin;
--- a/src/entry/service_call.cpp
+++ b/src/entry/service_call.cpp
@@ -1,6 +1,8 @@
+#include "cicadaport/claims/claim_store.h"
 #include "cicadaport/entry/engine_choice.h"
 #include "cicadaport/entry/paths.h"
 #include "cicadaport/entry/request_end.h"
+#include "cicadaport/platform/log_client.h"
 #include "internal/tries.h"
 
 namespace cicadaport::entry {
@@ -13,9 +15,16 @@
 struct call_rules {
     std::string service;
     bool idempotent = false;
+    configuration::key_use key = configuration::key_use::none;
     std::chrono::milliseconds timeout{0};
 };
 
+constexpr std::string_view key_field = "Idempotency-Key";
+constexpr std::string_view replayed_field = "Cicadaport-Replayed";
+constexpr std::size_t longest_key = 255;
+// How much longer than the call itself a second caller waits for its answer.
+constexpr std::chrono::milliseconds answer_slack{1'000};
+
 call_rules find_rules(path_resources& resources, const http::request& message,
                       const std::string& path)
 {
@@ -25,7 +34,8 @@
         throw request_failure{failure_kind::unknown_route, verdict::not_run,
                               "no route " + message.method + " " + path};
     }
-    return {found->service->name, found->route->idempotent, found->route->timeout};
+    return {found->service->name, found->route->idempotent, found->route->key,
+            found->route->timeout};
 }
 
 try_plan plan_of(path_resources& resources, const caller_exchange& exchange,
@@ -45,6 +55,145 @@
     return plan;
 }
 
+request_failure refusal(failure_kind kind, verdict outcome, const std::string& reason)
+{
+    return request_failure{kind, outcome, reason};
+}
+
+// Returns the key under which the call has to be claimed, or nothing.
+std::optional<std::string> key_of(const http::request& message, const call_rules& rules)
+{
+    const auto key = message.fields.find(key_field);
+    if (rules.key == configuration::key_use::none || rules.idempotent) {
+        return std::nullopt;
+    }
+    if (!key || key->empty()) {
+        if (rules.key == configuration::key_use::required) {
+            throw refusal(failure_kind::key_required, verdict::not_run,
+                          "this route needs an Idempotency-Key");
+        }
+        return std::nullopt;
+    }
+    if (key->size() > longest_key) {
+        throw refusal(failure_kind::invalid_request, verdict::not_run,
+                      "the Idempotency-Key is too long");
+    }
+    const auto made = claims::creation_time(*key);
+    const auto retention = claims::claim_settings{}.retention;
+    if (made && std::chrono::system_clock::now() - *made > retention) {
+        throw refusal(failure_kind::key_expired, verdict::may_have_run,
+                      "the Idempotency-Key is older than keys are remembered");
+    }
+    return std::string{*key};
+}
+
+claims::claim_request claim_of(const caller_exchange& exchange, const std::string& key)
+{
+    const auto& message = exchange.message;
+    return {exchange.context.account, key,
+            message.method + " " + message.target + "\n" + message.body};
+}
+
+asio::awaitable<claims::claim_result> acquire(path_resources& resources,
+                                              const claims::claim_request& wanted,
+                                              std::chrono::milliseconds timeout)
+{
+    if (resources.claims == nullptr) {
+        throw request_failure{failure_kind::claims_unavailable, verdict::not_run,
+                              "this process has no log to keep claims on",
+                              spread_retry_time(resources.own.random)};
+    }
+    const auto wait_until = std::chrono::steady_clock::now() + timeout + answer_slack;
+    try {
+        co_return co_await resources.claims->acquire(wanted, wait_until);
+    }
+    catch (const platform::log_error& error) {
+        // No endpoint has seen a byte, whatever became of the claim.
+        throw request_failure{failure_kind::claims_unavailable, verdict::not_run, error.what(),
+                              spread_retry_time(resources.own.random)};
+    }
+}
+
+// Runs a call that was won, and records what came of it.
+asio::awaitable<endpoint_answer> run_claimed(path_resources& resources,
+                                             const caller_exchange& exchange, const try_plan& plan,
+                                             const claims::claim_request& wanted,
+                                             const claims::claim_result& claim)
+{
+    std::optional<request_failure> failure;
+    endpoint_answer answer;
+    try {
+        if (std::chrono::steady_clock::now() >= claim.begin_before) {
+            throw refusal(failure_kind::unavailable, verdict::not_run, "this process was stopped");
+        }
+        answer = co_await exchange_with_retries(resources, exchange.context, plan);
+    }
+    catch (const request_failure& error) {
+        failure = error;
+    }
+    const bool not_run =
+        failure ? failure->outcome() == verdict::not_run : is_not_started(answer.reply);
+    if (not_run) {
+        resources.claims->release(wanted, claim.claim_id);
+    }
+    else if (failure) {
+        claims::claim_answer unknown;
+        unknown.unknown = true;
+        resources.claims->end(wanted, claim.claim_id, std::move(unknown));
+    }
+    else {
+        const auto& reply = answer.reply;
+        const std::string type{reply.fields.find("Content-Type").value_or("")};
+        claims::claim_answer stored{reply.status, type, reply.body};
+        resources.claims->end(wanted, claim.claim_id, std::move(stored));
+    }
+    if (failure) {
+        throw request_failure{*failure};
+    }
+    co_return answer;
+}
+
+// Returns the stored answer of a call that ran before.
+endpoint_answer replay(const claims::claim_result& claim)
+{
+    if (claim.answer.omitted) {
+        throw refusal(failure_kind::key_in_use, verdict::ran,
+                      "the request ran; its answer was too long to be kept");
+    }
+    endpoint_answer out;
+    out.endpoint = "claims";
+    out.reply = {claim.answer.status, {}, claim.answer.body};
+    out.reply.fields.add("Content-Type", claim.answer.content_type);
+    out.reply.fields.add(replayed_field, "true");
+    return out;
+}
+
+asio::awaitable<endpoint_answer> claimed_call(path_resources& resources,
+                                              const caller_exchange& exchange,
+                                              const call_rules& rules, const try_plan& plan,
+                                              const std::string& key)
+{
+    const auto wanted = claim_of(exchange, key);
+    const auto claim = co_await acquire(resources, wanted, rules.timeout);
+    switch (claim.outcome) {
+    case claims::claim_outcome::won:
+        co_return co_await run_claimed(resources, exchange, plan, wanted, claim);
+    case claims::claim_outcome::ended:
+        if (!claim.answer.unknown) {
+            co_return replay(claim);
+        }
+        break;
+    case claims::claim_outcome::other_request:
+        throw refusal(failure_kind::key_reused, verdict::not_run,
+                      "the Idempotency-Key was used for another request");
+    case claims::claim_outcome::held:
+        break;
+    }
+    throw request_failure{failure_kind::key_in_use, verdict::may_have_run,
+                          "a request with this key was begun; its answer is not known",
+                          spread_retry_time(resources.own.random)};
+}
+
 } // namespace
 
 asio::awaitable<void> service_call(path_resources resources, caller_exchange exchange,
@@ -52,9 +201,17 @@
 {
     const auto rules = find_rules(resources, exchange.message, target.path());
     const auto plan = plan_of(resources, exchange, rules);
-    auto answer = co_await exchange_with_retries(resources, exchange.context, plan);
+    const auto key = key_of(exchange.message, rules);
+    endpoint_answer answer;
+    if (key) {
+        answer = co_await claimed_call(resources, exchange, rules, plan, *key);
+    }
+    else {
+        answer = co_await exchange_with_retries(resources, exchange.context, plan);
+    }
     const auto outcome = is_not_started(answer.reply) ? verdict::not_run : verdict::ran;
     answer.reply.fields.add(verdict_field, base::to_string(outcome));
+    answer.reply.fields.add(request_id_field, exchange.context.id);
     co_await exchange.writer.send(std::move(answer.reply));
     report_answered(resources.counters, exchange.context, answer.endpoint);
 }
--- a/src/entry/tries.cpp
+++ b/src/entry/tries.cpp
@@ -46,7 +46,11 @@
             return choose(endpoint_filter{m_tried, m_own.breakers, now});
         }
         catch (const request_failure&) {
-            // No other endpoint may take it: the same one is the next best.
+            // The same endpoint is worth another try only if it was the
+            // connection that broke; one that refused would do so again.
+            if (m_last == verdict::not_run) {
+                throw;
+            }
             m_tried.clear();
         }
     }
@@ -62,6 +66,7 @@
 {
     const auto now = clock::now();
     m_own.breakers.get(endpoint).failed(now);
+    m_last = outcome;
     m_worst = std::max(m_worst, outcome);
     m_tried.push_back(endpoint);
     ++m_failures;
