--- a/include/cicadaport/entry/decision_state.h
+++ b/include/cicadaport/entry/decision_state.h
@@ -7,6 +7,7 @@
 #include "cicadaport/routing/placement.h"
 #include "cicadaport/settings/process_settings.h"
 
+#include <array>
 #include <atomic>
 
 namespace cicadaport::entry {
@@ -29,8 +30,15 @@
     routing::prefix_index prefixes{indexed_blocks};
     routing::output_estimator outputs;
     admission::account_limits limits;
+    // Seconds of engine time in flight from this process, by rank, in
+    // microseconds. Entry processes behind one balancer see the same mix.
+    std::array<std::atomic<std::int64_t>, admission::most_ranks> work_in_flight{};
     // How many entry processes share the accounts' limits, this one included.
     std::atomic<std::size_t> entry_processes{1};
+
+    // Returns the part of the work in flight that is as urgent as `rank` or
+    // more; 1 while there is none.
+    double part_ahead(std::uint32_t rank) const noexcept;
 };
 
 } // namespace cicadaport::entry
--- a/include/cicadaport/load/report.h
+++ b/include/cicadaport/load/report.h
@@ -64,11 +64,13 @@
 // Returns the least time of one engine that an arrival can take: no prompt
 // token that is its own is cached, every beginning is, and each decode step is
 // shared by a full batch.
-seconds least_work(const profile& of, const arrival& each, const bound_costs& costs);
+seconds least_work(const arrival& each, const bound_costs& costs);
 
-// Returns an upper bound of the requests that any policy can answer in time:
-// the cheapest first, until all engines are busy from the first arrival to the
-// last deadline, with free role changes and perfect knowledge.
+// Returns an upper bound of the requests that any policy can answer in time,
+// with free role changes and perfect knowledge. What arrives after some moment
+// can only be worked on between it and the last deadline; of that, the cheapest
+// are counted until all engines are busy. The bound is the least over many such
+// moments of what came before and what fits after.
 std::uint32_t goodput_bound(const profile& of, std::span<const arrival> arrivals,
                             std::uint32_t engines, const bound_costs& costs);
 
--- a/include/cicadaport/load/schedule.h
+++ b/include/cicadaport/load/schedule.h
@@ -40,6 +40,10 @@
 // Returns the profile "nguyen_phat" or "saheli"; throws std::invalid_argument.
 profile find_profile(std::string_view name);
 
+// Shortens deadlines that are longer than `longest`, so that an overload shows
+// in a short run.
+void cap_deadlines(profile& of, std::chrono::milliseconds longest);
+
 // How the mix moves between its two ends.
 enum class swing { none, once, slow, fast };
 
--- a/src/entry/engine_decision.cpp
+++ b/src/entry/engine_decision.cpp
@@ -105,6 +105,9 @@
     asked.deadline = wanted.context.deadline - now;
     asked.urgent_deadline = urgent_deadline(view.document());
     asked.predicted = choice.predicted;
+    auto urgent = question;
+    urgent.needs.ahead_part = own.decisions->part_ahead(0);
+    asked.urgent_first_token = routing::predict_at(urgent, *choice.chosen).first_token;
     asked.work = work_of(question.speed, question.needs);
     if (const auto reason = own.admission.decide(asked, now)) {
         const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -152,7 +155,10 @@
     routing::placement_question question;
     question.among = view.candidates(model);
     question.loads = &state.loads.read(guard);
-    question.needs = {static_cast<double>(prompt.tokens), output.tokens};
+    const auto* priority = view.document().find_priority(wanted.context.priority);
+    expected.rank = priority == nullptr ? 0 : priority->rank;
+    question.needs = {static_cast<double>(prompt.tokens), output.tokens,
+                      state.part_ahead(expected.rank)};
     question.prefix = state.prefixes.find(prompt.blocks);
     std::vector<routing::candidate> allowed;
     const auto choice = choose_allowed(state.policy, question, filter, own, allowed);
@@ -172,15 +178,18 @@
     expected.output_tokens = static_cast<std::uint64_t>(output.tokens);
     expected.predicted = choice.predicted;
     expected.decided_at = now;
-    const auto* priority = view.document().find_priority(wanted.context.priority);
+    expected.work = std::chrono::duration_cast<std::chrono::microseconds>(
+        work_of(question.speed, question.needs));
+    const auto rank = expected.rank;
     return {choice.chosen->endpoint->name, choice.chosen->endpoint->address,
-            in_flight_charge{choice.chosen->load, state, std::move(expected)},
-            priority == nullptr ? 0 : priority->rank};
+            in_flight_charge{choice.chosen->load, state, std::move(expected)}, rank};
 }
 
 void add_engine_fields(http::field_list& fields, const chosen_endpoint& chosen)
 {
-    fields.add("X-Priority", std::to_string(chosen.rank));
+    if (chosen.rank > 0) {
+        fields.add("X-Priority", std::to_string(chosen.rank));
+    }
 }
 
 } // namespace cicadaport::entry
--- a/src/entry/in_flight_charge.cpp
+++ b/src/entry/in_flight_charge.cpp
@@ -23,6 +23,7 @@
     m_load->requests.fetch_add(1, relaxed);
     m_load->prefill_tokens.fetch_add(m_prefill_left, relaxed);
     m_load->decode_tokens.fetch_add(m_decode_left, relaxed);
+    rank_work().fetch_add(m_expected.work.count(), relaxed);
 }
 
 in_flight_charge::in_flight_charge(in_flight_charge&& other) noexcept
@@ -75,6 +76,24 @@
     m_load->prefill_tokens.fetch_sub(std::exchange(m_prefill_left, 0), relaxed);
 }
 
+std::atomic<std::int64_t>& in_flight_charge::rank_work() noexcept
+{
+    const auto last = m_decisions->work_in_flight.size() - 1;
+    return m_decisions->work_in_flight[std::min<std::size_t>(m_expected.rank, last)];
+}
+
+double decision_state::part_ahead(std::uint32_t rank) const noexcept
+{
+    std::int64_t ahead = 0;
+    std::int64_t all = 0;
+    for (std::size_t each = 0; each < work_in_flight.size(); ++each) {
+        const auto work = work_in_flight[each].load(relaxed);
+        all += work;
+        ahead += each <= rank ? work : 0;
+    }
+    return all > 0 ? static_cast<double>(ahead) / static_cast<double>(all) : 1;
+}
+
 void in_flight_charge::release() noexcept
 {
     if (!m_load) {
@@ -83,6 +102,9 @@
     give_back_prefill();
     m_load->decode_tokens.fetch_sub(std::exchange(m_decode_left, 0), relaxed);
     m_load->requests.fetch_sub(1, relaxed);
+    if (m_decisions != nullptr) {
+        rank_work().fetch_sub(m_expected.work.count(), relaxed);
+    }
     if (m_decisions != nullptr && m_expected.counted) {
         m_decisions->limits.end(m_expected.account);
     }
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -65,6 +65,21 @@
     return out;
 }
 
+// Returns how many of the cheapest pieces of work fit into `time`.
+std::size_t cheapest_within(std::vector<seconds> work, seconds time)
+{
+    std::sort(work.begin(), work.end());
+    std::size_t served = 0;
+    for (const auto& each : work) {
+        time -= each;
+        if (time < seconds{0}) {
+            break;
+        }
+        ++served;
+    }
+    return served;
+}
+
 } // namespace
 
 std::string_view to_string(outcome value) noexcept
@@ -146,9 +161,8 @@
     return out.str();
 }
 
-seconds least_work(const profile& of, const arrival& each, const bound_costs& costs)
+seconds least_work(const arrival& each, const bound_costs& costs)
 {
-    static_cast<void>(of);
     const auto prefill = each.own_words * costs.per_prefill_token;
     const auto step_part = costs.step_base / costs.most_running;
     return prefill + each.output_tokens * (costs.per_decode_token + step_part);
@@ -157,25 +171,23 @@
 std::uint32_t goodput_bound(const profile& of, std::span<const arrival> arrivals,
                             std::uint32_t engines, const bound_costs& costs)
 {
-    std::vector<seconds> work;
+    constexpr std::size_t windows = 64;
     seconds last_deadline{0};
     for (const auto& each : arrivals) {
-        work.push_back(least_work(of, each, costs));
         last_deadline =
             std::max<seconds>(last_deadline, each.at + of.classes[each.request_class].deadline);
     }
-    std::sort(work.begin(), work.end());
-    const auto first = arrivals.empty() ? seconds{0} : arrivals.front().at;
-    auto left = engines * (last_deadline - first);
-    std::uint32_t served = 0;
-    for (const auto& each : work) {
-        left -= each;
-        if (left < seconds{0}) {
-            break;
+    auto bound = arrivals.size();
+    const auto stride = arrivals.size() / windows + 1;
+    for (std::size_t from = 0; from < arrivals.size(); from += stride) {
+        std::vector<seconds> work;
+        for (const auto& each : arrivals.subspan(from)) {
+            work.push_back(least_work(each, costs));
         }
-        ++served;
+        const auto time = engines * (last_deadline - arrivals[from].at);
+        bound = std::min(bound, from + cheapest_within(std::move(work), time));
     }
-    return served;
+    return static_cast<std::uint32_t>(bound);
 }
 
 } // namespace cicadaport::load
--- a/src/routing/prediction.cpp
+++ b/src/routing/prediction.cpp
@@ -19,14 +19,18 @@
                         const request_needs& needs, double cached_tokens) noexcept
 {
     const auto own_prefill = std::max(needs.prompt_tokens - cached_tokens, 1.0);
-    const auto prefill = backlog.prefill_tokens + own_prefill;
+    // Requests beyond the largest batch wait until as many have ended, and only
+    // those that are as urgent come first.
+    const auto beyond = std::max(backlog.requests + 1 - speed.most_running, 0.0);
+    const auto waiting_part = beyond / (backlog.requests + 1);
+    const auto ahead = 1 - waiting_part * (1 - needs.ahead_part);
+    const auto prefill = backlog.prefill_tokens * ahead + own_prefill;
     const auto running = std::min(backlog.requests, speed.most_running);
     const auto decode_step = speed.step_base + running * speed.per_decode_token;
     const auto steps = std::floor(prefill / speed.prefill_chunk) + 1;
-    // Requests beyond the largest batch wait until as many have ended.
-    const auto beyond = std::max(backlog.requests + 1 - speed.most_running, 0.0);
     const auto decode_each = backlog.decode_tokens / std::max(backlog.requests, 1.0);
-    const auto batch_wait = beyond / speed.most_running * decode_each * decode_step;
+    const auto batch_wait =
+        (beyond * needs.ahead_part) / speed.most_running * decode_each * decode_step;
     predicted_times out;
     out.first_token = prefill * speed.per_prefill_token + steps * decode_step + batch_wait;
     out.completion = out.first_token + needs.output_tokens * (decode_step + speed.per_decode_token);
--- a/test/admission/admission_test.cpp
+++ b/test/admission/admission_test.cpp
@@ -16,6 +16,7 @@
     out.deadline = seconds{rank == 0 ? 4 : 30};
     out.urgent_deadline = seconds{4};
     out.predicted = {seconds{first_token}, seconds{completion}};
+    out.urgent_first_token = seconds{first_token};
     out.work = seconds{0.1};
     return out;
 }
@@ -37,6 +38,13 @@
     EXPECT_EQ(rule.decide(ask(0, 2.5, 3), start), std::nullopt);
 }
 
+TEST(admission_test, admits_work_that_engines_keep_behind_urgent_requests)
+{
+    auto question = ask(2, 20, 24);
+    question.urgent_first_token = seconds{0.2};
+    EXPECT_EQ(deadline_admission{}.decide(question, start), std::nullopt);
+}
+
 TEST(admission_test, at_any_queue_a_refused_rank_means_that_all_below_it_are_refused)
 {
     for (double queue = 0; queue < 6; queue += 0.1) {
--- a/test/routing/placement_test.cpp
+++ b/test/routing/placement_test.cpp
@@ -59,6 +59,19 @@
     EXPECT_GT(idle.completion, idle.first_token);
 }
 
+TEST_F(placement_test, work_that_waits_behind_urgent_requests_does_not_delay_them)
+{
+    m_loads.endpoints[0].others = {200, 60'000, 20'000};
+    auto urgent = ask();
+    urgent.needs.ahead_part = 0.1;
+    EXPECT_LT(predict_at(urgent, m_candidates[0]).first_token,
+              predict_at(ask(), m_candidates[0]).first_token / 2);
+    // A batch that is not full takes everybody in turn.
+    m_loads.endpoints[0].others = {20, 6'000, 2'000};
+    EXPECT_EQ(predict_at(urgent, m_candidates[0]).first_token,
+              predict_at(ask(), m_candidates[0]).first_token);
+}
+
 TEST_F(placement_test, own_work_sent_since_the_report_counts_at_once)
 {
     const auto before = predict_at(ask(), m_candidates[0]).first_token;
