decisions: tests of the choice of an engine

Cause: charging, refusing and learning were wired without a test. Change: engine_choice_test covers them over a view, without sockets. Conclusion: the baselines admit what the rule refuses, in the same test.

--- /dev/null
+++ b/test/entry/engine_choice_test.cpp
@@ -0,0 +1,124 @@
+#include "cicadaport/entry/engine_choice.h"
+
+#include "cicadaport/entry/errors.h"
+
+#include <gtest/gtest.h>
+
+namespace cicadaport::entry {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto configuration_text = R"(
+priorities:
+  - {name: counter, rank: 0, least_share_percent: 40, deadline_ms: 4000}
+  - {name: review, rank: 2, least_share_percent: 5, deadline_ms: 30000}
+models:
+  - {name: m, version: "1", expected_output_tokens: 40}
+engine_roles: {policy: never}
+callers:
+  - {account: desk, key_sha256: KEY, priority: counter, concurrent_requests: 2}
+services: []
+endpoints:
+  - {name: e1, kind: engine, serves: m, address: "127.0.0.1:1", availability_zone: z}
+  - {name: e2, kind: engine, serves: m, address: "127.0.0.1:2", availability_zone: z}
+)";
+
+std::shared_ptr<const configuration::document> make_document()
+{
+    std::string text = configuration_text;
+    text.replace(text.find("KEY"), 3, std::string(64, 'a'));
+    return std::make_shared<configuration::document>(
+        configuration::parse_document(text, "configuration.yaml"));
+}
+
+class engine_choice_test : public testing::Test {
+protected:
+    chosen_endpoint choose(const std::string& priority, std::chrono::milliseconds deadline)
+    {
+        request_context context;
+        context.account = priority == "counter" ? "desk" : "files";
+        context.priority = priority;
+        context.deadline = std::chrono::steady_clock::now() + deadline;
+        const endpoint_filter filter{{}, m_worker.breakers, std::chrono::steady_clock::now()};
+        const engine_request wanted{context, "m", R"({"model": "m", "prompt": "is rice left"})"};
+        return choose_engine(m_view, wanted, filter, m_worker);
+    }
+
+    // Others have so many prompt tokens waiting at each engine.
+    void load_engines(double prefill_tokens)
+    {
+        auto next = std::make_unique<routing::load_snapshot>();
+        next->endpoints.resize(2);
+        for (auto& each : next->endpoints) {
+            each.others = {4, prefill_tokens, 100};
+        }
+        m_decisions.loads.replace(std::move(next));
+    }
+
+    boost::asio::io_context m_context;
+    routing::load_table m_loads;
+    routing::view m_view{make_document(), 1, {}, m_loads};
+    decision_state m_decisions{settings::placement_policy::predicted};
+    worker m_worker{m_context, &m_decisions};
+};
+
+TEST_F(engine_choice_test, charges_the_engine_until_the_request_ends)
+{
+    {
+        const auto chosen = choose("counter", 4s);
+        EXPECT_EQ(routing::own_work(*m_loads.get(chosen.name)).requests, 1);
+        EXPECT_EQ(routing::own_work(*m_loads.get(chosen.name)).decode_tokens, 40);
+        EXPECT_EQ(routing::own_work(*m_loads.get(chosen.name)).prefill_tokens, 3);
+    }
+    EXPECT_TRUE(m_loads.work_in_flight().empty());
+    EXPECT_EQ(m_loads.get("e1")->decode_tokens + m_loads.get("e2")->decode_tokens, 0U);
+}
+
+TEST_F(engine_choice_test, gives_work_back_as_tokens_come_and_learns_the_answers_length)
+{
+    auto chosen = choose("counter", 4s);
+    const auto load = m_loads.get(chosen.name);
+    chosen.charge.note_tokens(10, std::chrono::steady_clock::now());
+    EXPECT_EQ(load->prefill_tokens, 0U);
+    EXPECT_EQ(load->decode_tokens, 30U);
+    chosen.charge.note_answered();
+    EXPECT_EQ(m_decisions.outputs.expect({"counter", "m"}, 40, 0).tokens, 10);
+}
+
+TEST_F(engine_choice_test, refuses_at_once_what_would_be_late_and_says_when_to_come_back)
+{
+    load_engines(200'000);
+    try {
+        choose("counter", 4s);
+        ADD_FAILURE() << "12 s of prompts wait at each engine";
+    }
+    catch (const request_failure& refused) {
+        EXPECT_EQ(refused.kind(), failure_kind::overloaded);
+        EXPECT_EQ(refused.outcome(), base::verdict::not_run);
+        EXPECT_GT(refused.retry_after().value_or(0ms), 0ms);
+    }
+    m_decisions.policy = settings::placement_policy::two_random_choices;
+    EXPECT_NO_THROW(choose("counter", 4s)) << "baselines admit everything";
+}
+
+TEST_F(engine_choice_test, refuses_less_urgent_work_first_beyond_its_least_share)
+{
+    load_engines(30'000);
+    EXPECT_NO_THROW(choose("counter", 8s));
+    EXPECT_NO_THROW(choose("review", 30s)) << "it has had nothing of its share";
+    EXPECT_NO_THROW(choose("counter", 8s));
+    EXPECT_THROW(choose("review", 30s), request_failure);
+}
+
+TEST_F(engine_choice_test, an_account_has_its_limit_of_requests_at_once)
+{
+    auto first = choose("counter", 4s);
+    const auto second = choose("counter", 4s);
+    EXPECT_THROW(choose("counter", 4s), request_failure);
+    first = {};
+    EXPECT_NO_THROW(choose("counter", 4s));
+}
+
+} // namespace
+} // namespace cicadaport::entry
