--- a/include/cicadaport/admission/admission.h
+++ b/include/cicadaport/admission/admission.h
@@ -56,6 +56,8 @@
     // The deadline of the most urgent rank that has requests of late.
     seconds urgent_deadline{0};
     routing::predicted_times predicted;
+    // When a request of the most urgent rank would get its first token there.
+    seconds urgent_first_token{0};
     // The time an engine spends on this request alone.
     seconds work{0};
 };
@@ -78,10 +80,11 @@
 
 // Refuses what would miss its deadline, and less urgent work first.
 //
-// A rank may let the engines' queues grow up to a part of the most urgent
-// rank's deadline that shrinks with the rank. Beyond it only a rank that has
-// had less than its least share of the recent work is admitted, so that none
-// starves.
+// A rank is admitted while the first token of the most urgent rank is expected
+// within a part of that rank's deadline, which shrinks with the rank. Beyond it
+// only a rank that has had less than its least share of the recent work is
+// admitted, so that none starves. Work that engines keep waiting behind urgent
+// requests does not delay those and is no reason to refuse.
 //
 // Not thread safe: one object per event loop.
 class deadline_admission {
@@ -95,8 +98,8 @@
 
     // Part of the deadline that a prediction may use up.
     static constexpr double usable_deadline = 0.85;
-    // Part of the urgent deadline to which the next rank may fill the queues;
-    // each further rank gets this part of what the one before it gets.
+    // Part of the urgent deadline within which the urgent first token must stay
+    // for the next rank; each further rank gets this part of the one before.
     static constexpr double headroom_per_rank = 0.5;
     // Admitted work counts half after this time.
     static constexpr seconds share_half_life{5};
--- a/include/cicadaport/entry/engine_choice.h
+++ b/include/cicadaport/entry/engine_choice.h
@@ -19,6 +19,9 @@
     std::string account;
     // Of which the answer's length is learned.
     routing::output_estimator::request_class output_class;
+    std::uint32_t rank = 0;
+    // Engine time that the whole request takes.
+    std::chrono::microseconds work{0};
     std::uint64_t prefill_tokens = 0;
     std::uint64_t output_tokens = 0;
     routing::predicted_times predicted;
@@ -51,6 +54,7 @@
 private:
     void release() noexcept;
     void give_back_prefill() noexcept;
+    std::atomic<std::int64_t>& rank_work() noexcept;
 
     std::shared_ptr<routing::endpoint_load> m_load;
     decision_state* m_decisions = nullptr;
@@ -72,7 +76,8 @@
     std::uint32_t rank = 0;
 };
 
-// Adds the fields that tell an engine how urgent the request is.
+// Adds the field that tells an engine how urgent the request is; without it the
+// request is most urgent.
 void add_engine_fields(http::field_list& fields, const chosen_endpoint& chosen);
 
 // What a request asks of an engine.
--- a/include/cicadaport/routing/prediction.h
+++ b/include/cicadaport/routing/prediction.h
@@ -14,6 +14,9 @@
 struct request_needs {
     double prompt_tokens = 0;
     double output_tokens = 0;
+    // Part of the work that waits at engines which is as urgent or more:
+    // engines take the rest later.
+    double ahead_part = 1;
 };
 
 // What work costs an engine that batches continuously: each step reads a part
--- a/programs/load/main.cpp
+++ b/programs/load/main.cpp
@@ -17,6 +17,7 @@
     std::uint64_t seed = 1;
     double rate = 10;
     double duration_s = 10;
+    std::int64_t longest_deadline_ms = 60'000;
     std::uint32_t engines = 0;
     std::string results_file;
 };
@@ -29,13 +30,15 @@
     app.add_option("--seed", out.seed, "Seed of the arrivals");
     app.add_option("--rate", out.rate, "Requests per second");
     app.add_option("--duration-s", out.duration_s, "How long requests arrive");
+    app.add_option("--longest-deadline-ms", out.longest_deadline_ms, "Shortens longer deadlines");
     app.add_option("--engines", out.engines, "Engines of the fleet, to print the goodput's bound");
     app.add_option("--results", out.results_file, "File for one JSON line per request");
 }
 
 void run(const arguments& given)
 {
-    const auto profile = load::find_profile(given.profile);
+    auto profile = load::find_profile(given.profile);
+    load::cap_deadlines(profile, std::chrono::milliseconds{given.longest_deadline_ms});
     const auto arrivals =
         load::make_schedule(profile, {given.seed, given.rate, load::seconds{given.duration_s},
                                       load::parse_swing(given.swing)});
--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -39,7 +39,7 @@
     }
     const auto headroom = std::pow(headroom_per_rank, static_cast<double>(rank));
     const bool delays_urgent =
-        rank > 0 && question.predicted.first_token > headroom * question.urgent_deadline;
+        rank > 0 && question.urgent_first_token > headroom * question.urgent_deadline;
     const bool below_share = recent_share(question.rank) < question.least_share;
     if (delays_urgent && !below_share) {
         return refusal_reason::reserved_for_urgent;
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -1,6 +1,7 @@
 #include "cicadaport/entry/process.h"
 
 #include "cicadaport/base/io_pool.h"
+#include "cicadaport/claims/claim_store.h"
 #include "cicadaport/entry/gateway.h"
 #include "cicadaport/entry/load_feed.h"
 #include "cicadaport/relay/follower.h"
@@ -20,6 +21,9 @@
 // How long the balancer gets to see that this process is not ready any more.
 constexpr std::chrono::milliseconds balancer_notice{500};
 constexpr std::chrono::milliseconds drain_poll{20};
+// No request that can't be handed over runs longer.
+constexpr std::chrono::milliseconds longest_request{70'000};
+constexpr std::chrono::milliseconds claim_time{2'000};
 
 // Returns the endpoints that operators asked to drain.
 std::vector<std::string> drained_endpoints(const fold::state& state)
@@ -39,8 +43,11 @@
         : m_settings{settings}, m_pool{settings.common.workers},
           m_view{std::make_unique<routing::view>(std::make_shared<configuration::document>(), 0,
                                                  std::vector<std::string>{}, m_loads)},
-          m_decisions{settings.placement}, m_gateway{m_pool,        m_view,  m_metrics,
-                                                     settings.path, nullptr, &m_decisions},
+          m_decisions{settings.placement}, m_claims{settings.log.port == 0
+                                                        ? nullptr
+                                                        : std::make_unique<claims::claim_store>(
+                                                              m_pool.context(0), settings.log)},
+          m_gateway{m_pool, m_view, m_metrics, settings.path, m_claims.get(), &m_decisions},
           m_load_feed{m_pool.context(0), m_view,      m_loads,
                       m_decisions,       m_processes, settings.common.id},
           m_callers{m_pool,
@@ -146,7 +153,8 @@
     }
 
     // Readiness turns first, then accepting stops, then the requests that run
-    // go on to their end within the grace time.
+    // go on to their end within the grace time. Streams that are longer go on
+    // at another entry process; other requests are bounded by their timeouts.
     asio::awaitable<void> drain()
     {
         spdlog::info("drain_started active={}", m_callers.active_requests());
@@ -154,14 +162,36 @@
         asio::steady_timer timer{co_await asio::this_coro::executor, balancer_notice};
         co_await timer.async_wait(asio::use_awaitable);
         m_callers.drain();
-        const auto until = std::chrono::steady_clock::now() + m_settings.common.grace_time;
+        co_await wait_for_requests(m_settings.common.grace_time);
+        spdlog::info("hand_over_started active={}", m_callers.active_requests());
+        m_gateway.hand_over_streams();
+        co_await wait_for_requests(longest_request);
+        co_await wait_for_claims();
+        spdlog::info("drain_ended active={}", m_callers.active_requests());
+        m_follower.reset();
+        m_pool.stop();
+    }
+
+    // Returns once no request is being answered, or after `limit`.
+    asio::awaitable<void> wait_for_requests(std::chrono::milliseconds limit)
+    {
+        const auto until = std::chrono::steady_clock::now() + limit;
+        asio::steady_timer timer{co_await asio::this_coro::executor};
         do {
             timer.expires_after(drain_poll);
             co_await timer.async_wait(asio::use_awaitable);
         } while (m_callers.active_requests() > 0 && std::chrono::steady_clock::now() < until);
-        spdlog::info("drain_ended active={}", m_callers.active_requests());
-        m_follower.reset();
-        m_pool.stop();
+    }
+
+    // Gives the answers of the last requests time to reach the log.
+    asio::awaitable<void> wait_for_claims()
+    {
+        const auto until = std::chrono::steady_clock::now() + claim_time;
+        asio::steady_timer timer{co_await asio::this_coro::executor};
+        while (m_claims && m_claims->pending() > 0 && std::chrono::steady_clock::now() < until) {
+            timer.expires_after(drain_poll);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
     }
 
     settings::entry_settings m_settings;
@@ -176,6 +206,7 @@
     std::vector<std::string> m_viewed_drained;
     std::atomic<std::uint64_t> m_configuration_offset{0};
     std::atomic<bool> m_draining{false};
+    std::unique_ptr<claims::claim_store> m_claims;
     gateway m_gateway;
     load_feed m_load_feed;
     http::server m_callers;
--- a/src/load/schedule.cpp
+++ b/src/load/schedule.cpp
@@ -65,6 +65,13 @@
     throw std::invalid_argument{"no profile '" + std::string{name} + "'"};
 }
 
+void cap_deadlines(profile& of, milliseconds longest)
+{
+    for (auto& each : of.classes) {
+        each.deadline = std::min(each.deadline, longest);
+    }
+}
+
 swing parse_swing(std::string_view name)
 {
     if (name == "none") {
