--- a/include/cicadaport/claims/claim_store.h
+++ b/include/cicadaport/claims/claim_store.h
@@ -17,9 +17,12 @@
 
 struct claim_settings {
     // How many streams the claims are spread over, by account and key.
-    std::size_t shards = 8;
+    std::size_t shards = 2;
     // How long a key is held. The log must keep its records longer.
     std::chrono::milliseconds retention{600'000};
+    // The least time between two appends to one stream. Bounds what one
+    // process appends to `shards` for each of it, whatever the load.
+    std::chrono::milliseconds append_gap{20};
     // How many claims one append may carry.
     std::size_t most_per_append = 256;
 };
@@ -66,7 +69,8 @@
 //   if (claim.outcome == claim_outcome::won) run_and_then(store.end(...));
 class claim_store {
 public:
-    claim_store(boost::asio::io_context& context, http::address log, claim_settings settings = {});
+    claim_store(boost::asio::io_context& context, const http::address& log,
+                claim_settings settings = {});
     ~claim_store();
     claim_store(const claim_store&) = delete;
     claim_store& operator=(const claim_store&) = delete;
--- a/src/claims/claim_store.cpp
+++ b/src/claims/claim_store.cpp
@@ -192,7 +192,12 @@
     // Appends what waits, batch after batch, until nothing does.
     static asio::awaitable<void> flush(std::shared_ptr<shard> self)
     {
+        asio::steady_timer timer{self->m_context};
         while (!self->m_queue.empty()) {
+            // Whatever comes in the meantime shares the next append.
+            timer.expires_at(self->m_next_append);
+            co_await timer.async_wait(asio::use_awaitable);
+            self->m_next_append = std::chrono::steady_clock::now() + self->m_settings.append_gap;
             const auto batch = self->take_batch();
             std::optional<log_error> failure;
             try {
@@ -267,6 +272,7 @@
     std::uint64_t m_offset = 0;
     std::deque<std::shared_ptr<pending_record>> m_queue;
     bool m_flushing = false;
+    steady_time m_next_append{};
     // Claims that were given up without knowing whether they took effect.
     std::set<std::string> m_abandoned;
     std::atomic<std::size_t> m_pending{0};
@@ -279,7 +285,8 @@
 {
 }
 
-claim_store::claim_store(asio::io_context& context, http::address log, claim_settings settings)
+claim_store::claim_store(asio::io_context& context, const http::address& log,
+                         claim_settings settings)
     : m_context{context}, m_settings{settings}
 {
     for (std::size_t i = 0; i < settings.shards; ++i) {
--- a/src/entry/internal/resumable_stream.h
+++ b/src/entry/internal/resumable_stream.h
@@ -43,8 +43,10 @@
     boost::asio::awaitable<ending> resume();
     boost::asio::awaitable<ending> read_from(const http::address& engine, http::request message);
     boost::asio::awaitable<ending> read_events(http::response_stream& answer);
-    boost::asio::awaitable<std::optional<ending>> take(const stream_event& event);
-    boost::asio::awaitable<void> forward(const stream_event& event);
+    std::optional<ending> take_all(event_parser& parser);
+    std::optional<ending> take(const stream_event& event);
+    void forward(const stream_event& event);
+    boost::asio::awaitable<void> flush();
     boost::asio::awaitable<void> begin();
     boost::asio::awaitable<void> finish();
     boost::asio::awaitable<void> hand_over();
@@ -69,6 +71,7 @@
     std::optional<http::peer_watch> m_watch;
     std::uint64_t m_number;
     std::chrono::steady_clock::time_point m_last_event;
+    std::string m_unsent;
     std::string m_reason;
     base::verdict m_outcome = base::verdict::not_run;
     std::uint32_t m_resumes = 0;
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -1,5 +1,9 @@
 #include "cicadaport/entry/metrics.h"
 
+#include "cicadaport/base/rcu.h"
+
+#include <functional>
+#include <mutex>
 #include <prometheus/counter.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
@@ -22,6 +26,47 @@
     return std::chrono::duration<double>(value).count();
 }
 
+// Metrics found before, by their labels. Looking one up takes no lock; the
+// first use of a new set of labels publishes a copy with it.
+template <typename Metric>
+class handle_cache {
+public:
+    // Returns the metric for `labels`, made by `make` if it is new. Thread
+    // safety: any thread.
+    Metric& get(const std::string& labels, const std::function<Metric&()>& make)
+    {
+        if (auto* known = find(labels)) {
+            return *known;
+        }
+        const std::scoped_lock lock{m_writers};
+        auto& made = make();
+        auto next = std::make_unique<handles>(copy());
+        next->insert_or_assign(labels, &made);
+        m_handles.replace(std::move(next));
+        return made;
+    }
+
+private:
+    using handles = std::unordered_map<std::string, Metric*>;
+
+    Metric* find(const std::string& labels) const
+    {
+        const base::rcu_reader guard;
+        const auto& known = m_handles.read(guard);
+        const auto found = known.find(labels);
+        return found == known.end() ? nullptr : found->second;
+    }
+
+    handles copy() const
+    {
+        const base::rcu_reader guard;
+        return m_handles.read(guard);
+    }
+
+    std::mutex m_writers;
+    base::published<handles> m_handles{std::make_unique<handles>()};
+};
+
 } // namespace
 
 class metrics::implementation {
@@ -46,6 +91,19 @@
                                                    .Name("cicadaport_between_tokens_seconds")
                                                    .Help("Time between two tokens of an answer")
                                                    .Register(registry);
+
+    Histogram& whole(const std::string& priority)
+    {
+        const auto make = [&]() -> Histogram& {
+            return whole_time.Add({{"priority", priority}}, whole_buckets);
+        };
+        return whole_handles.get(priority, make);
+    }
+
+    handle_cache<prometheus::Counter> request_handles;
+    handle_cache<Histogram> whole_handles;
+    handle_cache<Histogram> first_token_handles;
+    handle_cache<Histogram> gap_handles;
 };
 
 metrics::metrics() : m_impl{std::make_unique<implementation>()} {}
@@ -54,24 +112,37 @@
 void metrics::request_ended(std::string_view priority, std::string_view result,
                             base::verdict outcome, std::chrono::steady_clock::duration took)
 {
-    m_impl->requests
-        .Add({{"priority", std::string{priority}},
-              {"result", std::string{result}},
-              {"verdict", std::string{base::to_string(outcome)}}})
-        .Increment();
-    m_impl->whole_time.Add({{"priority", std::string{priority}}}, whole_buckets)
-        .Observe(seconds(took));
+    const std::string class_name{priority};
+    std::string labels = class_name;
+    labels += ' ';
+    labels += result;
+    labels += ' ';
+    labels += base::to_string(outcome);
+    const auto make = [&]() -> prometheus::Counter& {
+        return m_impl->requests.Add({{"priority", class_name},
+                                     {"result", std::string{result}},
+                                     {"verdict", std::string{base::to_string(outcome)}}});
+    };
+    m_impl->request_handles.get(labels, make).Increment();
+    m_impl->whole(class_name).Observe(seconds(took));
 }
 
 void metrics::first_token(std::string_view priority, std::chrono::steady_clock::duration after)
 {
-    m_impl->first_token_time.Add({{"priority", std::string{priority}}}, first_token_buckets)
-        .Observe(seconds(after));
+    const std::string class_name{priority};
+    const auto make = [&]() -> Histogram& {
+        return m_impl->first_token_time.Add({{"priority", class_name}}, first_token_buckets);
+    };
+    m_impl->first_token_handles.get(class_name, make).Observe(seconds(after));
 }
 
 void metrics::between_tokens(std::string_view priority, std::chrono::steady_clock::duration gap)
 {
-    m_impl->token_gap.Add({{"priority", std::string{priority}}}, gap_buckets).Observe(seconds(gap));
+    const std::string class_name{priority};
+    const auto make = [&]() -> Histogram& {
+        return m_impl->token_gap.Add({{"priority", class_name}}, gap_buckets);
+    };
+    m_impl->gap_handles.get(class_name, make).Observe(seconds(gap));
 }
 
 std::string metrics::expose() const
--- a/src/entry/request_end.cpp
+++ b/src/entry/request_end.cpp
@@ -34,7 +34,7 @@
 {
     constexpr auto outcome = base::verdict::may_have_run;
     counters.request_ended(context.priority, result, outcome, time_since(context.arrived));
-    spdlog::warn("request_interrupted id={} account={} endpoint={} result={} verdict={} "
+    spdlog::info("request_interrupted id={} account={} endpoint={} result={} verdict={} "
                  "reason=\"{}\"",
                  context.id, context.account, endpoint, result, base::to_string(outcome), reason);
 }
--- a/src/entry/resumable_stream.cpp
+++ b/src/entry/resumable_stream.cpp
@@ -212,58 +212,78 @@
     event_parser parser;
     while (auto piece = co_await answer.next()) {
         parser.feed(*piece);
-        while (const auto event = parser.next()) {
-            if (const auto end = co_await take(*event)) {
-                co_return *end;
-            }
-            if (m_cancel.requested()) {
-                co_return ending::broken;
-            }
+        const auto end = take_all(parser);
+        co_await flush();
+        if (end || m_cancel.requested()) {
+            co_return end.value_or(ending::broken);
         }
     }
     m_reason = "the engine's stream ended without its final event";
     co_return ending::broken;
 }
 
-asio::awaitable<std::optional<resumable_stream::ending>>
-resumable_stream::take(const stream_event& event)
+std::optional<resumable_stream::ending> resumable_stream::take_all(event_parser& parser)
+{
+    while (const auto event = parser.next()) {
+        if (const auto end = take(*event)) {
+            return end;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<resumable_stream::ending> resumable_stream::take(const stream_event& event)
 {
     if (event.data == final_data) {
-        co_return m_read.delivered < m_position.delivered ? ending::different : ending::whole;
+        return m_read.delivered < m_position.delivered ? ending::different : ending::whole;
     }
     if (!event.position || *event.position < m_read.delivered) {
         // A duplicate, or a comment that keeps the connection alive.
-        co_return std::nullopt;
+        return std::nullopt;
     }
     if (*event.position > m_read.delivered) {
         m_reason = "the engine's stream has a gap";
-        co_return ending::broken;
+        return ending::broken;
     }
     const bool is_new = m_read.delivered == m_position.delivered;
     count_event(m_read, event.data);
     if (is_new) {
         m_position = m_read;
         m_resumes = 0;
-        co_await forward(event);
+        forward(event);
     }
     else if (m_read.delivered == m_position.delivered) {
         if (m_read.digest != m_position.digest) {
-            co_return ending::different;
+            return ending::different;
         }
         // The new run is level with the caller and takes the old one's place.
         m_position = m_read;
     }
-    co_return std::nullopt;
+    return std::nullopt;
+}
+
+void resumable_stream::forward(const stream_event& event)
+{
+    count_token();
+    m_unsent += "id: ";
+    m_unsent += to_event_id(m_position);
+    m_unsent += "\ndata: ";
+    m_unsent += event.data;
+    m_unsent += "\n\n";
 }
 
-asio::awaitable<void> resumable_stream::forward(const stream_event& event)
+// Sends what one piece from the engine brought; the next piece is read after
+// the caller took it.
+asio::awaitable<void> resumable_stream::flush()
 {
+    if (m_unsent.empty()) {
+        co_return;
+    }
     if (!m_begun) {
         co_await begin();
     }
-    count_token();
-    const auto text = "id: " + to_event_id(m_position) + "\ndata: " + event.data + "\n\n";
-    co_await m_exchange.writer.write(text);
+    co_await m_exchange.writer.write(m_unsent);
+    m_unsent.clear();
 }
 
 asio::awaitable<void> resumable_stream::begin()
--- a/src/entry/stream_position.cpp
+++ b/src/entry/stream_position.cpp
@@ -3,7 +3,6 @@
 #include "cicadaport/base/digest.h"
 
 #include <charconv>
-#include <nlohmann/json.hpp>
 #include <xxhash.h>
 
 namespace cicadaport::entry {
@@ -26,14 +25,41 @@
     return error == std::errc{} && end == text.data() + text.size();
 }
 
+// Returns the length of the JSON value that `text` begins with.
+std::size_t value_length(std::string_view text) noexcept
+{
+    std::size_t depth = 0;
+    bool quoted = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char each = text[i];
+        if (quoted) {
+            // What follows a backslash is part of the string.
+            i += each == '\\' ? 1 : 0;
+            quoted = each != '"';
+        }
+        else if (each == '"') {
+            quoted = true;
+        }
+        else if (each == '[' || each == '{') {
+            ++depth;
+        }
+        else if ((each == ']' || each == '}') && --depth == 0) {
+            return i + 1;
+        }
+    }
+    return text.size();
+}
+
 // Returns what of an event is the answer's: the same from every engine.
-std::string content_of(std::string_view data)
+std::string_view content_of(std::string_view data) noexcept
 {
-    const auto parsed = nlohmann::json::parse(data, nullptr, false);
-    if (!parsed.is_object() || !parsed.contains("choices")) {
-        return std::string{data};
+    constexpr std::string_view name = "\"choices\":";
+    const auto found = data.find(name);
+    if (found == std::string_view::npos) {
+        return data;
     }
-    return parsed["choices"].dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    const auto value = data.substr(found + name.size());
+    return value.substr(0, value_length(value));
 }
 
 } // namespace
