requests: read an engine's answer to its end, so that its connection is kept

Change: the caller's answer is finished first, then the rest is read. The overhead bench takes its ports from the kernel: fixed ones met the ports of outgoing connections.

--- a/bench/overhead.cpp
+++ b/bench/overhead.cpp
@@ -23,9 +23,15 @@
 using clock_type = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
-const http::address engine{"127.0.0.1", 35'100};
-const http::address resumable_entry{"127.0.0.1", 35'101};
-const http::address pass_through_entry{"127.0.0.1", 35'102};
+// A child that serves callers.
+struct entry_process {
+    pid_t pid = 0;
+    // The engine's port goes to the child, the child's own port comes back.
+    int to_child = -1;
+    int from_child = -1;
+    http::address address{"127.0.0.1", 0};
+};
+
 constexpr std::uint32_t tokens = 8;
 constexpr std::size_t open_streams = 2'000;
 constexpr std::size_t connections = 32;
@@ -42,7 +48,7 @@
     std::cout << line.dump() << std::endl;
 }
 
-std::string configuration_text()
+std::string configuration_text(std::uint16_t engine_port)
 {
     return "priorities:\n  - name: p\n    rank: 0\n    least_share_percent: 40\n"
            "    deadline_ms: 60000\nmodels:\n  - name: m\n    version: \"1\"\n"
@@ -51,44 +57,66 @@
            "  change_time_ms: 2000\ncallers:\n  - account: a\n    key_sha256: " +
            base::sha256_hex("key") +
            "\n    priority: p\nservices: []\nendpoints:\n  - name: engine-1\n    kind: engine\n"
-           "    serves: m\n    address: 127.0.0.1:35100\n    availability_zone: z\n";
+           "    serves: m\n    address: 127.0.0.1:" +
+           std::to_string(engine_port) + "\n    availability_zone: z\n";
 }
 
-void serve_entry(const http::address& at, settings::completion_path path)
+void serve_entry(std::uint16_t engine_port, int port_to, settings::completion_path path)
 {
     spdlog::set_level(spdlog::level::err);
     base::io_pool pool{1};
     routing::load_table loads;
     const base::published<routing::view> view{std::make_unique<routing::view>(
         std::make_shared<configuration::document>(
-            configuration::parse_document(configuration_text(), "bench")),
+            configuration::parse_document(configuration_text(engine_port), "bench")),
         1, std::vector<std::string>{}, loads)};
     entry::metrics counters;
     entry::gateway gateway{pool, view, counters, path};
     const http::server server{
         pool,
-        at.ip,
-        at.port,
+        "127.0.0.1",
+        0,
         {},
         [&](std::size_t worker, const http::request& message, http::response_writer& writer) {
             return gateway.handle(worker, message, writer);
         }};
-    pool.run();
+    const auto port = server.port();
+    if (::write(port_to, &port, sizeof port) == static_cast<ssize_t>(sizeof port)) {
+        pool.run();
+    }
 }
 
-pid_t start_entry(const http::address& at, settings::completion_path path)
+// Starts a child that waits for the engine's port.
+entry_process start_entry(settings::completion_path path)
 {
-    const auto child = ::fork();
-    if (child == 0) {
-        try {
-            serve_entry(at, path);
-        }
-        catch (const std::exception& error) {
-            std::cerr << error.what() << '\n';
+    int down[2];
+    int up[2];
+    if (::pipe(down) != 0 || ::pipe(up) != 0) {
+        throw std::runtime_error{"no pipe"};
+    }
+    entry_process out;
+    out.to_child = down[1];
+    out.from_child = up[0];
+    out.pid = ::fork();
+    if (out.pid == 0) {
+        std::uint16_t engine_port = 0;
+        if (::read(down[0], &engine_port, sizeof engine_port) > 0) {
+            serve_entry(engine_port, up[1], path);
         }
         ::_exit(0);
     }
-    return child;
+    return out;
+}
+
+// Tells the child the engine's port and learns its own.
+void connect_entry(entry_process& entry, std::uint16_t engine_port)
+{
+    auto& port = entry.address.port;
+    const auto size = static_cast<ssize_t>(sizeof port);
+    if (::write(entry.to_child, &engine_port, sizeof engine_port) != size ||
+        ::read(entry.from_child, &port, sizeof port) != size) {
+        throw std::runtime_error{"the entry process did not start"};
+    }
 }
 
 std::string token_event(std::uint32_t index)
@@ -214,12 +242,13 @@
     return pages * static_cast<double>(::sysconf(_SC_PAGESIZE)) / bytes_per_kilobyte;
 }
 
-asio::awaitable<void> open_one(http::client& client, std::vector<http::response_stream>& kept)
+asio::awaitable<void> open_one(http::client& client, http::address to,
+                               std::vector<http::response_stream>& kept)
 {
     http::exchange_options options;
     options.fresh_connection = true;
     try {
-        auto stream = co_await client.open(resumable_entry, completion("hold"), options);
+        auto stream = co_await client.open(to, completion("hold"), options);
         co_await stream.next();
         kept.push_back(std::move(stream));
     }
@@ -228,31 +257,32 @@
     }
 }
 
-asio::awaitable<void> open_some(http::client& client, std::vector<http::response_stream>& kept,
-                                std::size_t count)
+asio::awaitable<void> open_some(http::client& client, http::address to,
+                                std::vector<http::response_stream>& kept, std::size_t count)
 {
     for (std::size_t i = 0; i < count; ++i) {
-        co_await open_one(client, kept);
+        co_await open_one(client, to, kept);
     }
 }
 
-void measure_memory(pid_t entry)
+void measure_memory(const entry_process& entry)
 {
-    const auto before = resident_kilobytes(entry);
+    const auto before = resident_kilobytes(entry.pid);
     asio::io_context context;
     http::client client{context};
     std::vector<http::response_stream> kept;
     for (std::size_t i = 0; i < connections; ++i) {
-        asio::co_spawn(context, open_some(client, kept, open_streams / connections),
+        asio::co_spawn(context, open_some(client, entry.address, kept, open_streams / connections),
                        asio::detached);
     }
     context.run();
-    const auto after = resident_kilobytes(entry);
+    const auto after = resident_kilobytes(entry.pid);
     print("open_streams", static_cast<double>(kept.size()), "streams", "== 1984");
     print("memory_per_stream", (after - before) / static_cast<double>(kept.size()), "KB", "<= 32");
 }
 
-void measure_time()
+void measure_time(const http::address& engine, const http::address& resumable_entry,
+                  const http::address& pass_through_entry)
 {
     constexpr double middle = 0.5;
     constexpr double high = 0.99;
@@ -277,23 +307,23 @@
 
 int main()
 {
-    const auto resumable = start_entry(resumable_entry, settings::completion_path::resumable);
-    const auto baseline = start_entry(pass_through_entry, settings::completion_path::pass_through);
+    auto resumable = start_entry(settings::completion_path::resumable);
+    auto baseline = start_entry(settings::completion_path::pass_through);
     int status = 0;
     try {
         base::io_pool pool{1};
         const http::server server{
             pool,
-            engine.ip,
-            engine.port,
+            "127.0.0.1",
+            0,
             {},
             [](std::size_t, const http::request& message, http::response_writer& writer) {
                 return answer(message, writer);
             }};
         const std::jthread thread{[&] { pool.run(); }};
-        constexpr milliseconds start_time{300};
-        std::this_thread::sleep_for(start_time);
-        measure_time();
+        connect_entry(resumable, server.port());
+        connect_entry(baseline, server.port());
+        measure_time({"127.0.0.1", server.port()}, resumable.address, baseline.address);
         measure_memory(resumable);
         pool.stop();
     }
@@ -301,7 +331,7 @@
         std::cerr << "could not measure: " << error.what() << '\n';
         status = 1;
     }
-    for (const auto child : {resumable, baseline}) {
+    for (const auto child : {resumable.pid, baseline.pid}) {
         ::kill(child, SIGTERM);
         ::waitpid(child, nullptr, 0);
     }
--- a/src/entry/internal/resumable_stream.h
+++ b/src/entry/internal/resumable_stream.h
@@ -43,6 +43,7 @@
     boost::asio::awaitable<ending> resume();
     boost::asio::awaitable<ending> read_from(const http::address& engine, http::request message);
     boost::asio::awaitable<ending> read_events(http::response_stream& answer);
+    boost::asio::awaitable<void> read_to_end(http::response_stream& answer);
     std::optional<ending> take_all(event_parser& parser);
     std::optional<ending> take(const stream_event& event);
     void forward(const stream_event& event);
--- a/src/entry/resumable_stream.cpp
+++ b/src/entry/resumable_stream.cpp
@@ -80,21 +80,21 @@
     catch (const request_failure& error) {
         failure = error;
     }
+    if (end == ending::whole) {
+        co_return;
+    }
     if (m_caller_gone) {
         report_interrupted(m_resources.counters, m_exchange.context, m_position.engine,
                            "caller_gone", "the caller left");
     }
-    else if (m_handing_over && end != ending::whole) {
+    else if (m_handing_over) {
         co_await hand_over();
     }
-    else if (failure || end == ending::different) {
+    else {
         co_await end_visibly(failure.value_or(
             request_failure{failure_kind::endpoint_failed, verdict::may_have_run,
                             "the engine was lost and another one answered differently"}));
     }
-    else {
-        co_await finish();
-    }
 }
 
 void resumable_stream::take_position_from_caller()
@@ -214,6 +214,10 @@
         parser.feed(*piece);
         const auto end = take_all(parser);
         co_await flush();
+        if (end == ending::whole) {
+            co_await finish();
+            co_await read_to_end(answer);
+        }
         if (end || m_cancel.requested()) {
             co_return end.value_or(ending::broken);
         }
@@ -222,6 +226,18 @@
     co_return ending::broken;
 }
 
+// Reads what follows the final event, so that the connection can be kept.
+asio::awaitable<void> resumable_stream::read_to_end(http::response_stream& answer)
+{
+    try {
+        while (co_await answer.next()) {
+        }
+    }
+    catch (const http::exchange_error& error) {
+        m_reason = error.what();
+    }
+}
+
 std::optional<resumable_stream::ending> resumable_stream::take_all(event_parser& parser)
 {
     while (const auto event = parser.next()) {
