--- a/src/configuration/document.cpp
+++ b/src/configuration/document.cpp
@@ -183,6 +183,21 @@
         problems);
 }
 
+// Notes shares that promise more than there is.
+void check_shares(const YAML::Node& root, const document& out, yaml::problem_list& problems)
+{
+    constexpr std::uint32_t whole = 100;
+    std::uint32_t sum = 0;
+    for (const auto& each : out.priorities) {
+        sum += each.least_share_percent;
+    }
+    if (sum > whole) {
+        problems.add(root["priorities"], "priorities",
+                     "values of least_share_percent that add up to 100 at most",
+                     std::to_string(sum));
+    }
+}
+
 void check_references(const YAML::Node& root, const document& out, yaml::problem_list& problems)
 {
     for (std::size_t i = 0; i < out.callers.size(); ++i) {
@@ -246,6 +261,7 @@
     problems.throw_if_any();
     check_names(root, out, problems);
     check_references(root, out, problems);
+    check_shares(root, out, problems);
     problems.throw_if_any();
     return out;
 }
--- a/test/configuration/document_test.cpp
+++ b/test/configuration/document_test.cpp
@@ -61,6 +61,24 @@
                 HasSubstr("expected IP:PORT, found 'host:1'"));
 }
 
+TEST(document_test, refuses_shares_that_promise_more_than_there_is)
+{
+    EXPECT_THAT(problems_of("priorities:\n  - {name: a, rank: 0, least_share_percent: 60}\n"
+                            "  - {name: b, rank: 1, least_share_percent: 41}\n"),
+                HasSubstr("c.yaml:2:3: priorities: expected values of least_share_percent that "
+                          "add up to 100 at most, found 101"));
+}
+
+TEST(document_test, names_file_line_and_column_of_every_problem)
+{
+    const auto problems = problems_of("models:\n  - {name: m, version: a, colour: red}\n"
+                                      "engine_roles:\n  policy: sometimes\n");
+    EXPECT_THAT(problems, HasSubstr("c.yaml:2:"));
+    EXPECT_THAT(problems, HasSubstr("colour"));
+    EXPECT_THAT(problems, HasSubstr("c.yaml:4:11: engine_roles.policy: expected"));
+    EXPECT_THAT(problems, HasSubstr("found 'sometimes'"));
+}
+
 TEST(document_test, splits_into_sections_that_join_to_the_same_document)
 {
     std::string joined;
--- a/test/fold/state_test.cpp
+++ b/test/fold/state_test.cpp
@@ -29,6 +29,16 @@
         return propose(record);
     }
 
+    static std::string wish_of(const std::string& append_id, bool drain, std::uint64_t after)
+    {
+        protocol::record record;
+        record.set_append_id(append_id);
+        record.set_proposed_after(after);
+        record.mutable_endpoint_wish()->set_endpoint("e");
+        record.mutable_endpoint_wish()->set_drain(drain);
+        return record.SerializeAsString();
+    }
+
     decision claim(const std::string& author, std::uint64_t observed)
     {
         protocol::record record;
@@ -146,20 +156,25 @@
     EXPECT_EQ(other.serialize(), m_state.serialize());
 }
 
+TEST_F(state_test, a_copy_that_comes_after_the_opposite_does_not_bring_it_back)
+{
+    const auto drain = wish_of("drain", true, 0);
+    EXPECT_TRUE(m_state.apply(++m_offset, drain).accepted);
+    EXPECT_TRUE(m_state.apply(++m_offset, wish_of("undrain", false, 1)).accepted);
+    EXPECT_FALSE(m_state.apply(++m_offset, drain).accepted);
+    EXPECT_FALSE(m_state.message().wishes().contains("e"));
+}
+
 TEST_F(state_test, a_copy_has_no_effect_however_late_it_arrives)
 {
-    protocol::record late;
-    late.set_append_id("late");
-    late.set_author("a");
-    late.mutable_claim_lease()->set_partition("other");
-    EXPECT_TRUE(m_state.apply(++m_offset, late.SerializeAsString()).accepted);
+    const auto drain = wish_of("drain", true, 0);
+    EXPECT_TRUE(m_state.apply(++m_offset, drain).accepted);
     for (std::uint64_t i = 0; i < 3 * append_window; ++i) {
-        protocol::record wish;
-        wish.mutable_endpoint_wish()->set_endpoint("e");
-        propose(wish);
+        const auto undrain = wish_of("undrain-" + std::to_string(i), false, m_offset);
+        EXPECT_TRUE(m_state.apply(++m_offset, undrain).accepted);
     }
-    EXPECT_FALSE(m_state.apply(++m_offset, late.SerializeAsString()).accepted);
-    EXPECT_EQ(m_state.message().leases().at("other").fencing_number(), 1U);
+    EXPECT_FALSE(m_state.apply(++m_offset, drain).accepted);
+    EXPECT_FALSE(m_state.message().wishes().contains("e"));
 }
 
 TEST_F(state_test, remembers_what_became_of_a_record_across_a_serialization)
