--- a/include/cicadaport/fold/replica.h
+++ b/include/cicadaport/fold/replica.h
@@ -33,6 +33,11 @@
 public:
     using listener = std::function<void(const state&)>;
 
+    replica();
+    ~replica();
+    replica(const replica&) = delete;
+    replica& operator=(const replica&) = delete;
+
     // Adds a listener; do so before the first entry arrives.
     void add_listener(listener call);
 
--- a/src/fold/replica.cpp
+++ b/src/fold/replica.cpp
@@ -27,6 +27,9 @@
 
 } // namespace
 
+replica::replica() = default;
+replica::~replica() = default;
+
 void replica::add_listener(listener call)
 {
     m_listeners.push_back(std::move(call));
--- a/test/operator_tool/publish_test.cpp
+++ b/test/operator_tool/publish_test.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/detached.hpp>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
-#include <platform.pb.h>
 #include <record.pb.h>
 #include <state.pb.h>
 
