authority: leases for each model and region, and one path for all orders

Cause: control processes folded leases and intents but nobody claimed, renewed or acted; an operator could not change a role, and nothing bounded how long an order of a paused holder could still act. Change: a pure lease keeper and order step, the director that drives them through the log, a kernel timer that ends a paused process with its lease, role orders in the administration API, and no new work for engines with an intent.

--- /dev/null
+++ b/include/cicadaport/authority/partition_director.h
@@ -0,0 +1,82 @@
+// Holds the lease of one partition and carries out the orders in it.
+#pragma once
+
+#include "cicadaport/authority/engine_client.h"
+#include "cicadaport/authority/lease_keeper.h"
+#include "cicadaport/fold/replica.h"
+#include "cicadaport/platform/proposer.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace cicadaport::authority {
+
+// What a director works with; all of it must outlive the director.
+struct director_services {
+    boost::asio::io_context& context;
+    const fold::replica& replica;
+    platform::proposer& proposals;
+    engine_client& engines;
+    // Returns whether every live process has folded up to an offset.
+    std::function<bool(std::uint64_t)> is_folded_everywhere;
+};
+
+// Drives one lease and the orders under it through the log. Any process may
+// run a director for any partition; the fold lets one of them act.
+//
+// Belongs to one event loop; its owner keeps it until `run()` has ended or the
+// loop has stopped.
+class partition_director {
+public:
+    partition_director(director_services services, std::string partition, std::string self,
+                       lease_timing timing);
+
+    // Runs until `stop()`, then finishes what is being sent and releases the
+    // lease.
+    boost::asio::awaitable<void> run();
+
+    void stop() noexcept { m_stopping = true; }
+    bool has_ended() const noexcept { return m_ended; }
+
+private:
+    // What this process remembers of one engine between steps.
+    struct engine_memory {
+        bool busy = false;
+        boot_clock::time_point next_look{};
+        // A different order may be sent from then on.
+        boot_clock::time_point quiet_from{};
+        std::string draining_for;
+        std::chrono::steady_clock::time_point drained_since{};
+    };
+    struct engine_view;
+
+    boost::asio::awaitable<void> keep_lease();
+    boost::asio::awaitable<void> release();
+    boost::asio::awaitable<bool> propose(protocol::record record);
+    boost::asio::awaitable<void> look_after(std::string name);
+    boost::asio::awaitable<void> look_once(engine_view view, engine_memory& memory);
+    boost::asio::awaitable<void> send(const engine_view& view, engine_memory& memory);
+    boost::asio::awaitable<void> announce(const engine_view& view);
+    boost::asio::awaitable<void> settle(const engine_view& view, engine_memory& memory,
+                                        bool applied);
+    boost::asio::awaitable<bool> is_drained(const engine_view& view, engine_memory& memory);
+    observed_lease observe_lease() const;
+    std::vector<std::string> engine_names() const;
+    std::optional<engine_view> view_of(const std::string& name) const;
+    bool is_quiet(const engine_view& view, const engine_memory& memory) const;
+    void start_looks();
+
+    director_services m_services;
+    std::string m_partition;
+    std::string m_self;
+    lease_timing m_timing;
+    lease_keeper m_keeper;
+    std::map<std::string, engine_memory> m_engines;
+    bool m_stopping = false;
+    bool m_ended = false;
+};
+
+} // namespace cicadaport::authority
--- a/include/cicadaport/control/admin_api.h
+++ b/include/cicadaport/control/admin_api.h
@@ -6,8 +6,13 @@
 #include "cicadaport/platform/proposer.h"
 #include "cicadaport/relay/process_table.h"
 
+#include <optional>
 #include <string>
 
+namespace cicadaport::protocol {
+class endpoint_request;
+}
+
 namespace cicadaport::control {
 
 // Answers administration requests; all but health need the operator's key.
@@ -25,7 +30,8 @@
 private:
     boost::asio::awaitable<http::response> answer(const http::request& message);
     boost::asio::awaitable<http::response> publish(const http::request& message);
-    boost::asio::awaitable<http::response> change_endpoint(const std::string& path);
+    boost::asio::awaitable<http::response> change_endpoint(const http::target_view& target);
+    std::optional<protocol::endpoint_request> wish_of(const std::string& endpoint) const;
     http::response show_configuration() const;
     http::response show_processes() const;
     http::response show_endpoints() const;
--- /dev/null
+++ b/src/authority/partition_director.cpp
@@ -0,0 +1,362 @@
+#include "cicadaport/authority/partition_director.h"
+
+#include "cicadaport/authority/process_deadline.h"
+#include "cicadaport/authority/test_switches.h"
+#include "cicadaport/base/identifier.h"
+
+#include <spdlog/spdlog.h>
+#include <state.pb.h>
+
+#include <algorithm>
+
+namespace cicadaport::authority {
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds tick{50};
+constexpr milliseconds look_interval{2'000};
+constexpr milliseconds look_interval_outstanding{100};
+constexpr milliseconds pause_after_failure{10'000};
+// From when a process has folded an intent until the work that it was just
+// handing out shows at the engine.
+constexpr milliseconds dispatch_time{200};
+
+bool is_in_service(const fold::state& state, const std::string& endpoint)
+{
+    const auto& wishes = state.message().wishes();
+    const auto& orders = state.message().orders();
+    const auto wish = wishes.find(endpoint);
+    const auto order = orders.find(endpoint);
+    const bool drained = wish != wishes.end() && wish->second.drain();
+    return !drained && (order == orders.end() || !order->second.has_intent());
+}
+
+// Returns whether enough engines serve the model without `endpoint`.
+bool may_leave_service(const fold::state& state, const configuration::endpoint& endpoint)
+{
+    std::uint32_t others = 0;
+    for (const auto& each : state.document()->endpoints) {
+        const bool other = each.serves == endpoint.serves && each.name != endpoint.name;
+        others += other && is_in_service(state, each.name) ? 1 : 0;
+    }
+    const auto* model = state.document()->find_model(endpoint.serves);
+    return model != nullptr && others >= model->least_replicas;
+}
+
+} // namespace
+
+// One engine as this process has it folded at one moment.
+struct partition_director::engine_view {
+    configuration::endpoint endpoint;
+    std::shared_ptr<const configuration::document> document;
+    std::optional<protocol::endpoint_wish_state> wish;
+    std::optional<protocol::endpoint_orders> orders;
+    // Whether another engine may be out of service beside those that are.
+    bool spare = false;
+    std::optional<engine_record> observed;
+
+    bool is_outstanding() const { return orders && orders->has_intent(); }
+    std::optional<protocol::endpoint_order> wanted() const
+    {
+        if (!observed) {
+            return std::nullopt;
+        }
+        return wanted_order(endpoint, *document, wish ? &*wish : nullptr,
+                            orders ? &*orders : nullptr, *observed);
+    }
+};
+
+partition_director::partition_director(director_services services, std::string partition,
+                                       std::string self, lease_timing timing)
+    : m_services{std::move(services)}, m_partition{std::move(partition)}, m_self{std::move(self)},
+      m_timing{timing}, m_keeper{m_self, timing, std::random_device{}()}
+{
+}
+
+asio::awaitable<void> partition_director::run()
+{
+    asio::steady_timer timer{m_services.context};
+    while (!m_stopping) {
+        const bool has_engines = !engine_names().empty();
+        if (has_engines) {
+            co_await keep_lease();
+            start_looks();
+        }
+        timer.expires_after(tick);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    const auto busy = [](const auto& each) { return each.second.busy; };
+    while (std::any_of(m_engines.begin(), m_engines.end(), busy)) {
+        timer.expires_after(tick);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    co_await release();
+    m_ended = true;
+}
+
+asio::awaitable<void> partition_director::keep_lease()
+{
+    const auto lease = observe_lease();
+    const auto sent_at = boot_clock::now();
+    const auto action = m_keeper.next(lease, sent_at);
+    if (action == lease_action::none) {
+        co_return;
+    }
+    protocol::record record;
+    if (action == lease_action::claim) {
+        auto& claim = *record.mutable_claim_lease();
+        claim.set_partition(m_partition);
+        claim.set_observed_renewal_offset(lease.renewed_offset);
+        claim.set_duration_ms(static_cast<std::uint32_t>(m_timing.duration.count()));
+    }
+    else {
+        record.mutable_renew_lease()->set_partition(m_partition);
+        record.mutable_renew_lease()->set_fencing_number(m_keeper.fencing_number());
+    }
+    m_keeper.proposed(sent_at);
+    const bool accepted = co_await propose(std::move(record));
+    const auto now_folded = observe_lease();
+    if (accepted && now_folded.holder == m_self && !now_folded.released) {
+        m_keeper.accepted(now_folded.fencing_number, sent_at);
+    }
+    if (accepted && action == lease_action::claim) {
+        spdlog::info("lease_claimed partition={} fencing_number={}", m_partition,
+                     m_keeper.fencing_number());
+    }
+}
+
+asio::awaitable<void> partition_director::release()
+{
+    if (!m_keeper.is_held(boot_clock::now())) {
+        co_return;
+    }
+    protocol::record record;
+    record.mutable_release_lease()->set_partition(m_partition);
+    record.mutable_release_lease()->set_fencing_number(m_keeper.fencing_number());
+    m_keeper.lost();
+    const bool released = co_await propose(std::move(record));
+    spdlog::info("lease_released partition={} accepted={}", m_partition, released);
+}
+
+// Returns whether the fold accepted the record; false also if nobody knows.
+asio::awaitable<bool> partition_director::propose(protocol::record record)
+{
+    record.set_author(m_self);
+    try {
+        const auto made = co_await m_services.proposals.propose(record);
+        if (!made.accepted) {
+            spdlog::info("proposal_refused partition={} reason=\"{}\"", m_partition, made.reason);
+        }
+        co_return made.accepted;
+    }
+    catch (const platform::log_error& error) {
+        spdlog::warn("proposal_failed partition={} error=\"{}\"", m_partition, error.what());
+    }
+    co_return false;
+}
+
+observed_lease partition_director::observe_lease() const
+{
+    observed_lease out;
+    m_services.replica.inspect([&](const fold::state& state) {
+        const auto& leases = state.message().leases();
+        const auto found = leases.find(m_partition);
+        if (found != leases.end()) {
+            out = {found->second.holder(), found->second.fencing_number(),
+                   found->second.renewed_offset(), milliseconds{found->second.duration_ms()},
+                   found->second.released()};
+        }
+    });
+    return out;
+}
+
+std::vector<std::string> partition_director::engine_names() const
+{
+    std::vector<std::string> out;
+    m_services.replica.inspect([&](const fold::state& state) {
+        for (const auto& each : state.document()->endpoints) {
+            if (each.kind == configuration::endpoint_kind::engine &&
+                partition_of(each) == m_partition) {
+                out.push_back(each.name);
+            }
+        }
+    });
+    return out;
+}
+
+std::optional<partition_director::engine_view>
+partition_director::view_of(const std::string& name) const
+{
+    std::optional<engine_view> out;
+    m_services.replica.inspect([&](const fold::state& state) {
+        const auto* endpoint = state.document()->find_endpoint(name);
+        if (endpoint == nullptr) {
+            return;
+        }
+        out.emplace();
+        out->endpoint = *endpoint;
+        out->document = state.document();
+        const auto& wishes = state.message().wishes();
+        const auto& orders = state.message().orders();
+        if (const auto found = wishes.find(name); found != wishes.end()) {
+            out->wish = found->second;
+        }
+        if (const auto found = orders.find(name); found != orders.end()) {
+            out->orders = found->second;
+        }
+        out->spare = may_leave_service(state, *endpoint);
+    });
+    return out;
+}
+
+void partition_director::start_looks()
+{
+    const auto now = boot_clock::now();
+    if (!m_keeper.is_held(now)) {
+        return;
+    }
+    for (const auto& name : engine_names()) {
+        auto& memory = m_engines[name];
+        if (!memory.busy && now >= memory.next_look) {
+            memory.busy = true;
+            asio::co_spawn(m_services.context, look_after(name), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> partition_director::look_after(std::string name)
+{
+    auto& memory = m_engines[name];
+    auto view = view_of(name);
+    memory.next_look = boot_clock::now() + look_interval;
+    if (view) {
+        if (view->is_outstanding() || (view->wish && !view->wish->role().empty())) {
+            memory.next_look = boot_clock::now() + look_interval_outstanding;
+        }
+        co_await look_once(std::move(*view), memory);
+    }
+    memory.busy = false;
+}
+
+asio::awaitable<void> partition_director::look_once(engine_view view, engine_memory& memory)
+{
+    view.observed = co_await m_services.engines.observe(view.endpoint.address);
+    order_situation situation;
+    situation.outstanding_order = view.is_outstanding() ? view.orders->intent().order_id() : "";
+    situation.observed = view.observed;
+    situation.wanted = view.wanted().has_value();
+    situation.quiet = is_quiet(view, memory);
+    situation.spare = view.spare;
+    situation.drained = view.is_outstanding() && co_await is_drained(view, memory);
+    switch (next_order_step(situation)) {
+    case order_step::announce:
+        co_await announce(view);
+        break;
+    case order_step::send:
+        co_await send(view, memory);
+        break;
+    case order_step::settle_applied:
+        co_await settle(view, memory, true);
+        break;
+    case order_step::settle_failed:
+        co_await settle(view, memory, false);
+        break;
+    case order_step::none:
+    case order_step::wait:
+    case order_step::wait_for_drain:
+        break;
+    }
+}
+
+// An engine that checks fencing numbers refuses what arrives late by itself.
+bool partition_director::is_quiet(const engine_view& view, const engine_memory& memory) const
+{
+    const auto now = boot_clock::now();
+    const auto predecessors = m_keeper.claimed_at() + longest_packet_life;
+    const bool nothing_arrives = now >= predecessors && now >= memory.quiet_from;
+    return nothing_arrives || (view.endpoint.checks_fencing && now >= memory.quiet_from);
+}
+
+asio::awaitable<bool> partition_director::is_drained(const engine_view& view, engine_memory& memory)
+{
+    const auto& order = view.orders->intent().order_id();
+    if (!m_services.is_folded_everywhere(view.orders->intent_offset())) {
+        co_return false;
+    }
+    if (memory.draining_for != order) {
+        memory.draining_for = order;
+        memory.drained_since = std::chrono::steady_clock::now() + dispatch_time;
+    }
+    co_return co_await m_services.engines.is_idle_since(view.endpoint.address,
+                                                        memory.drained_since);
+}
+
+asio::awaitable<void> partition_director::announce(const engine_view& view)
+{
+    auto order = *view.wanted();
+    order.set_order_id(base::make_identifier());
+    protocol::record record;
+    auto& intent = *record.mutable_intent();
+    intent.set_partition(m_partition);
+    intent.set_fencing_number(m_keeper.fencing_number());
+    *intent.mutable_order() = order;
+    if (co_await propose(std::move(record))) {
+        spdlog::info("order_announced endpoint={} order={}", view.endpoint.name, order.order_id());
+    }
+}
+
+// The deadline is armed before the check, so that wherever this process is
+// stopped afterwards, it ends with its sockets when the lease does. The first
+// check keeps a process that finds its lease over from ending itself.
+asio::awaitable<void> partition_director::send(const engine_view& view, engine_memory& memory)
+{
+    pause_if_asked("before_check");
+    const auto held_until = m_keeper.held_until();
+    const auto fencing_number = m_keeper.fencing_number();
+    const auto has_time = [&] {
+        return is_switched_off("lease_check") ||
+               boot_clock::now() + m_timing.duration / 2 < held_until;
+    };
+    if (!has_time()) {
+        spdlog::info("order_not_sent endpoint={} reason=lease_ends", view.endpoint.name);
+        co_return;
+    }
+    std::optional<process_deadline> bound;
+    if (!is_switched_off("process_deadline")) {
+        bound.emplace(held_until);
+    }
+    if (!has_time()) {
+        co_return;
+    }
+    pause_if_asked("after_check");
+    const auto limit = m_timing.duration / 4;
+    const bool answered = co_await m_services.engines.send(
+        view.endpoint.address, view.orders->intent(), fencing_number, limit);
+    pause_if_asked("after_write");
+    if (!answered) {
+        memory.quiet_from = boot_clock::now() + longest_packet_life;
+    }
+}
+
+asio::awaitable<void> partition_director::settle(const engine_view& view, engine_memory& memory,
+                                                 bool applied)
+{
+    pause_if_asked("before_settlement");
+    protocol::record record;
+    auto& settlement = *record.mutable_settlement();
+    settlement.set_partition(m_partition);
+    settlement.set_fencing_number(m_keeper.fencing_number());
+    settlement.set_endpoint(view.endpoint.name);
+    settlement.set_order_id(view.orders->intent().order_id());
+    settlement.set_applied(applied);
+    if (!applied) {
+        memory.quiet_from = boot_clock::now() + pause_after_failure;
+    }
+    const bool accepted = co_await propose(std::move(record));
+    spdlog::info("order_settled endpoint={} order={} applied={} accepted={}", view.endpoint.name,
+                 view.orders->intent().order_id(), applied, accepted);
+}
+
+} // namespace cicadaport::authority
--- a/src/control/admin_api.cpp
+++ b/src/control/admin_api.cpp
@@ -40,6 +40,11 @@
     return reply;
 }
 
+bool is_role(std::string_view text)
+{
+    return text.empty() || text == "mixed" || text == "prefill" || text == "decode";
+}
+
 protocol::record read_edit(const json& body)
 {
     protocol::record record;
@@ -87,7 +92,7 @@
         co_return co_await publish(message);
     }
     if (name.starts_with(endpoint_prefix) && message.method == "POST") {
-        co_return co_await change_endpoint(name.substr(endpoint_prefix.size()));
+        co_return co_await change_endpoint(target);
     }
     if (name == "configuration") {
         co_return show_configuration();
@@ -139,31 +144,58 @@
     co_return http::json_response(status_ok, json{{"offset", offset}}.dump());
 }
 
-asio::awaitable<http::response> admin_api::change_endpoint(const std::string& path)
+asio::awaitable<http::response> admin_api::change_endpoint(const http::target_view& target)
 {
+    const auto path = target.path().substr(admin_prefix.size() + endpoint_prefix.size());
     const auto slash = path.find('/');
     const auto action = slash == std::string::npos ? "" : path.substr(slash + 1);
-    if (action != "drain" && action != "undrain") {
+    auto wish = wish_of(path.substr(0, slash));
+    if (!wish) {
+        co_return problem(status_not_found, "unknown_endpoint", path.substr(0, slash));
+    }
+    if (action == "drain" || action == "undrain") {
+        wish->set_drain(action == "drain");
+    }
+    else if (action == "role") {
+        wish->set_role(target.parameter("role").value_or("none"));
+    }
+    else {
         co_return problem(status_not_found, "unknown_path", path);
     }
-    protocol::record record;
-    auto& wish = *record.mutable_endpoint_wish();
-    wish.set_endpoint(path.substr(0, slash));
-    wish.set_drain(action == "drain");
-    std::shared_ptr<const configuration::document> document;
-    m_replica.inspect([&](const fold::state& state) { document = state.document(); });
-    if (document->find_endpoint(wish.endpoint()) == nullptr) {
-        co_return problem(status_not_found, "unknown_endpoint", wish.endpoint());
+    if (!is_role(wish->role())) {
+        co_return problem(status_bad_request, "invalid_request",
+                          "role is one of mixed, prefill, decode");
     }
+    protocol::record record;
+    *record.mutable_endpoint_wish() = *wish;
     try {
         co_await m_proposals.propose(record);
-        co_return http::json_response(status_ok, json{{"endpoint", wish.endpoint()}}.dump());
+        co_return http::json_response(status_ok, json{{"endpoint", wish->endpoint()}}.dump());
     }
     catch (const platform::log_error& error) {
         co_return log_unavailable(error);
     }
 }
 
+// Returns what operators wish of the endpoint now, or nothing if the
+// configuration has no such endpoint.
+std::optional<protocol::endpoint_request> admin_api::wish_of(const std::string& endpoint) const
+{
+    std::optional<protocol::endpoint_request> out;
+    m_replica.inspect([&](const fold::state& state) {
+        if (state.document()->find_endpoint(endpoint) == nullptr) {
+            return;
+        }
+        out.emplace().set_endpoint(endpoint);
+        const auto& wishes = state.message().wishes();
+        if (const auto found = wishes.find(endpoint); found != wishes.end()) {
+            out->set_drain(found->second.drain());
+            out->set_role(found->second.role());
+        }
+    });
+    return out;
+}
+
 http::response admin_api::show_configuration() const
 {
     json body;
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -1,5 +1,6 @@
 #include "cicadaport/control/process.h"
 
+#include "cicadaport/authority/fleet_directors.h"
 #include "cicadaport/base/io_pool.h"
 #include "cicadaport/control/admin_api.h"
 #include "cicadaport/platform/tailer.h"
@@ -9,6 +10,7 @@
 #include <peer.pb.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <csignal>
 
 namespace cicadaport::control {
@@ -19,6 +21,13 @@
 constexpr char log_stream[] = "system";
 constexpr std::size_t control_workers = 1;
 
+// A process not heard of for this long takes no part in a drain: an engine that
+// changes refuses its work unstarted.
+constexpr std::chrono::milliseconds silent_time{3'000};
+
+// How long a planned stop waits for orders and for the release of leases.
+constexpr std::chrono::milliseconds release_time{5'000};
+
 class process {
 public:
     explicit process(const settings::control_settings& settings)
@@ -38,12 +47,18 @@
                   }},
           m_relay{settings.relay_address, m_replica, m_processes},
           m_follower{settings.peers, m_replica, m_processes, [this] { return status(); }},
-          m_signals{m_pool.context(0), SIGTERM, SIGINT}
+          m_signals{m_pool.context(0), SIGTERM, SIGINT}, m_engines{m_pool.context(0)},
+          m_directors{{m_pool.context(0), m_replica, m_proposals, m_engines,
+                       [this](std::uint64_t offset) { return is_folded_everywhere(offset); }},
+                      settings.common.id,
+                      timing(settings)},
+          m_release_limit{m_pool.context(0)}
     {
         asio::co_spawn(m_pool.context(0), m_tailer.run(), asio::detached);
+        asio::co_spawn(m_pool.context(0), direct(), asio::detached);
         m_signals.async_wait([this](const boost::system::error_code& error, int) {
             if (!error) {
-                m_pool.stop();
+                stop();
             }
         });
     }
@@ -57,6 +72,39 @@
     }
 
 private:
+    static authority::lease_timing timing(const settings::control_settings& settings)
+    {
+        authority::lease_timing out;
+        out.duration = settings.lease_time;
+        return out;
+    }
+
+    // Directs until the leases are released, then ends the process.
+    asio::awaitable<void> direct()
+    {
+        co_await m_directors.run();
+        m_pool.stop();
+    }
+
+    void stop()
+    {
+        m_directors.stop();
+        m_release_limit.expires_after(release_time);
+        m_release_limit.async_wait([this](const boost::system::error_code& error) {
+            if (!error) {
+                m_pool.stop();
+            }
+        });
+    }
+
+    bool is_folded_everywhere(std::uint64_t offset) const
+    {
+        const auto statuses = m_processes.list(relay::process_table::clock::now());
+        return std::all_of(statuses.begin(), statuses.end(), [&](const auto& status) {
+            return status.offset_in_force() >= offset || status.age_ms() > silent_time.count();
+        });
+    }
+
     protocol::process_status status() const
     {
         protocol::process_status out;
@@ -84,6 +132,9 @@
     relay::relay_server m_relay;
     relay::follower m_follower;
     asio::signal_set m_signals;
+    authority::engine_client m_engines;
+    authority::fleet_directors m_directors;
+    asio::steady_timer m_release_limit;
 };
 
 } // namespace
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -20,7 +20,8 @@
 constexpr std::chrono::milliseconds balancer_notice{500};
 constexpr std::chrono::milliseconds drain_poll{20};
 
-// Returns the endpoints that operators asked to drain.
+// Returns the endpoints that operators asked to drain or that an order is
+// about to change.
 std::vector<std::string> drained_endpoints(const fold::state& state)
 {
     std::vector<std::string> out;
@@ -29,6 +30,11 @@
             out.push_back(name);
         }
     }
+    for (const auto& [name, orders] : state.message().orders()) {
+        if (orders.has_intent()) {
+            out.push_back(name);
+        }
+    }
     return out;
 }
 
--- /dev/null
+++ b/test/authority/order_step_test.cpp
@@ -0,0 +1,142 @@
+#include "cicadaport/authority/order_step.h"
+
+#include <gtest/gtest.h>
+#include <state.pb.h>
+
+namespace cicadaport::authority {
+namespace {
+
+engine_record engine(std::string last_applied = {}, std::string changing = {})
+{
+    engine_record out;
+    out.role = "mixed";
+    out.model = "m";
+    out.version = "1";
+    out.changing = !changing.empty();
+    out.changing_order = std::move(changing);
+    out.last_applied_order = std::move(last_applied);
+    return out;
+}
+
+order_situation outstanding()
+{
+    order_situation now;
+    now.outstanding_order = "a";
+    now.observed = engine();
+    now.wanted = true;
+    now.quiet = true;
+    now.spare = true;
+    return now;
+}
+
+TEST(order_step_test, an_outstanding_order_is_sent_again_and_never_another)
+{
+    auto now = outstanding();
+    now.drained = true;
+    EXPECT_EQ(next_order_step(now), order_step::send);
+}
+
+TEST(order_step_test, no_order_is_sent_before_the_engine_is_drained)
+{
+    EXPECT_EQ(next_order_step(outstanding()), order_step::wait_for_drain);
+}
+
+TEST(order_step_test, an_observed_effect_is_settled_without_sending)
+{
+    auto now = outstanding();
+    now.observed = engine("a");
+    EXPECT_EQ(next_order_step(now), order_step::settle_applied);
+}
+
+TEST(order_step_test, a_failed_order_is_settled_as_failed)
+{
+    auto now = outstanding();
+    now.observed->last_failed_order = "a";
+    EXPECT_EQ(next_order_step(now), order_step::settle_failed);
+}
+
+TEST(order_step_test, an_engine_in_change_is_waited_for)
+{
+    auto now = outstanding();
+    now.drained = true;
+    now.observed = engine("", "a");
+    EXPECT_EQ(next_order_step(now), order_step::wait);
+}
+
+TEST(order_step_test, an_engine_that_does_not_answer_keeps_its_order_outstanding)
+{
+    auto now = outstanding();
+    now.observed.reset();
+    now.drained = true;
+    EXPECT_EQ(next_order_step(now), order_step::wait);
+}
+
+TEST(order_step_test, a_different_order_waits_until_no_earlier_one_can_arrive)
+{
+    auto now = outstanding();
+    now.outstanding_order.clear();
+    EXPECT_EQ(next_order_step(now), order_step::announce);
+    now.quiet = false;
+    EXPECT_EQ(next_order_step(now), order_step::none);
+}
+
+TEST(order_step_test, a_change_waits_for_the_models_least_replicas)
+{
+    auto now = outstanding();
+    now.outstanding_order.clear();
+    now.spare = false;
+    EXPECT_EQ(next_order_step(now), order_step::none);
+}
+
+class wanted_order_test : public testing::Test {
+protected:
+    wanted_order_test()
+    {
+        m_endpoint.name = "e";
+        m_endpoint.serves = "m";
+        m_document.models.push_back({"m", "1", {}, 0, 0, 1});
+    }
+
+    std::optional<protocol::endpoint_order> wanted(const engine_record& observed) const
+    {
+        return wanted_order(m_endpoint, m_document, &m_wish, &m_orders, observed);
+    }
+
+    configuration::endpoint m_endpoint;
+    configuration::document m_document;
+    protocol::endpoint_wish_state m_wish;
+    protocol::endpoint_orders m_orders;
+};
+
+TEST_F(wanted_order_test, an_engine_as_it_should_be_gets_no_order)
+{
+    EXPECT_FALSE(wanted(engine()));
+}
+
+TEST_F(wanted_order_test, an_operators_role_goes_before_that_of_the_last_order)
+{
+    m_orders.set_role("decode");
+    m_wish.set_role("prefill");
+    EXPECT_EQ(wanted(engine())->set_role(), "prefill");
+}
+
+TEST_F(wanted_order_test, an_engine_that_came_back_with_another_role_is_put_right)
+{
+    m_orders.set_role("decode");
+    EXPECT_EQ(wanted(engine())->set_role(), "decode");
+}
+
+TEST_F(wanted_order_test, a_new_version_in_the_configuration_is_loaded)
+{
+    m_document.models.front().version = "2";
+    EXPECT_EQ(wanted(engine())->load_model().version(), "2");
+}
+
+TEST_F(wanted_order_test, partitions_are_a_model_in_a_region)
+{
+    m_endpoint.region = "south";
+    EXPECT_EQ(partition_of(m_endpoint), "m/south");
+}
+
+} // namespace
+} // namespace cicadaport::authority
