membership: watch endpoints, report leaving and down ones on the log

Cause: nothing read the platform's host list or probed endpoints, so a leaving or dead endpoint kept its place in every process's view. Change: a pure monitor with hysteresis, two watchers for each endpoint by rendezvous hashing, a report record and conditions in the fold, which the entry process leaves out of its view; the condition is listed by the administration API.

--- a/include/cicadaport/fold/state.h
+++ b/include/cicadaport/fold/state.h
@@ -21,6 +21,7 @@
 
 namespace cicadaport::protocol {
 class configuration_edit;
+class endpoint_report;
 class endpoint_request;
 class folded_state;
 class lease_claim;
@@ -88,6 +89,7 @@
                           const protocol::order_intent& intent);
     decision apply_settlement(std::uint64_t offset, const std::string& author,
                               const protocol::order_settlement& settlement);
+    decision apply_report(std::uint64_t offset, const protocol::endpoint_report& report);
     decision apply_wish(std::uint64_t offset, const protocol::endpoint_request& wish);
     bool holds(const std::string& author, const std::string& partition,
                std::uint64_t fencing_number) const;
--- /dev/null
+++ b/include/cicadaport/membership/endpoint_watch.h
@@ -0,0 +1,66 @@
+// Watches endpoints and reports on the log when their condition changes.
+#pragma once
+
+#include "cicadaport/configuration/document.h"
+#include "cicadaport/fold/replica.h"
+#include "cicadaport/membership/endpoint_monitor.h"
+#include "cicadaport/platform/proposer.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cicadaport::membership {
+
+// What a watch works with; all of it must outlive the watch.
+struct watch_services {
+    boost::asio::io_context& context;
+    const fold::replica& replica;
+    platform::proposer& proposals;
+    http::address host_list;
+    std::string process;
+    // Names the processes heard of lately.
+    std::function<std::vector<std::string>()> live_processes;
+};
+
+// Probes the endpoints that fall to this process, reads the host list, and
+// reports what changed. Entry processes read the result from the folded state.
+//
+// A process that gets no answer from most of its endpoints takes itself for cut
+// off and reports none as down.
+//
+// Belongs to one event loop, which it must outlive once `run()` is spawned.
+class endpoint_watch {
+public:
+    explicit endpoint_watch(watch_services services);
+
+    // Runs until the event loop stops.
+    boost::asio::awaitable<void> run();
+
+private:
+    struct watched {
+        explicit watched(condition reported) : monitor{reported} {}
+
+        endpoint_monitor monitor;
+        bool probing = false;
+        bool reporting = false;
+    };
+
+    boost::asio::awaitable<void> read_host_list();
+    boost::asio::awaitable<void> probe(configuration::endpoint endpoint);
+    boost::asio::awaitable<void> report(std::string endpoint, condition standing);
+    void look_at(const configuration::endpoint& endpoint, std::size_t rank);
+    bool is_cut_off() const;
+    condition folded_condition(const std::string& endpoint) const;
+
+    watch_services m_services;
+    http::client m_client;
+    std::map<std::string, watched> m_watched;
+    std::map<std::string, listed_state> m_hosts;
+    bool m_reading_hosts = false;
+};
+
+} // namespace cicadaport::membership
--- a/src/control/admin_api.cpp
+++ b/src/control/admin_api.cpp
@@ -238,6 +238,8 @@
             const auto& orders = state.message().orders();
             const auto wish = wishes.find(endpoint.name);
             const auto order = orders.find(endpoint.name);
+            const auto& conditions = state.message().conditions();
+            const auto reported = conditions.find(endpoint.name);
             const bool ordered = order != orders.end() && !order->second.role().empty();
             list.push_back(
                 {{"name", endpoint.name},
@@ -246,6 +248,8 @@
                  {"availability_zone", endpoint.availability_zone},
                  {"role", ordered ? order->second.role() : endpoint.role},
                  {"order_outstanding", order != orders.end() && order->second.has_intent()},
+                 {"condition",
+                  reported == conditions.end() ? "serving" : reported->second.condition()},
                  {"drained", wish != wishes.end() && wish->second.drain()}});
         }
     });
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -3,6 +3,7 @@
 #include "cicadaport/authority/fleet_directors.h"
 #include "cicadaport/base/io_pool.h"
 #include "cicadaport/control/admin_api.h"
+#include "cicadaport/membership/endpoint_watch.h"
 #include "cicadaport/platform/tailer.h"
 #include "cicadaport/relay/follower.h"
 #include "cicadaport/relay/relay_server.h"
@@ -52,10 +53,13 @@
                        [this](std::uint64_t offset) { return is_folded_everywhere(offset); }},
                       settings.common.id,
                       timing(settings)},
+          m_watch{{m_pool.context(0), m_replica, m_proposals, settings.platform.host_list,
+                   settings.common.id, [this] { return live_control_processes(); }}},
           m_release_limit{m_pool.context(0)}
     {
         asio::co_spawn(m_pool.context(0), m_tailer.run(), asio::detached);
         asio::co_spawn(m_pool.context(0), direct(), asio::detached);
+        asio::co_spawn(m_pool.context(0), m_watch.run(), asio::detached);
         m_signals.async_wait([this](const boost::system::error_code& error, int) {
             if (!error) {
                 stop();
@@ -105,6 +109,17 @@
         });
     }
 
+    std::vector<std::string> live_control_processes() const
+    {
+        std::vector<std::string> out;
+        for (const auto& each : m_processes.list(relay::process_table::clock::now())) {
+            if (each.kind() == "control" && each.age_ms() <= silent_time.count()) {
+                out.push_back(each.id());
+            }
+        }
+        return out;
+    }
+
     protocol::process_status status() const
     {
         protocol::process_status out;
@@ -134,6 +149,7 @@
     asio::signal_set m_signals;
     authority::engine_client m_engines;
     authority::fleet_directors m_directors;
+    membership::endpoint_watch m_watch;
     asio::steady_timer m_release_limit;
 };
 
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -20,8 +20,8 @@
 constexpr std::chrono::milliseconds balancer_notice{500};
 constexpr std::chrono::milliseconds drain_poll{20};
 
-// Returns the endpoints that operators asked to drain or that an order is
-// about to change.
+// Returns the endpoints that operators asked to drain, that an order is about
+// to change, or that are leaving or down.
 std::vector<std::string> drained_endpoints(const fold::state& state)
 {
     std::vector<std::string> out;
@@ -35,6 +35,9 @@
             out.push_back(name);
         }
     }
+    for (const auto& [name, condition] : state.message().conditions()) {
+        out.push_back(name);
+    }
     return out;
 }
 
--- a/src/fold/state.cpp
+++ b/src/fold/state.cpp
@@ -114,6 +114,8 @@
         return apply_settlement(offset, record.author(), record.settlement());
     case protocol::record::kEndpointWish:
         return apply_wish(offset, record.endpoint_wish());
+    case protocol::record::kReport:
+        return apply_report(offset, record.report());
     case protocol::record::kStateSnapshot:
         // It repeats what was folded here already.
         return accept();
@@ -288,6 +290,20 @@
     return accept();
 }
 
+decision state::apply_report(std::uint64_t offset, const protocol::endpoint_report& report)
+{
+    auto& conditions = *m_state->mutable_conditions();
+    if (report.condition() == "serving") {
+        conditions.erase(report.endpoint());
+        return accept();
+    }
+    auto& kept = conditions[report.endpoint()];
+    kept.set_condition(report.condition());
+    kept.set_reason(report.reason());
+    kept.set_offset(offset);
+    return accept();
+}
+
 std::string state::serialize() const
 {
     std::string bytes;
