--- a/include/cicadaport/control/admin_api.h
+++ b/include/cicadaport/control/admin_api.h
@@ -32,6 +32,7 @@
     boost::asio::awaitable<http::response> publish(const http::request& message);
     boost::asio::awaitable<http::response> change_endpoint(const http::target_view& target);
     std::optional<protocol::endpoint_request> wish_of(const std::string& endpoint) const;
+    http::response refused(const fold::decision& made) const;
     http::response show_configuration() const;
     http::response show_processes() const;
     http::response show_endpoints() const;
--- a/include/cicadaport/settings/process_settings.h
+++ b/include/cicadaport/settings/process_settings.h
@@ -1,7 +1,7 @@
 // What one process is told at its start: addresses, availability zone, platform.
 #pragma once
 
-#include "cicadaport/http/client.h"
+#include "cicadaport/http/address.h"
 
 #include <chrono>
 #include <cstdint>
@@ -23,8 +23,27 @@
     std::uint32_t workers = 2;
 };
 
+// How completions go through an entry process. Pass-through neither retries
+// nor resumes; it is the baseline for measurements.
+enum class completion_path { resumable, pass_through };
+
+// How an engine is chosen. All but `predicted` are baselines that admit
+// everything.
+enum class placement_policy {
+    predicted,
+    two_random_choices,
+    random,
+    round_robin,
+    least_outstanding,
+    cache_only,
+};
+
 struct entry_settings {
     common_settings common;
+    completion_path path = completion_path::resumable;
+    placement_policy placement = placement_policy::predicted;
+    // The platform's log, for claims; port 0 if there is none.
+    http::address log;
     // Where callers connect.
     http::address caller_address;
     // The control processes to follow; the one on the same host first.
