--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -1,7 +1,9 @@
 #include "cicadaport/control/process.h"
 
+#include "cicadaport/authority/fleet_directors.h"
 #include "cicadaport/base/io_pool.h"
 #include "cicadaport/control/admin_api.h"
+#include "cicadaport/membership/endpoint_watch.h"
 #include "cicadaport/platform/snapshotter.h"
 #include "cicadaport/platform/tailer.h"
 #include "cicadaport/relay/follower.h"
@@ -22,6 +24,9 @@
 constexpr char log_stream[] = "system";
 constexpr std::size_t control_workers = 1;
 
+// How long a planned stop waits for orders and for the release of leases.
+constexpr std::chrono::milliseconds release_time{5'000};
+
 class process {
 public:
     explicit process(const settings::control_settings& settings)
@@ -40,7 +45,14 @@
                   [this](std::size_t, const http::request& message, http::response_writer& writer) {
                       return m_admin_api.handle(message, writer);
                   }},
-          m_signals{m_pool.context(0), SIGTERM, SIGINT}
+          m_signals{m_pool.context(0), SIGTERM, SIGINT}, m_engines{m_pool.context(0)},
+          m_directors{{m_pool.context(0), m_replica, m_proposals, m_engines,
+                       [this](std::uint64_t offset) { return is_folded_everywhere(offset); }},
+                      settings.common.id,
+                      timing(settings)},
+          m_watch{{m_pool.context(0), m_replica, m_proposals, settings.platform.host_list,
+                   settings.common.id, [this] { return live_control_processes(); }}},
+          m_release_limit{m_pool.context(0)}
     {
         m_replica.add_listener([this](const fold::state& state) { note(state); });
         m_follower = std::make_unique<relay::follower>(settings.peers, m_replica, m_processes,
@@ -48,10 +60,12 @@
         m_relay = std::make_unique<relay::relay_server>(
             settings.relay_address, m_replica, m_processes, [this] { return contact_age(); });
         asio::co_spawn(m_pool.context(0), m_tailer.run(), asio::detached);
+        asio::co_spawn(m_pool.context(0), direct(), asio::detached);
+        asio::co_spawn(m_pool.context(0), m_watch.run(), asio::detached);
         asio::co_spawn(m_pool.context(0), m_snapshots.run(), asio::detached);
         m_signals.async_wait([this](const boost::system::error_code& error, int) {
             if (!error) {
-                m_pool.stop();
+                stop();
             }
         });
     }
@@ -65,6 +79,53 @@
     }
 
 private:
+    static authority::lease_timing timing(const settings::control_settings& settings)
+    {
+        authority::lease_timing out;
+        out.duration = settings.lease_time;
+        return out;
+    }
+
+    // Directs until the leases are released, then ends the process.
+    asio::awaitable<void> direct()
+    {
+        co_await m_directors.run();
+        m_pool.stop();
+    }
+
+    void stop()
+    {
+        m_directors.stop();
+        m_release_limit.expires_after(release_time);
+        m_release_limit.async_wait([this](const boost::system::error_code& error) {
+            if (!error) {
+                m_pool.stop();
+            }
+        });
+    }
+
+    // A process that is silent or can't fold takes no part: an engine that
+    // changes refuses its work unstarted.
+    bool is_folded_everywhere(std::uint64_t offset) const
+    {
+        const auto statuses = m_processes.list(relay::process_table::clock::now());
+        return std::all_of(statuses.begin(), statuses.end(), [&](const auto& status) {
+            const bool silent = status.age_ms() > relay::live_age.count();
+            return status.offset_in_force() >= offset || silent || !status.halted().empty();
+        });
+    }
+
+    std::vector<std::string> live_control_processes() const
+    {
+        std::vector<std::string> out;
+        for (const auto& each : m_processes.list(relay::process_table::clock::now())) {
+            if (each.kind() == "control" && each.age_ms() <= relay::live_age.count()) {
+                out.push_back(each.id());
+            }
+        }
+        return out;
+    }
+
     protocol::process_status status() const
     {
         protocol::process_status out;
@@ -124,6 +185,10 @@
     admin_api m_admin_api;
     http::server m_admin;
     asio::signal_set m_signals;
+    authority::engine_client m_engines;
+    authority::fleet_directors m_directors;
+    membership::endpoint_watch m_watch;
+    asio::steady_timer m_release_limit;
     std::unique_ptr<relay::follower> m_follower;
     std::unique_ptr<relay::relay_server> m_relay;
 };
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -25,7 +25,8 @@
 constexpr std::chrono::milliseconds longest_request{70'000};
 constexpr std::chrono::milliseconds claim_time{2'000};
 
-// Returns the endpoints that operators asked to drain.
+// Returns the endpoints that operators asked to drain, that an order is about
+// to change, or that are leaving or down.
 std::vector<std::string> drained_endpoints(const fold::state& state)
 {
     std::vector<std::string> out;
@@ -34,6 +35,14 @@
             out.push_back(name);
         }
     }
+    for (const auto& [name, orders] : state.message().orders()) {
+        if (orders.has_intent()) {
+            out.push_back(name);
+        }
+    }
+    for (const auto& [name, condition] : state.message().conditions()) {
+        out.push_back(name);
+    }
     return out;
 }
 
