--- a/src/scenario/fleet.cpp
+++ b/src/scenario/fleet.cpp
@@ -6,6 +6,7 @@
 
 #include <cstdlib>
 #include <filesystem>
+#include <thread>
 
 namespace cicadaport::scenario {
 namespace asio = boost::asio;
@@ -16,6 +17,9 @@
 constexpr int default_first_port = 11'000;
 constexpr std::uint16_t ports_per_range = 300;
 constexpr std::uint16_t ranges = 16;
+// Closed connections hold their ports for a minute.
+constexpr std::chrono::seconds port_time{90};
+constexpr std::chrono::milliseconds port_pause{500};
 constexpr std::chrono::milliseconds make_deployment_time{20'000};
 
 std::uint16_t first_port()
@@ -86,6 +90,17 @@
 } // namespace
 
 port_range::port_range() : m_held{m_context}
+{
+    const auto until = std::chrono::steady_clock::now() + port_time;
+    while (!take_one()) {
+        if (std::chrono::steady_clock::now() >= until) {
+            throw std::runtime_error{"all port ranges of scenarios are taken"};
+        }
+        std::this_thread::sleep_for(port_pause);
+    }
+}
+
+bool port_range::take_one()
 {
     const auto start = static_cast<std::uint16_t>(getpid() % ranges);
     for (std::uint16_t i = 0; i < ranges; ++i) {
@@ -98,11 +113,11 @@
             continue;
         }
         if (are_free(m_context, m_base)) {
-            return;
+            return true;
         }
         m_held.close();
     }
-    throw std::runtime_error{"all port ranges of scenarios are taken"};
+    return false;
 }
 
 temporary_folder::temporary_folder()
--- a/src/scenario/internal/fleet.h
+++ b/src/scenario/internal/fleet.h
@@ -16,7 +16,7 @@
 namespace cicadaport::scenario {
 
 // Holds a range of ports for as long as it lives, so that several scenarios
-// can run at once. Throws std::runtime_error if none is free.
+// can run at once. Waits for a free one; throws std::runtime_error if none comes.
 //
 // The ranges lie below those from which the kernel takes the ports of outgoing
 // connections. CICADAPORT_SCENARIO_FIRST_PORT moves them.
@@ -27,6 +27,9 @@
     std::uint16_t base() const noexcept { return m_base; }
 
 private:
+    // Holds a free range if there is one.
+    bool take_one();
+
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::acceptor m_held;
     std::uint16_t m_base = 0;
