--- a/include/cicadaport/entry/gateway.h
+++ b/include/cicadaport/entry/gateway.h
@@ -34,7 +34,7 @@
     void hand_over_streams();
 
 private:
-    boost::asio::awaitable<void> dispatch(path_resources resources, caller_exchange exchange,
+    boost::asio::awaitable<void> dispatch(const path_resources& resources, caller_exchange exchange,
                                           const http::target_view& target);
     request_context identify_caller(const http::request& message) const;
     boost::asio::awaitable<void> refuse(const request_context& context,
--- a/src/entry/gateway.cpp
+++ b/src/entry/gateway.cpp
@@ -68,7 +68,7 @@
     return identify(message, m_view.read(guard), clock::now());
 }
 
-asio::awaitable<void> gateway::dispatch(path_resources resources, caller_exchange exchange,
+asio::awaitable<void> gateway::dispatch(const path_resources& resources, caller_exchange exchange,
                                         const http::target_view& target)
 {
     const auto& method = exchange.message.method;
