scenario: judge a stream by its documented ids and by the verdict at its end

Cause: the scenarios expected an engine's own event ids and a verdict of ran in a stream's head. Callers are promised ids that count what was delivered, and a head of may_have_run that the final event turns into ran. Ruled out: a fault of the streams; their bodies were whole. Change: the check reads the count of each id, 1 to n without a gap, and takes ran only from a whole stream that began with may_have_run. It refuses ids that merely begin like the next one.

--- a/include/cicadaport/scenario/answer.h
+++ b/include/cicadaport/scenario/answer.h
@@ -18,12 +18,17 @@
 };
 
 // Returns what is missing from a stream of server-sent events that should
-// carry the tokens 0 to `tokens` - 1, once each and in order, and then the
-// final event; empty if nothing is.
+// carry the tokens 1 to `tokens`, once each and in order as their ids count
+// them, and then the final event; empty if nothing is.
 std::string missing_from_stream(std::string_view body, std::uint32_t tokens);
 
 // Returns what is wrong with `got` as the whole answer to a completion
 // (`tokens` > 0) or to a plain request; empty if nothing is.
 std::string missing_from(const answer& got, std::uint32_t tokens, bool streamed);
 
+// Returns the verdict as the caller knows it at the end: a stream begins with
+// `may_have_run` and has run once it is whole; all else says it in its head.
+// The view is of `got` or static.
+std::string_view verdict_of(const answer& got, std::uint32_t tokens, bool streamed);
+
 } // namespace cicadaport::scenario
