standins: a health probe of the plain service runs nothing

Cause: the drained service seemed to start 8 requests; they were the probes of the endpoint watchers, which the stand-in took for work. Ruled out: entry processes sending work to it; its record held no confirmation. Measured: the drained-endpoint scenario failed before and passes in both deployments after.

--- a/include/cicadaport/standins/plain_service.h
+++ b/include/cicadaport/standins/plain_service.h
@@ -13,6 +13,7 @@
 // Runs whatever it is sent, each time it is sent, and keeps a record of it:
 //
 //   any  PATH                  runs; answers {"confirmation": N, "echo": body}
+//   GET  /healthz              answers, runs nothing
 //   GET  /v1/runs              every run: request id, key, method, path
 //   POST /v1/faults?late_ms=500&lose_answers=1&refuse=true&cut_answers=2
 //
--- a/src/standins/plain_service.cpp
+++ b/src/standins/plain_service.cpp
@@ -21,6 +21,9 @@
                                             http::response_writer& writer)
 {
     const http::target_view target{message.target};
+    if (target.path() == "/healthz") {
+        return writer.send({status_ok, {}, "ok\n"});
+    }
     if (target.path() == "/v1/runs") {
         return writer.send(list_runs());
     }
