authority: test ports lie below those of outgoing connections

The fixture took ports from the range that the system gives to outgoing connections. A listener on such a port is refused ("Address already in use", tried with a plain socket), which ends the process at its start. Ruled out: a start that hangs: readiness answers as soon as the process listens.

--- a/test/authority/frozen_holder_test.cpp
+++ b/test/authority/frozen_holder_test.cpp
@@ -83,7 +83,7 @@
                             << "\n  host_list: 127.0.0.1:1\n  weight_store: 127.0.0.1:1\n";
         which.process = start("cicadaport-control", {"--settings", file}, std::move(environment),
                               name + ".log");
-        EXPECT_TRUE(eventually([&] { return call(which.admin, "GET", "/readyz").status == 200; }));
+        EXPECT_TRUE(becomes_ready(*which.process, which.admin)) << which.process->log();
     }
 
     void publish(const control& through) const
--- a/test/authority/process_fixture.h
+++ b/test/authority/process_fixture.h
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <functional>
 #include <sstream>
+#include <stdexcept>
 #include <string>
 #include <system_error>
 #include <thread>
@@ -18,6 +19,7 @@
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 namespace cicadaport::authority::testing {
 
@@ -45,13 +47,19 @@
     std::string m_log_file;
 };
 
-// Returns a port of 127.0.0.1 that nobody listens on just now.
+// Returns a port of 127.0.0.1 that nobody listens on just now. It lies below
+// the range from which the system serves outgoing connections: a port of that
+// range may be taken by one before the caller listens on it. Programs that
+// tests run at the same time search in blocks of their own.
 std::uint16_t free_port();
 
 // Sends one request and returns the response; its status is 0 if there is none.
 http::response call(std::uint16_t port, const std::string& method, const std::string& target,
                     std::string body = {});
 
+// Returns whether `admin` says that it is ready before `process` ends.
+bool becomes_ready(child_process& process, std::uint16_t admin);
+
 // Returns whether `condition` became true within `limit`.
 bool eventually(const std::function<bool()>& condition,
                 std::chrono::milliseconds limit = std::chrono::seconds{60});
@@ -130,12 +138,30 @@
     return text.str();
 }
 
-inline std::uint16_t free_port()
+inline bool is_free(std::uint16_t port)
 {
     boost::asio::io_context context;
-    const boost::asio::ip::tcp::endpoint any{boost::asio::ip::make_address("127.0.0.1"), 0};
-    const boost::asio::ip::tcp::acceptor acceptor{context, any};
-    return acceptor.local_endpoint().port();
+    const boost::asio::ip::tcp::endpoint here{boost::asio::ip::make_address("127.0.0.1"), port};
+    boost::asio::ip::tcp::acceptor acceptor{context, here.protocol()};
+    boost::system::error_code error;
+    acceptor.bind(here, error);
+    return !error;
+}
+
+inline std::uint16_t free_port()
+{
+    constexpr unsigned first = 22'000;
+    constexpr unsigned blocks = 28;
+    constexpr unsigned block_size = 256;
+    static unsigned tried = 0;
+    const unsigned block = first + static_cast<unsigned>(::getpid()) % blocks * block_size;
+    for (unsigned i = 0; i < block_size; ++i) {
+        const auto port = static_cast<std::uint16_t>(block + tried++ % block_size);
+        if (is_free(port)) {
+            return port;
+        }
+    }
+    throw std::runtime_error{"no free port from " + std::to_string(block)};
 }
 
 inline boost::asio::awaitable<void> exchange(http::client& client, std::uint16_t port,
@@ -183,4 +209,14 @@
     return true;
 }
 
+inline bool becomes_ready(child_process& process, std::uint16_t admin)
+{
+    bool ready = false;
+    return eventually([&] {
+               ready = call(admin, "GET", "/readyz").status == 200;
+               return ready || process.has_ended();
+           }) &&
+           ready;
+}
+
 } // namespace cicadaport::authority::testing
--- a/test/authority/process_fixture_test.cpp
+++ b/test/authority/process_fixture_test.cpp
@@ -14,5 +14,25 @@
     EXPECT_TRUE(eventually([&] { return child.has_ended(); }));
 }
 
+TEST(process_fixture_test, a_free_port_is_none_that_an_outgoing_connection_may_take)
+{
+    std::ifstream range{"/proc/sys/net/ipv4/ip_local_port_range"};
+    unsigned first_outgoing = 0;
+    range >> first_outgoing;
+    EXPECT_LT(free_port(), first_outgoing);
+}
+
+TEST(process_fixture_test, a_process_whose_port_is_taken_is_seen_as_ended_at_once)
+{
+    const auto port = free_port();
+    const auto address = "127.0.0.1:" + std::to_string(port);
+    boost::asio::io_context context;
+    const boost::asio::ip::tcp::acceptor taken{
+        context, {boost::asio::ip::make_address("127.0.0.1"), port}, false};
+    child_process child{"cicadaport-standin-log", {"--listen", address}, {}, "/dev/null"};
+    EXPECT_FALSE(becomes_ready(child, free_port()));
+    EXPECT_TRUE(child.has_ended());
+}
+
 } // namespace
 } // namespace cicadaport::authority::testing
--- a/test/membership/leaving_endpoint_test.cpp
+++ b/test/membership/leaving_endpoint_test.cpp
@@ -41,7 +41,8 @@
         start("cicadaport-control", {"--settings", file});
         EXPECT_TRUE(
             eventually([&] { return call(m_hosts_port, "GET", "/v1/hosts").status == 200; }));
-        EXPECT_TRUE(eventually([&] { return call(m_admin, "GET", "/readyz").status == 200; }));
+        EXPECT_TRUE(authority::testing::becomes_ready(*m_processes.back(), m_admin))
+            << m_processes.back()->log();
         EXPECT_TRUE(eventually([&] { return publish(); }));
         EXPECT_TRUE(eventually([&] { return shown_condition() == "serving"; }));
     }
