control: metrics, and readiness that follows the log

Cause: control processes served no metrics, nothing showed how far a process follows the log, and their /readyz said 200 before the first answer of the log. Change: gauges of progress under the same names in entry and control processes; endpoints by condition, role changes, leases and processes in control processes, all from the folded state; requests in flight in entry processes; /readyz of a control process is 503 until the log or a peer has told it the state. Ruled out: a label for the lease's holder; holders' ids change with each start, so the series would grow for ever. Conclusion: alerts can now be written on what the fold knows.

--- a/include/cicadaport/control/admin_api.h
+++ b/include/cicadaport/control/admin_api.h
@@ -15,7 +15,7 @@
 
 namespace cicadaport::control {
 
-// Answers administration requests; all but health need the operator's key.
+// Answers administration requests; every one needs the operator's key.
 //
 // Belongs to one event loop; what it is given must outlive it. The interface
 // is described in docs/reference/admin-api.md.
--- a/include/cicadaport/entry/metrics.h
+++ b/include/cicadaport/entry/metrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "cicadaport/base/verdict.h"
+#include "cicadaport/telemetry/progress.h"
 
 #include <chrono>
 #include <memory>
@@ -27,8 +28,9 @@
     void first_token(std::string_view priority, std::chrono::steady_clock::duration after);
     void between_tokens(std::string_view priority, std::chrono::steady_clock::duration gap);
 
-    // Returns everything in Prometheus' text format.
-    std::string expose() const;
+    // Returns everything in Prometheus' text format, with the process's
+    // progress on the log and the number of requests that it is answering.
+    std::string expose(const telemetry::progress& now, std::size_t in_flight) const;
 
 private:
     class implementation;
--- a/src/control/admin_api.cpp
+++ b/src/control/admin_api.cpp
@@ -78,9 +78,6 @@
 {
     const http::target_view target{message.target};
     const auto& path = target.path();
-    if (path == "/healthz" || path == "/readyz") {
-        co_return http::response{status_ok, {}, "ok\n"};
-    }
     if (!is_operator(message)) {
         co_return problem(status_unauthorized, "unknown_key", "the operator's key is not known");
     }
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -3,6 +3,7 @@
 #include "cicadaport/authority/fleet_directors.h"
 #include "cicadaport/base/io_pool.h"
 #include "cicadaport/control/admin_api.h"
+#include "cicadaport/control/metrics.h"
 #include "cicadaport/membership/endpoint_watch.h"
 #include "cicadaport/platform/snapshotter.h"
 #include "cicadaport/platform/tailer.h"
@@ -43,7 +44,7 @@
                   settings.common.admin_address.port,
                   {},
                   [this](std::size_t, const http::request& message, http::response_writer& writer) {
-                      return m_admin_api.handle(message, writer);
+                      return serve_admin(message, writer);
                   }},
           m_signals{m_pool.context(0), SIGTERM, SIGINT}, m_engines{m_pool.context(0)},
           m_directors{{m_pool.context(0), m_replica, m_proposals, m_engines,
@@ -86,6 +87,30 @@
         return out;
     }
 
+    // Health and metrics are for the platform, which has no operator's key.
+    asio::awaitable<void> serve_admin(const http::request& message, http::response_writer& writer)
+    {
+        constexpr unsigned ok = 200;
+        constexpr unsigned unavailable = 503;
+        const http::target_view target{message.target};
+        if (target.path() == "/healthz") {
+            return writer.send({ok, {}, "ok\n"});
+        }
+        if (target.path() == "/readyz") {
+            return writer.send({is_ready() ? ok : unavailable, {}, is_ready() ? "ok\n" : "no\n"});
+        }
+        if (target.path() == "/metrics") {
+            return writer.send({ok,
+                                {{"Content-Type", "text/plain; version=0.0.4"}},
+                                m_metrics.expose(contact_age())});
+        }
+        return m_admin_api.handle(message, writer);
+    }
+
+    // Whether this process knows the state: from the log, even an empty one,
+    // or from a peer.
+    bool is_ready() const { return m_tailer.since_last_answer() || m_replica.offset() > 0; }
+
     // Directs until the leases are released, then ends the process.
     asio::awaitable<void> direct()
     {
@@ -182,6 +207,7 @@
     platform::tailer m_tailer;
     platform::proposer m_proposals;
     platform::snapshotter m_snapshots;
+    metrics m_metrics{m_replica, m_processes};
     admin_api m_admin_api;
     http::server m_admin;
     asio::signal_set m_signals;
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -92,6 +92,13 @@
                                                    .Help("Time between two tokens of an answer")
                                                    .Register(registry);
 
+    telemetry::progress_gauges progress{registry};
+    prometheus::Gauge& in_flight = prometheus::BuildGauge()
+                                       .Name("cicadaport_requests_in_flight")
+                                       .Help("Requests that are being answered")
+                                       .Register(registry)
+                                       .Add({});
+
     Histogram& whole(const std::string& priority)
     {
         const auto make = [&]() -> Histogram& {
@@ -145,8 +152,10 @@
     m_impl->gap_handles.get(class_name, make).Observe(seconds(gap));
 }
 
-std::string metrics::expose() const
+std::string metrics::expose(const telemetry::progress& now, std::size_t in_flight) const
 {
+    m_impl->progress.set(now);
+    m_impl->in_flight.Set(static_cast<double>(in_flight));
     return prometheus::TextSerializer{}.Serialize(m_impl->registry.Collect());
 }
 
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -142,6 +142,12 @@
                !m_draining.load(std::memory_order_acquire) && !m_follower->is_stale();
     }
 
+    telemetry::progress progress() const
+    {
+        return {m_replica.offset(), m_configuration_offset.load(std::memory_order_acquire),
+                m_follower->since_contact()};
+    }
+
     asio::awaitable<void> serve_admin(const http::request& message, http::response_writer& writer)
     {
         const http::target_view target{message.target};
@@ -155,8 +161,9 @@
             return writer.send({is_ready() ? ok : unavailable, {}, is_ready() ? "ok\n" : "no\n"});
         }
         if (target.path() == "/metrics") {
-            return writer.send(
-                {ok, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.expose()});
+            return writer.send({ok,
+                                {{"Content-Type", "text/plain; version=0.0.4"}},
+                                m_metrics.expose(progress(), m_callers.active_requests())});
         }
         return writer.send({not_found, {}, "not found\n"});
     }
