--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -4,6 +4,7 @@
 #include "cicadaport/base/io_pool.h"
 #include "cicadaport/control/admin_api.h"
 #include "cicadaport/control/metrics.h"
+#include "cicadaport/http/health.h"
 #include "cicadaport/membership/endpoint_watch.h"
 #include "cicadaport/platform/snapshotter.h"
 #include "cicadaport/platform/tailer.h"
@@ -87,22 +88,11 @@
         return out;
     }
 
-    // Health and metrics are for the platform, which has no operator's key.
     asio::awaitable<void> serve_admin(const http::request& message, http::response_writer& writer)
     {
-        constexpr unsigned ok = 200;
-        constexpr unsigned unavailable = 503;
         const http::target_view target{message.target};
-        if (target.path() == "/healthz") {
-            return writer.send({ok, {}, "ok\n"});
-        }
-        if (target.path() == "/readyz") {
-            return writer.send({is_ready() ? ok : unavailable, {}, is_ready() ? "ok\n" : "no\n"});
-        }
-        if (target.path() == "/metrics") {
-            return writer.send({ok,
-                                {{"Content-Type", "text/plain; version=0.0.4"}},
-                                m_metrics.expose(contact_age())});
+        if (auto page = http::health_answer(target.path(), m_health)) {
+            return writer.send(std::move(*page));
         }
         return m_admin_api.handle(message, writer);
     }
@@ -208,6 +198,8 @@
     platform::proposer m_proposals;
     platform::snapshotter m_snapshots;
     metrics m_metrics{m_replica, m_processes};
+    http::health_source m_health{[this] { return is_ready(); },
+                                 [this] { return m_metrics.expose(contact_age()); }};
     admin_api m_admin_api;
     http::server m_admin;
     asio::signal_set m_signals;
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -4,6 +4,7 @@
 #include "cicadaport/claims/claim_store.h"
 #include "cicadaport/entry/gateway.h"
 #include "cicadaport/entry/load_feed.h"
+#include "cicadaport/http/health.h"
 #include "cicadaport/relay/follower.h"
 
 #include <nlohmann/json.hpp>
@@ -142,32 +143,24 @@
                !m_draining.load(std::memory_order_acquire) && !m_follower->is_stale();
     }
 
-    telemetry::progress progress() const
-    {
-        return {m_replica.offset(), m_configuration_offset.load(std::memory_order_acquire),
-                m_follower->since_contact()};
-    }
-
     asio::awaitable<void> serve_admin(const http::request& message, http::response_writer& writer)
     {
-        const http::target_view target{message.target};
-        constexpr unsigned ok = 200;
         constexpr unsigned not_found = 404;
-        constexpr unsigned unavailable = 503;
-        if (target.path() == "/healthz") {
-            return writer.send({ok, {}, "ok\n"});
-        }
-        if (target.path() == "/readyz") {
-            return writer.send({is_ready() ? ok : unavailable, {}, is_ready() ? "ok\n" : "no\n"});
-        }
-        if (target.path() == "/metrics") {
-            return writer.send({ok,
-                                {{"Content-Type", "text/plain; version=0.0.4"}},
-                                m_metrics.expose(progress(), m_callers.active_requests())});
+        const http::target_view target{message.target};
+        if (auto page = http::health_answer(target.path(), m_health)) {
+            return writer.send(std::move(*page));
         }
         return writer.send({not_found, {}, "not found\n"});
     }
 
+    std::string expose_metrics() const
+    {
+        const telemetry::progress now{m_replica.offset(),
+                                      m_configuration_offset.load(std::memory_order_acquire),
+                                      m_follower->since_contact()};
+        return m_metrics.expose(now, m_callers.active_requests());
+    }
+
     // Readiness turns first, then accepting stops, then the requests that run
     // go on to their end within the grace time. Streams that are longer go on
     // at another entry process; other requests are bounded by their timeouts.
@@ -184,7 +177,6 @@
         co_await wait_for_requests(longest_request);
         co_await wait_for_claims();
         spdlog::info("drain_ended active={}", m_callers.active_requests());
-        m_follower.reset();
         m_pool.stop();
     }
 
@@ -215,6 +207,8 @@
     routing::load_table m_loads;
     base::published<routing::view> m_view;
     metrics m_metrics;
+    http::health_source m_health{[this] { return is_ready(); },
+                                 [this] { return expose_metrics(); }};
     decision_state m_decisions;
     fold::replica m_replica;
     relay::process_table m_processes;
