--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -269,7 +269,7 @@
     static asio::awaitable<void> pause_after(beast::error_code error)
     {
         constexpr std::chrono::milliseconds accept_pause{20};
-        spdlog::warn("accept failed error=\"{}\"", error.message());
+        spdlog::warn("accept_failed error=\"{}\"", error.message());
         asio::steady_timer timer{co_await asio::this_coro::executor, accept_pause};
         co_await timer.async_wait(as_result);
     }
--- a/test/docs/pages_test.cpp
+++ b/test/docs/pages_test.cpp
@@ -52,19 +52,44 @@
     }
 }
 
-TEST(pages_test, every_metric_has_a_row)
+// Fails unless each first group of `pattern` in the sources stands, in
+// backquotes, on `page`.
+void expect_rows(const std::string& page, const std::regex& pattern)
 {
-    const std::regex metric{R"x("(cicadaport_[a-z_]+)")x"};
-    const auto page = read_file(root() + "/docs/reference/metrics.md");
+    const auto text = read_file(root() + "/docs/reference/" + page);
+    std::size_t found = 0;
     for (const auto& each : std::filesystem::recursive_directory_iterator{root() + "/src"}) {
         if (each.path().extension() != ".cpp") {
             continue;
         }
-        const auto text = read_file(each.path().string());
-        for (std::sregex_iterator it{text.begin(), text.end(), metric}, end; it != end; ++it) {
-            EXPECT_NE(page.find("`" + (*it)[1].str() + "`"), std::string::npos) << (*it)[1];
+        const auto source = read_file(each.path().string());
+        for (std::sregex_iterator it{source.begin(), source.end(), pattern}, end; it != end; ++it) {
+            ++found;
+            EXPECT_NE(text.find("`" + (*it)[1].str() + "`"), std::string::npos)
+                << page << " has no row for " << (*it)[1] << " of " << each.path();
         }
     }
+    EXPECT_GT(found, 0U) << page;
+}
+
+TEST(pages_test, every_metric_has_a_row)
+{
+    expect_rows("metrics.md", std::regex{R"x("(cicadaport_[a-z_]+)")x"});
+}
+
+TEST(pages_test, every_error_of_callers_has_a_row)
+{
+    expect_rows("errors.md", std::regex{R"x(return \{"([a-z_]+)", [0-9]{3},)x"});
+}
+
+TEST(pages_test, every_error_of_the_administration_api_has_a_row)
+{
+    expect_rows("errors.md", std::regex{R"x(problem\(status_[a-z_]+,\s*"([a-z_]+)")x"});
+}
+
+TEST(pages_test, every_warning_has_a_row)
+{
+    expect_rows("errors.md", std::regex{R"x(spdlog::(?:warn|error|critical)\(\s*"([a-z_]+))x"});
 }
 
 } // namespace
