scenario: a child inherits no open files

Cause: sockets of the program that starts a child stayed open in the child, so ports of relays that had ended were still taken, and connections that a relay had cut still had an end open in any process that was started meanwhile.

Change: a child starts with its standard streams and nothing else.

The new test fails without the change.

--- a/src/scenario/child_process.cpp
+++ b/src/scenario/child_process.cpp
@@ -16,7 +16,8 @@
 constexpr std::chrono::milliseconds poll_time{5};
 constexpr mode_t output_mode = 0644;
 
-// The child's open files: nothing to read, output to a file.
+// The child's open files: nothing to read, output to a file, and none of this
+// process's own, whose ports and connections would stay open with the child.
 class file_actions {
 public:
     explicit file_actions(const std::string& output_file)
@@ -26,6 +27,7 @@
         posix_spawn_file_actions_addopen(&m_actions, STDOUT_FILENO, output_file.c_str(),
                                          O_WRONLY | O_CREAT | O_APPEND, output_mode);
         posix_spawn_file_actions_adddup2(&m_actions, STDOUT_FILENO, STDERR_FILENO);
+        posix_spawn_file_actions_addclosefrom_np(&m_actions, STDERR_FILENO + 1);
     }
     ~file_actions() { posix_spawn_file_actions_destroy(&m_actions); }
     file_actions(const file_actions&) = delete;
--- a/test/scenario/child_process_test.cpp
+++ b/test/scenario/child_process_test.cpp
@@ -23,6 +23,19 @@
     EXPECT_EQ(WEXITSTATUS(*status), 3);
 }
 
+TEST(child_process_test, a_child_holds_no_port_or_connection_of_its_owner)
+{
+    int ends[2];
+    ASSERT_EQ(pipe(ends), 0);
+    const auto path = "/proc/self/fd/" + std::to_string(ends[0]);
+    child_process child{"/bin/sh", {"-c", "exec test -e " + path}, "/dev/null"};
+    const auto status = child.wait(10s);
+    close(ends[0]);
+    close(ends[1]);
+    ASSERT_TRUE(status);
+    EXPECT_EQ(WEXITSTATUS(*status), 1) << path << " is open in the child";
+}
+
 // Returns the process id that a child wrote to `file`.
 pid_t written_pid(const std::string& file)
 {
