entry: each safeguard of a request's path can be switched off by a test

Cause: for most mechanisms of the path of a request nobody had seen a test fail for want of it. Two tests proved nothing: that a caller's leaving cancels at the engine passed without the cancel, because the engine's load report was older than the stream and because the engine ends unread streams by itself in 5 s; the limit of 20 s was longer. The engine of resumable_test keeps unread streams and reports its present load. The budget is seen only with circuits off: an open circuit stops the retries first.

--- a/src/claims/claim_store.cpp
+++ b/src/claims/claim_store.cpp
@@ -2,6 +2,7 @@
 
 #include "cicadaport/base/digest.h"
 #include "cicadaport/base/identifier.h"
+#include "cicadaport/base/safeguards.h"
 #include "cicadaport/platform/log_client.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -14,6 +15,8 @@
 
 namespace cicadaport::claims {
 namespace asio = boost::asio;
+using base::safeguard;
+using base::safeguards;
 using base::verdict;
 using platform::log_error;
 using std::chrono::milliseconds;
@@ -65,7 +68,7 @@
     if (holder->claim_id == claim_id) {
         return claim_outcome::won;
     }
-    if (holder->request != wanted.request) {
+    if (holder->request != wanted.request && safeguards::is_on(safeguard::claimed_request)) {
         return claim_outcome::other_request;
     }
     return holder->answer ? std::optional{claim_outcome::ended} : std::nullopt;
@@ -182,7 +185,8 @@
     // A claim that its author gave up on reached the log after all.
     void release_if_abandoned(const protocol::claim_record& record)
     {
-        if (record.has_made() && m_abandoned.erase(record.claim_id()) > 0) {
+        if (record.has_made() && m_abandoned.erase(record.claim_id()) > 0 &&
+            safeguards::is_on(safeguard::abandoned_release)) {
             auto release = new_record(record.key(), record.claim_id());
             release.mutable_released();
             enqueue(std::move(release));
@@ -242,7 +246,8 @@
         const auto payload = message.SerializeAsString();
         for (int attempt = 0; attempt < most_appends; ++attempt) {
             const bool appended = co_await append_once(payload, attempt > 0);
-            if (co_await catch_up(milliseconds{0}, payload) || appended) {
+            const bool found = co_await catch_up(milliseconds{0}, payload);
+            if (appended || (found && safeguards::is_on(safeguard::read_back))) {
                 co_return;
             }
         }
--- a/src/entry/circuit_breaker.cpp
+++ b/src/entry/circuit_breaker.cpp
@@ -1,5 +1,7 @@
 #include "cicadaport/entry/circuit_breaker.h"
 
+#include "cicadaport/base/safeguards.h"
+
 #include <algorithm>
 
 namespace cicadaport::entry {
@@ -14,6 +16,9 @@
 
 bool circuit_breaker::allows(time_point now)
 {
+    if (!base::safeguards::is_on(base::safeguard::circuit_breaker)) {
+        return true;
+    }
     if (now < m_open_until) {
         return false;
     }
--- a/src/entry/gateway.cpp
+++ b/src/entry/gateway.cpp
@@ -1,5 +1,6 @@
 #include "cicadaport/entry/gateway.h"
 
+#include "cicadaport/base/safeguards.h"
 #include "cicadaport/entry/request_end.h"
 
 #include <nlohmann/json.hpp>
@@ -108,6 +109,9 @@
 
 void gateway::hand_over_streams()
 {
+    if (!base::safeguards::is_on(base::safeguard::hand_over)) {
+        return;
+    }
     for (const auto& each : m_workers) {
         asio::post(each->context, [own = each] {
             const auto calls = own->hand_over_calls;
--- a/src/entry/resumable_stream.cpp
+++ b/src/entry/resumable_stream.cpp
@@ -1,6 +1,7 @@
 #include "internal/resumable_stream.h"
 
 #include "cicadaport/base/identifier.h"
+#include "cicadaport/base/safeguards.h"
 #include "cicadaport/entry/request_end.h"
 #include "internal/stream_cancel.h"
 
@@ -8,6 +9,8 @@
 
 namespace cicadaport::entry {
 namespace asio = boost::asio;
+using base::safeguard;
+using base::safeguards;
 using base::verdict;
 using clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
@@ -100,11 +103,13 @@
 void resumable_stream::take_position_from_caller()
 {
     const auto id = m_exchange.message.fields.find(last_event_field);
-    if (!id || id->empty()) {
+    if (!id || id->empty() || !safeguards::is_on(safeguard::resume_position)) {
         return;
     }
     const auto position = parse_event_id(*id);
-    if (!position || !position->stream.starts_with(m_prefix)) {
+    const bool own = position && (position->stream.starts_with(m_prefix) ||
+                                  !safeguards::is_on(safeguard::position_owner));
+    if (!own) {
         throw request_failure{failure_kind::invalid_request, verdict::not_run,
                               std::string{last_event_field} +
                                   " is not of this account's request with this id and body"};
@@ -272,7 +277,7 @@
         forward(event);
     }
     else if (m_read.delivered == m_position.delivered) {
-        if (m_read.digest != m_position.digest) {
+        if (m_read.digest != m_position.digest && safeguards::is_on(safeguard::same_beginning)) {
             return ending::different;
         }
         // The new run is level with the caller and takes the old one's place.
@@ -403,7 +408,7 @@
 void resumable_stream::cancel_at_engine()
 {
     const auto engine = engine_address();
-    if (engine && !m_position.stream.empty()) {
+    if (engine && !m_position.stream.empty() && safeguards::is_on(safeguard::engine_cancel)) {
         cancel_stream(m_resources.own, *engine, m_position.stream);
     }
 }
--- a/src/entry/service_call.cpp
+++ b/src/entry/service_call.cpp
@@ -1,3 +1,4 @@
+#include "cicadaport/base/safeguards.h"
 #include "cicadaport/claims/claim_store.h"
 #include "cicadaport/entry/engine_choice.h"
 #include "cicadaport/entry/paths.h"
@@ -7,6 +8,8 @@
 
 namespace cicadaport::entry {
 namespace asio = boost::asio;
+using base::safeguard;
+using base::safeguards;
 using base::verdict;
 
 namespace {
@@ -50,7 +53,8 @@
     plan.message = {message.method, message.target, forwarded_fields(message, exchange.context.id),
                     message.body};
     plan.options.response_time = rules.timeout;
-    plan.options.fresh_connection = !rules.idempotent;
+    plan.options.fresh_connection =
+        !rules.idempotent && safeguards::is_on(safeguard::fresh_connection);
     plan.idempotent = rules.idempotent;
     return plan;
 }
@@ -80,7 +84,8 @@
     }
     const auto made = claims::creation_time(*key);
     const auto retention = claims::claim_settings{}.retention;
-    if (made && std::chrono::system_clock::now() - *made > retention) {
+    const bool too_old = made && std::chrono::system_clock::now() - *made > retention;
+    if (too_old && safeguards::is_on(safeguard::key_age)) {
         throw refusal(failure_kind::key_expired, verdict::may_have_run,
                       "the Idempotency-Key is older than keys are remembered");
     }
@@ -108,6 +113,12 @@
         co_return co_await resources.claims->acquire(wanted, wait_until);
     }
     catch (const platform::log_error& error) {
+        if (!safeguards::is_on(safeguard::confirmed_claim)) {
+            claims::claim_result unconfirmed;
+            unconfirmed.outcome = claims::claim_outcome::won;
+            unconfirmed.begin_before = wait_until;
+            co_return unconfirmed;
+        }
         // No endpoint has seen a byte, whatever became of the claim.
         throw request_failure{failure_kind::claims_unavailable, verdict::not_run, error.what(),
                               spread_retry_time(resources.own.random)};
@@ -123,7 +134,8 @@
     std::optional<request_failure> failure;
     endpoint_answer answer;
     try {
-        if (std::chrono::steady_clock::now() >= claim.begin_before) {
+        if (std::chrono::steady_clock::now() >= claim.begin_before &&
+            safeguards::is_on(safeguard::begin_time)) {
             throw refusal(failure_kind::unavailable, verdict::not_run, "this process was stopped");
         }
         answer = co_await exchange_with_retries(resources, exchange.context, plan);
@@ -203,7 +215,7 @@
     const auto plan = plan_of(resources, exchange, rules);
     const auto key = key_of(exchange.message, rules);
     endpoint_answer answer;
-    if (key) {
+    if (key && safeguards::is_on(safeguard::claim)) {
         answer = co_await claimed_call(resources, exchange, rules, plan, *key);
     }
     else {
--- a/src/entry/tries.cpp
+++ b/src/entry/tries.cpp
@@ -1,7 +1,11 @@
 #include "internal/tries.h"
 
+#include "cicadaport/base/safeguards.h"
+
 namespace cicadaport::entry {
 namespace asio = boost::asio;
+using base::safeguard;
+using base::safeguards;
 using base::verdict;
 using clock = std::chrono::steady_clock;
 
@@ -72,7 +76,8 @@
     ++m_failures;
     const bool allowed = base::may_retry(outcome, m_idempotent) && now < m_context.deadline &&
                          m_failures < most_tries;
-    if (!allowed || !m_own.retries.take()) {
+    const bool unbounded = !safeguards::is_on(safeguard::retry_budget);
+    if (!allowed || !(unbounded || m_own.retries.take())) {
         throw request_failure{failure_kind::endpoint_failed, m_worst, reason,
                               spread_retry_time(m_own.random)};
     }
@@ -108,7 +113,8 @@
             failure.reason = "the endpoint did not start it";
         }
         catch (const http::exchange_error& error) {
-            failure.outcome = error.outcome();
+            failure.outcome =
+                safeguards::is_on(safeguard::verdict) ? error.outcome() : verdict::not_run;
             failure.reason = error.what();
         }
         if (whole) {
--- a/test/entry/resumable_test.cpp
+++ b/test/entry/resumable_test.cpp
@@ -1,14 +1,28 @@
 #include "path_fixture.h"
+#include "safeguard_off.h"
 
 namespace cicadaport::entry {
 namespace {
 
+using base::safeguard;
+using base::safeguard_off;
 using engine = served<standins::engine_server>;
 constexpr std::uint32_t tokens = 40;
 
+// An engine that goes on with streams nobody reads, so that only a cancel ends
+// them early.
+standins::engine_settings patient_engine()
+{
+    standins::engine_settings out;
+    out.orphan_time = std::chrono::hours{1};
+    // An old report would not know of a stream that has just begun.
+    out.report_lag = std::chrono::milliseconds{0};
+    return out;
+}
+
 class resumable_test : public testing::Test {
 protected:
-    engine m_engine{standins::engine_settings{}};
+    engine m_engine{patient_engine()};
     std::string m_configuration = test_configuration({m_engine.address()}, {});
     served_gateway m_gateway{m_configuration};
 
@@ -19,9 +33,9 @@
         return body["waiting"].get<std::uint64_t>() + body["running"].get<std::uint64_t>();
     }
 
-    bool engine_becomes_idle() const
+    bool engine_becomes_idle(std::chrono::milliseconds limit = std::chrono::seconds{20}) const
     {
-        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds{20};
+        const auto until = std::chrono::steady_clock::now() + limit;
         while (std::chrono::steady_clock::now() < until) {
             if (running_at_engine() == 0) {
                 return true;
@@ -122,10 +136,67 @@
 TEST_F(resumable_test, cancels_at_the_engine_when_the_caller_leaves)
 {
     constexpr std::uint32_t very_long = 100'000;
-    read_answer(m_gateway.address(), streamed_completion(very_long), has_some_tokens);
+    read_answer(m_gateway.address(), streamed_completion(very_long), [&](const seen_answer& seen) {
+        EXPECT_EQ(running_at_engine(), 1U);
+        return has_some_tokens(seen);
+    });
     EXPECT_TRUE(engine_becomes_idle());
 }
 
+TEST_F(resumable_test, without_cancel_the_engine_works_on_for_nobody)
+{
+    const safeguard_off without{safeguard::engine_cancel};
+    constexpr std::uint32_t very_long = 100'000;
+    read_answer(m_gateway.address(), streamed_completion(very_long), has_some_tokens);
+    EXPECT_FALSE(engine_becomes_idle(std::chrono::seconds{2}));
+}
+
+TEST_F(resumable_test, without_positions_a_caller_that_comes_back_gets_tokens_twice)
+{
+    const safeguard_off without{safeguard::resume_position};
+    auto message = streamed_completion(tokens);
+    const auto seen = read_answer(m_gateway.address(), message, has_some_tokens);
+    message.fields.add("Last-Event-ID", seen.lines("id").back());
+    const auto rest = read_answer(m_gateway.address(), message);
+    EXPECT_EQ(rest.text(), expected_text(tokens));
+    EXPECT_NE(seen.text() + rest.text(), expected_text(tokens));
+}
+
+TEST_F(resumable_test, without_the_owner_check_another_account_reads_the_stream)
+{
+    const safeguard_off without{safeguard::position_owner};
+    auto message = streamed_completion(tokens);
+    // Killed, not left: its stream stays at the engine.
+    auto dying = std::make_unique<served_gateway>(m_configuration);
+    const auto seen = read_answer(dying->address(), message, [&](const seen_answer& so_far) {
+        if (dying && has_some_tokens(so_far)) {
+            dying.reset();
+        }
+        return false;
+    });
+    auto stolen = caller_request("POST", "/v1/completions",
+                                 R"({"model":"m","prompt":"any","stream":true})", "other-key");
+    stolen.fields.add("Last-Event-ID", seen.lines("id").back());
+    const auto rest = read_answer(m_gateway.address(), stolen);
+    EXPECT_EQ(seen.text() + rest.text(), expected_text(tokens));
+}
+
+TEST_F(resumable_test, without_hand_over_a_stopping_process_cuts_streams_without_a_word)
+{
+    const safeguard_off without{safeguard::hand_over};
+    auto stopping = std::make_unique<served_gateway>(m_configuration);
+    const auto seen = read_answer(stopping->address(), streamed_completion(tokens),
+                                  [&](const seen_answer& so_far) {
+                                      if (stopping && has_some_tokens(so_far)) {
+                                          stopping->handler().hand_over_streams();
+                                          stopping.reset();
+                                      }
+                                      return false;
+                                  });
+    EXPECT_FALSE(seen.complete);
+    EXPECT_EQ(seen.lines("event"), std::vector<std::string>{});
+}
+
 TEST_F(resumable_test, a_refusal_by_the_only_engine_says_not_run_and_when_to_come_back)
 {
     order_fault(m_engine.address(), "refuse=true");
@@ -197,5 +268,14 @@
     EXPECT_EQ(seen.body.find("[DONE]"), std::string::npos);
 }
 
+TEST(lost_engine_test, without_the_comparison_two_answers_are_mixed)
+{
+    const safeguard_off without{safeguard::same_beginning};
+    const auto seen = answer_after_loss("different ");
+    EXPECT_TRUE(seen.complete);
+    EXPECT_THAT(seen.text(), testing::StartsWith("different different different "));
+    EXPECT_NE(seen.text(), expected_text(tokens));
+}
+
 } // namespace
 } // namespace cicadaport::entry
--- /dev/null
+++ b/test/entry/safeguard_off.h
@@ -0,0 +1,25 @@
+// Switches a safeguard off while it lives.
+#pragma once
+
+#include "cicadaport/base/safeguards.h"
+
+namespace cicadaport::base {
+
+//   const base::safeguard_off without{base::safeguard::claim};
+//
+// Begin and end it while no request runs.
+class safeguard_off {
+public:
+    explicit safeguard_off(safeguard which) noexcept : m_bit{safeguards::bit(which)}
+    {
+        safeguards::s_off.fetch_or(m_bit);
+    }
+    ~safeguard_off() { safeguards::s_off.fetch_and(~m_bit); }
+    safeguard_off(const safeguard_off&) = delete;
+    safeguard_off& operator=(const safeguard_off&) = delete;
+
+private:
+    std::uint32_t m_bit;
+};
+
+} // namespace cicadaport::base
--- /dev/null
+++ b/test/entry/tries_test.cpp
@@ -0,0 +1,68 @@
+#include "safeguard_off.h"
+#include "service_fixture.h"
+
+namespace cicadaport::entry {
+namespace {
+
+using base::safeguard;
+using base::safeguard_off;
+
+// How many of `calls` calls one after another are answered.
+std::size_t answered(const http::address& by, const http::request& message, std::size_t calls)
+{
+    std::size_t out = 0;
+    for (std::size_t i = 0; i < calls; ++i) {
+        out += exchange(by, message).status == 200 ? 1 : 0;
+    }
+    return out;
+}
+
+// One replica of two refuses everything.
+class refusing_replica_test : public testing::Test {
+protected:
+    service m_good;
+    service m_refusing;
+    served_gateway m_gateway{test_configuration({}, {m_refusing.address(), m_good.address()})};
+    static constexpr std::size_t calls = 100;
+
+    void SetUp() override { order_fault(m_refusing.address(), "refuse=true"); }
+};
+
+TEST_F(refusing_replica_test, with_an_open_circuit_costs_no_call)
+{
+    EXPECT_EQ(answered(m_gateway.address(), caller_request("POST", "/confirm", "x"), calls), calls);
+}
+
+TEST_F(refusing_replica_test, without_circuits_uses_up_the_retries_and_costs_calls)
+{
+    const safeguard_off without{safeguard::circuit_breaker};
+    EXPECT_LT(answered(m_gateway.address(), caller_request("POST", "/confirm", "x"), calls), calls);
+}
+
+// The only replica loses every answer and its circuit stays closed, so that
+// nothing but the budget bounds the retries.
+class losing_replica_test : public testing::Test {
+protected:
+    service m_losing;
+    served_gateway m_gateway{test_configuration({}, {m_losing.address()})};
+    safeguard_off m_without_circuits{safeguard::circuit_breaker};
+    static constexpr std::size_t calls = 100;
+
+    void SetUp() override { order_fault(m_losing.address(), "lose_answers=100000"); }
+};
+
+TEST_F(losing_replica_test, gets_a_tenth_more_than_the_first_tries_and_ten)
+{
+    answered(m_gateway.address(), caller_request("GET", "/stock", ""), calls);
+    EXPECT_LE(runs_at(m_losing.address()), calls + calls / 10 + 10);
+}
+
+TEST_F(losing_replica_test, without_the_budget_gets_several_times_the_first_tries)
+{
+    const safeguard_off without{safeguard::retry_budget};
+    answered(m_gateway.address(), caller_request("GET", "/stock", ""), calls);
+    EXPECT_GE(runs_at(m_losing.address()), 2 * calls);
+}
+
+} // namespace
+} // namespace cicadaport::entry
