cleaning: tests of control processes start children as the scenario runner does

Cause: process_fixture had its own way to start, stop and end a child, beside scenario::child_process; it still passed on the test's open files. Change: the fixture uses scenario::child_process, which takes an environment and can tell whether the child is stopped.

--- a/include/cicadaport/scenario/child_process.h
+++ b/include/cicadaport/scenario/child_process.h
@@ -17,10 +17,12 @@
 // Not thread safe.
 class child_process {
 public:
-    // Starts `program`; its output is appended to `output_file`. Throws
+    // Starts `program`; its output is appended to `output_file`. Its environment
+    // is this process's own unless one is given, as "NAME=value". Throws
     // std::system_error.
     child_process(const std::string& program, const std::vector<std::string>& arguments,
-                  const std::string& output_file);
+                  const std::string& output_file,
+                  std::optional<std::vector<std::string>> environment = std::nullopt);
     ~child_process();
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
@@ -33,6 +35,9 @@
     // Returns the wait status once the child has ended.
     std::optional<int> poll();
 
+    // Returns whether a signal such as SIGSTOP has stopped the child.
+    bool is_stopped();
+
     // Waits for the end; nothing if it does not come within `limit`.
     std::optional<int> wait(std::chrono::milliseconds limit);
 
--- a/src/scenario/child_process.cpp
+++ b/src/scenario/child_process.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <fstream>
 #include <system_error>
 #include <thread>
 #include <utility>
@@ -39,22 +40,32 @@
     posix_spawn_file_actions_t m_actions{};
 };
 
+// Returns pointers into `texts`, and a null pointer after them.
+std::vector<char*> pointers_to(std::vector<std::string>& texts)
+{
+    std::vector<char*> out;
+    out.reserve(texts.size() + 1);
+    for (auto& each : texts) {
+        out.push_back(each.data());
+    }
+    out.push_back(nullptr);
+    return out;
+}
+
 } // namespace
 
 child_process::child_process(const std::string& program, const std::vector<std::string>& arguments,
-                             const std::string& output_file)
+                             const std::string& output_file,
+                             std::optional<std::vector<std::string>> environment)
 {
     std::vector<std::string> words{program};
     words.insert(words.end(), arguments.begin(), arguments.end());
-    std::vector<char*> pointers;
-    pointers.reserve(words.size() + 1);
-    for (auto& word : words) {
-        pointers.push_back(word.data());
-    }
-    pointers.push_back(nullptr);
+    auto argument_pointers = pointers_to(words);
+    auto environment_pointers = environment ? pointers_to(*environment) : std::vector<char*>{};
+    char** const variables = environment ? environment_pointers.data() : environ;
     const file_actions actions{output_file};
-    const int error =
-        posix_spawn(&m_pid, program.c_str(), actions.get(), nullptr, pointers.data(), environ);
+    const int error = posix_spawn(&m_pid, program.c_str(), actions.get(), nullptr,
+                                  argument_pointers.data(), variables);
     if (error != 0) {
         throw std::system_error{error, std::system_category(), program};
     }
@@ -98,4 +109,17 @@
     return m_status;
 }
 
+bool child_process::is_stopped()
+{
+    if (m_pid <= 0 || poll()) {
+        return false;
+    }
+    std::ifstream file{"/proc/" + std::to_string(m_pid) + "/stat"};
+    std::string pid;
+    std::string name;
+    char state = '?';
+    file >> pid >> name >> state;
+    return state == 'T';
+}
+
 } // namespace cicadaport::scenario
--- a/test/authority/process_fixture.h
+++ b/test/authority/process_fixture.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "cicadaport/http/client.h"
+#include "cicadaport/scenario/child_process.h"
 
 #include <boost/asio.hpp>
 #include <nlohmann/json.hpp>
@@ -12,38 +13,46 @@
 #include <sstream>
 #include <stdexcept>
 #include <string>
-#include <system_error>
 #include <thread>
 #include <vector>
 
-#include <fcntl.h>
-#include <spawn.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 namespace cicadaport::authority::testing {
 
-// One program that a test started; it is killed at the latest when this ends.
+// One of the project's programs that a test started; it is killed at the latest
+// when this ends. Its environment is empty but for what is given.
 class child_process {
 public:
-    child_process(const std::string& program, std::vector<std::string> arguments,
-                  std::vector<std::string> environment, const std::string& log_file);
-    ~child_process();
-    child_process(const child_process&) = delete;
-    child_process& operator=(const child_process&) = delete;
+    child_process(const std::string& program, const std::vector<std::string>& arguments,
+                  std::vector<std::string> environment, std::string log_file)
+        : m_child{folder_of_programs() + "/" + program, arguments, log_file,
+                  std::move(environment)},
+          m_log_file{std::move(log_file)}
+    {
+    }
 
-    void signal(int number) const;
+    void signal(int number) { m_child.signal(number); }
     // Whether a signal such as SIGSTOP has stopped it.
-    bool is_stopped() const;
-    bool has_ended();
+    bool is_stopped() { return m_child.is_stopped(); }
+    bool has_ended() { return m_child.poll().has_value(); }
+
     // What it wrote so far.
-    std::string log() const;
+    std::string log() const
+    {
+        std::ostringstream text;
+        text << std::ifstream{m_log_file}.rdbuf();
+        return text.str();
+    }
 
 private:
-    char state() const;
+    static std::string folder_of_programs()
+    {
+        const auto* folder = std::getenv("CICADAPORT_BIN");
+        return folder == nullptr ? "build/bin" : folder;
+    }
 
-    pid_t m_pid = 0;
-    bool m_ended = false;
+    scenario::child_process m_child;
     std::string m_log_file;
 };
 
@@ -64,80 +73,6 @@
 bool eventually(const std::function<bool()>& condition,
                 std::chrono::milliseconds limit = std::chrono::seconds{60});
 
-inline child_process::child_process(const std::string& program, std::vector<std::string> arguments,
-                                    std::vector<std::string> environment,
-                                    const std::string& log_file)
-    : m_log_file{log_file}
-{
-    const auto* folder = std::getenv("CICADAPORT_BIN");
-    const auto path = std::string{folder == nullptr ? "build/bin" : folder} + "/" + program;
-    arguments.insert(arguments.begin(), path);
-    std::vector<char*> argv;
-    for (auto& each : arguments) {
-        argv.push_back(each.data());
-    }
-    argv.push_back(nullptr);
-    std::vector<char*> envp;
-    for (auto& each : environment) {
-        envp.push_back(each.data());
-    }
-    envp.push_back(nullptr);
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    const int flags = O_WRONLY | O_CREAT | O_APPEND;
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_file.c_str(), flags, 0600);
-    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-    const auto error =
-        ::posix_spawn(&m_pid, path.c_str(), &actions, nullptr, argv.data(), envp.data());
-    posix_spawn_file_actions_destroy(&actions);
-    if (error != 0) {
-        throw std::system_error{error, std::generic_category(), path};
-    }
-}
-
-inline child_process::~child_process()
-{
-    if (!m_ended) {
-        ::kill(m_pid, SIGKILL);
-        ::waitpid(m_pid, nullptr, 0);
-    }
-}
-
-inline void child_process::signal(int number) const
-{
-    if (!m_ended) {
-        ::kill(m_pid, number);
-    }
-}
-
-inline char child_process::state() const
-{
-    std::ifstream file{"/proc/" + std::to_string(m_pid) + "/stat"};
-    std::string pid;
-    std::string name;
-    char state = '?';
-    file >> pid >> name >> state;
-    return state;
-}
-
-inline bool child_process::is_stopped() const
-{
-    return !m_ended && state() == 'T';
-}
-
-inline bool child_process::has_ended()
-{
-    m_ended = m_ended || ::waitpid(m_pid, nullptr, WNOHANG) == m_pid;
-    return m_ended;
-}
-
-inline std::string child_process::log() const
-{
-    std::ostringstream text;
-    text << std::ifstream{m_log_file}.rdbuf();
-    return text.str();
-}
-
 inline bool is_free(std::uint16_t port)
 {
     boost::asio::io_context context;
