roles: the lease holder asks the role controller and carries out its changes

Cause: `roles::role_controller` was pure and tested but nothing called it: no process knew what callers ask for, and no engine changed its role by itself.

Ruled out: keeping the controller's proposal on the log as a wish. It would race the operators' wishes in the same place, cost an append for each proposal, and a proposal of a dead holder would outlive the reason for it. The intent that the log has anyway is enough: a proposal that is not on the log when its author loses the lease has never been, and one that is there is settled by the successor, whose own controller starts with empty sums.

Change: entry processes count requests, prompt tokens not expected to be cached and expected output tokens by model, refused requests included, and tell smoothed rates with their status. The holder of a partition's lease sums them over live entry processes, turns them into engine time with the speeds that placement uses, and asks the controller twice a second. A proposal takes the order path as any other want, after an operator's wish. The controller no longer gives up a change that an engine is still busy with, spends no losses on a change that no engine may carry out, and says why a wanted change is held back. `GET /v1/admin/roles` shows it all.

--- a/include/cicadaport/authority/fleet_directors.h
+++ b/include/cicadaport/authority/fleet_directors.h
@@ -23,6 +23,9 @@
     // Finishes what is being sent and releases all leases.
     void stop() noexcept { m_stopping = true; }
 
+    // Returns what the role controllers of the partitions held here do.
+    std::vector<role_report> roles_now() const;
+
 private:
     void start_missing();
     bool have_ended() const;
--- a/include/cicadaport/authority/order_step.h
+++ b/include/cicadaport/authority/order_step.h
@@ -57,12 +57,12 @@
 std::string partition_of(const configuration::endpoint& endpoint);
 
 // Returns the order that would make the engine what it should be, without an
-// id, or nothing. An operator's role goes before that of the last order, which
-// goes before the configuration's. `wish` and `orders` may be null.
-std::optional<protocol::endpoint_order> wanted_order(const configuration::endpoint& endpoint,
-                                                     const configuration::document& document,
-                                                     const protocol::endpoint_wish_state* wish,
-                                                     const protocol::endpoint_orders* orders,
-                                                     const engine_record& observed);
+// id, or nothing. An operator's role goes before the one that the controller
+// proposed (empty: none), that before the role of the last order, and that
+// before the configuration's. `wish` and `orders` may be null.
+std::optional<protocol::endpoint_order>
+wanted_order(const configuration::endpoint& endpoint, const configuration::document& document,
+             const protocol::endpoint_wish_state* wish, const protocol::endpoint_orders* orders,
+             const engine_record& observed, const std::string& proposed_role = {});
 
 } // namespace cicadaport::authority
--- a/include/cicadaport/authority/partition_director.h
+++ b/include/cicadaport/authority/partition_director.h
@@ -3,8 +3,10 @@
 
 #include "cicadaport/authority/engine_client.h"
 #include "cicadaport/authority/lease_keeper.h"
+#include "cicadaport/authority/partition_roles.h"
 #include "cicadaport/fold/replica.h"
 #include "cicadaport/platform/proposer.h"
+#include "cicadaport/relay/process_table.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -20,6 +22,7 @@
     const fold::replica& replica;
     platform::proposer& proposals;
     engine_client& engines;
+    const relay::process_table& processes;
     // Returns whether every live process has folded up to an offset.
     std::function<bool(std::uint64_t)> is_folded_everywhere;
 };
@@ -41,6 +44,9 @@
     void stop() noexcept { m_stopping = true; }
     bool has_ended() const noexcept { return m_ended; }
 
+    // Returns what the role controller does; nothing while the lease isn't held.
+    std::optional<role_report> roles_now() const;
+
 private:
     // What this process remembers of one engine between steps.
     struct engine_memory {
@@ -63,11 +69,13 @@
     boost::asio::awaitable<void> settle(const engine_view& view, engine_memory& memory,
                                         bool applied);
     boost::asio::awaitable<bool> is_drained(const engine_view& view, engine_memory& memory);
+    order_situation situation_of(const engine_view& view, const engine_memory& memory);
     observed_lease observe_lease() const;
     std::vector<std::string> engine_names() const;
     std::optional<engine_view> view_of(const std::string& name) const;
     bool is_quiet(const engine_view& view, const engine_memory& memory) const;
     void start_looks();
+    void ask_for_roles();
 
     director_services m_services;
     std::string m_partition;
@@ -75,6 +83,8 @@
     lease_timing m_timing;
     lease_keeper m_keeper;
     std::map<std::string, engine_memory> m_engines;
+    partition_roles m_roles;
+    boot_clock::time_point m_next_roles{};
     bool m_stopping = false;
     bool m_ended = false;
 };
--- a/include/cicadaport/control/admin_api.h
+++ b/include/cicadaport/control/admin_api.h
@@ -1,13 +1,16 @@
 // The administration API that operators and their tool use.
 #pragma once
 
+#include "cicadaport/authority/partition_roles.h"
 #include "cicadaport/fold/replica.h"
 #include "cicadaport/http/server.h"
 #include "cicadaport/platform/proposer.h"
 #include "cicadaport/relay/process_table.h"
 
+#include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace cicadaport::protocol {
 class endpoint_request;
@@ -21,8 +24,12 @@
 // is described in docs/reference/admin-api.md.
 class admin_api {
 public:
+    // Returns what the role controllers of this process do.
+    using role_source = std::function<std::vector<authority::role_report>()>;
+
     admin_api(const fold::replica& replica, const relay::process_table& processes,
-              platform::proposer& proposals, std::string operator_key_sha256);
+              platform::proposer& proposals, std::string operator_key_sha256,
+              role_source roles = {});
 
     boost::asio::awaitable<void> handle(const http::request& message,
                                         http::response_writer& writer);
@@ -37,12 +44,14 @@
     http::response show_processes() const;
     http::response show_endpoints() const;
     http::response show_leases() const;
+    http::response show_roles() const;
     bool is_operator(const http::request& message) const;
 
     const fold::replica& m_replica;
     const relay::process_table& m_processes;
     platform::proposer& m_proposals;
     std::string m_operator_key_sha256;
+    role_source m_roles;
 };
 
 } // namespace cicadaport::control
--- a/include/cicadaport/entry/decision_state.h
+++ b/include/cicadaport/entry/decision_state.h
@@ -3,6 +3,7 @@
 
 #include "cicadaport/admission/account_limits.h"
 #include "cicadaport/base/rcu.h"
+#include "cicadaport/entry/offered_work.h"
 #include "cicadaport/routing/estimate.h"
 #include "cicadaport/routing/placement.h"
 #include "cicadaport/settings/process_settings.h"
@@ -30,6 +31,8 @@
     routing::prefix_index prefixes{indexed_blocks};
     routing::output_estimator outputs;
     admission::account_limits limits;
+    // What callers ask for, whatever becomes of it.
+    offered_counter offered;
     // Seconds of engine time in flight from this process, by rank, in
     // microseconds. Entry processes behind one balancer see the same mix.
     std::array<std::atomic<std::int64_t>, admission::most_ranks> work_in_flight{};
--- /dev/null
+++ b/include/cicadaport/entry/offered_work.h
@@ -0,0 +1,61 @@
+// Counts what callers ask of an entry process, refused work included.
+#pragma once
+
+#include "cicadaport/roles/offered_message.h"
+
+#include <array>
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cicadaport::entry {
+
+// Sums per model since the process began, in shards so that event loops that
+// count at the same time seldom meet.
+//
+// Thread safety: all members from any thread.
+class offered_counter {
+public:
+    // Notes one request; tokens that a cache is expected to hold don't count.
+    void note(std::string_view model, double prompt_tokens, double output_tokens);
+
+    // Returns the sums.
+    std::map<std::string, roles::token_rates, std::less<>> sums() const;
+
+private:
+    static constexpr std::size_t shard_count = 16;
+    static constexpr std::size_t shard_bytes = 128;
+    struct alignas(shard_bytes) shard {
+        mutable std::mutex mutex;
+        std::map<std::string, roles::token_rates, std::less<>> sums;
+    };
+
+    std::array<shard, shard_count> m_shards;
+};
+
+// Makes smoothed rates of growing sums. Not thread safe; time is passed in.
+class offered_rates {
+public:
+    using clock = std::chrono::steady_clock;
+
+    // Takes the sums at `now` and returns the rates. Within `shortest_step`
+    // after the last sums the rates stay as they are.
+    const std::vector<roles::model_offer>&
+    update(const std::map<std::string, roles::token_rates, std::less<>>& sums,
+           clock::time_point now);
+
+    // A change of the rates is followed to 63% in this time.
+    static constexpr std::chrono::duration<double> smoothing_time{2};
+    static constexpr std::chrono::milliseconds shortest_step{100};
+
+private:
+    std::map<std::string, roles::token_rates, std::less<>> m_last;
+    std::optional<clock::time_point> m_last_at;
+    std::vector<roles::model_offer> m_rates;
+};
+
+} // namespace cicadaport::entry
--- a/include/cicadaport/roles/capacity.h
+++ b/include/cicadaport/roles/capacity.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "cicadaport/routing/load.h"
+#include "cicadaport/routing/prediction.h"
 
 #include <cstdint>
 
@@ -24,6 +25,20 @@
     double decode = 0;
 };
 
+// Tokens asked for per second.
+struct token_rates {
+    double requests = 0;
+    // Tokens of prompts that no cache is expected to hold.
+    double prefill = 0;
+    double output = 0;
+
+    token_rates& operator+=(const token_rates& other) noexcept;
+};
+
+// Returns the engine time that these rates ask of engines of this speed with
+// full batches. Pure.
+offered_work work_of(const token_rates& rates, const routing::engine_speed& speed) noexcept;
+
 // Returns the part of the offered work, from 0 to 1, that engines in these
 // roles can serve: each kind of work fits on the engines that take it, and
 // both together fit on all. Pure.
--- a/include/cicadaport/roles/controller.h
+++ b/include/cicadaport/roles/controller.h
@@ -25,6 +25,9 @@
     bool changing = false;
     std::uint64_t prefill_tokens = 0;
     std::uint64_t decode_tokens = 0;
+    // Whether it may be taken for a change: not if an operator fixed its role
+    // or if too few others would serve its model meanwhile.
+    bool may_change = true;
 };
 
 // An order that the controller asks for.
@@ -39,6 +42,15 @@
 
 std::string_view to_string(change_outcome outcome) noexcept;
 
+// How near the controller is to a change.
+struct standing {
+    // Requests lost so far that a change to this role would have kept.
+    double lost_to_prefill = 0;
+    double lost_to_decode = 0;
+    // Why a change that the policy wants is not made; empty if it wants none.
+    std::string held_back;
+};
+
 // Not thread safe: it belongs to the holder of the authority.
 //
 //   role_controller controller{document.roles};
@@ -55,8 +67,12 @@
     // What came of the last order that was returned.
     change_outcome last_outcome() const noexcept { return m_outcome; }
 
-    // A change that takes longer than this many times the configured time is
-    // given up; the engine counts again once it reports.
+    // How near it is to a change, as of the last observation.
+    const standing& present() const noexcept { return m_standing; }
+
+    // A change that did not begin, or left the engine in its old role, within
+    // this many times the configured time is given up. One that an engine is
+    // still busy with is waited for.
     static constexpr int patience = 4;
 
 private:
@@ -71,11 +87,13 @@
     void settle(std::span<const engine_observation> engines, clock::time_point now);
     fleet_observation summarize(std::span<const engine_observation> engines,
                                 const offered_work& offered) const;
+    void note_standing(std::span<const engine_observation> engines, const fleet_observation& seen);
 
     configuration::engine_roles m_settings;
     policy m_policy;
     std::optional<pending_change> m_pending;
     change_outcome m_outcome = change_outcome::none;
+    standing m_standing;
 };
 
 } // namespace cicadaport::roles
--- a/include/cicadaport/roles/policy.h
+++ b/include/cicadaport/roles/policy.h
@@ -54,6 +54,10 @@
 concept role_policy = requires(Rule rule, const fleet_observation& seen, clock::time_point now)
 {
     requires std::same_as<decltype(rule.decide(seen, now)), std::optional<policy_verdict>>;
+    // The direction in which it would change now if floors let it.
+    requires std::same_as<decltype(rule.wants(seen)), std::optional<direction>>;
+    // Requests lost so far that a change this way would have kept.
+    requires std::same_as<decltype(rule.lost(direction::to_prefill)), double>;
 };
 
 // Returns the roles after one engine went `which` way.
@@ -65,12 +69,16 @@
     {
         return std::nullopt;
     }
+    std::optional<direction> wants(const fleet_observation&) const { return std::nullopt; }
+    double lost(direction) const { return 0; }
 };
 
 // Changes when one role is loaded much more than the other for some time.
 class threshold_policy {
 public:
     std::optional<policy_verdict> decide(const fleet_observation& seen, clock::time_point now);
+    std::optional<direction> wants(const fleet_observation& seen) const;
+    double lost(direction) const { return 0; }
 
     // A role is overloaded above the upper, and may give up an engine below
     // the lower utilization.
@@ -96,6 +104,11 @@
     explicit rent_or_buy_policy(double change_price_requests) : m_price{change_price_requests} {}
 
     std::optional<policy_verdict> decide(const fleet_observation& seen, clock::time_point now);
+    std::optional<direction> wants(const fleet_observation& seen) const;
+    double lost(direction which) const
+    {
+        return which == direction::to_prefill ? m_lost_to_prefill : m_lost_to_decode;
+    }
 
     // Longer gaps between observations count as this long: nobody knows what
     // was offered in between.
--- a/src/authority/fleet_directors.cpp
+++ b/src/authority/fleet_directors.cpp
@@ -59,6 +59,17 @@
     }
 }
 
+std::vector<role_report> fleet_directors::roles_now() const
+{
+    std::vector<role_report> out;
+    for (const auto& [name, director] : m_directors) {
+        if (auto report = director->roles_now()) {
+            out.push_back(std::move(*report));
+        }
+    }
+    return out;
+}
+
 bool fleet_directors::have_ended() const
 {
     return std::all_of(m_directors.begin(), m_directors.end(),
--- a/src/authority/order_step.cpp
+++ b/src/authority/order_step.cpp
@@ -24,11 +24,14 @@
 
 std::string wanted_role(const configuration::endpoint& endpoint,
                         const protocol::endpoint_wish_state* wish,
-                        const protocol::endpoint_orders* orders)
+                        const protocol::endpoint_orders* orders, const std::string& proposed)
 {
     if (wish != nullptr && !wish->role().empty()) {
         return wish->role();
     }
+    if (!proposed.empty()) {
+        return proposed;
+    }
     return orders != nullptr && !orders->role().empty() ? orders->role() : endpoint.role;
 }
 
@@ -48,15 +51,14 @@
     return endpoint.serves + "/" + (endpoint.region.empty() ? "default" : endpoint.region);
 }
 
-std::optional<protocol::endpoint_order> wanted_order(const configuration::endpoint& endpoint,
-                                                     const configuration::document& document,
-                                                     const protocol::endpoint_wish_state* wish,
-                                                     const protocol::endpoint_orders* orders,
-                                                     const engine_record& observed)
+std::optional<protocol::endpoint_order>
+wanted_order(const configuration::endpoint& endpoint, const configuration::document& document,
+             const protocol::endpoint_wish_state* wish, const protocol::endpoint_orders* orders,
+             const engine_record& observed, const std::string& proposed_role)
 {
     protocol::endpoint_order order;
     order.set_endpoint(endpoint.name);
-    const auto role = wanted_role(endpoint, wish, orders);
+    const auto role = wanted_role(endpoint, wish, orders, proposed_role);
     if (observed.role != role) {
         order.set_set_role(role);
         return order;
--- a/src/authority/partition_director.cpp
+++ b/src/authority/partition_director.cpp
@@ -1,9 +1,11 @@
 #include "cicadaport/authority/partition_director.h"
 
 #include "cicadaport/authority/process_deadline.h"
+#include "cicadaport/authority/service_floor.h"
 #include "cicadaport/authority/test_switches.h"
 #include "cicadaport/base/identifier.h"
 
+#include <peer.pb.h>
 #include <spdlog/spdlog.h>
 #include <state.pb.h>
 
@@ -16,6 +18,8 @@
 namespace {
 
 constexpr milliseconds tick{50};
+// Between two questions to the role controller.
+constexpr milliseconds role_interval{500};
 constexpr milliseconds look_interval{2'000};
 constexpr milliseconds look_interval_outstanding{100};
 constexpr milliseconds pause_after_failure{10'000};
@@ -23,28 +27,6 @@
 // handing out shows at the engine.
 constexpr milliseconds dispatch_time{200};
 
-bool is_in_service(const fold::state& state, const std::string& endpoint)
-{
-    const auto& wishes = state.message().wishes();
-    const auto& orders = state.message().orders();
-    const auto wish = wishes.find(endpoint);
-    const auto order = orders.find(endpoint);
-    const bool drained = wish != wishes.end() && wish->second.drain();
-    return !drained && (order == orders.end() || !order->second.has_intent());
-}
-
-// Returns whether enough engines serve the model without `endpoint`.
-bool may_leave_service(const fold::state& state, const configuration::endpoint& endpoint)
-{
-    std::uint32_t others = 0;
-    for (const auto& each : state.document()->endpoints) {
-        const bool other = each.serves == endpoint.serves && each.name != endpoint.name;
-        others += other && is_in_service(state, each.name) ? 1 : 0;
-    }
-    const auto* model = state.document()->find_model(endpoint.serves);
-    return model != nullptr && others >= model->least_replicas;
-}
-
 } // namespace
 
 // One engine as this process has it folded at one moment.
@@ -56,6 +38,8 @@
     // Whether another engine may be out of service beside those that are.
     bool spare = false;
     std::optional<engine_record> observed;
+    // The role that the controller wants, if any.
+    std::string proposed;
 
     bool is_outstanding() const { return orders && orders->has_intent(); }
     std::optional<protocol::endpoint_order> wanted() const
@@ -64,14 +48,14 @@
             return std::nullopt;
         }
         return wanted_order(endpoint, *document, wish ? &*wish : nullptr,
-                            orders ? &*orders : nullptr, *observed);
+                            orders ? &*orders : nullptr, *observed, proposed);
     }
 };
 
 partition_director::partition_director(director_services services, std::string partition,
                                        std::string self, lease_timing timing)
     : m_services{std::move(services)}, m_partition{std::move(partition)}, m_self{std::move(self)},
-      m_timing{timing}, m_keeper{m_self, timing, std::random_device{}()}
+      m_timing{timing}, m_keeper{m_self, timing, std::random_device{}()}, m_roles{m_partition}
 {
 }
 
@@ -83,6 +67,7 @@
         if (has_engines) {
             co_await keep_lease();
             start_looks();
+            ask_for_roles();
         }
         timer.expires_after(tick);
         co_await timer.async_wait(asio::use_awaitable);
@@ -122,6 +107,7 @@
         m_keeper.accepted(now_folded.fencing_number, sent_at);
     }
     if (accepted && action == lease_action::claim) {
+        m_roles.restart();
         spdlog::info("lease_claimed partition={} fencing_number={}", m_partition,
                      m_keeper.fencing_number());
     }
@@ -207,6 +193,7 @@
             out->orders = found->second;
         }
         out->spare = may_leave_service(state, *endpoint);
+        out->proposed = m_roles.proposed(name);
     });
     return out;
 }
@@ -226,6 +213,31 @@
     }
 }
 
+void partition_director::ask_for_roles()
+{
+    const auto now = boot_clock::now();
+    if (now < m_next_roles || !m_keeper.is_held(now)) {
+        return;
+    }
+    m_next_roles = now + role_interval;
+    const auto processes = m_services.processes.list(relay::process_table::clock::now());
+    m_services.replica.inspect(
+        [&](const fold::state& state) { m_roles.observe(state, processes, roles::clock::now()); });
+    for (auto& [name, memory] : m_engines) {
+        if (!m_roles.proposed(name).empty()) {
+            memory.next_look = std::min(memory.next_look, now + look_interval_outstanding);
+        }
+    }
+}
+
+std::optional<role_report> partition_director::roles_now() const
+{
+    if (!m_keeper.is_held(boot_clock::now())) {
+        return std::nullopt;
+    }
+    return m_roles.report();
+}
+
 asio::awaitable<void> partition_director::look_after(std::string name)
 {
     auto& memory = m_engines[name];
@@ -243,12 +255,7 @@
 asio::awaitable<void> partition_director::look_once(engine_view view, engine_memory& memory)
 {
     view.observed = co_await m_services.engines.observe(view.endpoint.address);
-    order_situation situation;
-    situation.outstanding_order = view.is_outstanding() ? view.orders->intent().order_id() : "";
-    situation.observed = view.observed;
-    situation.wanted = view.wanted().has_value();
-    situation.quiet = is_quiet(view, memory);
-    situation.spare = view.spare;
+    auto situation = situation_of(view, memory);
     situation.drained = view.is_outstanding() && co_await is_drained(view, memory);
     switch (next_order_step(situation)) {
     case order_step::announce:
@@ -270,6 +277,20 @@
     }
 }
 
+// Returns what the next step follows from, but for whether the engine is drained.
+order_situation partition_director::situation_of(const engine_view& view,
+                                                 const engine_memory& memory)
+{
+    m_roles.note(view.endpoint.name, view.observed);
+    order_situation out;
+    out.outstanding_order = view.is_outstanding() ? view.orders->intent().order_id() : "";
+    out.observed = view.observed;
+    out.wanted = view.wanted().has_value();
+    out.quiet = is_quiet(view, memory);
+    out.spare = view.spare;
+    return out;
+}
+
 // An engine that checks fencing numbers refuses what arrives late by itself.
 bool partition_director::is_quiet(const engine_view& view, const engine_memory& memory) const
 {
@@ -295,14 +316,26 @@
 
 asio::awaitable<void> partition_director::announce(const engine_view& view)
 {
-    auto order = *view.wanted();
+    // Operators may have spoken while the engine was asked.
+    auto fresh = view_of(view.endpoint.name);
+    if (!fresh || fresh->is_outstanding()) {
+        co_return;
+    }
+    fresh->observed = view.observed;
+    const auto wanted = fresh->wanted();
+    if (!wanted) {
+        co_return;
+    }
+    auto order = *wanted;
     order.set_order_id(base::make_identifier());
     protocol::record record;
     auto& intent = *record.mutable_intent();
     intent.set_partition(m_partition);
     intent.set_fencing_number(m_keeper.fencing_number());
     *intent.mutable_order() = order;
+    pause_if_asked("before_announcement");
     if (co_await propose(std::move(record))) {
+        m_roles.announced(view.endpoint.name);
         spdlog::info("order_announced endpoint={} order={}", view.endpoint.name, order.order_id());
     }
 }
--- a/src/control/admin_api.cpp
+++ b/src/control/admin_api.cpp
@@ -1,6 +1,7 @@
 #include "cicadaport/control/admin_api.h"
 
 #include "cicadaport/base/digest.h"
+#include "internal/role_view.h"
 
 #include <nlohmann/json.hpp>
 #include <peer.pb.h>
@@ -62,9 +63,10 @@
 } // namespace
 
 admin_api::admin_api(const fold::replica& replica, const relay::process_table& processes,
-                     platform::proposer& proposals, std::string operator_key_sha256)
+                     platform::proposer& proposals, std::string operator_key_sha256,
+                     role_source roles)
     : m_replica{replica}, m_processes{processes}, m_proposals{proposals},
-      m_operator_key_sha256{std::move(operator_key_sha256)}
+      m_operator_key_sha256{std::move(operator_key_sha256)}, m_roles{std::move(roles)}
 {
 }
 
@@ -106,6 +108,9 @@
     if (name == "leases") {
         co_return show_leases();
     }
+    if (name == "roles") {
+        co_return show_roles();
+    }
     co_return problem(status_not_found, "unknown_path", path);
 }
 
@@ -292,4 +297,12 @@
     return http::json_response(status_ok, json{{"leases", std::move(list)}}.dump());
 }
 
+http::response admin_api::show_roles() const
+{
+    const auto here = m_roles ? m_roles() : std::vector<authority::role_report>{};
+    json body;
+    m_replica.inspect([&](const fold::state& state) { body = describe_roles(state, here); });
+    return http::json_response(status_ok, body.dump());
+}
+
 } // namespace cicadaport::control
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -37,7 +37,8 @@
           m_tailer{m_tail_log, m_replica, [this] { return reads_log(); }},
           m_proposals{m_pool.context(0), m_append_log, m_replica, settings.common.id},
           m_snapshots{m_replica, m_proposals, [this] { return rank(); }},
-          m_admin_api{m_replica, m_processes, m_proposals, settings.operator_key_sha256},
+          m_admin_api{m_replica, m_processes, m_proposals, settings.operator_key_sha256,
+                      [this] { return m_directors.roles_now(); }},
           m_admin{m_pool,
                   settings.common.admin_address.ip,
                   settings.common.admin_address.port,
@@ -46,7 +47,7 @@
                       return m_admin_api.handle(message, writer);
                   }},
           m_signals{m_pool.context(0), SIGTERM, SIGINT}, m_engines{m_pool.context(0)},
-          m_directors{{m_pool.context(0), m_replica, m_proposals, m_engines,
+          m_directors{{m_pool.context(0), m_replica, m_proposals, m_engines, m_processes,
                        [this](std::uint64_t offset) { return is_folded_everywhere(offset); }},
                       settings.common.id,
                       timing(settings)},
--- a/src/entry/engine_decision.cpp
+++ b/src/entry/engine_decision.cpp
@@ -162,6 +162,12 @@
     question.prefix = state.prefixes.find(prompt.blocks);
     std::vector<routing::candidate> allowed;
     const auto choice = choose_allowed(state.policy, question, filter, own, allowed);
+    const std::uint32_t cached =
+        choice.chosen == nullptr ? 0 : question.prefix.tokens_at(choice.chosen->load->index);
+    const auto to_prefill = prompt.tokens - std::min(cached, prompt.tokens);
+    if (filter.is_first_try()) {
+        state.offered.note(model, to_prefill, output.tokens);
+    }
     if (choice.chosen == nullptr) {
         throw request_failure{failure_kind::no_endpoint, verdict::not_run,
                               "no engine serves '" + model + "' now",
@@ -173,8 +179,7 @@
         }
         expected.counted = count_account(view, wanted, question.needs, own, now);
     }
-    const auto cached = question.prefix.tokens_at(choice.chosen->load->index);
-    expected.prefill_tokens = prompt.tokens - std::min(cached, prompt.tokens);
+    expected.prefill_tokens = to_prefill;
     expected.output_tokens = static_cast<std::uint64_t>(output.tokens);
     expected.predicted = choice.predicted;
     expected.decided_at = now;
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -4,6 +4,7 @@
 #include "cicadaport/claims/claim_store.h"
 #include "cicadaport/entry/gateway.h"
 #include "cicadaport/entry/load_feed.h"
+#include "cicadaport/entry/offered_work.h"
 #include "cicadaport/relay/follower.h"
 
 #include <nlohmann/json.hpp>
@@ -110,7 +111,8 @@
         spdlog::info("configuration_in_force offset={}", m_viewed_offset);
     }
 
-    protocol::process_status status() const
+    // Called by the follower's thread alone.
+    protocol::process_status status()
     {
         protocol::process_status out;
         out.set_id(m_settings.common.id);
@@ -121,6 +123,8 @@
         out.set_configuration_offset(m_configuration_offset.load(std::memory_order_acquire));
         out.set_draining(m_draining.load(std::memory_order_acquire));
         tell_work(out);
+        roles::tell_offered(
+            m_offered.update(m_decisions.offered.sums(), offered_rates::clock::now()), out);
         return out;
     }
 
@@ -209,6 +213,7 @@
     base::published<routing::view> m_view;
     metrics m_metrics;
     decision_state m_decisions;
+    offered_rates m_offered;
     fold::replica m_replica;
     relay::process_table m_processes;
     std::uint64_t m_viewed_offset = 0;
--- a/src/roles/capacity.cpp
+++ b/src/roles/capacity.cpp
@@ -12,6 +12,21 @@
 
 } // namespace
 
+token_rates& token_rates::operator+=(const token_rates& other) noexcept
+{
+    requests += other.requests;
+    prefill += other.prefill;
+    output += other.output;
+    return *this;
+}
+
+offered_work work_of(const token_rates& rates, const routing::engine_speed& speed) noexcept
+{
+    const auto per_output_token = speed.per_decode_token + speed.step_base / speed.most_running;
+    return {rates.requests, rates.prefill * speed.per_prefill_token.count(),
+            rates.output * per_output_token.count()};
+}
+
 double servable_part(const role_counts& roles, const offered_work& offered) noexcept
 {
     const double prefill = roles.mixed + roles.prefill;
--- a/src/roles/controller.cpp
+++ b/src/roles/controller.cpp
@@ -34,7 +34,7 @@
     return out;
 }
 
-// Returns the serving engine of `role` with the least work to drain.
+// Returns the engine of `role` that may change with the least work to drain.
 const engine_observation* least_loaded(std::span<const engine_observation> engines,
                                        engine_role role)
 {
@@ -43,7 +43,7 @@
         return each.prefill_tokens + each.decode_tokens;
     };
     for (const auto& engine : engines) {
-        const bool fits = serves(engine) && engine.role == role;
+        const bool fits = serves(engine) && engine.may_change && engine.role == role;
         if (fits && (best == nullptr || work(engine) < work(*best))) {
             best = &engine;
         }
@@ -100,16 +100,15 @@
         return std::nullopt;
     }
     const auto seen = summarize(engines, offered);
+    note_standing(engines, seen);
     auto verdict = std::visit([&](auto& rule) { return rule.decide(seen, now); }, m_policy);
     if (!verdict) {
         return std::nullopt;
     }
     const bool to_prefill = verdict->which == direction::to_prefill;
+    // There is one: the rule was told that it may change.
     const auto* engine =
         least_loaded(engines, to_prefill ? engine_role::decode : engine_role::prefill);
-    if (engine == nullptr) {
-        return std::nullopt;
-    }
     const auto role = to_prefill ? engine_role::prefill : engine_role::decode;
     m_pending = pending_change{engine->name, role, now};
     m_outcome = change_outcome::running;
@@ -132,7 +131,7 @@
         m_outcome = change_outcome::applied;
         m_pending.reset();
     }
-    else if (now - m_pending->since > patience * m_settings.change_time) {
+    else if (!engine->changing && now - m_pending->since > patience * m_settings.change_time) {
         m_outcome = change_outcome::timed_out;
         m_pending.reset();
     }
@@ -144,9 +143,38 @@
     fleet_observation out;
     out.roles = count_roles(engines);
     out.offered = offered;
-    out.may_go_to_prefill = may_give(out.roles.decode, m_settings.least_decode, out.roles.mixed);
-    out.may_go_to_decode = may_give(out.roles.prefill, m_settings.least_prefill, out.roles.mixed);
+    out.may_go_to_prefill = may_give(out.roles.decode, m_settings.least_decode, out.roles.mixed) &&
+                            least_loaded(engines, engine_role::decode) != nullptr;
+    out.may_go_to_decode = may_give(out.roles.prefill, m_settings.least_prefill, out.roles.mixed) &&
+                           least_loaded(engines, engine_role::prefill) != nullptr;
     return out;
 }
 
+void role_controller::note_standing(std::span<const engine_observation> engines,
+                                    const fleet_observation& seen)
+{
+    m_standing = std::visit(
+        [](const auto& rule) {
+            return standing{rule.lost(direction::to_prefill), rule.lost(direction::to_decode), {}};
+        },
+        m_policy);
+    const auto wanted = std::visit([&](const auto& rule) { return rule.wants(seen); }, m_policy);
+    if (!wanted) {
+        return;
+    }
+    const bool to_prefill = *wanted == direction::to_prefill;
+    const auto from = to_prefill ? engine_role::decode : engine_role::prefill;
+    const auto present = to_prefill ? seen.roles.decode : seen.roles.prefill;
+    const auto floor = to_prefill ? m_settings.least_decode : m_settings.least_prefill;
+    const std::string name{routing::to_string(from)};
+    if (!may_give(present, floor, seen.roles.mixed)) {
+        m_standing.held_back = "the floor of " + name + " engines is reached";
+    }
+    else if (least_loaded(engines, from) == nullptr) {
+        m_standing.held_back = "no " + name +
+                               " engine may leave: no spare engine for the model, "
+                               "or operators fixed their roles";
+    }
+}
+
 } // namespace cicadaport::roles
--- a/src/roles/policy.cpp
+++ b/src/roles/policy.cpp
@@ -61,6 +61,11 @@
     return roles;
 }
 
+std::optional<direction> threshold_policy::wants(const fleet_observation& seen) const
+{
+    return wanted_direction(seen);
+}
+
 std::optional<policy_verdict> threshold_policy::decide(const fleet_observation& seen,
                                                        clock::time_point now)
 {
@@ -76,28 +81,37 @@
     return make_verdict("threshold", seen, *wanted, 0, 0);
 }
 
+std::optional<direction> rent_or_buy_policy::wants(const fleet_observation& seen) const
+{
+    const auto which =
+        m_lost_to_prefill >= m_lost_to_decode ? direction::to_prefill : direction::to_decode;
+    // A change that wins nothing now would be paid for what is over.
+    if (lost(which) < m_price || gain_of(seen, which) <= 0) {
+        return std::nullopt;
+    }
+    return which;
+}
+
 std::optional<policy_verdict> rent_or_buy_policy::decide(const fleet_observation& seen,
                                                          clock::time_point now)
 {
     const auto passed = m_last ? std::min(seconds{now - *m_last}, longest_step) : seconds{0};
     m_last = now;
-    const auto add = [&](double& lost, direction which) {
-        lost = std::max(lost + gain_of(seen, which) * passed.count(), 0.0);
+    const auto add = [&](double& sum, direction which) {
+        sum = std::max(sum + gain_of(seen, which) * passed.count(), 0.0);
     };
     add(m_lost_to_prefill, direction::to_prefill);
     add(m_lost_to_decode, direction::to_decode);
-    const auto which =
-        m_lost_to_prefill >= m_lost_to_decode ? direction::to_prefill : direction::to_decode;
-    const auto lost = std::max(m_lost_to_prefill, m_lost_to_decode);
-    // A change that wins nothing now would be paid for what is over.
-    if (lost < m_price || gain_of(seen, which) <= 0 || !may_change(seen, which)) {
+    const auto which = wants(seen);
+    if (!which || !may_change(seen, *which)) {
         return std::nullopt;
     }
+    const auto paid = lost(*which);
     m_lost_to_prefill = 0;
     m_lost_to_decode = 0;
     // What is offered until the change is done is not a loss of the new roles.
     m_last.reset();
-    return make_verdict("rent_or_buy", seen, which, lost, m_price);
+    return make_verdict("rent_or_buy", seen, *which, paid, m_price);
 }
 
 } // namespace cicadaport::roles
