--- a/include/cicadaport/roles/offered_message.h
+++ b/include/cicadaport/roles/offered_message.h
@@ -20,7 +20,7 @@
     token_rates rates;
 };
 
-// Adds the offers to what a process tells of itself; about 12 bytes and the
+// Adds the offers to what a process tells of itself; about 20 bytes and the
 // model's name for each. Offers too small to tell are left out. Thread safety:
 // any thread, but for `out`.
 void tell_offered(std::span<const model_offer> offers, protocol::process_status& out);
