entry, claims, http: five faults on the path of a request, found by tests

Cause, each seen in a test that failed before the change: - Crossed answers: bytes that an endpoint sent after its answer stayed in the buffer of a kept connection and became the next request's answer. - A refusal to go on with a stream that a caller had in part said not_run; so did a refusal of an idempotent call whose earlier try may have run. - A claim whose append took effect, while the read after it failed, was not marked as given up: nobody released it and its key was taken for 10 minutes. - A caller that waited for the holder of its key was told not_run when the log went down, although the holder's run was under way. - An answer that the log refused in an outage was dropped: a repeated call got 409 for 10 minutes. Also: an unstreamed completion held up a graceful stop for up to 70 s. Ruled out: late answers (their connection is closed), answers nobody asked for on an idle connection (seen as stale), a request sent in part (may_have_run, sent once), a caller that moves to another process, a winner paused beyond its time, a winner that died: tests for these passed at once. Change: a connection with bytes left over is not kept; the verdict of an answer counts earlier tries and earlier exchanges; a failed read after an append leaves the claim given up, also if it was folded already; a known holder in an outage means 409 with may_have_run; refused answers and releases, up to 16 MiB a shard, are offered again every 2 s; at the grace time unstreamed completions end with 503, verdict, Retry-After, and a cancel at the engine. Weighed for these: waiting (a platform that kills after its grace time cuts them without a word), resuming a whole answer elsewhere (needs the body put together from events; left), asking again (taken: nothing was delivered).

--- a/include/cicadaport/claims/claim_store.h
+++ b/include/cicadaport/claims/claim_store.h
@@ -61,7 +61,8 @@
 //
 // All claims of a shard that wait go to the log in one append; the next one
 // leaves when that is answered. An append whose answer was lost is looked for
-// in the log before it is repeated, with the same ids.
+// in the log before it is repeated, with the same ids. Answers and releases
+// that the log did not take are kept and offered again.
 //
 // Thread safety: all members from any thread; the work is done on `context`.
 //
@@ -94,6 +95,9 @@
     class shard;
     boost::asio::awaitable<claim_result>
     acquire_here(claim_request wanted, std::chrono::steady_clock::time_point wait_until);
+    boost::asio::awaitable<void> decide(shard& own, const claim_request& wanted,
+                                        std::chrono::steady_clock::time_point wait_until,
+                                        claim_result& out);
     bool is_held(const claim_entry* holder) const;
     void hand_over(const std::shared_ptr<shard>& own, protocol::claim_record record);
     std::shared_ptr<shard> shard_of(const std::string& scoped_key) const;
--- a/include/cicadaport/entry/gateway.h
+++ b/include/cicadaport/entry/gateway.h
@@ -31,9 +31,10 @@
     boost::asio::awaitable<void> handle(std::size_t worker_index, const http::request& message,
                                         http::response_writer& writer);
 
-    // Ends the streams that run with an event that says how to go on with them
-    // at another entry process. Thread safety: any thread.
-    void hand_over_streams();
+    // Ends the completions that run: streams with an event that says how to go
+    // on with them at another entry process, others with a response that says
+    // to ask there again. Thread safety: any thread.
+    void hand_over();
 
 private:
     boost::asio::awaitable<void> dispatch(const path_resources& resources, caller_exchange exchange,
--- a/src/claims/claim_store.cpp
+++ b/src/claims/claim_store.cpp
@@ -28,6 +28,8 @@
 constexpr milliseconds answer_wait{500};
 constexpr milliseconds refresh_period{2'000};
 constexpr std::size_t longest_answer = 32 * 1024;
+// How much of what the log refused each shard keeps to offer it again.
+constexpr std::size_t most_kept_bytes = 16 * 1024 * 1024;
 
 std::int64_t now_ms()
 {
@@ -163,6 +165,7 @@
     {
         try {
             co_await catch_up(milliseconds{0});
+            offer_again();
         }
         catch (const log_error& error) {
             spdlog::debug("claims_not_read error=\"{}\"", error.what());
@@ -229,14 +232,54 @@
     {
         for (const auto& each : batch) {
             each->error = failure;
+            each->done.cancel();
+            if (failure && !each->record.has_made() && keep(each)) {
+                continue;
+            }
             if (failure && failure->outcome() != verdict::not_run && each->record.has_made()) {
-                m_abandoned.insert(each->record.claim_id());
+                abandon(each->record);
             }
-            each->done.cancel();
             m_pending.fetch_sub(1, std::memory_order_acq_rel);
         }
     }
 
+    // Sees to it that a claim nobody will use does not hold its key, whether it
+    // was folded already or turns up later.
+    void abandon(const protocol::claim_record& made)
+    {
+        m_abandoned.insert(made.claim_id());
+        const auto* holder = m_index.find(made.key());
+        if (holder != nullptr && holder->claim_id == made.claim_id()) {
+            release_if_abandoned(made);
+        }
+    }
+
+    // Keeps an answer or a release that the log did not take. Returns whether
+    // there was room for it.
+    bool keep(const std::shared_ptr<pending_record>& refused)
+    {
+        const auto size = refused->record.ByteSizeLong();
+        if (m_kept_bytes + size > most_kept_bytes || !safeguards::is_on(safeguard::kept_answer)) {
+            return false;
+        }
+        m_kept_bytes += size;
+        m_kept.push_back(refused);
+        return true;
+    }
+
+    // Offers the log again what it did not take; folding a copy changes
+    // nothing. What is older than the retention is of no use any more.
+    void offer_again()
+    {
+        m_kept_bytes = 0;
+        for (auto& each : std::exchange(m_kept, {})) {
+            m_pending.fetch_sub(1, std::memory_order_acq_rel);
+            if (now_ms() - each->record.at_ms() <= m_settings.retention.count()) {
+                enqueue(each->record);
+            }
+        }
+    }
+
     asio::awaitable<void> append(const std::vector<std::shared_ptr<pending_record>>& batch)
     {
         protocol::claim_batch message;
@@ -246,7 +289,7 @@
         const auto payload = message.SerializeAsString();
         for (int attempt = 0; attempt < most_appends; ++attempt) {
             const bool appended = co_await append_once(payload, attempt > 0);
-            const bool found = co_await catch_up(milliseconds{0}, payload);
+            const bool found = co_await read_back(payload);
             if (appended || (found && safeguards::is_on(safeguard::read_back))) {
                 co_return;
             }
@@ -254,6 +297,18 @@
         throw log_error{verdict::may_have_run, "the log did not confirm the claim"};
     }
 
+    // Folds what is new; returns whether `payload` was among it. An append was
+    // made before, so that a failure leaves open whether it took effect.
+    asio::awaitable<bool> read_back(const std::string& payload)
+    {
+        try {
+            co_return co_await catch_up(milliseconds{0}, payload);
+        }
+        catch (const log_error& error) {
+            throw log_error{verdict::may_have_run, error.what()};
+        }
+    }
+
     // Returns whether the log confirmed the append; false when its answer was
     // lost. Throws only if no attempt can have taken effect.
     asio::awaitable<bool> append_once(const std::string& payload, bool repeated)
@@ -280,6 +335,9 @@
     steady_time m_next_append{};
     // Claims that were given up without knowing whether they took effect.
     std::set<std::string> m_abandoned;
+    // Answers and releases that the log did not take.
+    std::vector<std::shared_ptr<pending_record>> m_kept;
+    std::size_t m_kept_bytes = 0;
     std::atomic<std::size_t> m_pending{0};
 };
 
@@ -316,23 +374,40 @@
     claim_result out;
     out.claim_id = base::make_identifier();
     out.begin_before = std::chrono::steady_clock::now() + m_settings.retention / 2;
+    try {
+        co_await decide(*own, wanted, wait_until, out);
+    }
+    catch (const log_error&) {
+        const auto* holder = own->index().find(wanted.scoped_key);
+        if (!is_held(holder) || holder->claim_id == out.claim_id) {
+            throw;
+        }
+        // What the holder did is not known, but that it may have run is.
+        out.outcome = claim_outcome::held;
+    }
+    co_return out;
+}
+
+asio::awaitable<void> claim_store::decide(shard& own, const claim_request& wanted,
+                                          steady_time wait_until, claim_result& out)
+{
     for (;;) {
-        if (!is_held(own->index().find(wanted.scoped_key))) {
+        if (!is_held(own.index().find(wanted.scoped_key))) {
             // Also after the holder before released the key.
             auto record = new_record(wanted.scoped_key, out.claim_id);
             record.mutable_made()->set_request(wanted.request);
-            co_await own->commit(std::move(record));
+            co_await own.commit(std::move(record));
         }
-        const auto* holder = own->index().find(wanted.scoped_key);
+        const auto* holder = own.index().find(wanted.scoped_key);
         if (const auto outcome = outcome_for(holder, wanted, out.claim_id)) {
             out.outcome = *outcome;
             out.answer = holder->answer.value_or(claim_answer{});
-            co_return out;
+            co_return;
         }
         if (std::chrono::steady_clock::now() >= wait_until) {
-            co_return out;
+            co_return;
         }
-        co_await own->catch_up(answer_wait);
+        co_await own.catch_up(answer_wait);
     }
 }
 
--- a/src/entry/gateway.cpp
+++ b/src/entry/gateway.cpp
@@ -107,7 +107,7 @@
     co_await writer.send(std::move(reply));
 }
 
-void gateway::hand_over_streams()
+void gateway::hand_over()
 {
     if (!base::safeguards::is_on(base::safeguard::hand_over)) {
         return;
--- a/src/entry/internal/tries.h
+++ b/src/entry/internal/tries.h
@@ -5,6 +5,7 @@
 #include "cicadaport/entry/errors.h"
 #include "cicadaport/entry/paths.h"
 
+#include <algorithm>
 #include <functional>
 #include <span>
 #include <vector>
@@ -27,6 +28,8 @@
     endpoint_answer() = default;
     std::string endpoint;
     http::response reply;
+    // What became of the request: also of the tries before this answer.
+    base::verdict outcome = base::verdict::ran;
 };
 
 // Decides which tries a request gets: another one only if the one before was
@@ -47,6 +50,9 @@
     // failure if there may be no other try.
     void failed(const std::string& endpoint, base::verdict outcome, const std::string& reason);
 
+    // Notes that an earlier exchange of the same request may have run.
+    void begun_before() noexcept { m_worst = std::max(m_worst, base::verdict::may_have_run); }
+
     // Returns the worst verdict of all tries so far.
     base::verdict outcome() const noexcept { return m_worst; }
 
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -21,7 +21,7 @@
 // How long the balancer gets to see that this process is not ready any more.
 constexpr std::chrono::milliseconds balancer_notice{500};
 constexpr std::chrono::milliseconds drain_poll{20};
-// No request that can't be handed over runs longer.
+// No call of a service runs longer; completions are handed over before.
 constexpr std::chrono::milliseconds longest_request{70'000};
 constexpr std::chrono::milliseconds claim_time{2'000};
 
@@ -162,8 +162,8 @@
     }
 
     // Readiness turns first, then accepting stops, then the requests that run
-    // go on to their end within the grace time. Streams that are longer go on
-    // at another entry process; other requests are bounded by their timeouts.
+    // go on to their end within the grace time. Completions that are longer go
+    // on at another entry process; calls are bounded by their timeouts.
     asio::awaitable<void> drain()
     {
         spdlog::info("drain_started active={}", m_callers.active_requests());
@@ -173,7 +173,7 @@
         m_callers.drain();
         co_await wait_for_requests(m_settings.common.grace_time);
         spdlog::info("hand_over_started active={}", m_callers.active_requests());
-        m_gateway.hand_over_streams();
+        m_gateway.hand_over();
         co_await wait_for_requests(longest_request);
         co_await wait_for_claims();
         spdlog::info("drain_ended active={}", m_callers.active_requests());
--- a/src/entry/resumable.cpp
+++ b/src/entry/resumable.cpp
@@ -11,6 +11,29 @@
 
 constexpr std::chrono::milliseconds whole_answer_time{60'000};
 
+// Ends one completion when its process stops, for as long as it lives. Belongs
+// to one event loop.
+class stop_watch {
+public:
+    stop_watch(worker& own, http::cancellation& cancel) : m_own{own}, m_number{own.next_stream++}
+    {
+        m_own.hand_over_calls[m_number] = [this, &cancel] {
+            m_stopping = true;
+            cancel.request();
+        };
+    }
+    ~stop_watch() { m_own.hand_over_calls.erase(m_number); }
+    stop_watch(const stop_watch&) = delete;
+    stop_watch& operator=(const stop_watch&) = delete;
+
+    bool stopping() const noexcept { return m_stopping; }
+
+private:
+    worker& m_own;
+    std::uint64_t m_number;
+    bool m_stopping = false;
+};
+
 try_plan plan_of(path_resources& resources, const caller_exchange& exchange,
                  const completion_request& wanted, http::cancellation& cancel)
 {
@@ -40,9 +63,21 @@
     http::cancellation cancel;
     const auto watch = exchange.writer.watch_peer([&] { cancel.request(); });
     const auto plan = plan_of(resources, exchange, wanted, cancel);
-    auto answer = co_await exchange_with_retries(resources, exchange.context, plan);
-    const auto outcome = is_not_started(answer.reply) ? base::verdict::not_run : base::verdict::ran;
-    answer.reply.fields.add(verdict_field, base::to_string(outcome));
+    const stop_watch stop{resources.own, cancel};
+    endpoint_answer answer;
+    try {
+        answer = co_await exchange_with_retries(resources, exchange.context, plan);
+    }
+    catch (const request_failure& failure) {
+        if (!stop.stopping()) {
+            throw;
+        }
+        // Nothing of the answer was delivered: it can be asked for again at
+        // once, through another entry process.
+        throw request_failure{failure_kind::unavailable, failure.outcome(),
+                              "this entry process stops", std::chrono::milliseconds{0}};
+    }
+    answer.reply.fields.add(verdict_field, base::to_string(answer.outcome));
     co_await exchange.writer.send(std::move(answer.reply));
     report_answered(resources.counters, exchange.context, answer.endpoint);
 }
--- a/src/entry/resumable_stream.cpp
+++ b/src/entry/resumable_stream.cpp
@@ -115,6 +115,8 @@
                                   " is not of this account's request with this id and body"};
     }
     m_position = *position;
+    // The answer was begun in an exchange before this one.
+    m_tries.begun_before();
 }
 
 void resumable_stream::watch_caller()
@@ -196,7 +198,8 @@
         m_outcome = is_not_started(head) ? verdict::not_run : verdict::may_have_run;
         m_reason = "the engine answered " + std::to_string(head.status);
         if (!is_resume && is_answer(head)) {
-            throw request_failure{failure_kind::invalid_request, m_outcome, m_reason};
+            throw request_failure{failure_kind::invalid_request,
+                                  std::max(m_outcome, m_tries.outcome()), m_reason};
         }
         co_return is_resume&& head.status != status_not_found ? ending::broken : ending::lost;
     }
--- a/src/entry/service_call.cpp
+++ b/src/entry/service_call.cpp
@@ -143,8 +143,7 @@
     catch (const request_failure& error) {
         failure = error;
     }
-    const bool not_run =
-        failure ? failure->outcome() == verdict::not_run : is_not_started(answer.reply);
+    const bool not_run = (failure ? failure->outcome() : answer.outcome) == verdict::not_run;
     if (not_run) {
         resources.claims->release(wanted, claim.claim_id);
     }
@@ -221,8 +220,7 @@
     else {
         answer = co_await exchange_with_retries(resources, exchange.context, plan);
     }
-    const auto outcome = is_not_started(answer.reply) ? verdict::not_run : verdict::ran;
-    answer.reply.fields.add(verdict_field, base::to_string(outcome));
+    answer.reply.fields.add(verdict_field, base::to_string(answer.outcome));
     answer.reply.fields.add(request_id_field, exchange.context.id);
     co_await exchange.writer.send(std::move(answer.reply));
     report_answered(resources.counters, exchange.context, answer.endpoint);
--- a/src/entry/tries.cpp
+++ b/src/entry/tries.cpp
@@ -119,6 +119,7 @@
         }
         if (whole) {
             tries.succeeded(endpoint.name);
+            answer.outcome = is_not_started(answer.reply) ? tries.outcome() : verdict::ran;
             co_return answer;
         }
         if (plan.options.cancel != nullptr && plan.options.cancel->requested()) {
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,6 @@
 #include "cicadaport/http/client.h"
 
+#include "cicadaport/base/safeguards.h"
 #include "internal/convert.h"
 
 namespace cicadaport::http {
@@ -175,9 +176,18 @@
     }
 
 private:
+    // Whatever follows the answer belongs to nobody, least of all to the next
+    // request on this connection.
+    bool is_clean() const
+    {
+        return m_connection->buffer.size() == 0 ||
+               !base::safeguards::is_on(base::safeguard::clean_connection);
+    }
+
     void give_back()
     {
-        if (m_connection && m_parser.get().keep_alive() && !m_options.fresh_connection) {
+        if (m_connection && m_parser.get().keep_alive() && !m_options.fresh_connection &&
+            is_clean()) {
             m_owner->keep(m_to, std::move(m_connection));
         }
         m_connection.reset();
--- a/test/entry/resumable_test.cpp
+++ b/test/entry/resumable_test.cpp
@@ -1,6 +1,8 @@
 #include "path_fixture.h"
 #include "safeguard_off.h"
 
+#include <future>
+
 namespace cicadaport::entry {
 namespace {
 
@@ -86,7 +88,7 @@
         served_gateway stopping{m_configuration};
         const auto seen = read_answer(stopping.address(), message, [&](const seen_answer& so_far) {
             if (has_some_tokens(so_far)) {
-                stopping.handler().hand_over_streams();
+                stopping.handler().hand_over();
             }
             return so_far.body.find("event: resume") != std::string::npos;
         });
@@ -188,7 +190,7 @@
     const auto seen = read_answer(stopping->address(), streamed_completion(tokens),
                                   [&](const seen_answer& so_far) {
                                       if (stopping && has_some_tokens(so_far)) {
-                                          stopping->handler().hand_over_streams();
+                                          stopping->handler().hand_over();
                                           stopping.reset();
                                       }
                                       return false;
@@ -197,6 +199,91 @@
     EXPECT_EQ(seen.lines("event"), std::vector<std::string>{});
 }
 
+TEST_F(resumable_test, a_caller_that_moves_while_its_old_process_lives_gets_the_whole_answer)
+{
+    const served_gateway second{m_configuration};
+    auto message = streamed_completion(tokens);
+    message.fields.add(request_id_field, "order-17");
+    seen_answer rest;
+    const auto seen = read_answer(m_gateway.address(), message, [&](const seen_answer& so_far) {
+        if (!has_some_tokens(so_far)) {
+            return false;
+        }
+        // The old connection is still open while the new one is answered.
+        message.fields.add("Last-Event-ID", so_far.lines("id").back());
+        rest = read_answer(second.address(), message);
+        return true;
+    });
+    EXPECT_TRUE(rest.complete);
+    EXPECT_EQ(seen.text() + rest.text(), expected_text(tokens));
+}
+
+TEST_F(resumable_test, a_caller_that_leaves_its_old_process_first_gets_the_whole_answer)
+{
+    const served_gateway second{m_configuration};
+    constexpr std::uint32_t long_answer = 400;
+    auto message = streamed_completion(long_answer);
+    message.fields.add(request_id_field, "order-17");
+    const auto seen = read_answer(m_gateway.address(), message, has_some_tokens);
+    message.fields.add("Last-Event-ID", seen.lines("id").back());
+    const auto rest = read_answer(second.address(), message);
+    EXPECT_TRUE(rest.complete);
+    EXPECT_EQ(seen.text() + rest.text(), expected_text(long_answer));
+}
+
+TEST_F(resumable_test, a_refusal_to_go_on_with_what_was_delivered_does_not_say_not_run)
+{
+    auto message = streamed_completion(tokens);
+    const auto seen = read_answer(m_gateway.address(), message, has_some_tokens);
+    EXPECT_TRUE(engine_becomes_idle());
+    order_fault(m_engine.address(), "refuse=true");
+    message.fields.add("Last-Event-ID", seen.lines("id").back());
+    message.fields.add(request_id_field, *seen.fields.find(request_id_field));
+    const auto refusal = exchange(m_gateway.address(), message);
+    EXPECT_EQ(refusal.status, 503U);
+    EXPECT_EQ(refusal.fields.find(verdict_field), "may_have_run");
+}
+
+http::request whole_completion(std::uint32_t length)
+{
+    const nlohmann::json body{{"model", "m"}, {"prompt", "how many sacks"}, {"max_tokens", length}};
+    return caller_request("POST", "/v1/completions", body.dump());
+}
+
+// Asks for a whole completion that runs for longer than the test.
+std::future<http::response> ask_for_much(const http::address& at)
+{
+    constexpr std::uint32_t very_long = 100'000;
+    return std::async(std::launch::async,
+                      [at] { return exchange(at, whole_completion(very_long)); });
+}
+
+TEST_F(resumable_test, a_whole_completion_that_outlasts_a_stop_is_ended_with_its_verdict)
+{
+    auto asked = ask_for_much(m_gateway.address());
+    while (running_at_engine() == 0) {
+    }
+    m_gateway.handler().hand_over();
+    const auto reply = asked.get();
+    EXPECT_EQ(reply.status, 503U);
+    EXPECT_EQ(reply.fields.find(verdict_field), "may_have_run");
+    EXPECT_TRUE(reply.fields.find("Retry-After"));
+    EXPECT_TRUE(engine_becomes_idle());
+}
+
+TEST_F(resumable_test, without_hand_over_a_whole_completion_holds_up_a_stop)
+{
+    const safeguard_off without{safeguard::hand_over};
+    auto stopping = std::make_unique<served_gateway>(m_configuration);
+    auto asked = ask_for_much(stopping->address());
+    while (running_at_engine() == 0) {
+    }
+    stopping->handler().hand_over();
+    EXPECT_EQ(asked.wait_for(std::chrono::seconds{1}), std::future_status::timeout);
+    stopping.reset();
+    EXPECT_THROW(asked.get(), http::exchange_error);
+}
+
 TEST_F(resumable_test, a_refusal_by_the_only_engine_says_not_run_and_when_to_come_back)
 {
     order_fault(m_engine.address(), "refuse=true");
