faults: schedules that reach the windows of the order path

A successor takes no engine out of service until the frozen process counts as silent, 4 s after it stopped, so a holder that slept less met no different order; and most engines checked fencing numbers.

Change: faults hit the holder of the lease half of the time; in half of the schedules all control processes but one stop themselves at a step of their first order and sleep 7 to 9 s; in half of them no engine checks.

--- a/include/cicadaport/faults/schedule.h
+++ b/include/cicadaport/faults/schedule.h
@@ -79,6 +79,8 @@
     // In how many availability zones the hosts are; hosts of one zone share a
     // reader of the log.
     std::uint32_t zones = 1;
+    // Whether every other engine checks fencing numbers, or none does.
+    bool some_check_fencing = true;
     std::chrono::milliseconds lease_time{1'000};
     std::chrono::milliseconds change_time{200};
     std::vector<fault> faults;
--- a/src/faults/fleet.cpp
+++ b/src/faults/fleet.cpp
@@ -11,23 +11,26 @@
 
 void make_deployment(const schedule& what, const run_options& options, const std::string& folder)
 {
-    const std::vector<std::string> arguments{"nguyen_phat",
-                                             folder,
-                                             "--links",
-                                             "--peer-links",
-                                             "--base-port",
-                                             std::to_string(options.base_port),
-                                             "--engines",
-                                             std::to_string(what.engines),
-                                             "--hosts",
-                                             std::to_string(what.hosts),
-                                             "--zones",
-                                             std::to_string(what.zones),
-                                             "--lease-time-ms",
-                                             std::to_string(what.lease_time.count()),
-                                             "--engine-argument=--change-ms",
-                                             "--engine-argument=" +
-                                                 std::to_string(what.change_time.count())};
+    std::vector<std::string> arguments{"nguyen_phat",
+                                       folder,
+                                       "--links",
+                                       "--peer-links",
+                                       "--base-port",
+                                       std::to_string(options.base_port),
+                                       "--engines",
+                                       std::to_string(what.engines),
+                                       "--hosts",
+                                       std::to_string(what.hosts),
+                                       "--zones",
+                                       std::to_string(what.zones),
+                                       "--lease-time-ms",
+                                       std::to_string(what.lease_time.count()),
+                                       "--engine-argument=--change-ms",
+                                       "--engine-argument=" +
+                                           std::to_string(what.change_time.count())};
+    if (!what.some_check_fencing) {
+        arguments.emplace_back("--no-fencing-checks");
+    }
     scenario::child_process child{options.root + "/scripts/make_deployment", arguments,
                                   folder + "/make_deployment.log"};
     if (child.wait(make_deployment_time) != 0) {
--- a/src/faults/schedule.cpp
+++ b/src/faults/schedule.cpp
@@ -30,8 +30,9 @@
     {fault_kind::lost_order_answers, "lost_order_answers"},
 };
 constexpr std::string_view freeze_at_step_name = "freeze_at_step";
-constexpr std::string_view steps[] = {"before_check", "after_check", "after_write",
-                                      "before_settlement"};
+// The first two leave an order unsent, which may then come late.
+constexpr std::string_view steps[] = {"before_check", "after_check", "before_check",
+                                      "after_check",  "after_write", "before_settlement"};
 constexpr std::string_view roles[] = {"mixed", "prefill", "decode"};
 
 // Draws the parts of one schedule. The results of the standard library's
@@ -84,8 +85,8 @@
     constexpr milliseconds longest{2'500};
     switch (kind) {
     case fault_kind::freeze:
-        // Long enough for a successor to take over and to order something else.
-        return draw.time(lease + lease / 5, 5 * lease);
+        // Long enough for a successor to take over.
+        return draw.time(lease + lease / 5, 4 * lease);
     case fault_kind::kill:
         return draw.time(milliseconds{50}, longest / 2);
     default:
@@ -127,11 +128,13 @@
 }
 
 // All control processes but one stop themselves at a step of their first
-// order, and go on when a successor has had time for a different one.
+// order, and go on when a successor has had time for a different one: it waits
+// until the frozen process counts as silent before it takes an engine out of
+// service.
 void draw_freezes_at_steps(drawer& draw, schedule& out)
 {
-    constexpr milliseconds shortest{4'500};
-    constexpr milliseconds longest{6'500};
+    constexpr milliseconds shortest{7'000};
+    constexpr milliseconds longest{9'000};
     const auto spared = draw.number(1, out.hosts);
     for (std::uint32_t i = 1; i <= out.hosts; ++i) {
         fault each;
@@ -232,8 +235,9 @@
     schedule out;
     out.seed = seed;
     out.entries = draw.number(1, 2);
-    out.engines = draw.number(2, 3);
+    out.engines = draw.one_in(3) ? 3 : 2;
     out.zones = draw.number(1, out.hosts);
+    out.some_check_fencing = draw.one_in(2);
     draw_faults(draw, out);
     draw_edits(draw, out);
     draw_wishes(draw, out);
--- a/src/faults/session.cpp
+++ b/src/faults/session.cpp
@@ -107,7 +107,7 @@
     for (const auto& name : names("engine-")) {
         // scripts/make_deployment lets every other engine check, from the first on.
         const auto number = std::stoul(name.substr(name.find('-') + 1));
-        m_records.engines.push_back({name, number % 2 == 1, {}});
+        m_records.engines.push_back({name, m_schedule.some_check_fencing && number % 2 == 1, {}});
     }
     spawn(carry_out());
     m_context.run();
