--- a/include/cicadaport/faults/records.h
+++ b/include/cicadaport/faults/records.h
@@ -93,6 +93,22 @@
     std::uint64_t fencing_number = 0;
 };
 
+// A settlement that the fold accepted.
+struct settled_order {
+    std::uint64_t offset = 0;
+    std::string order_id;
+    std::string endpoint;
+    bool applied = false;
+    time_bounds when;
+};
+
+// A fault as it befell a process, or the log.
+struct begun_fault {
+    std::string kind;
+    std::string target;
+    std::chrono::milliseconds at{0};
+};
+
 // All of one run, each list in its natural order: of the log or of time.
 struct run_records {
     std::vector<engine_record> engines;
@@ -101,6 +117,8 @@
     std::vector<operator_edit> operators;
     std::vector<lease_event> leases;
     std::vector<announced_order> announced;
+    std::vector<settled_order> settled;
+    std::vector<begun_fault> begun;
     // Processes that run at the end.
     std::vector<std::string> live;
     // When the last fault had ended.
--- a/include/cicadaport/faults/run.h
+++ b/include/cicadaport/faults/run.h
@@ -19,12 +19,13 @@
     std::string root;
     // The folder of the binaries.
     std::string bin;
-    // The first of the ports that are this run's alone.
-    std::uint16_t base_port = 0;
+    // Runs at the same time, also of other programs, take blocks of ports from
+    // here on, below those from which the system serves outgoing connections.
+    std::uint16_t first_port = 18'000;
 };
 
-// How many ports, from the first one on, a run uses.
-constexpr std::uint16_t ports_per_run = 300;
+// How many runs can go on at the same time.
+constexpr std::uint16_t most_runs = 6;
 
 struct run_result {
     std::uint64_t seed = 0;
@@ -40,8 +41,7 @@
 };
 
 // Carries out a schedule and checks the records. All processes that were
-// started have ended when it returns. Thread safety: runs on different ports
-// may go on at the same time.
+// started have ended when it returns. Thread safety: any thread.
 run_result run_schedule(const schedule& what, const run_options& options);
 
 // One line about the run, and one more for each breach.
--- a/include/cicadaport/faults/schedule.h
+++ b/include/cicadaport/faults/schedule.h
@@ -37,9 +37,13 @@
 
 std::string_view to_string(fault_kind kind);
 
-// Stands for the process that holds the lease when the fault begins.
+// Stands for the process that holds the lease when the fault begins, or the
+// operator speaks.
 constexpr std::string_view lease_holder = "holder";
 
+// Stands for a control process that does not hold it then.
+constexpr std::string_view other_than_lease_holder = "other";
+
 struct fault {
     fault_kind kind = fault_kind::kill;
     // The process it befalls, or `lease_holder`; empty for those of the log.
@@ -64,6 +68,7 @@
 // An operator wishes a role for an engine.
 struct planned_wish {
     std::chrono::milliseconds at{0};
+    // A process, or `other_than_lease_holder`.
     std::string through;
     std::string engine;
     std::string role;
--- a/programs/fault_schedule/main.cpp
+++ b/programs/fault_schedule/main.cpp
@@ -16,7 +16,7 @@
 namespace faults = cicadaport::faults;
 
 struct settings {
-    faults::run_options run{std::filesystem::current_path().string(), "", 18'000};
+    faults::run_options run;
     std::uint64_t first_seed = 1;
     std::uint64_t seeds = 1;
     unsigned parallel = 3;
@@ -98,13 +98,10 @@
     totals out;
     std::mutex mutex;
     std::atomic<std::uint64_t> next{0};
-    const auto work = [&](unsigned turn) {
-        auto options = how.run;
-        options.base_port =
-            static_cast<std::uint16_t>(options.base_port + turn * faults::ports_per_run);
+    const auto work = [&] {
         for (auto i = next++; i < how.seeds; i = next++) {
             const auto what = faults::make_schedule(how.first_seed + i);
-            const auto result = faults::run_schedule(what, options);
+            const auto result = faults::run_schedule(what, how.run);
             const std::scoped_lock lock{mutex};
             add(out, result, what);
             std::cerr << to_line(result) << std::endl;
@@ -112,7 +109,7 @@
     };
     std::vector<std::thread> threads;
     for (unsigned i = 0; i < how.parallel; ++i) {
-        threads.emplace_back(work, i);
+        threads.emplace_back(work);
     }
     for (auto& each : threads) {
         each.join();
@@ -130,18 +127,18 @@
 
 int main(int argc, char** argv)
 {
-    constexpr unsigned most_parallel = 6;
     CLI::App app{"Runs random fault schedules and checks the records; exit code 0: nothing "
                  "found, 1: a breach, 2: a schedule could not be run"};
     settings how;
+    how.run.root = std::filesystem::current_path().string();
     how.run.bin = own_folder();
     bool only_show = false;
     app.add_option("--root", how.run.root, "The repository's root")->envname("CICADAPORT_ROOT");
     app.add_option("--first-seed", how.first_seed, "The first seed");
     app.add_option("--seeds", how.seeds, "How many seeds, one after the other");
     app.add_option("--parallel", how.parallel, "How many schedules at a time")
-        ->check(CLI::Range(1U, most_parallel));
-    app.add_option("--base-port", how.run.base_port, "The first of 300 ports for each at a time");
+        ->check(CLI::Range(1U, unsigned{faults::most_runs}));
+    app.add_option("--first-port", how.run.first_port, "From where on runs take blocks of ports");
     app.add_flag("--json", how.as_json, "Print a JSON line for each total");
     app.add_flag("--show", only_show, "Print the schedules and run nothing");
     CLI11_PARSE(app, argc, argv);
--- a/src/faults/fleet.cpp
+++ b/src/faults/fleet.cpp
@@ -9,14 +9,15 @@
 constexpr std::chrono::milliseconds make_deployment_time{20'000};
 constexpr char pause_variable[] = "CICADAPORT_UNSAFE_PAUSE_AT=";
 
-void make_deployment(const schedule& what, const run_options& options, const std::string& folder)
+void make_deployment(const schedule& what, const run_options& options, std::uint16_t base_port,
+                     const std::string& folder)
 {
     std::vector<std::string> arguments{"nguyen_phat",
                                        folder,
                                        "--links",
                                        "--peer-links",
                                        "--base-port",
-                                       std::to_string(options.base_port),
+                                       std::to_string(base_port),
                                        "--engines",
                                        std::to_string(what.engines),
                                        "--hosts",
@@ -40,10 +41,11 @@
 
 } // namespace
 
-fleet::fleet(const schedule& what, const run_options& options, std::string folder)
+fleet::fleet(const schedule& what, const run_options& options, std::uint16_t base_port,
+             std::string folder)
     : m_options{options}, m_folder{std::move(folder)}
 {
-    make_deployment(what, options, m_folder);
+    make_deployment(what, options, base_port, m_folder);
     m_deployment = scenario::read_deployment(m_folder);
     std::erase_if(m_deployment.processes, [&](const scenario::process_entry& each) {
         return each.name.starts_with("entry-") && each.name > entry_name(what.entries);
--- a/src/faults/internal/fleet.h
+++ b/src/faults/internal/fleet.h
@@ -18,7 +18,8 @@
 class fleet {
 public:
     // Writes the deployment into `folder` and starts its processes.
-    fleet(const schedule& what, const run_options& options, std::string folder);
+    fleet(const schedule& what, const run_options& options, std::uint16_t base_port,
+          std::string folder);
 
     void kill(const std::string& name);
     void allow_restart(const std::string& name);
--- a/src/faults/internal/session.h
+++ b/src/faults/internal/session.h
@@ -19,7 +19,8 @@
 // Everything runs on one event loop, on the thread that calls `run()`.
 class session {
 public:
-    session(const schedule& what, const run_options& options, const std::string& folder);
+    session(const schedule& what, const run_options& options, std::uint16_t base_port,
+            const std::string& folder);
 
     // Carries out the schedule and returns the records. Throws
     // std::runtime_error if the deployment does not come to serve.
--- a/src/faults/log_records.cpp
+++ b/src/faults/log_records.cpp
@@ -69,6 +69,11 @@
         m_records.announced.push_back({offset, intent.order().order_id(), intent.order().endpoint(),
                                        intent.fencing_number()});
     }
+    else if (record.has_settlement()) {
+        const auto& settled = record.settlement();
+        m_records.settled.push_back(
+            {offset, settled.order_id(), settled.endpoint(), settled.applied(), when});
+    }
 }
 
 } // namespace cicadaport::faults
--- a/src/faults/run.cpp
+++ b/src/faults/run.cpp
@@ -1,5 +1,6 @@
 #include "cicadaport/faults/run.h"
 
+#include "internal/port_block.h"
 #include "internal/session.h"
 
 #include <filesystem>
@@ -39,6 +40,13 @@
         out << "offset " << each.offset << " announced " << each.order_id << " for "
             << each.endpoint << " fencing_number " << each.fencing_number << '\n';
     }
+    for (const auto& each : records.settled) {
+        out << each.when.not_after.count() << " ms offset " << each.offset << " settled "
+            << each.order_id << " for " << each.endpoint << " applied " << each.applied << '\n';
+    }
+    for (const auto& each : records.begun) {
+        out << each.at.count() << " ms " << each.kind << ' ' << each.target << '\n';
+    }
     for (const auto& each : records.edits) {
         out << each.when.not_after.count() << " ms offset " << each.offset << " edit "
             << each.append_id << '\n';
@@ -66,7 +74,8 @@
     out.seed = what.seed;
     const auto folder = make_folder();
     try {
-        session running{what, options, folder};
+        const port_block ports{options.first_port};
+        session running{what, options, ports.first(), folder};
         out.records = running.run();
         out.breaches = find_breaches(out.records);
     }
--- a/src/faults/session.cpp
+++ b/src/faults/session.cpp
@@ -95,10 +95,11 @@
 
 } // namespace
 
-session::session(const schedule& what, const run_options& options, const std::string& folder)
-    : m_schedule{what}, m_folder{folder}, m_fleet{what, options, folder}, m_log_records{m_records},
-      m_client{m_context}, m_log{m_context, m_fleet.deployment().find("log").address.value(),
-                                 "system"}
+session::session(const schedule& what, const run_options& options, std::uint16_t base_port,
+                 const std::string& folder)
+    : m_schedule{what}, m_folder{folder}, m_fleet{what, options, base_port, folder},
+      m_log_records{m_records}, m_client{m_context},
+      m_log{m_context, m_fleet.deployment().find("log").address.value(), "system"}
 {
 }
 
@@ -308,6 +309,7 @@
     if (what.target == lease_holder) {
         what.target = current_holder();
     }
+    m_records.begun.push_back({std::string{to_string(what.kind)}, what.target, now()});
     co_await begin(what);
     co_await sleep_until(what.at + what.lasts);
     co_await end(what);
@@ -454,6 +456,10 @@
 asio::awaitable<void> session::wish(planned_wish what)
 {
     co_await sleep_until(what.at);
+    if (what.through == other_than_lease_holder) {
+        const auto first = control_name(1);
+        what.through = current_holder() == first ? control_name(2) : first;
+    }
     co_await send(admin_of(what.through), "POST",
                   "/v1/admin/endpoints/" + what.engine + "/role?role=" + what.role, std::string{},
                   operator_time);
--- a/test/faults/run_test.cpp
+++ b/test/faults/run_test.cpp
@@ -10,13 +10,14 @@
 namespace cicadaport::faults {
 namespace {
 
-constexpr std::uint16_t first_port = 18'000;
-
-run_options options_at(std::uint16_t base_port)
+run_options options()
 {
     const char* root = std::getenv("CICADAPORT_ROOT");
     const char* bin = std::getenv("CICADAPORT_BIN");
-    return {root == nullptr ? "." : root, bin == nullptr ? "build/bin" : bin, base_port};
+    run_options out;
+    out.root = root == nullptr ? "." : root;
+    out.bin = bin == nullptr ? "build/bin" : bin;
+    return out;
 }
 
 TEST(fault_run_test, no_promise_is_broken_under_three_schedules)
@@ -25,10 +26,8 @@
     run_result results[std::size(seeds)];
     std::vector<std::thread> threads;
     for (std::size_t i = 0; i < std::size(seeds); ++i) {
-        threads.emplace_back([&, i] {
-            const auto port = static_cast<std::uint16_t>(first_port + i * ports_per_run);
-            results[i] = run_schedule(make_schedule(seeds[i]), options_at(port));
-        });
+        threads.emplace_back(
+            [&, i] { results[i] = run_schedule(make_schedule(seeds[i]), options()); });
     }
     for (auto& each : threads) {
         each.join();
