--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -3,6 +3,8 @@
 #include "cicadaport/authority/fleet_directors.h"
 #include "cicadaport/base/io_pool.h"
 #include "cicadaport/control/admin_api.h"
+#include "cicadaport/control/metrics.h"
+#include "cicadaport/http/health.h"
 #include "cicadaport/membership/endpoint_watch.h"
 #include "cicadaport/platform/snapshotter.h"
 #include "cicadaport/platform/tailer.h"
@@ -37,16 +39,17 @@
           m_tailer{m_tail_log, m_replica, [this] { return reads_log(); }},
           m_proposals{m_pool.context(0), m_append_log, m_replica, settings.common.id},
           m_snapshots{m_replica, m_proposals, [this] { return rank(); }},
-          m_admin_api{m_replica, m_processes, m_proposals, settings.operator_key_sha256},
+          m_admin_api{m_replica, m_processes, m_proposals, settings.operator_key_sha256,
+                      [this] { return m_directors.roles_now(); }},
           m_admin{m_pool,
                   settings.common.admin_address.ip,
                   settings.common.admin_address.port,
                   {},
                   [this](std::size_t, const http::request& message, http::response_writer& writer) {
-                      return m_admin_api.handle(message, writer);
+                      return serve_admin(message, writer);
                   }},
           m_signals{m_pool.context(0), SIGTERM, SIGINT}, m_engines{m_pool.context(0)},
-          m_directors{{m_pool.context(0), m_replica, m_proposals, m_engines,
+          m_directors{{m_pool.context(0), m_replica, m_proposals, m_engines, m_processes,
                        [this](std::uint64_t offset) { return is_folded_everywhere(offset); }},
                       settings.common.id,
                       timing(settings)},
@@ -86,6 +89,19 @@
         return out;
     }
 
+    asio::awaitable<void> serve_admin(const http::request& message, http::response_writer& writer)
+    {
+        const http::target_view target{message.target};
+        if (auto page = http::health_answer(target.path(), m_health)) {
+            return writer.send(std::move(*page));
+        }
+        return m_admin_api.handle(message, writer);
+    }
+
+    // Whether this process knows the state: from the log, even an empty one,
+    // or from a peer.
+    bool is_ready() const { return m_tailer.since_last_answer() || m_replica.offset() > 0; }
+
     // Directs until the leases are released, then ends the process.
     asio::awaitable<void> direct()
     {
@@ -182,6 +198,9 @@
     platform::tailer m_tailer;
     platform::proposer m_proposals;
     platform::snapshotter m_snapshots;
+    metrics m_metrics{m_replica, m_processes};
+    http::health_source m_health{[this] { return is_ready(); },
+                                 [this] { return m_metrics.expose(contact_age()); }};
     admin_api m_admin_api;
     http::server m_admin;
     asio::signal_set m_signals;
