entry: a prefill engine reads long prompts before another one answers

Cause: a completion went whole to a mixed or decode engine and engines with the role prefill got nothing, so that roles and their changes meant nothing. Ruled out: taking the pair whenever a prefill engine exists (an idle engine answers sooner alone); counting the other engine's queue after the prefill (it is worked off meanwhile); charging both engines at once (the answering one is chosen when the prompt has been read, with the news of that moment). Change: `two_stage_completion` compares one stage with a pair by predicted completion; prompts of which the engine would read less than 256 tokens itself stay in one stage. The account counts the request from the first stage to the last. The policy `predicted_one_stage` is the baseline. Conclusion: prefill engines take part; goodput is not measured here.

--- a/bench/decision.cpp
+++ b/bench/decision.cpp
@@ -23,6 +23,8 @@
 
 constexpr std::size_t index_blocks = 1 << 18;
 constexpr std::uint32_t prompt_blocks = 128;
+// One engine of so many only reads prompts.
+constexpr std::size_t engines_per_prefill = 4;
 constexpr int decisions_per_run = 200'000;
 constexpr double target_us = 2;
 constexpr double target_ratio = 0.9;
@@ -52,7 +54,7 @@
     nanoseconds decide(int count, std::uint64_t seed) const
     {
         routing::random_source random{seed};
-        const routing::predicted_completion rule;
+        const routing::two_stage_completion rule;
         const auto begin = thread_time();
         for (int i = 0; i < count; ++i) {
             const base::rcu_reader guard;
@@ -99,8 +101,11 @@
         auto out = std::make_unique<routing::load_snapshot>();
         for (std::size_t i = 0; i < engines; ++i) {
             const auto amount = static_cast<double>(i * 7 % 13);
-            out->endpoints.push_back({{amount, amount * 300, amount * 40}});
+            const auto role = i % engines_per_prefill == 1 ? routing::engine_role::prefill
+                                                           : routing::engine_role::mixed;
+            out->endpoints.push_back({{amount, amount * 300, amount * 40}, role});
         }
+        out->find_prefill_engines();
         return out;
     }
 
--- a/include/cicadaport/entry/engine_choice.h
+++ b/include/cicadaport/entry/engine_choice.h
@@ -44,6 +44,21 @@
     in_flight_charge& operator=(in_flight_charge&& other) noexcept;
     ~in_flight_charge();
 
+    // Returns when the first token was expected, or the prompt to have been
+    // read, from the decision on; zero if nothing was predicted.
+    routing::seconds predicted_first_token() const noexcept
+    {
+        return m_expected.predicted.first_token;
+    }
+
+    // Notes that the prompt has been read at `now`, for a request of which the
+    // endpoint does nothing else: the engine's speed is learned from it.
+    void note_prefilled(std::chrono::steady_clock::time_point now);
+
+    // Lets `next`, the charge of the same request elsewhere, count for the
+    // account in place of this one.
+    void pass_account_to(in_flight_charge& next) noexcept;
+
     // Notes that `count` more tokens of the answer came at `now`.
     void note_tokens(std::uint32_t count, std::chrono::steady_clock::time_point now);
 
@@ -74,18 +89,33 @@
     in_flight_charge charge;
     // The rank of the request's priority, for the engine's own queue.
     std::uint32_t rank = 0;
+    // Whether it only reads the prompt; another engine makes the answer.
+    bool prefills = false;
+    // Where the engine finds the prompt's cache; empty if it reads the prompt.
+    std::string kv_source;
 };
 
-// Adds the field that tells an engine how urgent the request is; without it the
-// request is most urgent.
+// Adds the fields that tell an engine how urgent the request is, without which
+// it is most urgent, and where the prompt's cache is.
 void add_engine_fields(http::field_list& fields, const chosen_endpoint& chosen);
 
+// The cache of a prompt that an engine has read for another one.
+struct exported_prompt {
+    std::string engine;
+    // The engine's name for it.
+    std::string kv;
+};
+
 // What a request asks of an engine.
 struct engine_request {
     const request_context& context;
     std::string_view model;
     // The whole body, as the caller sent it.
     std::string_view body;
+    // Whether an engine may be chosen that only reads the prompt.
+    bool may_prefill = false;
+    // What a prefill engine has read already, or null.
+    const exported_prompt* exported = nullptr;
 };
 
 // Returns the engine for the next try of `wanted`. Throws `request_failure`,
--- a/include/cicadaport/routing/load.h
+++ b/include/cicadaport/routing/load.h
@@ -67,6 +67,12 @@
 // All endpoints by their index. Immutable; replaced as a whole.
 struct load_snapshot {
     std::vector<endpoint_report> endpoints;
+    // The endpoints that only read prompts and take work, by index. A decision
+    // may not search all endpoints for them.
+    std::vector<std::uint32_t> prefill_engines;
+
+    // Fills `prefill_engines` from `endpoints`; call it before publication.
+    void find_prefill_engines();
 
     // Returns the endpoint's report, or that of an idle one if there is none.
     const endpoint_report& at(std::uint32_t index) const noexcept;
--- a/include/cicadaport/routing/placement.h
+++ b/include/cicadaport/routing/placement.h
@@ -27,12 +27,20 @@
     request_needs needs;
     prefix_match prefix;
     engine_speed speed;
+    // Whether a prefill engine has read the prompt already and hands its cache
+    // to the endpoint that is chosen.
+    bool prefilled = false;
 };
 
 // The endpoint that a rule chose and what was predicted for it.
 struct placement_choice {
     const candidate* chosen = nullptr;
     predicted_times predicted;
+    // The engine that reads the prompt first and hands its cache to `chosen`;
+    // null if `chosen` does all of the request.
+    const candidate* prefill = nullptr;
+    // When the prompt is expected to have been read there, from now.
+    seconds prefilled_after{0};
 };
 
 // A rule that chooses one of several endpoints, or none.
@@ -47,6 +55,12 @@
 // wrong its predictions have been.
 predicted_times predict_at(const placement_question& question, const candidate& at) noexcept;
 
+// Returns when the prompt is predicted to have been read at a prefill engine.
+seconds predict_prefill_at(const placement_question& question, const candidate& at) noexcept;
+
+// Returns whether the candidate takes prompts to read for other endpoints.
+bool serves_prefills(const placement_question& question, const candidate& at) noexcept;
+
 // Returns whether the candidate takes whole requests.
 bool serves_whole_requests(const placement_question& question, const candidate& at) noexcept;
 
@@ -65,6 +79,22 @@
     static constexpr std::size_t most_holders = 4;
 };
 
+// The better predicted of one stage and two.
+//
+// In one stage the endpoint that `predicted_completion` chooses does all of a
+// request. In two, a prefill engine reads the prompt and hands its cache to the
+// endpoint that makes the answer; what waits there is worked off meanwhile. A
+// prompt of which the endpoint has to read little itself stays in one stage.
+class two_stage_completion {
+public:
+    placement_choice choose(const placement_question& question, random_source& random) const;
+
+    // Fewer prompt tokens than this are not worth an exchange of their own.
+    static constexpr double least_prefill_tokens = 256;
+    // Prefill engines that are compared, beside holders of the prompt.
+    static constexpr std::size_t sampled_prefills = 2;
+};
+
 // The less loaded of two endpoints taken at random.
 class two_random_choices {
 public:
@@ -102,6 +132,7 @@
 };
 
 static_assert(placement_rule<predicted_completion>);
+static_assert(placement_rule<two_stage_completion>);
 static_assert(placement_rule<two_random_choices>);
 static_assert(placement_rule<random_choice>);
 static_assert(placement_rule<round_robin>);
--- a/include/cicadaport/routing/prediction.h
+++ b/include/cicadaport/routing/prediction.h
@@ -25,6 +25,9 @@
     seconds step_base{8e-3};
     seconds per_prefill_token{60e-6};
     seconds per_decode_token{250e-6};
+    // Moving a prompt's cache from one engine to another.
+    seconds transfer_base{2e-3};
+    seconds per_transferred_token{4e-6};
     double prefill_chunk = 512;
     double most_running = 64;
 };
@@ -40,6 +43,14 @@
 predicted_times predict(const engine_speed& speed, const work_sum& backlog,
                         const request_needs& needs, double cached_tokens) noexcept;
 
+// Predicts when an engine that only reads prompts has read this one. Pure and
+// without allocation.
+seconds predict_prefill(const engine_speed& speed, const work_sum& backlog,
+                        const request_needs& needs, double cached_tokens) noexcept;
+
+// Returns how long a prompt's cache takes from one engine to another.
+seconds transfer_time(const engine_speed& speed, const request_needs& needs) noexcept;
+
 // Corrects an endpoint's predictions by what came of one of them, which was
 // made with the correction known so far. A slow engine thus loses work even
 // while its reports look good. Thread safe.
--- a/include/cicadaport/settings/process_settings.h
+++ b/include/cicadaport/settings/process_settings.h
@@ -27,8 +27,8 @@
 // nor resumes; it is the baseline for measurements.
 enum class completion_path { resumable, pass_through };
 
-// How an engine is chosen. All but `predicted` are baselines that admit
-// everything.
+// How an engine is chosen. All but the first and the last are baselines that
+// admit everything.
 enum class placement_policy {
     predicted,
     two_random_choices,
@@ -36,6 +36,9 @@
     round_robin,
     least_outstanding,
     cache_only,
+    // As `predicted`, but no request is divided between a prefill engine and
+    // another one: prefill engines get nothing.
+    predicted_one_stage,
 };
 
 struct entry_settings {
--- a/src/entry/engine_choice.cpp
+++ b/src/entry/engine_choice.cpp
@@ -30,7 +30,12 @@
         throw request_failure{failure_kind::no_endpoint, verdict::not_run,
                               "no endpoint serves '" + name + "'", spread_retry_time(random)};
     }
-    return {chosen->endpoint->name, chosen->endpoint->address, in_flight_charge{chosen->load}};
+    return {chosen->endpoint->name,
+            chosen->endpoint->address,
+            in_flight_charge{chosen->load},
+            0,
+            false,
+            {}};
 }
 
 } // namespace
--- a/src/entry/engine_decision.cpp
+++ b/src/entry/engine_decision.cpp
@@ -35,6 +35,8 @@
 {
     switch (policy) {
     case placement_policy::predicted:
+        return routing::two_stage_completion{}.choose(question, own.random);
+    case placement_policy::predicted_one_stage:
         return routing::predicted_completion{}.choose(question, own.random);
     case placement_policy::two_random_choices:
         return routing::two_random_choices{}.choose(question, own.random);
@@ -50,6 +52,14 @@
     return {};
 }
 
+// Returns whether the filter allows the endpoint that the request would be sent
+// to next.
+bool is_allowed(const routing::placement_choice& choice, const endpoint_filter& filter)
+{
+    const auto* next = choice.prefill != nullptr ? choice.prefill : choice.chosen;
+    return next == nullptr || filter.allows(next->endpoint->name);
+}
+
 // Chooses among all, and among those allowed only if the first choice is not:
 // the filter is costly and mostly lets everything through.
 routing::placement_choice choose_allowed(placement_policy policy,
@@ -58,7 +68,7 @@
                                          std::vector<routing::candidate>& allowed)
 {
     auto choice = choose_by(policy, question, own);
-    if (choice.chosen == nullptr || filter.allows(choice.chosen->endpoint->name)) {
+    if (is_allowed(choice, filter)) {
         return choice;
     }
     allowed = allowed_of(question.among, filter);
@@ -136,6 +146,71 @@
     return true;
 }
 
+// Returns the policy for this request: some may not be divided, and the prompt
+// of some has been read.
+placement_policy policy_for(const engine_request& wanted, placement_policy policy)
+{
+    const bool whole = !wanted.may_prefill || wanted.exported != nullptr;
+    return whole && policy == placement_policy::predicted ? placement_policy::predicted_one_stage
+                                                          : policy;
+}
+
+// Returns the engine that still has the prompt that was read for `wanted`, or null.
+const routing::candidate* exporter_of(const routing::placement_question& question,
+                                      const engine_request& wanted)
+{
+    if (wanted.exported == nullptr) {
+        return nullptr;
+    }
+    const auto found =
+        std::find_if(question.among.begin(), question.among.end(), [&](const auto& each) {
+            return each.endpoint->name == wanted.exported->engine;
+        });
+    const bool lives = found != question.among.end() && routing::serves_prefills(question, *found);
+    return lives ? &*found : nullptr;
+}
+
+// Returns the engine that is to read the prompt of a request divided by `choice`.
+chosen_endpoint prefill_endpoint(const routing::placement_question& question,
+                                 const routing::placement_choice& choice, decision_state& state,
+                                 engine_expectation expected)
+{
+    const auto& at = *choice.prefill;
+    const auto tokens = static_cast<std::uint64_t>(question.needs.prompt_tokens);
+    const std::uint64_t cached = question.prefix.tokens_at(at.load->index);
+    expected.prefill_tokens = tokens - std::min(cached, tokens);
+    expected.output_tokens = 0;
+    expected.predicted = {choice.prefilled_after, choice.prefilled_after};
+    const auto rank = expected.rank;
+    return {at.endpoint->name,
+            at.endpoint->address,
+            in_flight_charge{at.load, state, std::move(expected)},
+            rank,
+            true,
+            {}};
+}
+
+// Returns the engine that is to make the answer.
+chosen_endpoint answer_endpoint(const routing::placement_question& question,
+                                const routing::placement_choice& choice, decision_state& state,
+                                engine_expectation expected, std::string kv_source)
+{
+    const auto& at = *choice.chosen;
+    const auto tokens = static_cast<std::uint64_t>(question.needs.prompt_tokens);
+    const std::uint64_t cached =
+        question.prefilled ? tokens : question.prefix.tokens_at(at.load->index);
+    expected.prefill_tokens = tokens - std::min(cached, tokens);
+    expected.output_tokens = static_cast<std::uint64_t>(question.needs.output_tokens);
+    expected.predicted = choice.predicted;
+    const auto rank = expected.rank;
+    return {at.endpoint->name,
+            at.endpoint->address,
+            in_flight_charge{at.load, state, std::move(expected)},
+            rank,
+            false,
+            std::move(kv_source)};
+}
+
 } // namespace
 
 chosen_endpoint decide_engine(const routing::view& view, const engine_request& wanted,
@@ -160,29 +235,33 @@
     question.needs = {static_cast<double>(prompt.tokens), output.tokens,
                       state.part_ahead(expected.rank)};
     question.prefix = state.prefixes.find(prompt.blocks);
+    const auto* exporter = exporter_of(question, wanted);
+    question.prefilled = exporter != nullptr;
     std::vector<routing::candidate> allowed;
-    const auto choice = choose_allowed(state.policy, question, filter, own, allowed);
+    const auto choice =
+        choose_allowed(policy_for(wanted, state.policy), question, filter, own, allowed);
     if (choice.chosen == nullptr) {
         throw request_failure{failure_kind::no_endpoint, verdict::not_run,
                               "no engine serves '" + model + "' now",
                               spread_retry_time(own.random)};
     }
-    if (filter.is_first_try()) {
-        if (state.policy == placement_policy::predicted) {
+    if (filter.is_first_try() && wanted.exported == nullptr) {
+        if (state.policy == placement_policy::predicted ||
+            state.policy == placement_policy::predicted_one_stage) {
             admit(view, wanted, question, choice, own, now);
         }
         expected.counted = count_account(view, wanted, question.needs, own, now);
     }
-    const auto cached = question.prefix.tokens_at(choice.chosen->load->index);
-    expected.prefill_tokens = prompt.tokens - std::min(cached, prompt.tokens);
-    expected.output_tokens = static_cast<std::uint64_t>(output.tokens);
-    expected.predicted = choice.predicted;
     expected.decided_at = now;
     expected.work = std::chrono::duration_cast<std::chrono::microseconds>(
         work_of(question.speed, question.needs));
-    const auto rank = expected.rank;
-    return {choice.chosen->endpoint->name, choice.chosen->endpoint->address,
-            in_flight_charge{choice.chosen->load, state, std::move(expected)}, rank};
+    if (choice.prefill != nullptr) {
+        return prefill_endpoint(question, choice, state, std::move(expected));
+    }
+    auto kv_source = exporter == nullptr
+                         ? std::string{}
+                         : http::to_string(exporter->endpoint->address) + "/" + wanted.exported->kv;
+    return answer_endpoint(question, choice, state, std::move(expected), std::move(kv_source));
 }
 
 void add_engine_fields(http::field_list& fields, const chosen_endpoint& chosen)
@@ -190,6 +269,9 @@
     if (chosen.rank > 0) {
         fields.add("X-Priority", std::to_string(chosen.rank));
     }
+    if (!chosen.kv_source.empty()) {
+        fields.add("X-Kv-Source", chosen.kv_source);
+    }
 }
 
 } // namespace cicadaport::entry
--- a/src/entry/in_flight_charge.cpp
+++ b/src/entry/in_flight_charge.cpp
@@ -48,6 +48,24 @@
     release();
 }
 
+void in_flight_charge::note_prefilled(std::chrono::steady_clock::time_point now)
+{
+    if (!m_load || m_decisions == nullptr) {
+        return;
+    }
+    give_back_prefill();
+    routing::learn_correction(*m_load, m_expected.predicted.first_token,
+                              now - m_expected.decided_at);
+}
+
+void in_flight_charge::pass_account_to(in_flight_charge& next) noexcept
+{
+    if (m_load && next.m_load && m_expected.counted && !next.m_expected.counted) {
+        next.m_expected.counted = true;
+        m_expected.counted = false;
+    }
+}
+
 void in_flight_charge::note_tokens(std::uint32_t count, std::chrono::steady_clock::time_point now)
 {
     if (!m_load || m_decisions == nullptr || count == 0) {
--- a/src/entry/internal/resumable_stream.h
+++ b/src/entry/internal/resumable_stream.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "internal/completion_request.h"
+#include "internal/engine_stages.h"
 #include "internal/event_parser.h"
 #include "internal/stream_position.h"
 #include "internal/tries.h"
@@ -63,6 +64,7 @@
     completion_request m_wanted;
     std::string m_prefix;
     try_sequence m_tries;
+    engine_stages m_stages;
     // Of the engine that the answer was last started at.
     in_flight_charge m_charge;
     // What the caller has.
--- a/src/entry/internal/tries.h
+++ b/src/entry/internal/tries.h
@@ -5,30 +5,14 @@
 #include "cicadaport/entry/errors.h"
 #include "cicadaport/entry/paths.h"
 
+#include <boost/asio/awaitable.hpp>
+
 #include <functional>
 #include <span>
 #include <vector>
 
 namespace cicadaport::entry {
 
-// How one request may be tried.
-struct try_plan {
-    // Chooses an endpoint that the filter allows; throws `request_failure`.
-    std::function<chosen_endpoint(const endpoint_filter&)> choose;
-    http::request message;
-    http::exchange_options options;
-    bool idempotent = false;
-    // Called if the exchange was cancelled, with the endpoint that has it.
-    std::function<void(const chosen_endpoint&)> cancelled;
-};
-
-// A whole response and where it came from.
-struct endpoint_answer {
-    endpoint_answer() = default;
-    std::string endpoint;
-    http::response reply;
-};
-
 // Decides which tries a request gets: another one only if the one before was
 // surely not run or may be repeated, and only within the deadline, the retry
 // budget and a bound on their number.
@@ -63,6 +47,24 @@
     base::verdict m_worst = base::verdict::not_run;
 };
 
+// How one request may be tried.
+struct try_plan {
+    // Returns the endpoint for the next try; throws `request_failure`.
+    std::function<boost::asio::awaitable<chosen_endpoint>(try_sequence&)> next;
+    http::request message;
+    http::exchange_options options;
+    bool idempotent = false;
+    // Called if the exchange was cancelled, with the endpoint that has it.
+    std::function<void(const chosen_endpoint&)> cancelled;
+};
+
+// A whole response and where it came from.
+struct endpoint_answer {
+    endpoint_answer() = default;
+    std::string endpoint;
+    http::response reply;
+};
+
 // Returns whether an endpoint's response says that it did not start the
 // request.
 bool is_not_started(const http::response& reply);
--- a/src/entry/load_feed.cpp
+++ b/src/entry/load_feed.cpp
@@ -183,6 +183,7 @@
         const bool heard = now - engine.answered_at < silent_after;
         next->endpoints[index] = {engine.history.others(), engine.role, heard && engine.takes_work};
     }
+    next->find_prefill_engines();
     m_decisions.loads.replace(std::move(next));
 }
 
--- a/src/entry/resumable.cpp
+++ b/src/entry/resumable.cpp
@@ -1,6 +1,7 @@
 #include "cicadaport/base/identifier.h"
 #include "cicadaport/entry/paths.h"
 #include "cicadaport/entry/request_end.h"
+#include "internal/engine_stages.h"
 #include "internal/resumable_stream.h"
 #include "internal/stream_cancel.h"
 
@@ -11,18 +12,14 @@
 
 constexpr std::chrono::milliseconds whole_answer_time{60'000};
 
-try_plan plan_of(path_resources& resources, const caller_exchange& exchange,
-                 const completion_request& wanted, http::cancellation& cancel)
+try_plan plan_of(path_resources& resources, const caller_exchange& exchange, engine_stages& stages,
+                 http::cancellation& cancel)
 {
     const auto& message = exchange.message;
     const auto name = stream_prefix(exchange.context.account, exchange.context.id, message.body) +
                       base::make_identifier();
     try_plan plan;
-    plan.choose = [&](const endpoint_filter& filter) {
-        const engine_request request{exchange.context, wanted.model, message.body};
-        const base::rcu_reader guard;
-        return choose_engine(resources.view.read(guard), request, filter, resources.own);
-    };
+    plan.next = [&](try_sequence& tries) { return stages.next(tries, cancel); };
     plan.message = {"POST", message.target, forwarded_fields(message, name), message.body};
     plan.options.response_time = whole_answer_time;
     plan.options.cancel = &cancel;
@@ -39,7 +36,8 @@
 {
     http::cancellation cancel;
     const auto watch = exchange.writer.watch_peer([&] { cancel.request(); });
-    const auto plan = plan_of(resources, exchange, wanted, cancel);
+    engine_stages stages{resources, exchange, wanted.model};
+    const auto plan = plan_of(resources, exchange, stages, cancel);
     auto answer = co_await exchange_with_retries(resources, exchange.context, plan);
     const auto outcome = is_not_started(answer.reply) ? base::verdict::not_run : base::verdict::ran;
     answer.reply.fields.add(verdict_field, base::to_string(outcome));
--- a/src/entry/resumable_stream.cpp
+++ b/src/entry/resumable_stream.cpp
@@ -31,8 +31,8 @@
                                    completion_request wanted)
     : m_resources{resources}, m_exchange{exchange}, m_wanted{std::move(wanted)},
       m_prefix{stream_prefix(exchange.context.account, exchange.context.id, exchange.message.body)},
-      m_tries{resources.own, exchange.context, true}, m_number{resources.own.next_stream++},
-      m_last_event{exchange.context.arrived}
+      m_tries{resources.own, exchange.context, true}, m_stages{resources, exchange, m_wanted.model},
+      m_number{resources.own.next_stream++}, m_last_event{exchange.context.arrived}
 {
     m_resources.own.hand_over_calls[m_number] = [this] {
         m_handing_over = true;
@@ -124,11 +124,7 @@
 asio::awaitable<resumable_stream::ending> resumable_stream::start_anew()
 {
     const auto& message = m_exchange.message;
-    auto engine = m_tries.next([this](const endpoint_filter& filter) {
-        const engine_request wanted{m_exchange.context, m_wanted.model, m_exchange.message.body};
-        const base::rcu_reader guard;
-        return choose_engine(m_resources.view.read(guard), wanted, filter, m_resources.own);
-    });
+    auto engine = co_await m_stages.next(m_tries, m_cancel);
     m_read = {0, 0, m_prefix + base::make_identifier(), engine.name};
     if (m_position.delivered == 0) {
         m_position = m_read;
@@ -136,6 +132,7 @@
     http::request onward{"POST", message.target, forwarded_fields(message, m_read.stream),
                          message.body};
     add_engine_fields(onward.fields, engine);
+    m_charge.pass_account_to(engine.charge);
     m_charge = std::move(engine.charge);
     auto end = co_await read_from(engine.address, std::move(onward));
     if (end == ending::broken && m_read.delivered < m_position.delivered) {
@@ -331,6 +328,10 @@
 
 asio::awaitable<void> resumable_stream::hand_over()
 {
+    if (m_position.stream.empty() && !m_stages.prefill_engine().empty()) {
+        // No engine has this stream: the next entry process starts it.
+        m_position = {0, 0, m_prefix + base::make_identifier(), m_stages.prefill_engine()};
+    }
     if (m_position.stream.empty()) {
         throw request_failure{failure_kind::unavailable, m_tries.outcome(),
                               "this entry process stops", milliseconds{0}};
--- a/src/entry/service_call.cpp
+++ b/src/entry/service_call.cpp
@@ -43,9 +43,14 @@
 {
     const auto& message = exchange.message;
     try_plan plan;
-    plan.choose = [&resources, service = rules.service](const endpoint_filter& filter) {
-        const base::rcu_reader guard;
-        return choose_replica(resources.view.read(guard), service, filter, resources.own.random);
+    plan.next = [&resources,
+                 service = rules.service](try_sequence& tries) -> asio::awaitable<chosen_endpoint> {
+        const auto choose = [&](const endpoint_filter& filter) {
+            const base::rcu_reader guard;
+            return choose_replica(resources.view.read(guard), service, filter,
+                                  resources.own.random);
+        };
+        co_return tries.next(choose);
     };
     plan.message = {message.method, message.target, forwarded_fields(message, exchange.context.id),
                     message.body};
--- a/src/entry/tries.cpp
+++ b/src/entry/tries.cpp
@@ -94,7 +94,7 @@
 {
     try_sequence tries{resources.own, context, plan.idempotent};
     for (;;) {
-        const auto endpoint = tries.next(plan.choose);
+        const auto endpoint = co_await plan.next(tries);
         endpoint_answer answer;
         answer.endpoint = endpoint.name;
         auto message = plan.message;
--- a/src/routing/load.cpp
+++ b/src/routing/load.cpp
@@ -50,6 +50,16 @@
     return "mixed";
 }
 
+void load_snapshot::find_prefill_engines()
+{
+    prefill_engines.clear();
+    for (std::uint32_t index = 0; index < endpoints.size(); ++index) {
+        if (endpoints[index].serving && endpoints[index].role == engine_role::prefill) {
+            prefill_engines.push_back(index);
+        }
+    }
+}
+
 const endpoint_report& load_snapshot::at(std::uint32_t index) const noexcept
 {
     static constexpr endpoint_report idle{};
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -79,6 +79,29 @@
     std::size_t considered() const noexcept { return m_considered; }
     const placement_choice& best() const noexcept { return m_best; }
 
+    // Returns the best of the same candidates for a prompt that `prefill` has
+    // read after that time.
+    placement_choice best_after(const candidate& prefill, seconds prefilled_after) const
+    {
+        auto handed_over = m_question;
+        handed_over.prefilled = true;
+        const auto handed_over_after =
+            prefilled_after + transfer_time(m_question.speed, m_question.needs);
+        placement_choice best;
+        for (const auto* each : std::span{m_seen}.first(m_considered)) {
+            auto predicted = predict_at(handed_over, *each);
+            const auto answer_time = predicted.completion - predicted.first_token;
+            // What waits at the endpoint is worked off while the prompt is read.
+            predicted.first_token =
+                std::max(predicted.first_token, handed_over_after + m_question.speed.step_base);
+            predicted.completion = predicted.first_token + answer_time;
+            if (best.chosen == nullptr || predicted.completion < best.predicted.completion) {
+                best = {each, predicted, &prefill, prefilled_after};
+            }
+        }
+        return best;
+    }
+
 private:
     const placement_question& m_question;
     placement_choice m_best;
@@ -87,11 +110,87 @@
     std::size_t m_considered = 0;
 };
 
+// Shows `best` a few endpoints taken at random and those that hold the most of
+// the prompt.
+void consider_few(best_choice& best, const placement_question& question, random_source& random)
+{
+    constexpr auto sampled = predicted_completion::sampled;
+    const auto wanted = std::min(sampled, question.among.size());
+    for (std::size_t draws = 0; best.considered() < wanted && draws < 2 * sampled; ++draws) {
+        best.consider(draw_serving(question, random));
+    }
+    const auto holders = question.prefix.holders();
+    const auto most = std::min(predicted_completion::most_holders, holders.size());
+    for (const auto& holder : holders.first(most)) {
+        const auto* each = find_by_index(question.among, holder.endpoint);
+        if (each != nullptr && serves_whole_requests(question, *each)) {
+            best.consider(each);
+        }
+    }
+}
+
+// Keeps the prefill engine that is expected to have read the prompt first.
+class best_prefill {
+public:
+    explicit best_prefill(const placement_question& question) : m_question{question} {}
+
+    // Returns whether the endpoint is a prefill engine of the question.
+    bool consider(std::uint32_t index)
+    {
+        const auto* each = find_by_index(m_question.among, index);
+        if (each == nullptr || !serves_prefills(m_question, *each)) {
+            return false;
+        }
+        const auto after = predict_prefill_at(m_question, *each);
+        if (m_best == nullptr || after < m_after) {
+            m_best = each;
+            m_after = after;
+        }
+        return true;
+    }
+
+    const candidate* best() const noexcept { return m_best; }
+    seconds after() const noexcept { return m_after; }
+
+private:
+    const placement_question& m_question;
+    const candidate* m_best = nullptr;
+    seconds m_after{0};
+};
+
+// Shows `best` a few prefill engines from a random place on, for the list has
+// those of other models too, and those that hold the most of the prompt.
+void consider_few(best_prefill& best, const placement_question& question, random_source& random)
+{
+    constexpr std::size_t most_steps = 8;
+    const auto& all = question.loads->prefill_engines;
+    const auto begin = static_cast<std::size_t>(((random() >> 32U) * all.size()) >> 32U);
+    std::size_t found = 0;
+    for (std::size_t step = 0; step < std::min(most_steps, all.size()); ++step) {
+        found += best.consider(all[(begin + step) % all.size()]) ? 1 : 0;
+        if (found == two_stage_completion::sampled_prefills) {
+            break;
+        }
+    }
+    for (const auto& holder : question.prefix.holders()) {
+        best.consider(holder.endpoint);
+    }
+}
+
+// Returns whether an endpoint would have to read much of the prompt itself.
+bool is_long_prompt(const placement_question& question, const candidate& at) noexcept
+{
+    const auto cached = question.prefix.tokens_at(at.load->index);
+    return question.needs.prompt_tokens - cached >= two_stage_completion::least_prefill_tokens;
+}
+
 } // namespace
 
 predicted_times predict_at(const placement_question& question, const candidate& at) noexcept
 {
-    const auto cached = question.prefix.tokens_at(at.load->index);
+    const auto cached = question.prefilled
+                            ? question.needs.prompt_tokens
+                            : static_cast<double>(question.prefix.tokens_at(at.load->index));
     auto out = predict(question.speed, backlog_of(question, at), question.needs, cached);
     const double correction = at.load->correction.load(std::memory_order_relaxed);
     out.first_token *= correction;
@@ -99,6 +198,23 @@
     return out;
 }
 
+seconds predict_prefill_at(const placement_question& question, const candidate& at) noexcept
+{
+    const auto cached = question.prefix.tokens_at(at.load->index);
+    const double correction = at.load->correction.load(std::memory_order_relaxed);
+    return correction *
+           predict_prefill(question.speed, backlog_of(question, at), question.needs, cached);
+}
+
+bool serves_prefills(const placement_question& question, const candidate& at) noexcept
+{
+    if (question.loads == nullptr) {
+        return false;
+    }
+    const auto& report = question.loads->at(at.load->index);
+    return report.serving && report.role == engine_role::prefill;
+}
+
 bool serves_whole_requests(const placement_question& question, const candidate& at) noexcept
 {
     if (question.loads == nullptr) {
@@ -112,18 +228,29 @@
                                               random_source& random) const
 {
     best_choice best{question};
-    const auto wanted = std::min(sampled, question.among.size());
-    for (std::size_t draws = 0; best.considered() < wanted && draws < 2 * sampled; ++draws) {
-        best.consider(draw_serving(question, random));
+    consider_few(best, question, random);
+    return best.best();
+}
+
+placement_choice two_stage_completion::choose(const placement_question& question,
+                                              random_source& random) const
+{
+    best_choice whole{question};
+    consider_few(whole, question, random);
+    const auto& one_stage = whole.best();
+    const bool has_prefills = question.loads != nullptr && !question.loads->prefill_engines.empty();
+    if (!has_prefills || question.prefilled || one_stage.chosen == nullptr ||
+        !is_long_prompt(question, *one_stage.chosen)) {
+        return one_stage;
     }
-    const auto holders = question.prefix.holders();
-    for (const auto& holder : holders.first(std::min(most_holders, holders.size()))) {
-        const auto* each = find_by_index(question.among, holder.endpoint);
-        if (each != nullptr && serves_whole_requests(question, *each)) {
-            best.consider(each);
-        }
+    best_prefill prefills{question};
+    consider_few(prefills, question, random);
+    if (prefills.best() == nullptr) {
+        return one_stage;
     }
-    return best.best();
+    const auto two_stages = whole.best_after(*prefills.best(), prefills.after());
+    return two_stages.predicted.completion < one_stage.predicted.completion ? two_stages
+                                                                            : one_stage;
 }
 
 placement_choice two_random_choices::choose(const placement_question& question,
--- a/src/routing/prediction.cpp
+++ b/src/routing/prediction.cpp
@@ -37,6 +37,22 @@
     return out;
 }
 
+seconds predict_prefill(const engine_speed& speed, const work_sum& backlog,
+                        const request_needs& needs, double cached_tokens) noexcept
+{
+    const auto own = std::max(needs.prompt_tokens - cached_tokens, 1.0);
+    // A batch that is full leaves only what is as urgent ahead.
+    const bool full = backlog.requests >= speed.most_running;
+    const auto prefill = backlog.prefill_tokens * (full ? needs.ahead_part : 1) + own;
+    const auto steps = std::floor(prefill / speed.prefill_chunk) + 1;
+    return prefill * speed.per_prefill_token + steps * speed.step_base;
+}
+
+seconds transfer_time(const engine_speed& speed, const request_needs& needs) noexcept
+{
+    return speed.transfer_base + needs.prompt_tokens * speed.per_transferred_token;
+}
+
 void learn_correction(endpoint_load& load, seconds predicted, seconds observed) noexcept
 {
     if (predicted < least_observed) {
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -50,8 +50,9 @@
 placement_policy read_placement(mapping_reader& reader)
 {
     // In the order of the enumeration.
-    static constexpr std::string_view names[] = {"predicted",   "two_random_choices", "random",
-                                                 "round_robin", "least_outstanding",  "cache_only"};
+    static constexpr std::string_view names[] = {
+        "predicted",  "two_random_choices", "random", "round_robin", "least_outstanding",
+        "cache_only", "predicted_one_stage"};
     if (reader.text_or("placement", std::string{names[0]}) == names[0]) {
         return placement_policy::predicted;
     }
--- a/test/entry/engine_choice_test.cpp
+++ b/test/entry/engine_choice_test.cpp
@@ -120,5 +120,97 @@
     EXPECT_NO_THROW(choose("counter", 4s));
 }
 
+// Engine e1 only reads prompts; much is to be read at e2.
+class divided_choice_test : public engine_choice_test {
+protected:
+    divided_choice_test() { publish(true); }
+
+    void publish(bool prefill_serves)
+    {
+        auto next = std::make_unique<routing::load_snapshot>();
+        next->endpoints.resize(2);
+        next->endpoints[0].role = routing::engine_role::prefill;
+        next->endpoints[0].serving = prefill_serves;
+        next->endpoints[1].others = {4, 20'000, 100};
+        next->find_prefill_engines();
+        m_decisions.loads.replace(std::move(next));
+    }
+
+    chosen_endpoint choose_stage(const exported_prompt* exported, bool may_prefill = true)
+    {
+        request_context context;
+        context.account = "desk";
+        context.priority = "counter";
+        context.deadline = std::chrono::steady_clock::now() + 8s;
+        std::string body = R"({"model": "m", "prompt": ")";
+        for (int i = 0; i < 600; ++i) {
+            body += "w" + std::to_string(i) + " ";
+        }
+        body += R"("})";
+        const endpoint_filter filter{{}, m_worker.breakers, std::chrono::steady_clock::now()};
+        const engine_request wanted{context, "m", body, may_prefill, exported};
+        return choose_engine(m_view, wanted, filter, m_worker);
+    }
+
+    const exported_prompt m_exported{"e1", "kv-1"};
+};
+
+TEST_F(divided_choice_test, charges_the_prefill_engine_with_the_prompt_alone)
+{
+    const auto chosen = choose_stage(nullptr);
+    EXPECT_EQ(chosen.name, "e1");
+    EXPECT_TRUE(chosen.prefills);
+    EXPECT_EQ(m_loads.get("e1")->prefill_tokens, 600U);
+    EXPECT_EQ(m_loads.get("e1")->decode_tokens, 0U);
+    EXPECT_EQ(routing::own_work(*m_loads.get("e2")).requests, 0);
+}
+
+TEST_F(divided_choice_test, charges_the_answering_engine_with_the_answer_alone)
+{
+    const auto chosen = choose_stage(&m_exported);
+    EXPECT_EQ(chosen.name, "e2");
+    EXPECT_FALSE(chosen.prefills);
+    EXPECT_EQ(chosen.kv_source, "127.0.0.1:1/kv-1");
+    EXPECT_EQ(m_loads.get("e2")->prefill_tokens, 0U);
+    EXPECT_EQ(m_loads.get("e2")->decode_tokens, 40U);
+}
+
+TEST_F(divided_choice_test, the_cache_of_an_engine_that_takes_no_work_any_more_is_not_used)
+{
+    publish(false);
+    const auto chosen = choose_stage(&m_exported);
+    EXPECT_EQ(chosen.name, "e2");
+    EXPECT_EQ(chosen.kv_source, "");
+    EXPECT_EQ(m_loads.get("e2")->prefill_tokens, 600U);
+}
+
+TEST_F(divided_choice_test, divides_no_request_that_may_not_be)
+{
+    EXPECT_EQ(choose_stage(nullptr, false).name, "e2");
+    m_decisions.policy = settings::placement_policy::predicted_one_stage;
+    EXPECT_EQ(choose_stage(nullptr).name, "e2");
+}
+
+TEST_F(divided_choice_test, the_account_counts_a_divided_request_once_and_to_its_end)
+{
+    auto first = choose_stage(nullptr);
+    auto second = choose_stage(&m_exported);
+    first.charge.pass_account_to(second.charge);
+    first = {};
+    const auto other = choose_stage(nullptr);
+    EXPECT_THROW(choose_stage(nullptr), request_failure) << "two are in flight";
+    second = {};
+    EXPECT_NO_THROW(choose_stage(nullptr));
+}
+
+TEST_F(divided_choice_test, learns_a_prefill_engines_speed_from_what_it_has_read)
+{
+    auto chosen = choose_stage(nullptr);
+    const auto load = m_loads.get("e1");
+    chosen.charge.note_prefilled(std::chrono::steady_clock::now() + 1s);
+    EXPECT_GT(load->correction, 1.0F);
+    EXPECT_EQ(load->prefill_tokens, 0U);
+}
+
 } // namespace
 } // namespace cicadaport::entry
--- a/test/entry/path_fixture.h
+++ b/test/entry/path_fixture.h
@@ -38,6 +38,7 @@
     served& operator=(const served&) = delete;
 
     http::address address() const { return {"127.0.0.1", m_port}; }
+    const Handler& handler() const { return m_handler; }
 
 private:
     base::io_pool m_pool{1};
@@ -134,12 +135,12 @@
 public:
     served_gateway(const std::string& configuration,
                    settings::completion_path path = settings::completion_path::resumable,
-                   claims::claim_store* claims = nullptr)
+                   claims::claim_store* claims = nullptr, decision_state* decisions = nullptr)
         : m_view{std::make_unique<routing::view>(
               std::make_shared<configuration::document>(
                   configuration::parse_document(configuration, "test")),
               1, std::vector<std::string>{}, m_loads)},
-          m_gateway{m_pool, m_view, m_metrics, path, claims},
+          m_gateway{m_pool, m_view, m_metrics, path, claims, decisions},
           m_server{std::make_unique<http::server>(
               m_pool, "127.0.0.1", 0, http::server_limits{},
               [this](std::size_t worker, const http::request& message,
--- a/test/routing/placement_test.cpp
+++ b/test/routing/placement_test.cpp
@@ -169,5 +169,133 @@
     EXPECT_EQ(least, 400);
 }
 
+// Engine 0 only reads prompts; much is to be read at the others.
+class two_stage_test : public placement_test {
+protected:
+    two_stage_test() : placement_test{4}
+    {
+        m_loads.endpoints[0].role = engine_role::prefill;
+        load_answering_engines(6'000);
+    }
+
+    void load_answering_engines(double prefill_tokens)
+    {
+        for (std::size_t i = 1; i < m_loads.endpoints.size(); ++i) {
+            m_loads.endpoints[i].others = {8, prefill_tokens, 200};
+        }
+        m_loads.find_prefill_engines();
+    }
+
+    placement_choice choose(const placement_question& question)
+    {
+        return two_stage_completion{}.choose(question, m_random);
+    }
+};
+
+TEST_F(two_stage_test, a_prefill_engine_reads_a_long_prompt_while_others_have_much_to_read)
+{
+    const auto choice = choose(ask(1'400));
+    EXPECT_EQ(choice.prefill, &m_candidates[0]);
+    EXPECT_NE(choice.chosen, &m_candidates[0]);
+    EXPECT_EQ(predicted_completion{}.choose(ask(1'400), m_random).prefill, nullptr)
+        << "the baseline gives prefill engines nothing";
+}
+
+TEST_F(two_stage_test, is_predicted_to_end_sooner_than_one_stage_wherever_it_is_chosen)
+{
+    const auto two = choose(ask(1'400));
+    const auto one = predicted_completion{}.choose(ask(1'400), m_random);
+    EXPECT_LT(two.predicted.completion, one.predicted.completion);
+    EXPECT_GT(two.predicted.first_token, two.prefilled_after);
+    EXPECT_GT(two.prefilled_after, seconds{0});
+}
+
+TEST_F(two_stage_test, a_short_prompt_stays_in_one_stage)
+{
+    EXPECT_EQ(choose(ask(two_stage_completion::least_prefill_tokens - 1)).prefill, nullptr);
+}
+
+TEST_F(two_stage_test, a_prompt_that_the_answering_engine_holds_stays_in_one_stage)
+{
+    auto question = ask(1'400);
+    question.prefix.note(2, 1'392);
+    const auto choice = choose(question);
+    EXPECT_EQ(choice.chosen, &m_candidates[2]);
+    EXPECT_EQ(choice.prefill, nullptr);
+}
+
+TEST_F(two_stage_test, an_idle_engine_answers_in_one_stage)
+{
+    load_answering_engines(0);
+    for (std::size_t i = 1; i < m_loads.endpoints.size(); ++i) {
+        m_loads.endpoints[i].others = {};
+    }
+    EXPECT_EQ(choose(ask(1'400)).prefill, nullptr);
+}
+
+TEST_F(two_stage_test, yields_to_one_stage_as_the_prefill_queue_grows)
+{
+    m_loads.endpoints[0].others = {20, 30'000, 0};
+    EXPECT_EQ(choose(ask(1'400)).prefill, nullptr);
+}
+
+TEST_F(two_stage_test, own_prefills_since_the_report_count_at_once)
+{
+    m_candidates[0].load->prefill_tokens += 30'000;
+    EXPECT_EQ(choose(ask(1'400)).prefill, nullptr);
+}
+
+TEST_F(two_stage_test, takes_the_prefill_engine_that_is_done_first)
+{
+    m_loads.endpoints[1].role = engine_role::prefill;
+    m_loads.endpoints[1].others = {1, 200, 0};
+    m_loads.endpoints[0].others = {2, 3'000, 0};
+    m_loads.find_prefill_engines();
+    EXPECT_EQ(choose(ask(1'400)).prefill, &m_candidates[1]);
+    auto question = ask(1'400);
+    question.prefix.note(0, 1'392);
+    m_loads.endpoints[0].others = {1, 600, 0};
+    EXPECT_EQ(choose(question).prefill, &m_candidates[0]) << "it holds the prompt";
+}
+
+TEST_F(two_stage_test, a_prefill_engine_that_takes_no_work_is_left_out)
+{
+    m_loads.endpoints[0].serving = false;
+    EXPECT_EQ(choose(ask(1'400)).prefill, nullptr) << "also with an old list";
+    m_loads.find_prefill_engines();
+    EXPECT_TRUE(m_loads.prefill_engines.empty());
+}
+
+TEST_F(two_stage_test, a_prefill_engine_of_another_model_is_left_out)
+{
+    auto question = ask(1'400);
+    question.among = std::span{m_candidates}.subspan(1);
+    EXPECT_EQ(choose(question).prefill, nullptr);
+}
+
+TEST_F(two_stage_test, prefill_engines_alone_answer_nothing)
+{
+    for (auto& each : m_loads.endpoints) {
+        each.role = engine_role::prefill;
+    }
+    m_loads.find_prefill_engines();
+    EXPECT_EQ(choose(ask(1'400)).chosen, nullptr);
+}
+
+TEST_F(two_stage_test, a_prompt_that_was_read_costs_the_answering_engine_nothing_more)
+{
+    auto handed_over = ask(1'400);
+    handed_over.prefilled = true;
+    EXPECT_LT(predict_at(handed_over, m_candidates[1]).completion,
+              predict_at(ask(1'400), m_candidates[1]).completion);
+    EXPECT_EQ(choose(handed_over).prefill, nullptr) << "it is not read twice";
+}
+
+TEST_F(two_stage_test, a_slow_prefill_engine_loses_work_as_its_predictions_are_corrected)
+{
+    m_candidates[0].load->correction = 8;
+    EXPECT_EQ(choose(ask(1'400)).prefill, nullptr);
+}
+
 } // namespace
 } // namespace cicadaport::routing
