--- a/include/cicadaport/operator_tool/commands.h
+++ b/include/cicadaport/operator_tool/commands.h
@@ -50,6 +50,11 @@
     // Lists `what`: processes, endpoints or leases.
     int list(const std::string& what);
 
+    // Shows what role control does for each partition, its last changes and the
+    // wishes that wait. Every process is asked: only the holder of a
+    // partition's lease knows why it decides as it does.
+    int roles();
+
     // Asks for `action`, drain or undrain, at `endpoint`.
     int change_endpoint(const std::string& endpoint, const std::string& action);
 
--- a/programs/ctl/main.cpp
+++ b/programs/ctl/main.cpp
@@ -116,6 +116,9 @@
     add("processes", "List processes and the configuration in force at each");
     add("endpoints", "List endpoints with role and drain");
     add("leases", "List leases and their holders");
+    app.add_subcommand("roles", "Show why engines' roles change or don't")->callback([&] {
+        code = with_commands(given.connection, [](tool::commands& all) { return all.roles(); });
+    });
 }
 
 void add_endpoint_commands(CLI::App& app, arguments& given, int& code)
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -3,6 +3,8 @@
 #include "cicadaport/authority/fleet_directors.h"
 #include "cicadaport/base/io_pool.h"
 #include "cicadaport/control/admin_api.h"
+#include "cicadaport/control/metrics.h"
+#include "cicadaport/http/health.h"
 #include "cicadaport/membership/endpoint_watch.h"
 #include "cicadaport/platform/snapshotter.h"
 #include "cicadaport/platform/tailer.h"
@@ -44,7 +46,7 @@
                   settings.common.admin_address.port,
                   {},
                   [this](std::size_t, const http::request& message, http::response_writer& writer) {
-                      return m_admin_api.handle(message, writer);
+                      return serve_admin(message, writer);
                   }},
           m_signals{m_pool.context(0), SIGTERM, SIGINT}, m_engines{m_pool.context(0)},
           m_directors{{m_pool.context(0), m_replica, m_proposals, m_engines, m_processes,
@@ -87,6 +89,19 @@
         return out;
     }
 
+    asio::awaitable<void> serve_admin(const http::request& message, http::response_writer& writer)
+    {
+        const http::target_view target{message.target};
+        if (auto page = http::health_answer(target.path(), m_health)) {
+            return writer.send(std::move(*page));
+        }
+        return m_admin_api.handle(message, writer);
+    }
+
+    // Whether this process knows the state: from the log, even an empty one,
+    // or from a peer.
+    bool is_ready() const { return m_tailer.since_last_answer() || m_replica.offset() > 0; }
+
     // Directs until the leases are released, then ends the process.
     asio::awaitable<void> direct()
     {
@@ -183,6 +198,9 @@
     platform::tailer m_tailer;
     platform::proposer m_proposals;
     platform::snapshotter m_snapshots;
+    metrics m_metrics{m_replica, m_processes};
+    http::health_source m_health{[this] { return is_ready(); },
+                                 [this] { return m_metrics.expose(contact_age()); }};
     admin_api m_admin_api;
     http::server m_admin;
     asio::signal_set m_signals;
--- a/test/authority/order_step_test.cpp
+++ b/test/authority/order_step_test.cpp
@@ -120,6 +120,18 @@
     EXPECT_EQ(wanted(engine())->set_role(), "prefill");
 }
 
+TEST_F(wanted_order_test, a_proposed_role_goes_after_an_operators_and_before_that_of_the_last_order)
+{
+    const auto role_with = [&](const std::string& proposed) {
+        return wanted_order(m_endpoint, m_document, &m_wish, &m_orders, engine(), proposed)
+            ->set_role();
+    };
+    m_orders.set_role("decode");
+    EXPECT_EQ(role_with("prefill"), "prefill");
+    m_wish.set_role("decode");
+    EXPECT_EQ(role_with("prefill"), "decode");
+}
+
 TEST_F(wanted_order_test, an_engine_that_came_back_with_another_role_is_put_right)
 {
     m_orders.set_role("decode");
