--- a/include/cicadaport/scenario/script.h
+++ b/include/cicadaport/scenario/script.h
@@ -142,6 +142,16 @@
 // Checks that no engine took an order that conflicts with another.
 struct expect_no_conflicting_orders {};
 
+// Waits until so many engines have each role, by their own word, and none is
+// changing.
+struct wait_for_roles {
+    std::uint32_t mixed = 0;
+    std::uint32_t prefill = 0;
+    std::uint32_t decode = 0;
+
+    bool operator==(const wait_for_roles&) const = default;
+};
+
 struct change_drain {
     std::string through;
     std::string endpoint;
@@ -164,7 +174,7 @@
     std::variant<start_processes, serve, wait_until_ready, wait_until_in_force, publish,
                  read_configuration, call, expect_answers, send_signal, restart, wait_until_exit,
                  set_faults, change_link, sleep_for, expect_runs, expect_no_conflicting_orders,
-                 change_drain, count_work, expect_no_work_since>;
+                 wait_for_roles, change_drain, count_work, expect_no_work_since>;
 
 // One step with its time limit. `name` is the action's name in the script.
 struct step {
--- a/programs/ctl/main.cpp
+++ b/programs/ctl/main.cpp
@@ -52,6 +52,7 @@
     std::string file;
     std::string author = "operator";
     std::string endpoint;
+    std::string role;
     std::string section;
     std::uint64_t offset = 0;
     unsigned wait_seconds = 9;
@@ -134,6 +135,18 @@
     };
     add("drain", "Give an endpoint no new work");
     add("undrain", "Give an endpoint work again");
+
+    auto* role = app.add_subcommand("role", "Fix an engine's role, or leave it to role control");
+    role->add_option("endpoint", given.endpoint)->required();
+    role->add_option("role", given.role, "mixed, prefill, decode, or auto to withdraw the wish")
+        ->required()
+        ->check(CLI::IsMember({"mixed", "prefill", "decode", "auto"}));
+    role->callback([&] {
+        const auto wish = given.role == "auto" ? std::string{} : given.role;
+        code = with_commands(given.connection, [&](tool::commands& all) {
+            return all.change_endpoint(given.endpoint, "role?role=" + wish);
+        });
+    });
 }
 
 int parse_and_run(CLI::App& app, int argc, char** argv, const int& code)
--- a/src/scenario/internal/session.h
+++ b/src/scenario/internal/session.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <future>
 #include <map>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -67,6 +68,7 @@
     void perform(const sleep_for& what);
     void perform(const expect_runs& what);
     void perform(const expect_no_conflicting_orders& what);
+    void perform(const wait_for_roles& what);
     void perform(const change_drain& what);
     void perform(const count_work& what);
     void perform(const expect_no_work_since& what);
@@ -80,6 +82,7 @@
     answer ask(const http::address& to, std::string method, std::string path);
     answer administer(const std::string& through, std::string method, const std::string& path,
                       std::string body = {});
+    std::optional<wait_for_roles> count_roles();
     nlohmann::json read_json(const http::address& from, const std::string& path);
     nlohmann::json edit_of(const publish& what);
     nlohmann::json document_edit(const nlohmann::json& present);
--- a/src/scenario/script.cpp
+++ b/src/scenario/script.cpp
@@ -134,6 +134,14 @@
     return send_signal{reader.text("process"), signal};
 }
 
+action read_roles(mapping_reader& reader)
+{
+    const auto count = [&](const char* role) {
+        return static_cast<std::uint32_t>(reader.integer_or(role, {0, most_engines}, 0));
+    };
+    return wait_for_roles{count("mixed"), count("prefill"), count("decode")};
+}
+
 action read_drain(mapping_reader& reader, bool drain)
 {
     return change_drain{reader.text_or("through", "control-1"), reader.text("endpoint"), drain};
@@ -190,6 +198,7 @@
     {"expect_runs", read_expect_runs},
     {"expect_no_conflicting_orders",
      [](mapping_reader&) -> action { return expect_no_conflicting_orders{}; }},
+    {"wait_for_roles", read_roles},
     {"drain", [](mapping_reader& r) { return read_drain(r, true); }},
     {"undrain", [](mapping_reader& r) { return read_drain(r, false); }},
     {"count_work",
--- a/src/scenario/session.cpp
+++ b/src/scenario/session.cpp
@@ -471,6 +471,31 @@
     }
 }
 
+// Returns how many engines have each role; nothing while one is changing.
+std::optional<wait_for_roles> session::count_roles()
+{
+    wait_for_roles out;
+    for (const auto& each : m_fleet.deployment().processes) {
+        if (!each.name.starts_with("engine-") || !m_fleet.is_running(each.name)) {
+            continue;
+        }
+        const auto body = read_json(each.address.value(), "/v1/orders");
+        if (body.at("changing").get<bool>()) {
+            return std::nullopt;
+        }
+        const auto role = body.at("role").get<std::string>();
+        ++(role == "prefill" ? out.prefill : role == "decode" ? out.decode : out.mixed);
+    }
+    return out;
+}
+
+void session::perform(const wait_for_roles& what)
+{
+    while (count_roles() != what) {
+        pause();
+    }
+}
+
 void session::perform(const expect_no_conflicting_orders&)
 {
     for (const auto& each : m_fleet.deployment().processes) {
--- a/test/operator_tool/commands_test.cpp
+++ b/test/operator_tool/commands_test.cpp
@@ -21,6 +21,14 @@
 
 // An administration API that answers what the test set.
 class commands_test : public testing::Test {
+public:
+    ~commands_test() override
+    {
+        m_pool.stop();
+        m_thread.join();
+        std::filesystem::remove(m_file);
+    }
+
 protected:
     commands_test()
         : m_server{m_pool,
@@ -33,13 +41,6 @@
     {
     }
 
-    ~commands_test() override
-    {
-        m_pool.stop();
-        m_thread.join();
-        std::filesystem::remove(m_file);
-    }
-
     asio::awaitable<void> answer(const http::request& message, http::response_writer& writer)
     {
         const auto found = m_answers.find(message.method + " " + message.target);
@@ -126,9 +127,9 @@
 
 TEST_F(commands_test, roles_are_shown_as_the_holder_of_each_partition_tells_them)
 {
-    const json change{{"engine", "d1"},      {"from", "decode"},       {"to", "prefill"},
-                      {"age_s", 3},          {"lost_requests", 21.0},  {"price_requests", 20.0},
-                      {"predicted_gain", 2}, {"outcome", "applied"},   {"gained_requests", 6.0},
+    const json change{{"engine", "d1"},      {"from", "decode"},      {"to", "prefill"},
+                      {"age_s", 3},          {"lost_requests", 21.0}, {"price_requests", 20.0},
+                      {"predicted_gain", 2}, {"outcome", "applied"},  {"gained_requests", 6.0},
                       {"watched_s", 3.0}};
     const json known{{"partition", "m/default"},
                      {"policy", "rent_or_buy"},
