--- a/include/cicadaport/operator_tool/admin_client.h
+++ b/include/cicadaport/operator_tool/admin_client.h
@@ -25,7 +25,13 @@
     // Throws http::exchange_error with the last failure.
     http::response call(const std::string& method, const std::string& path, std::string body = {});
 
+    // Returns what each process that answers says to `GET path`. Throws
+    // http::exchange_error if none does.
+    std::vector<http::response> ask_each(const std::string& path);
+
 private:
+    http::request make_request(const std::string& method, const std::string& path,
+                               std::string body) const;
     http::response call_one(const http::address& to, http::request message);
 
     std::vector<http::address> m_addresses;
--- a/src/operator_tool/commands.cpp
+++ b/src/operator_tool/commands.cpp
@@ -61,6 +61,58 @@
     return out;
 }
 
+// Takes the rows of partitions that another process decides from its answer.
+void join_roles(json& into, const json& from)
+{
+    for (auto& row : into.at("roles")) {
+        for (const auto& other : from.at("roles")) {
+            const bool better = other.at("partition") == row.at("partition") &&
+                                other.at("decided_here") && !row.at("decided_here");
+            row = better ? other : row;
+        }
+    }
+}
+
+// Returns the partition's row as a flat one, for a table.
+json flat_partition(const json& row)
+{
+    json out{{"partition", row.at("partition")},
+             {"policy", row.at("policy")},
+             {"holder", row.at("holder")}};
+    if (!row.at("decided_here")) {
+        out["held_back"] = "unknown: ask the holder's process";
+        return out;
+    }
+    const auto count = [&](const char* role) {
+        return std::to_string(row.at("serving").at(role).get<unsigned>());
+    };
+    out["prefill/decode/mixed"] = count("prefill") + "/" + count("decode") + "/" + count("mixed");
+    for (const auto* field : {"requests_per_second", "prefill", "decode"}) {
+        out["offered_" + std::string{field}] = row.at("offered").at(field);
+    }
+    for (const auto* field : {"lost_to_prefill", "lost_to_decode", "price_requests", "held_back"}) {
+        out[field] = row.at(field);
+    }
+    return out;
+}
+
+json flat_changes(const json& body)
+{
+    auto out = json::array();
+    for (const auto& row : body.at("roles")) {
+        for (const auto& change : row.value("changes", json::array())) {
+            json one{{"partition", row.at("partition")}};
+            for (const auto* field :
+                 {"engine", "from", "to", "age_s", "lost_requests", "price_requests",
+                  "predicted_gain", "outcome", "gained_requests", "watched_s"}) {
+                one[field] = change.at(field);
+            }
+            out.push_back(std::move(one));
+        }
+    }
+    return out;
+}
+
 } // namespace
 
 commands::commands(admin_client& admin, output_format format, std::ostream& out,
@@ -95,6 +147,32 @@
     return exit_done;
 }
 
+int commands::roles()
+{
+    const auto replies = m_admin.ask_each("roles");
+    for (const auto& reply : replies) {
+        if (const auto code = report(reply); code != exit_done) {
+            return code;
+        }
+    }
+    auto body = json::parse(replies.front().body);
+    for (const auto& reply : replies) {
+        join_roles(body, json::parse(reply.body));
+    }
+    if (m_format == output_format::json) {
+        m_out << body.dump() << '\n';
+        return exit_done;
+    }
+    auto partitions = json::array();
+    for (const auto& row : body.at("roles")) {
+        partitions.push_back(flat_partition(row));
+    }
+    m_out << format_table(partitions) << "\nlast changes\n"
+          << format_table(flat_changes(body)) << "\nwishes that wait\n"
+          << format_table(body.at("wishes"));
+    return exit_done;
+}
+
 int commands::change_endpoint(const std::string& endpoint, const std::string& action)
 {
     return report(m_admin.call("POST", "endpoints/" + endpoint + "/" + action));
--- a/test/operator_tool/commands_test.cpp
+++ b/test/operator_tool/commands_test.cpp
@@ -21,6 +21,14 @@
 
 // An administration API that answers what the test set.
 class commands_test : public testing::Test {
+public:
+    ~commands_test() override
+    {
+        m_pool.stop();
+        m_thread.join();
+        std::filesystem::remove(m_file);
+    }
+
 protected:
     commands_test()
         : m_server{m_pool,
@@ -33,13 +41,6 @@
     {
     }
 
-    ~commands_test() override
-    {
-        m_pool.stop();
-        m_thread.join();
-        std::filesystem::remove(m_file);
-    }
-
     asio::awaitable<void> answer(const http::request& message, http::response_writer& writer)
     {
         const auto found = m_answers.find(message.method + " " + message.target);
@@ -124,6 +125,37 @@
     EXPECT_THAT(m_out.str(), HasSubstr("+models: [{name: m, version: b}]"));
 }
 
+TEST_F(commands_test, roles_are_shown_as_the_holder_of_each_partition_tells_them)
+{
+    const json change{{"engine", "d1"},      {"from", "decode"},      {"to", "prefill"},
+                      {"age_s", 3},          {"lost_requests", 21.0}, {"price_requests", 20.0},
+                      {"predicted_gain", 2}, {"outcome", "applied"},  {"gained_requests", 6.0},
+                      {"watched_s", 3.0}};
+    const json known{{"partition", "m/default"},
+                     {"policy", "rent_or_buy"},
+                     {"holder", "control-2#1"},
+                     {"decided_here", true},
+                     {"price_requests", 20.0},
+                     {"offered", {{"requests_per_second", 40}, {"prefill", 3}, {"decode", 1}}},
+                     {"serving", {{"mixed", 0}, {"prefill", 3}, {"decode", 1}}},
+                     {"lost_to_prefill", 4.5},
+                     {"lost_to_decode", 0},
+                     {"held_back", "the floor of decode engines is reached"},
+                     {"changes", json::array({change})}};
+    const json unknown{{"partition", "n/default"},
+                       {"policy", "rent_or_buy"},
+                       {"holder", "control-3#1"},
+                       {"decided_here", false}};
+    const json wish{{"engine", "d2"}, {"wish", "mixed"}, {"waits_for", "a spare engine"}};
+    set_answer("GET /v1/admin/roles", 200,
+               {{"roles", json::array({known, unknown})}, {"wishes", json::array({wish})}});
+    EXPECT_EQ(m_commands.roles(), exit_done);
+    EXPECT_THAT(m_out.str(), HasSubstr("the floor of decode engines is reached"));
+    EXPECT_THAT(m_out.str(), HasSubstr("unknown: ask the holder's process"));
+    EXPECT_THAT(m_out.str(), HasSubstr("applied"));
+    EXPECT_THAT(m_out.str(), HasSubstr("a spare engine"));
+}
+
 TEST_F(commands_test, no_answer_from_any_address_names_them_all)
 {
     admin_client nobody{{{"127.0.0.1", 1}, {"127.0.0.2", 1}}, "key"};
