--- a/include/cicadaport/standins/engine_server.h
+++ b/include/cicadaport/standins/engine_server.h
@@ -7,6 +7,7 @@
 //   GET    /v1/load                     load report, as old as it is set to be
 //   GET    /v1/cache_events?after=N     cache events, late and with gaps
 //   POST   /v1/orders, GET /v1/orders   orders, and the record of all received
+//   GET    /v1/requests                 the record of all requests it began
 //   POST   /v1/faults?...               see engine_faults
 //
 // A completion may carry X-Request-Id (the stream's id), X-Priority (a rank)
@@ -86,6 +87,11 @@
         // Whether it came while a different order was being carried out.
         bool conflicting = false;
     };
+    // One request that was begun, for the checks of tests.
+    struct begun_request {
+        std::string id;
+        std::string first_token;
+    };
     struct load_report {
         std::chrono::steady_clock::time_point at;
         engine_load load;
@@ -109,6 +115,7 @@
     http::response show_load();
     http::response show_events(const http::target_view& target);
     http::response show_orders() const;
+    http::response show_requests() const;
     http::response set_faults(const http::target_view& target);
     void cancel_orphans();
 
@@ -119,6 +126,7 @@
     std::map<std::string, std::shared_ptr<stream>> m_streams;
     std::deque<load_report> m_reports;
     std::vector<received_order> m_orders;
+    std::vector<begun_request> m_begun;
     std::uint64_t m_highest_fencing_number = 0;
     bool m_changing = false;
     std::string m_changing_order;
--- a/src/standins/engine_server.cpp
+++ b/src/standins/engine_server.cpp
@@ -131,6 +131,9 @@
     if (path == "/v1/orders") {
         return message.method == "POST" ? take_order(message, writer) : writer.send(show_orders());
     }
+    if (path == "/v1/requests") {
+        return writer.send(show_requests());
+    }
     if (path == "/v1/faults") {
         return writer.send(set_faults(target));
     }
@@ -177,6 +180,7 @@
     }
     m_core.submit(source->job);
     m_streams[job.id] = source;
+    m_begun.push_back({job.id, engine_core::answer_token(job.prompt, 0)});
     return source;
 }
 
@@ -411,6 +415,16 @@
     return http::json_response(status_ok, json{{"events", std::move(list)}}.dump());
 }
 
+http::response engine_server::show_requests() const
+{
+    auto list = json::array();
+    for (const auto& each : m_begun) {
+        list.push_back({{"id", each.id}, {"first_token", each.first_token}});
+    }
+    const json body{{"requests", std::move(list)}};
+    return http::json_response(status_ok, body.dump());
+}
+
 http::response engine_server::show_orders() const
 {
     auto list = json::array();
--- a/test/entry/resumable_test.cpp
+++ b/test/entry/resumable_test.cpp
@@ -35,6 +35,13 @@
         return body["waiting"].get<std::uint64_t>() + body["running"].get<std::uint64_t>();
     }
 
+    // How many requests the engine has begun, as it says itself.
+    std::size_t begun_at_engine() const
+    {
+        const auto record = exchange(m_engine.address(), {"GET", "/v1/requests", {}, {}});
+        return nlohmann::json::parse(record.body)["requests"].size();
+    }
+
     bool engine_becomes_idle(std::chrono::milliseconds limit = std::chrono::seconds{20}) const
     {
         const auto until = std::chrono::steady_clock::now() + limit;
@@ -291,6 +298,10 @@
     EXPECT_EQ(refusal.status, 503U);
     EXPECT_EQ(refusal.fields.find(verdict_field), "not_run");
     EXPECT_TRUE(refusal.fields.find("Retry-After"));
+    EXPECT_EQ(begun_at_engine(), 0U);
+    order_fault(m_engine.address(), "refuse=false");
+    read_answer(m_gateway.address(), streamed_completion(tokens));
+    EXPECT_EQ(begun_at_engine(), 1U);
 }
 
 // Stands for an engine whose stream is lost after three tokens.
