entry: ask a part of a large fleet for load, and hold reports to a rate

Cause: every entry process asked every engine each 150 ms, in two exchanges. The exchanges for cache events came on top and were in no row. Ruled out: one asker per zone that passes reports on through the relays (they arrive up to 3 s late, later than an engine may be silent, and cost the relays 14 kB/s per follower); slower polling alone (720 engines at 35 reports a second are 20 s apart). Change: a process uses 18 engines, shared out among the models, chosen by rendezvous hashing, half of them in its own availability zone; the others are no candidates in its view. An engine that is silent, drained or changing stays among those asked and the next in order joins. Load reports keep to 11 kB/s (35 a second), cache events to 4 kB/s; what waited too long is passed over.

--- a/include/cicadaport/entry/load_feed.h
+++ b/include/cicadaport/entry/load_feed.h
@@ -1,7 +1,9 @@
 // Keeps the decision state up to date with what engines and peers tell.
 #pragma once
 
+#include "cicadaport/entry/byte_budget.h"
 #include "cicadaport/entry/decision_state.h"
+#include "cicadaport/entry/event_cursor.h"
 #include "cicadaport/http/client.h"
 #include "cicadaport/relay/process_table.h"
 #include "cicadaport/routing/view.h"
@@ -9,28 +11,50 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <map>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace cicadaport::entry {
 
-// Asks every engine for its load and its cache events, joins them with what
-// other entry processes told, and publishes the result.
+// Asks the engines that this process uses for their load and their cache
+// events, joins them with what other entry processes told, and publishes the
+// result. A large fleet is used in part, see `choose_subset`.
 //
 // Belongs to one event loop. What it refers to must outlive it.
 class load_feed {
 public:
+    // Takes the names of the engines that this process does not use, whenever
+    // they change: they are to be given no new work. Called on the event loop.
+    using unused_engines = std::function<void(std::vector<std::string>)>;
+
+    // Who this process is, for the choice of its engines.
+    struct identity {
+        std::string id;
+        std::string availability_zone;
+    };
+
     load_feed(boost::asio::io_context& context, const base::published<routing::view>& view,
               routing::load_table& loads, decision_state& decisions,
-              const relay::process_table& processes, std::string own_id);
+              const relay::process_table& processes, identity self, unused_engines leave_out);
 
     // Runs for ever; spawn it once.
     boost::asio::awaitable<void> run();
 
-    // Time between two reports of one engine.
+    // The shortest time between two reports of one engine. With many engines
+    // it is longer, for all reports together keep to their rate.
     static constexpr std::chrono::milliseconds interval{150};
     // An engine that has not answered for so long is given no work.
     static constexpr std::chrono::milliseconds silent_after{2'000};
+    // What all load reports, and all cache events, may cost with their HTTP
+    // heads.
+    static constexpr double report_bytes_per_second = 11'000;
+    static constexpr double event_bytes_per_second = 4'000;
+    // One request for a load report, or for no events, and its reply.
+    static constexpr double report_bytes = 316;
+    static constexpr double event_head_bytes = 190;
 
 private:
     using time_point = std::chrono::steady_clock::time_point;
@@ -39,18 +63,35 @@
     struct known_engine {
         http::address address;
         std::string model;
+        std::string availability_zone;
         std::shared_ptr<routing::endpoint_load> load;
         routing::report_history history;
         routing::engine_role role = routing::engine_role::mixed;
         bool takes_work = true;
         bool asking = false;
+        bool reading_events = false;
+        // Whether it belongs to the engines that this process uses, since when,
+        // and whether the configuration in force gives it work.
+        bool used = false;
+        time_point used_since;
+        bool in_service = true;
         time_point answered_at;
-        std::uint64_t last_event = 0;
+        time_point asked_at;
+        event_cursor events;
         std::uint64_t steps = 0;
+
+        bool is_heard(time_point now) const { return now - answered_at < silent_after; }
+        bool is_usable(time_point now) const;
     };
 
     void find_engines(time_point now);
+    void note_service();
+    void choose_engines(time_point now);
+    void ask_engines(time_point now);
+    void ask_next(time_point now, bool usable, std::size_t most);
+    void read_events(time_point now);
     boost::asio::awaitable<void> ask(std::string name);
+    boost::asio::awaitable<void> ask_events(std::string name);
     boost::asio::awaitable<http::response> get(http::address from, std::string target);
     void take_load(known_engine& from, const std::string& body, time_point now);
     void take_events(known_engine& from, const std::string& body);
@@ -62,9 +103,15 @@
     routing::load_table& m_loads;
     decision_state& m_decisions;
     const relay::process_table& m_processes;
-    std::string m_own_id;
+    identity m_self;
+    unused_engines m_leave_out;
     http::client m_client;
     std::map<std::string, known_engine> m_engines;
+    std::shared_ptr<const configuration::document> m_document;
+    // Which engines were usable when the present ones were chosen.
+    std::vector<bool> m_chosen_among;
+    byte_budget m_report_budget{report_bytes_per_second};
+    byte_budget m_event_budget{event_bytes_per_second};
 };
 
 } // namespace cicadaport::entry
--- /dev/null
+++ b/src/entry/event_cursor.cpp
@@ -0,0 +1,44 @@
+#include "cicadaport/entry/event_cursor.h"
+
+#include <algorithm>
+
+namespace cicadaport::entry {
+namespace {
+
+using seconds = std::chrono::duration<double>;
+
+// Events of a shorter time say little of their rate.
+constexpr seconds shortest_span{0.1};
+
+} // namespace
+
+void event_cursor::note_work(time_point now) noexcept
+{
+    if (!m_due_since) {
+        m_due_since = now;
+    }
+}
+
+std::uint64_t event_cursor::start_reading(time_point now) noexcept
+{
+    const seconds waited = now - m_due_since.value_or(now);
+    m_due_since.reset();
+    const seconds passed_over = std::max<seconds>(waited - wanted_span, seconds{0});
+    m_after += static_cast<std::uint64_t>(passed_over.count() * m_events_per_second);
+    m_span = std::clamp<seconds>(waited, shortest_span, wanted_span);
+    return m_after;
+}
+
+void event_cursor::note_read(std::size_t count, std::uint64_t newest) noexcept
+{
+    m_after = std::max(m_after, newest);
+    const auto seen = static_cast<double>(count) / m_span.count();
+    if (count >= full_page) {
+        m_events_per_second = std::max(2 * m_events_per_second, seen);
+    }
+    else {
+        m_events_per_second = std::max(seen, m_events_per_second / 2);
+    }
+}
+
+} // namespace cicadaport::entry
--- a/src/entry/load_feed.cpp
+++ b/src/entry/load_feed.cpp
@@ -1,5 +1,7 @@
 #include "cicadaport/entry/load_feed.h"
 
+#include "cicadaport/entry/engine_subset.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -8,7 +10,10 @@
 #include <peer.pb.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <charconv>
+#include <set>
+#include <span>
 
 namespace cicadaport::entry {
 namespace asio = boost::asio;
@@ -29,11 +34,21 @@
 
 } // namespace
 
+bool load_feed::known_engine::is_usable(time_point now) const
+{
+    if (!used) {
+        return true;
+    }
+    return in_service && takes_work && role != routing::engine_role::prefill &&
+           now - std::max(answered_at, used_since) < silent_after;
+}
+
 load_feed::load_feed(asio::io_context& context, const base::published<routing::view>& view,
                      routing::load_table& loads, decision_state& decisions,
-                     const relay::process_table& processes, std::string own_id)
+                     const relay::process_table& processes, identity self, unused_engines leave_out)
     : m_context{context}, m_view{view}, m_loads{loads}, m_decisions{decisions},
-      m_processes{processes}, m_own_id{std::move(own_id)}, m_client{context}
+      m_processes{processes}, m_self{std::move(self)},
+      m_leave_out{std::move(leave_out)}, m_client{context}
 {
 }
 
@@ -43,13 +58,16 @@
     for (;;) {
         const auto now = clock::now();
         find_engines(now);
+        note_service();
+        choose_engines(now);
         take_peers(now);
         for (auto& [name, engine] : m_engines) {
-            engine.history.note_own(now, routing::own_work(*engine.load));
-            if (!std::exchange(engine.asking, true)) {
-                asio::co_spawn(m_context, ask(name), asio::detached);
+            if (engine.used) {
+                engine.history.note_own(now, routing::own_work(*engine.load));
             }
         }
+        ask_engines(now);
+        read_events(now);
         publish(now);
         timer.expires_after(interval);
         co_await timer.async_wait(asio::use_awaitable);
@@ -58,35 +76,140 @@
 
 void load_feed::find_engines(time_point now)
 {
-    const base::rcu_reader guard;
-    const auto& view = m_view.read(guard);
-    std::erase_if(m_engines, [&](const auto& each) {
-        return !each.second.asking && view.document().find_endpoint(each.first) == nullptr;
-    });
-    for (const auto& endpoint : view.document().endpoints) {
+    {
+        const base::rcu_reader guard;
+        auto document = m_view.read(guard).document_pointer();
+        if (document == m_document) {
+            return;
+        }
+        m_document = std::move(document);
+    }
+    std::set<std::string_view> configured;
+    for (const auto& endpoint : m_document->endpoints) {
         if (endpoint.kind != configuration::endpoint_kind::engine) {
             continue;
         }
+        configured.insert(endpoint.name);
         auto& engine = m_engines[endpoint.name];
         engine.address = endpoint.address;
         engine.model = endpoint.serves;
+        engine.availability_zone = endpoint.availability_zone;
         if (!engine.load) {
             engine.load = m_loads.get(endpoint.name);
             engine.role = routing::parse_role(endpoint.role);
             engine.answered_at = now;
         }
     }
+    std::erase_if(m_engines, [&](const auto& each) {
+        const auto& [name, engine] = each;
+        return !engine.asking && !engine.reading_events && !configured.contains(name);
+    });
+    m_chosen_among.clear();
+}
+
+// The view in force holds no endpoint that is drained, down or about to change.
+void load_feed::note_service()
+{
+    const base::rcu_reader guard;
+    const auto& view = m_view.read(guard);
+    std::set<std::uint32_t> in_service;
+    for (const auto& model : m_document->models) {
+        for (const auto& each : view.candidates(model.name)) {
+            in_service.insert(each.load->index);
+        }
+    }
+    for (auto& [name, engine] : m_engines) {
+        if (engine.used) {
+            engine.in_service = in_service.contains(engine.load->index);
+        }
+    }
+}
+
+void load_feed::choose_engines(time_point now)
+{
+    std::vector<subset_candidate> among;
+    std::vector<bool> usable;
+    among.reserve(m_engines.size());
+    for (const auto& [name, engine] : m_engines) {
+        usable.push_back(engine.is_usable(now));
+        among.push_back({name, engine.model, engine.availability_zone, usable.back()});
+    }
+    if (usable == m_chosen_among) {
+        return;
+    }
+    m_chosen_among = std::move(usable);
+    const auto chosen = choose_subset(among, m_self.id, m_self.availability_zone);
+    std::vector<std::string> unused;
+    std::size_t index = 0;
+    bool changed = false;
+    for (auto& [name, engine] : m_engines) {
+        const bool use = std::ranges::binary_search(chosen, index++);
+        if (use && !engine.used) {
+            engine.used_since = now;
+            engine.in_service = true;
+        }
+        changed = changed || use != engine.used;
+        engine.used = use;
+        if (!use) {
+            unused.push_back(name);
+        }
+    }
+    if (changed) {
+        spdlog::info("engines_chosen used={} unused={}", chosen.size(), unused.size());
+        publish(now);
+        m_leave_out(std::move(unused));
+    }
+}
+
+// Engines that are silent or out of service get few of the questions, or they
+// would delay the reports of those that are given work.
+void load_feed::ask_engines(time_point now)
+{
+    constexpr std::size_t most_unusable = 2;
+    ask_next(now, false, most_unusable);
+    ask_next(now, true, m_engines.size());
+}
+
+// Asks those first that were asked longest ago.
+void load_feed::ask_next(time_point now, bool usable, std::size_t most)
+{
+    std::vector<std::pair<time_point, std::string_view>> due;
+    for (const auto& [name, engine] : m_engines) {
+        if (engine.used && !engine.asking && engine.is_usable(now) == usable) {
+            due.emplace_back(engine.asked_at, name);
+        }
+    }
+    std::ranges::sort(due);
+    for (const auto& [asked_at, name] : std::span{due}.first(std::min(most, due.size()))) {
+        if (!m_report_budget.has_any(now)) {
+            return;
+        }
+        m_report_budget.spend(report_bytes);
+        auto& engine = m_engines.at(std::string{name});
+        engine.asked_at = now;
+        engine.asking = true;
+        asio::co_spawn(m_context, ask(std::string{name}), asio::detached);
+    }
+}
+
+void load_feed::read_events(time_point now)
+{
+    for (auto& [name, engine] : m_engines) {
+        if (engine.used && engine.is_heard(now) && !engine.reading_events &&
+            engine.events.is_due() && m_event_budget.has_any(now)) {
+            m_event_budget.spend(event_head_bytes);
+            engine.reading_events = true;
+            asio::co_spawn(m_context, ask_events(name), asio::detached);
+        }
+    }
 }
 
 asio::awaitable<void> load_feed::ask(std::string name)
 {
     auto& engine = m_engines.at(name);
     try {
-        auto load = co_await get(engine.address, "/v1/load");
+        const auto load = co_await get(engine.address, "/v1/load");
         take_load(engine, load.body, clock::now());
-        auto events = co_await get(engine.address,
-                                   "/v1/cache_events?after=" + std::to_string(engine.last_event));
-        take_events(engine, events.body);
     }
     catch (const http::exchange_error& error) {
         spdlog::debug("load_report_missing endpoint={} error=\"{}\"", name, error.what());
@@ -97,6 +220,25 @@
     engine.asking = false;
 }
 
+asio::awaitable<void> load_feed::ask_events(std::string name)
+{
+    auto& engine = m_engines.at(name);
+    try {
+        const auto after = engine.events.start_reading(clock::now());
+        const auto events =
+            co_await get(engine.address, "/v1/cache_events?after=" + std::to_string(after));
+        m_event_budget.spend(static_cast<double>(events.body.size()));
+        take_events(engine, events.body);
+    }
+    catch (const http::exchange_error& error) {
+        spdlog::debug("cache_events_missing endpoint={} error=\"{}\"", name, error.what());
+    }
+    catch (const json::exception& error) {
+        spdlog::warn("cache_events_unreadable endpoint={} error=\"{}\"", name, error.what());
+    }
+    engine.reading_events = false;
+}
+
 asio::awaitable<http::response> load_feed::get(http::address from, std::string target)
 {
     http::request message{"GET", std::move(target), {}, {}};
@@ -120,7 +262,10 @@
         m_decisions.prefixes.remove_all(from.load->index);
     }
     if (restarted) {
-        from.last_event = 0;
+        from.events.restart();
+    }
+    if (steps != from.steps) {
+        from.events.note_work(now);
     }
     from.steps = steps;
     from.answered_at = now;
@@ -135,7 +280,10 @@
 
 void load_feed::take_events(known_engine& from, const std::string& body)
 {
-    for (const auto& event : json::parse(body).at("events")) {
+    const auto parsed = json::parse(body);
+    const auto& events = parsed.at("events");
+    std::uint64_t newest = 0;
+    for (const auto& event : events) {
         const auto block = parse_block(event.at("block").get_ref<const std::string&>());
         if (event.at("stored").get<bool>()) {
             m_decisions.prefixes.store(block, from.load->index);
@@ -143,8 +291,9 @@
         else {
             m_decisions.prefixes.remove(block, from.load->index);
         }
-        from.last_event = std::max(from.last_event, event.at("sequence").get<std::uint64_t>());
+        newest = std::max(newest, event.at("sequence").get<std::uint64_t>());
     }
+    from.events.note_read(events.size(), newest);
 }
 
 void load_feed::take_peers(time_point now)
@@ -153,7 +302,7 @@
     milliseconds oldest{0};
     std::size_t entries = 1;
     for (const auto& status : m_processes.list(now)) {
-        if (status.kind() != "entry" || status.id() == m_own_id) {
+        if (status.kind() != "entry" || status.id() == m_self.id) {
             continue;
         }
         ++entries;
@@ -180,8 +329,8 @@
         if (next->endpoints.size() <= index) {
             next->endpoints.resize(index + 1);
         }
-        const bool heard = now - engine.answered_at < silent_after;
-        next->endpoints[index] = {engine.history.others(), engine.role, heard && engine.takes_work};
+        const bool serving = engine.used && engine.is_heard(now) && engine.takes_work;
+        next->endpoints[index] = {engine.history.others(), engine.role, serving};
     }
     m_decisions.loads.replace(std::move(next));
 }
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -12,6 +12,7 @@
 #include <state.pb.h>
 
 #include <csignal>
+#include <mutex>
 
 namespace cicadaport::entry {
 namespace asio = boost::asio;
@@ -57,8 +58,13 @@
                                                         : std::make_unique<claims::claim_store>(
                                                               m_pool.context(0), settings.log)},
           m_gateway{m_pool, m_view, m_metrics, settings.path, m_claims.get(), &m_decisions},
-          m_load_feed{m_pool.context(0), m_view,      m_loads,
-                      m_decisions,       m_processes, settings.common.id},
+          m_load_feed{m_pool.context(0),
+                      m_view,
+                      m_loads,
+                      m_decisions,
+                      m_processes,
+                      {settings.common.id, settings.common.availability_zone},
+                      [this](std::vector<std::string> unused) { leave_out(std::move(unused)); }},
           m_callers{m_pool,
                     settings.caller_address.ip,
                     settings.caller_address.port,
@@ -99,17 +105,37 @@
     void take(const fold::state& state)
     {
         auto drained = drained_endpoints(state);
+        const std::scoped_lock lock{m_viewed_mutex};
         if (state.configuration_offset() == m_viewed_offset && drained == m_viewed_drained) {
             return;
         }
-        m_view.replace(std::make_unique<routing::view>(
-            state.document(), state.configuration_offset(), drained, m_loads));
+        m_viewed_document = state.document();
         m_viewed_offset = state.configuration_offset();
         m_viewed_drained = std::move(drained);
+        make_view();
         m_configuration_offset.store(m_viewed_offset, std::memory_order_release);
         spdlog::info("configuration_in_force offset={}", m_viewed_offset);
     }
 
+    // Takes the engines that this process does not use out of its view.
+    void leave_out(std::vector<std::string> unused)
+    {
+        const std::scoped_lock lock{m_viewed_mutex};
+        m_unused = std::move(unused);
+        if (m_viewed_document) {
+            make_view();
+        }
+    }
+
+    // Call with the mutex held.
+    void make_view()
+    {
+        auto without = m_viewed_drained;
+        without.insert(without.end(), m_unused.begin(), m_unused.end());
+        m_view.replace(
+            std::make_unique<routing::view>(m_viewed_document, m_viewed_offset, without, m_loads));
+    }
+
     protocol::process_status status() const
     {
         protocol::process_status out;
@@ -211,8 +237,12 @@
     decision_state m_decisions;
     fold::replica m_replica;
     relay::process_table m_processes;
+    // What the view in force was made of.
+    std::mutex m_viewed_mutex;
+    std::shared_ptr<const configuration::document> m_viewed_document;
     std::uint64_t m_viewed_offset = 0;
     std::vector<std::string> m_viewed_drained;
+    std::vector<std::string> m_unused;
     std::atomic<std::uint64_t> m_configuration_offset{0};
     std::atomic<bool> m_draining{false};
     std::unique_ptr<claims::claim_store> m_claims;
--- a/src/routing/view.cpp
+++ b/src/routing/view.cpp
@@ -1,6 +1,7 @@
 #include "cicadaport/routing/view.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace cicadaport::routing {
 namespace {
@@ -23,8 +24,10 @@
         m_callers.emplace(caller.key_sha256, &caller);
         m_accounts.emplace(caller.account, &caller);
     }
+    // A process of a large fleet leaves most of its engines out.
+    const std::unordered_set<std::string_view> left_out{drained.begin(), drained.end()};
     for (const auto& endpoint : m_document->endpoints) {
-        if (std::find(drained.begin(), drained.end(), endpoint.name) == drained.end()) {
+        if (!left_out.contains(endpoint.name)) {
             m_candidates[endpoint.serves].push_back({&endpoint, loads.get(endpoint.name)});
         }
     }
--- /dev/null
+++ b/test/entry/event_cursor_test.cpp
@@ -0,0 +1,86 @@
+#include "cicadaport/entry/event_cursor.h"
+
+#include "cicadaport/entry/byte_budget.h"
+
+#include <gtest/gtest.h>
+
+namespace cicadaport::entry {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::steady_clock::time_point start{1h};
+
+TEST(event_cursor_test, asks_only_after_the_engine_has_worked)
+{
+    event_cursor cursor;
+    EXPECT_FALSE(cursor.is_due());
+    cursor.note_work(start);
+    EXPECT_TRUE(cursor.is_due());
+    cursor.start_reading(start);
+    EXPECT_FALSE(cursor.is_due());
+}
+
+TEST(event_cursor_test, reads_every_event_while_it_keeps_up)
+{
+    event_cursor cursor;
+    std::uint64_t newest = 0;
+    for (auto now = start; now < start + 10s; now += 500ms) {
+        cursor.note_work(now);
+        EXPECT_EQ(cursor.start_reading(now + 500ms), newest);
+        newest += 100;
+        cursor.note_read(100, newest);
+    }
+}
+
+TEST(event_cursor_test, passes_over_old_events_when_it_had_to_wait)
+{
+    constexpr std::uint64_t events_per_second = 10'000;
+    event_cursor cursor;
+    std::uint64_t after = 0;
+    std::uint64_t made = 0;
+    for (auto now = start; now < start + 10min; now += 10s) {
+        cursor.note_work(now);
+        made += 10 * events_per_second;
+        after = cursor.start_reading(now + 10s);
+        const auto count =
+            std::min<std::uint64_t>(event_cursor::full_page, made - std::min(made, after));
+        cursor.note_read(count, after + count);
+    }
+    EXPECT_GT(after, made - 20 * events_per_second) << "it lags by less than two readings";
+}
+
+TEST(event_cursor_test, begins_anew_with_a_restarted_engine)
+{
+    event_cursor cursor;
+    cursor.note_read(10, 500);
+    cursor.restart();
+    EXPECT_EQ(cursor.start_reading(start), 0U);
+}
+
+TEST(byte_budget_test, the_mean_never_exceeds_the_rate)
+{
+    constexpr double rate = 1'000;
+    byte_budget budget{rate};
+    double spent = 0;
+    for (auto now = start; now < start + 100s; now += 10ms) {
+        if (budget.has_any(now)) {
+            budget.spend(700);
+            spent += 700;
+        }
+    }
+    EXPECT_LE(spent, 101 * rate + 700) << "and one second's worth at the start";
+    EXPECT_GE(spent, 99 * rate);
+}
+
+TEST(byte_budget_test, one_large_reply_is_made_up_for_by_waiting)
+{
+    byte_budget budget{1'000};
+    EXPECT_TRUE(budget.has_any(start));
+    budget.spend(5'500);
+    EXPECT_FALSE(budget.has_any(start + 4s));
+    EXPECT_TRUE(budget.has_any(start + 5s));
+}
+
+} // namespace
+} // namespace cicadaport::entry
