relay: pass work in flight on in full or not at all

Ruled out: a part of the statuses, or sums over those that a relay has heard of: a part would be taken for all where it is younger than a late report. Change: a relay leaves all work out of an answer that would hold more than 2,500 bytes of it and marks it; an entry process that meets the mark keeps to the engines' reports. The mark is met by a test that fails when the entry process ignores it.

--- a/src/entry/load_feed.cpp
+++ b/src/entry/load_feed.cpp
@@ -1,6 +1,7 @@
 #include "cicadaport/entry/load_feed.h"
 
 #include "cicadaport/entry/engine_subset.h"
+#include "cicadaport/relay/work_limit.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -301,11 +302,13 @@
     std::map<std::string, routing::work_sum> told;
     milliseconds oldest{0};
     std::size_t entries = 1;
+    bool left_out = false;
     for (const auto& status : m_processes.list(now)) {
         if (status.kind() != "entry" || status.id() == m_self.id) {
             continue;
         }
         ++entries;
+        left_out = left_out || relay::is_work_left_out(status);
         oldest = std::max(oldest, milliseconds{status.age_ms()});
         for (const auto& work : status.work()) {
             told[work.endpoint()] +=
@@ -314,6 +317,10 @@
         }
     }
     m_decisions.entry_processes.store(entries, std::memory_order_relaxed);
+    if (left_out) {
+        // A part would count as all and take the place of an older report.
+        return;
+    }
     for (const auto& [name, work] : told) {
         if (const auto found = m_engines.find(name); found != m_engines.end()) {
             found->second.history.note_told(now - oldest, work);
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -1,5 +1,7 @@
 #include "cicadaport/relay/relay_server.h"
 
+#include "cicadaport/relay/work_limit.h"
+
 #include <peer.pb.h>
 #include <spdlog/spdlog.h>
 #include <zmq.hpp>
@@ -120,7 +122,9 @@
             reply.set_contact_age_ms(static_cast<std::uint32_t>(age.count()));
         }
         if (is_time_for_members(pull.peer, now)) {
-            for (auto& status : m_processes.list(now)) {
+            auto statuses = m_processes.list(now);
+            limit_work(statuses);
+            for (auto& status : statuses) {
                 *reply.add_members() = std::move(status);
             }
         }
--- a/test/entry/load_feed_test.cpp
+++ b/test/entry/load_feed_test.cpp
@@ -4,6 +4,7 @@
 #include "path_fixture.h"
 
 #include <gtest/gtest.h>
+#include <peer.pb.h>
 
 #include <algorithm>
 #include <optional>
@@ -15,6 +16,9 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t large_fleet = 40;
+constexpr std::uint32_t told_requests = 50;
+// Of every report of the fake engine; it is late.
+constexpr double reported_requests = 3;
 
 // Answers for any number of engines, counts what it is asked, and falls silent
 // when told.
@@ -37,7 +41,7 @@
         const auto steps = ++m_reports;
         const nlohmann::json load{{"role", "mixed"},    {"model", "m"},   {"changing", false},
                                   {"waiting", 1},       {"running", 2},   {"prefill_tokens", 30},
-                                  {"decode_tokens", 4}, {"steps", steps}, {"age_ms", 0}};
+                                  {"decode_tokens", 4}, {"steps", steps}, {"age_ms", 5'000}};
         co_await writer.send(http::json_response(200, load.dump()));
     }
 
@@ -94,6 +98,24 @@
         return out;
     }
 
+    // Work that another entry process has at `endpoint`.
+    void tell_work(const std::string& id, const std::string& endpoint)
+    {
+        protocol::process_status status;
+        status.set_id(id);
+        status.set_kind("entry");
+        auto& work = *status.add_work();
+        work.set_endpoint(endpoint);
+        work.set_requests(told_requests);
+        m_processes.note(status, relay::process_table::clock::now());
+    }
+
+    double others_at(const std::string& name)
+    {
+        const base::rcu_reader guard;
+        return m_decisions.loads.read(guard).at(m_loads.get(name)->index).others.requests;
+    }
+
     bool is_serving(const std::string& name) { return std::ranges::count(serving(), name) > 0; }
 
     // Returns the engine of a fleet that the process takes first.
@@ -170,6 +192,23 @@
     }
 }
 
+TEST_F(load_feed_test, told_work_counts_where_it_is_younger_than_a_late_report)
+{
+    tell_work("entry-2", "engine-0");
+    start(1);
+    EXPECT_TRUE(wait_until([&] { return others_at("engine-0") == told_requests; }, 5s));
+}
+
+TEST_F(load_feed_test, a_part_of_the_work_told_does_not_count_as_all)
+{
+    tell_work("entry-2", "engine-0");
+    tell_work("entry-3", "");
+    start(1);
+    EXPECT_TRUE(wait_until([&] { return others_at("engine-0") == reported_requests; }, 5s));
+    std::this_thread::sleep_for(3 * load_feed::interval);
+    EXPECT_EQ(others_at("engine-0"), reported_requests);
+}
+
 TEST_F(load_feed_test, keeps_to_its_rate_of_reports)
 {
     constexpr std::chrono::seconds watched{4};
