--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -5,10 +5,12 @@
 #include "cicadaport/base/digest.h"
 #include "cicadaport/base/io_pool.h"
 #include "cicadaport/configuration/document.h"
+#include "cicadaport/entry/engine_subset.h"
 #include "cicadaport/fold/replica.h"
 #include "cicadaport/fold/state.h"
 #include "cicadaport/http/client.h"
 #include "cicadaport/http/server.h"
+#include "cicadaport/membership/watchers.h"
 #include "cicadaport/relay/process_table.h"
 #include "cicadaport/routing/placement.h"
 #include "cicadaport/routing/view.h"
@@ -322,6 +324,61 @@
     print("status_bytes_per_endpoint_with_work", "B/endpoint", bytes);
 }
 
+// What an entry process pays to pick its engines among all.
+void measure_engine_choice()
+{
+    constexpr int sizes[] = {50, 180, 360, 720};
+    constexpr int models = 3;
+    constexpr int zones = 6;
+    constexpr int rounds = 20;
+    std::vector<point> times;
+    for (const int size : sizes) {
+        std::vector<std::string> names;
+        names.reserve(static_cast<std::size_t>(size));
+        for (int i = 0; i < size; ++i) {
+            names.push_back("engine-" + std::to_string(i));
+        }
+        const std::string model_names[models] = {"model-0", "model-1", "model-2"};
+        const std::string zone_names[zones] = {"zone-0", "zone-1", "zone-2",
+                                               "zone-3", "zone-4", "zone-5"};
+        std::vector<entry::subset_candidate> among;
+        among.reserve(names.size());
+        for (int i = 0; i < size; ++i) {
+            among.push_back({names[static_cast<std::size_t>(i)], model_names[i % models],
+                             zone_names[i / models % zones]});
+        }
+        times.push_back({static_cast<double>(size), median_us([&] {
+                                                        for (int i = 0; i < rounds; ++i) {
+                                                            entry::choose_subset(among, "entry-1",
+                                                                                 zone_names[0]);
+                                                        }
+                                                    }) / rounds});
+    }
+    print("engine_choice_per_endpoint", "us/endpoint", times);
+}
+
+// What a control process pays to find out whether it watches one endpoint.
+void measure_watchers()
+{
+    constexpr int sizes[] = {6, 50, 200, 410, 820};
+    constexpr int rounds = 20;
+    std::vector<point> times;
+    for (const int size : sizes) {
+        std::vector<std::string> processes;
+        processes.reserve(static_cast<std::size_t>(size));
+        for (int i = 0; i < size; ++i) {
+            processes.push_back("control-" + std::to_string(i));
+        }
+        times.push_back({static_cast<double>(size), median_us([&] {
+                                                        for (int i = 0; i < rounds; ++i) {
+                                                            membership::watcher_rank(
+                                                                "engine-1", "control-1", processes);
+                                                        }
+                                                    }) / rounds});
+    }
+    print("watcher_rank_per_process", "us/process", times);
+}
+
 protocol::record renewal(int index, std::uint64_t fencing_number)
 {
     protocol::record out;
@@ -487,6 +544,8 @@
     measure_documents();
     measure_processes();
     measure_reported_work();
+    measure_engine_choice();
+    measure_watchers();
     measure_renewals();
     measure_decisions();
     measure_http();
--- a/include/cicadaport/membership/endpoint_watch.h
+++ b/include/cicadaport/membership/endpoint_watch.h
@@ -10,6 +10,8 @@
 
 #include <functional>
 #include <map>
+#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +51,7 @@
         bool reporting = false;
     };
 
+    void rank_endpoints();
     boost::asio::awaitable<void> read_host_list();
     boost::asio::awaitable<void> probe(configuration::endpoint endpoint);
     boost::asio::awaitable<void> report(std::string endpoint, condition standing);
@@ -61,6 +64,11 @@
     std::map<std::string, watched> m_watched;
     std::map<std::string, listed_state> m_hosts;
     bool m_reading_hosts = false;
+    // Own ranks, in the order of the document's endpoints, and what they rest
+    // on: 720 endpoints and 410 processes are too many to rank each time.
+    std::vector<std::optional<std::size_t>> m_ranks;
+    std::shared_ptr<const configuration::document> m_document;
+    std::vector<std::string> m_processes;
 };
 
 } // namespace cicadaport::membership
--- a/src/membership/endpoint_watch.cpp
+++ b/src/membership/endpoint_watch.cpp
@@ -54,13 +54,12 @@
             m_reading_hosts = true;
             asio::co_spawn(m_services.context, read_host_list(), asio::detached);
         }
-        std::shared_ptr<const configuration::document> document;
-        m_services.replica.inspect([&](const fold::state& state) { document = state.document(); });
-        const auto processes = m_services.live_processes();
-        for (const auto& endpoint : document->endpoints) {
-            const auto rank = watcher_rank(endpoint.name, m_services.process, processes);
-            if (rank) {
-                look_at(endpoint, *rank);
+        rank_endpoints();
+        const auto document = m_document;
+        for (std::size_t i = 0; i < document->endpoints.size(); ++i) {
+            const auto& endpoint = document->endpoints[i];
+            if (m_ranks[i]) {
+                look_at(endpoint, *m_ranks[i]);
             }
             else {
                 m_watched.erase(endpoint.name);
@@ -71,6 +70,22 @@
     }
 }
 
+void endpoint_watch::rank_endpoints()
+{
+    std::shared_ptr<const configuration::document> document;
+    m_services.replica.inspect([&](const fold::state& state) { document = state.document(); });
+    auto processes = m_services.live_processes();
+    if (document == m_document && processes == m_processes) {
+        return;
+    }
+    m_document = std::move(document);
+    m_processes = std::move(processes);
+    m_ranks.clear();
+    for (const auto& endpoint : m_document->endpoints) {
+        m_ranks.push_back(watcher_rank(endpoint.name, m_services.process, m_processes));
+    }
+}
+
 // While the list is down, what it said last stands.
 asio::awaitable<void> endpoint_watch::read_host_list()
 {
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -1,5 +1,6 @@
 #include "cicadaport/relay/relay_server.h"
 
+#include "cicadaport/relay/table_part.h"
 #include "cicadaport/relay/work_limit.h"
 
 #include <peer.pb.h>
@@ -9,7 +10,6 @@
 
 #include <atomic>
 #include <thread>
-#include <unordered_map>
 
 namespace cicadaport::relay {
 namespace {
@@ -18,14 +18,12 @@
 
 constexpr std::chrono::milliseconds wake_interval{20};
 constexpr std::chrono::milliseconds longest_wait{5'000};
-constexpr std::chrono::milliseconds members_interval{1'000};
 constexpr std::chrono::hours longest_age{24};
 constexpr std::size_t most_waiting = 4'096;
-constexpr std::size_t most_followers = 4'096;
 
 // A pull that waits for something newer.
 struct waiting_pull {
-    std::string peer;
+    table_reader reader;
     std::uint64_t after_offset = 0;
     clock::time_point until;
 };
@@ -84,7 +82,9 @@
         const auto wait = std::min<std::chrono::milliseconds>(
             std::chrono::milliseconds{request.wait_ms()}, longest_wait);
         if (m_waiting.size() < most_waiting) {
-            m_waiting.push_back({peer, request.after_offset(), now + wait});
+            // A pull that does not wait comes from a process that looks around.
+            const table_reader reader{peer, request.sender().kind() == "entry", wait.count() > 0};
+            m_waiting.push_back({reader, request.after_offset(), now + wait});
         }
         return true;
     }
@@ -121,27 +121,14 @@
             const auto age = std::min<std::chrono::milliseconds>(m_contact_age(), longest_age);
             reply.set_contact_age_ms(static_cast<std::uint32_t>(age.count()));
         }
-        if (is_time_for_members(pull.peer, now)) {
-            auto statuses = m_processes.list(now);
+        if (m_table_part.is_due(pull.reader, now)) {
+            auto statuses = m_table_part.choose(pull.reader, m_processes.list(now), now);
             limit_work(statuses);
             for (auto& status : statuses) {
                 *reply.add_members() = std::move(status);
             }
         }
-        send(pull.peer, reply);
-    }
-
-    bool is_time_for_members(const std::string& peer, clock::time_point now)
-    {
-        if (m_members_sent.size() > most_followers) {
-            m_members_sent.clear();
-        }
-        auto& last = m_members_sent[peer];
-        if (now - last < members_interval) {
-            return false;
-        }
-        last = now;
-        return true;
+        send(pull.reader.peer, reply);
     }
 
     void send(const std::string& peer, const protocol::pull_reply& reply)
@@ -153,7 +140,7 @@
     fold::replica& m_log;
     process_table& m_processes;
     contact_age_source m_contact_age;
-    std::unordered_map<std::string, clock::time_point> m_members_sent;
+    table_part m_table_part;
     zmq::context_t m_context;
     zmq::socket_t m_socket;
     http::address m_address;
