--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -4,6 +4,8 @@
 #include "cicadaport/claims/claim_store.h"
 #include "cicadaport/entry/gateway.h"
 #include "cicadaport/entry/load_feed.h"
+#include "cicadaport/entry/offered_work.h"
+#include "cicadaport/http/health.h"
 #include "cicadaport/relay/follower.h"
 
 #include <nlohmann/json.hpp>
@@ -22,7 +24,7 @@
 // How long the balancer gets to see that this process is not ready any more.
 constexpr std::chrono::milliseconds balancer_notice{500};
 constexpr std::chrono::milliseconds drain_poll{20};
-// No request that can't be handed over runs longer.
+// No call of a service runs longer; completions are handed over before.
 constexpr std::chrono::milliseconds longest_request{70'000};
 constexpr std::chrono::milliseconds claim_time{2'000};
 
@@ -136,7 +138,8 @@
             std::make_unique<routing::view>(m_viewed_document, m_viewed_offset, without, m_loads));
     }
 
-    protocol::process_status status() const
+    // Called by the follower's thread alone.
+    protocol::process_status status()
     {
         protocol::process_status out;
         out.set_id(m_settings.common.id);
@@ -147,6 +150,8 @@
         out.set_configuration_offset(m_configuration_offset.load(std::memory_order_acquire));
         out.set_draining(m_draining.load(std::memory_order_acquire));
         tell_work(out);
+        roles::tell_offered(
+            m_offered.update(m_decisions.offered.sums(), offered_rates::clock::now()), out);
         return out;
     }
 
@@ -170,26 +175,25 @@
 
     asio::awaitable<void> serve_admin(const http::request& message, http::response_writer& writer)
     {
-        const http::target_view target{message.target};
-        constexpr unsigned ok = 200;
         constexpr unsigned not_found = 404;
-        constexpr unsigned unavailable = 503;
-        if (target.path() == "/healthz") {
-            return writer.send({ok, {}, "ok\n"});
-        }
-        if (target.path() == "/readyz") {
-            return writer.send({is_ready() ? ok : unavailable, {}, is_ready() ? "ok\n" : "no\n"});
-        }
-        if (target.path() == "/metrics") {
-            return writer.send(
-                {ok, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.expose()});
+        const http::target_view target{message.target};
+        if (auto page = http::health_answer(target.path(), m_health)) {
+            return writer.send(std::move(*page));
         }
         return writer.send({not_found, {}, "not found\n"});
     }
 
+    std::string expose_metrics() const
+    {
+        const telemetry::progress now{m_replica.offset(),
+                                      m_configuration_offset.load(std::memory_order_acquire),
+                                      m_follower->since_contact()};
+        return m_metrics.expose(now, m_callers.active_requests());
+    }
+
     // Readiness turns first, then accepting stops, then the requests that run
-    // go on to their end within the grace time. Streams that are longer go on
-    // at another entry process; other requests are bounded by their timeouts.
+    // go on to their end within the grace time. Completions that are longer go
+    // on at another entry process; calls are bounded by their timeouts.
     asio::awaitable<void> drain()
     {
         spdlog::info("drain_started active={}", m_callers.active_requests());
@@ -199,11 +203,10 @@
         m_callers.drain();
         co_await wait_for_requests(m_settings.common.grace_time);
         spdlog::info("hand_over_started active={}", m_callers.active_requests());
-        m_gateway.hand_over_streams();
+        m_gateway.hand_over();
         co_await wait_for_requests(longest_request);
         co_await wait_for_claims();
         spdlog::info("drain_ended active={}", m_callers.active_requests());
-        m_follower.reset();
         m_pool.stop();
     }
 
@@ -234,7 +237,10 @@
     routing::load_table m_loads;
     base::published<routing::view> m_view;
     metrics m_metrics;
+    http::health_source m_health{[this] { return is_ready(); },
+                                 [this] { return expose_metrics(); }};
     decision_state m_decisions;
+    offered_rates m_offered;
     fold::replica m_replica;
     relay::process_table m_processes;
     // What the view in force was made of.
--- /dev/null
+++ b/src/roles/offered_message.cpp
@@ -0,0 +1,53 @@
+#include "cicadaport/roles/offered_message.h"
+
+#include <peer.pb.h>
+
+namespace cicadaport::roles {
+namespace {
+
+// Fewer requests a second are not told.
+constexpr double least_told_requests = 1e-3;
+
+} // namespace
+
+void tell_offered(std::span<const model_offer> offers, protocol::process_status& out)
+{
+    for (const auto& each : offers) {
+        if (each.rates.requests < least_told_requests) {
+            continue;
+        }
+        auto& told = *out.add_offered();
+        told.set_model(each.model);
+        told.set_requests_per_second(static_cast<float>(each.rates.requests));
+        told.set_prefill_tokens_per_second(static_cast<float>(each.rates.prefill));
+        told.set_output_tokens_per_second(static_cast<float>(each.rates.output));
+    }
+}
+
+std::vector<model_offer> told_offered(const protocol::process_status& status)
+{
+    std::vector<model_offer> out;
+    for (const auto& told : status.offered()) {
+        const token_rates rates{told.requests_per_second(), told.prefill_tokens_per_second(),
+                                told.output_tokens_per_second()};
+        out.push_back({told.model(), rates});
+    }
+    return out;
+}
+
+std::map<std::string, token_rates> sum_offered(std::span<const protocol::process_status> processes,
+                                               std::uint32_t live_age_ms)
+{
+    std::map<std::string, token_rates> out;
+    for (const auto& status : processes) {
+        if (status.kind() != "entry" || status.age_ms() > live_age_ms) {
+            continue;
+        }
+        for (const auto& each : told_offered(status)) {
+            out[each.model] += each.rates;
+        }
+    }
+    return out;
+}
+
+} // namespace cicadaport::roles
--- a/src/scenario/child_process.cpp
+++ b/src/scenario/child_process.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <fstream>
 #include <system_error>
 #include <thread>
 #include <utility>
@@ -16,7 +17,8 @@
 constexpr std::chrono::milliseconds poll_time{5};
 constexpr mode_t output_mode = 0644;
 
-// The child's open files: nothing to read, output to a file.
+// The child's open files: nothing to read, output to a file, and none of this
+// process's own, whose ports and connections would stay open with the child.
 class file_actions {
 public:
     explicit file_actions(const std::string& output_file)
@@ -26,6 +28,7 @@
         posix_spawn_file_actions_addopen(&m_actions, STDOUT_FILENO, output_file.c_str(),
                                          O_WRONLY | O_CREAT | O_APPEND, output_mode);
         posix_spawn_file_actions_adddup2(&m_actions, STDOUT_FILENO, STDERR_FILENO);
+        posix_spawn_file_actions_addclosefrom_np(&m_actions, STDERR_FILENO + 1);
     }
     ~file_actions() { posix_spawn_file_actions_destroy(&m_actions); }
     file_actions(const file_actions&) = delete;
@@ -37,22 +40,32 @@
     posix_spawn_file_actions_t m_actions{};
 };
 
+// Returns pointers into `texts`, and a null pointer after them.
+std::vector<char*> pointers_to(std::vector<std::string>& texts)
+{
+    std::vector<char*> out;
+    out.reserve(texts.size() + 1);
+    for (auto& each : texts) {
+        out.push_back(each.data());
+    }
+    out.push_back(nullptr);
+    return out;
+}
+
 } // namespace
 
 child_process::child_process(const std::string& program, const std::vector<std::string>& arguments,
-                             const std::string& output_file)
+                             const std::string& output_file,
+                             std::optional<std::vector<std::string>> environment)
 {
     std::vector<std::string> words{program};
     words.insert(words.end(), arguments.begin(), arguments.end());
-    std::vector<char*> pointers;
-    pointers.reserve(words.size() + 1);
-    for (auto& word : words) {
-        pointers.push_back(word.data());
-    }
-    pointers.push_back(nullptr);
+    auto argument_pointers = pointers_to(words);
+    auto environment_pointers = environment ? pointers_to(*environment) : std::vector<char*>{};
+    char** const variables = environment ? environment_pointers.data() : environ;
     const file_actions actions{output_file};
-    const int error =
-        posix_spawn(&m_pid, program.c_str(), actions.get(), nullptr, pointers.data(), environ);
+    const int error = posix_spawn(&m_pid, program.c_str(), actions.get(), nullptr,
+                                  argument_pointers.data(), variables);
     if (error != 0) {
         throw std::system_error{error, std::system_category(), program};
     }
@@ -96,4 +109,17 @@
     return m_status;
 }
 
+bool child_process::is_stopped()
+{
+    if (m_pid <= 0 || poll()) {
+        return false;
+    }
+    std::ifstream file{"/proc/" + std::to_string(m_pid) + "/stat"};
+    std::string pid;
+    std::string name;
+    char state = '?';
+    file >> pid >> name >> state;
+    return state == 'T';
+}
+
 } // namespace cicadaport::scenario
