cmake: long test programs run in parts

Cause: authority_test took 169 s of its 300 s with the tests of role changes. Change: authority_test in three parts, scenario_test in two, at the same time; ports are held by each run, so parts share none.

--- a/cmake/cicadaport.cmake
+++ b/cmake/cicadaport.cmake
@@ -38,6 +38,10 @@
   target_precompile_headers(${target} REUSE_FROM cicadaport_pch)
 endfunction()
 
+# Libraries whose test programs run in parts, and in how many.
+set(cicadaport_parts_authority 3)
+set(cicadaport_parts_scenario 2)
+
 function(cicadaport_library name)
   file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/${name}/*.cpp)
   file(GLOB_RECURSE tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/${name}/*_test.cpp)
@@ -56,12 +60,32 @@
     cicadaport_options(${name}_test)
     target_include_directories(${name}_test PRIVATE ${CMAKE_SOURCE_DIR}/src/${name} ${CMAKE_SOURCE_DIR}/test)
     target_link_libraries(${name}_test PRIVATE ${name} GTest::gmock_main)
-    add_test(NAME ${name}_test COMMAND ${name}_test)
-    set_tests_properties(${name}_test PROPERTIES TIMEOUT 300
-      ENVIRONMENT "CICADAPORT_ROOT=${CMAKE_SOURCE_DIR};CICADAPORT_BIN=${CMAKE_BINARY_DIR}/bin")
+    set(parts 1)
+    if(DEFINED cicadaport_parts_${name})
+      set(parts ${cicadaport_parts_${name}})
+    endif()
+    cicadaport_test(${name} ${parts})
   endif()
 endfunction()
 
+set(cicadaport_test_environment
+  "CICADAPORT_ROOT=${CMAKE_SOURCE_DIR};CICADAPORT_BIN=${CMAKE_BINARY_DIR}/bin")
+
+# Registers the test program of library NAME, in as many parts that may run at
+# the same time as said.
+function(cicadaport_test name parts)
+  foreach(part RANGE 1 ${parts})
+    set(test ${name}_test)
+    if(parts GREATER 1)
+      set(test ${name}_test_${part}_of_${parts})
+    endif()
+    math(EXPR index "${part} - 1")
+    add_test(NAME ${test} COMMAND ${name}_test)
+    set_tests_properties(${test} PROPERTIES TIMEOUT 300 ENVIRONMENT
+      "${cicadaport_test_environment};GTEST_TOTAL_SHARDS=${parts};GTEST_SHARD_INDEX=${index}")
+  endforeach()
+endfunction()
+
 # A small binary: programs/NAME/main.cpp, built as cicadaport-NAME.
 function(cicadaport_program name)
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/programs/${name}/*.cpp)
