--- a/test/entry/two_stage_test.cpp
+++ b/test/entry/two_stage_test.cpp
@@ -120,23 +120,22 @@
 protected:
     enum place { first_prefill, second_prefill, first_decode, second_decode };
 
-    two_stage_send_test() { publish({}); }
+    two_stage_send_test() { publish(); }
 
-    // Tells the decisions which engines take no work.
-    void publish(const std::vector<place>& not_serving)
+    // Tells the decisions what waits where.
+    void publish()
     {
         auto next = std::make_unique<routing::load_snapshot>();
         next->endpoints.resize(4);
         for (const auto each : {first_prefill, second_prefill}) {
             next->endpoints[each].role = routing::engine_role::prefill;
         }
+        // Requests go to the first one while it serves.
+        next->endpoints[second_prefill].others = {1, 600, 0};
         for (const auto each : {first_decode, second_decode}) {
             next->endpoints[each].role = routing::engine_role::decode;
             next->endpoints[each].others = {4, 20'000, 200};
         }
-        for (const auto each : not_serving) {
-            next->endpoints[each].serving = false;
-        }
         next->find_prefill_engines();
         m_decisions.loads.replace(std::move(next));
     }
@@ -257,11 +256,11 @@
 {
     order_fault(m_prefills[0].address(), "refuse=true");
     const auto gateway = serve(addresses());
-    while (m_prefills[0].handler().prefills() == 0) {
-        ASSERT_EQ(read_answer(gateway->address(), long_completion(true)).text(), long_answer());
-    }
+    const auto seen = read_answer(gateway->address(), long_completion(true));
+    EXPECT_EQ(seen.text(), long_answer());
+    EXPECT_EQ(m_prefills[0].handler().prefills(), 1U);
     const auto other = http::to_string(m_prefills[1].address()) + "/";
-    EXPECT_THAT(kv_sources(), testing::Each(testing::StartsWith(other)));
+    EXPECT_THAT(kv_sources(), testing::ElementsAre(testing::StartsWith(other)));
 }
 
 TEST_F(two_stage_send_test, goes_on_in_one_stage_when_all_prefill_engines_refuse)
@@ -364,6 +363,28 @@
     EXPECT_EQ(completions(), 1U);
 }
 
+TEST_F(two_stage_send_test, the_account_counts_a_request_in_its_second_stage_too)
+{
+    auto configuration = test_configuration(addresses(), {});
+    const std::string desk = "priority: urgent\n";
+    configuration.insert(configuration.find(desk) + desk.size(), "    concurrent_requests: 1\n");
+    served_gateway gateway{configuration, settings::completion_path::resumable, nullptr,
+                           &m_decisions};
+    std::optional<http::response> second;
+    read_answer(gateway.address(), long_completion(true), [&](const seen_answer&) {
+        if (!second) {
+            second = exchange(gateway.address(), streamed_completion(tokens));
+        }
+        return false;
+    });
+    ASSERT_TRUE(second);
+    EXPECT_EQ(second->status, 429U);
+    EXPECT_EQ(second->fields.find(verdict_field), "not_run");
+    EXPECT_EQ(read_answer(gateway.address(), long_completion(true)).text(), long_answer())
+        << "the count was given back";
+    EXPECT_EQ(prefills(), 2U);
+}
+
 TEST_F(two_stage_send_test, another_engine_answers_from_the_same_cache_when_one_refuses)
 {
     order_fault(m_decodes[0].address(), "refuse=true");
