roles: tests of a frozen holder and of racing operators see their mechanism

Cause: trials with a mechanism taken out showed two tests that passed all the same. The frozen holder was woken before its successor's change was settled, so that the intent outstanding refused its proposal, not the fencing number. The operators' wishes in the race left no decode engine, so that the controller could not have overtaken them.

Ruled out: leaving the race as it was, for its record of conflicts alone.

Change: the first test waits until the successor's change is settled; in the second one operators wish for the roles that the controller changes, and the controller gives up a change early enough to try again within the test.

--- a/test/authority/role_change_test.cpp
+++ b/test/authority/role_change_test.cpp
@@ -26,7 +26,7 @@
 const roles::offered_work long_prompts{40, 3.0, 0.5};
 const roles::offered_work long_answers{40, 0.5, 3.0};
 // Much longer than the losses of `long_prompts` take to reach the price.
-constexpr seconds long_enough{6};
+constexpr seconds long_enough{5};
 
 roles::token_rates rates_of(const roles::offered_work& work)
 {
@@ -100,7 +100,7 @@
     {
         std::ostringstream engine_roles;
         engine_roles << "engine_roles: {policy: " << policy << ", change_price_requests: " << price
-                     << "}\n";
+                     << ", change_time_ms: 500}\n";
         std::ostringstream models;
         models << "models: [{name: m, version: \"1\", least_replicas: " << least_replicas << "}]\n";
         std::string endpoints = "endpoints:\n";
@@ -190,6 +190,13 @@
         return body.is_object() && !body.at("roles").empty() ? body.at("roles")[0] : json::object();
     }
 
+    // Returns whether its last change is done and settled.
+    static bool has_applied_change(const control& process)
+    {
+        const auto changes = roles_at(process).value("changes", json::array());
+        return !changes.empty() && changes[0].at("outcome") == "applied";
+    }
+
     bool hears_offer(const control& process, const roles::offered_work& work) const
     {
         const auto seen = roles_at(process);
@@ -233,7 +240,8 @@
     start_both("rent_or_buy", {"CICADAPORT_UNSAFE_PAUSE_AT=before_announcement"});
     m_entry->offer(long_prompts);
     EXPECT_TRUE(eventually([&] { return m_first.process->is_stopped(); }));
-    EXPECT_TRUE(eventually([&] { return count_in("prefill") == 3; })) << m_second.process->log();
+    EXPECT_TRUE(eventually([&] { return has_applied_change(m_second); }))
+        << m_second.process->log();
     m_first.process->signal(SIGCONT);
     EXPECT_TRUE(eventually([&] {
         return m_first.process->log().find("proposal_refused") != std::string::npos;
@@ -298,11 +306,13 @@
     EXPECT_TRUE(eventually(
         [&] { return m_first.process->log().find("role_change ") != std::string::npos; }));
     for (const auto* name : {"d1", "d2"}) {
-        wish_role(m_second, name, "mixed");
+        wish_role(m_second, name, "decode");
     }
-    EXPECT_TRUE(eventually([&] { return count_in("mixed") == 2; })) << m_first.process->log();
     std::this_thread::sleep_for(long_enough);
-    EXPECT_EQ(count_in("mixed"), 2U);
+    EXPECT_TRUE(eventually([&] { return count_in("decode") == 2; })) << m_first.process->log();
+    const auto orders = count_orders();
+    std::this_thread::sleep_for(long_enough);
+    EXPECT_EQ(count_orders(), orders) << "the controller leaves it so";
     expect_no_conflict();
 }
 
