entry: an endpoint can't speak for the verdict; no configuration is no stranger

Change: verdict and request id replace what the endpoint sent; without a configuration the answer is 503 with not_run and Retry-After. Twins for a drained replica. Conclusion: both have their test.

--- a/include/cicadaport/http/message.h
+++ b/include/cicadaport/http/message.h
@@ -34,6 +34,9 @@
     // Adds a field, keeping others of the same name.
     void add(std::string_view name, std::string_view value);
 
+    // Makes `value` the only one of `name`.
+    void set(std::string_view name, std::string_view value);
+
     auto begin() const noexcept { return m_fields.begin(); }
     auto end() const noexcept { return m_fields.end(); }
 
--- a/src/entry/pass_through.cpp
+++ b/src/entry/pass_through.cpp
@@ -58,7 +58,7 @@
         auto answer =
             co_await resources.own.endpoints.open(engine.address, std::move(onward), options);
         auto head = answer.head();
-        head.fields.add(verdict_field, base::to_string(verdict::ran));
+        head.fields.set(verdict_field, base::to_string(verdict::ran));
         begun = true;
         co_await exchange.writer.begin_stream(std::move(head));
         co_await copy_body(resources, exchange, answer, engine.charge);
--- a/src/entry/request_context.cpp
+++ b/src/entry/request_context.cpp
@@ -14,6 +14,7 @@
 
 constexpr milliseconds default_deadline{10'000};
 constexpr std::size_t longest_request_id = 128;
+constexpr milliseconds no_configuration_wait{1'000};
 
 std::string bearer_key(const http::request& message)
 {
@@ -70,6 +71,11 @@
                          std::chrono::steady_clock::time_point now)
 {
     const auto* caller = view.find_caller(base::sha256_hex(bearer_key(message)));
+    if (caller == nullptr && view.configuration_offset() == 0) {
+        // Not ready yet: who asks is not known to be a stranger.
+        throw request_failure{failure_kind::unavailable, verdict::not_run,
+                              "this process has no configuration yet", no_configuration_wait};
+    }
     if (caller == nullptr) {
         throw request_failure{failure_kind::unknown_key, verdict::not_run,
                               "the API key is not known"};
--- a/src/entry/resumable.cpp
+++ b/src/entry/resumable.cpp
@@ -77,7 +77,7 @@
         throw request_failure{failure_kind::unavailable, failure.outcome(),
                               "this entry process stops", std::chrono::milliseconds{0}};
     }
-    answer.reply.fields.add(verdict_field, base::to_string(answer.outcome));
+    answer.reply.fields.set(verdict_field, base::to_string(answer.outcome));
     co_await exchange.writer.send(std::move(answer.reply));
     report_answered(resources.counters, exchange.context, answer.endpoint);
 }
--- a/src/entry/service_call.cpp
+++ b/src/entry/service_call.cpp
@@ -220,8 +220,9 @@
     else {
         answer = co_await exchange_with_retries(resources, exchange.context, plan);
     }
-    answer.reply.fields.add(verdict_field, base::to_string(answer.outcome));
-    answer.reply.fields.add(request_id_field, exchange.context.id);
+    // Also where the endpoint has fields of these names.
+    answer.reply.fields.set(verdict_field, base::to_string(answer.outcome));
+    answer.reply.fields.set(request_id_field, exchange.context.id);
     co_await exchange.writer.send(std::move(answer.reply));
     report_answered(resources.counters, exchange.context, answer.endpoint);
 }
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -19,6 +19,13 @@
     m_fields.emplace_back(std::string{name}, std::string{value});
 }
 
+void field_list::set(std::string_view name, std::string_view value)
+{
+    std::erase_if(m_fields,
+                  [&](const field& each) { return boost::beast::iequals(each.name, name); });
+    add(name, value);
+}
+
 target_view::target_view(std::string_view target)
 {
     const auto parsed = boost::urls::parse_origin_form(target);
--- a/test/entry/endpoint_connection_test.cpp
+++ b/test/entry/endpoint_connection_test.cpp
@@ -159,6 +159,19 @@
     EXPECT_EQ(reply.fields.find(verdict_field), "may_have_run");
 }
 
+TEST(endpoint_connection_test, an_endpoint_does_not_speak_for_the_verdict)
+{
+    const raw_endpoint claiming{[](raw_endpoint::socket& connection) {
+        std::string ahead;
+        read_request(connection, ahead);
+        send_text(connection, response_text("done", "200 OK", "Cicadaport-Verdict: not_run\r\n"));
+    }};
+    const served_gateway gateway{test_configuration({}, {claiming.address()})};
+    const auto reply = exchange(gateway.address(), caller_request("POST", "/confirm", ""));
+    EXPECT_EQ(reply.body, "done");
+    EXPECT_EQ(reply.fields.find(verdict_field), "ran");
+}
+
 TEST(endpoint_connection_test, a_refusal_after_a_lost_answer_does_not_say_not_run)
 {
     std::atomic<bool> first{true};
--- a/test/entry/path_fixture.h
+++ b/test/entry/path_fixture.h
@@ -134,11 +134,12 @@
 public:
     served_gateway(const std::string& configuration,
                    settings::completion_path path = settings::completion_path::resumable,
-                   claims::claim_store* claims = nullptr)
+                   claims::claim_store* claims = nullptr,
+                   const std::vector<std::string>& drained = {}, std::uint64_t offset = 1)
         : m_view{std::make_unique<routing::view>(
               std::make_shared<configuration::document>(
                   configuration::parse_document(configuration, "test")),
-              1, std::vector<std::string>{}, m_loads)},
+              offset, drained, m_loads)},
           m_gateway{m_pool, m_view, m_metrics, path, claims},
           m_server{std::make_unique<http::server>(
               m_pool, "127.0.0.1", 0, http::server_limits{},
--- a/test/entry/service_call_test.cpp
+++ b/test/entry/service_call_test.cpp
@@ -183,6 +183,16 @@
 
 // Each of these shows the harm that a safeguard prevents.
 
+TEST_F(service_call_test, without_a_configuration_nobody_is_called_unknown)
+{
+    const served_gateway starting{
+        "endpoints: []\n", settings::completion_path::resumable, nullptr, {}, 0};
+    const auto reply = exchange(starting.address(), caller_request("POST", "/confirm", "x"));
+    EXPECT_EQ(reply.status, 503U);
+    EXPECT_EQ(reply.fields.find(verdict_field), "not_run");
+    EXPECT_TRUE(reply.fields.find("Retry-After"));
+}
+
 TEST_F(service_call_test, with_two_replicas_a_lost_answer_is_not_asked_for_at_the_other)
 {
     const served_gateway gateway{m_two_replicas};
--- a/test/entry/tries_test.cpp
+++ b/test/entry/tries_test.cpp
@@ -39,6 +39,28 @@
     EXPECT_LT(answered(m_gateway.address(), caller_request("POST", "/confirm", "x"), calls), calls);
 }
 
+// Returns how many of some calls reach the first of two replicas.
+std::size_t calls_at_first(const std::vector<std::string>& drained)
+{
+    const service first;
+    const service second;
+    const served_gateway gateway{test_configuration({}, {first.address(), second.address()}),
+                                 settings::completion_path::resumable, nullptr, drained};
+    constexpr std::size_t calls = 20;
+    EXPECT_EQ(answered(gateway.address(), caller_request("POST", "/confirm", "x"), calls), calls);
+    return runs_at(first.address());
+}
+
+TEST(drained_replica_test, gets_no_call)
+{
+    EXPECT_EQ(calls_at_first({"replica-1"}), 0U);
+}
+
+TEST(drained_replica_test, without_the_drain_gets_calls)
+{
+    EXPECT_GT(calls_at_first({}), 0U);
+}
+
 // The only replica loses every answer and its circuit stays closed, so that
 // nothing but the budget bounds the retries.
 class losing_replica_test : public testing::Test {
