--- a/test/entry/two_stage_test.cpp
+++ b/test/entry/two_stage_test.cpp
@@ -149,8 +149,8 @@
     std::unique_ptr<served_gateway> serve(const std::vector<http::address>& engines)
     {
         return std::make_unique<served_gateway>(test_configuration(engines, {}),
-                                                settings::completion_path::resumable, nullptr,
-                                                &m_decisions);
+                                                settings::completion_path::resumable, nullptr, {},
+                                                1, &m_decisions);
     }
 
     std::size_t prefills() const
@@ -368,7 +368,7 @@
     auto configuration = test_configuration(addresses(), {});
     const std::string desk = "priority: urgent\n";
     configuration.insert(configuration.find(desk) + desk.size(), "    concurrent_requests: 1\n");
-    served_gateway gateway{configuration, settings::completion_path::resumable, nullptr,
+    served_gateway gateway{configuration, settings::completion_path::resumable, nullptr, {}, 1,
                            &m_decisions};
     std::optional<http::response> second;
     read_answer(gateway.address(), long_completion(true), [&](const seen_answer&) {
