--- a/src/entry/internal/tries.h
+++ b/src/entry/internal/tries.h
@@ -5,30 +5,15 @@
 #include "cicadaport/entry/errors.h"
 #include "cicadaport/entry/paths.h"
 
+#include <boost/asio/awaitable.hpp>
+
+#include <algorithm>
 #include <functional>
 #include <span>
 #include <vector>
 
 namespace cicadaport::entry {
 
-// How one request may be tried.
-struct try_plan {
-    // Chooses an endpoint that the filter allows; throws `request_failure`.
-    std::function<chosen_endpoint(const endpoint_filter&)> choose;
-    http::request message;
-    http::exchange_options options;
-    bool idempotent = false;
-    // Called if the exchange was cancelled, with the endpoint that has it.
-    std::function<void(const chosen_endpoint&)> cancelled;
-};
-
-// A whole response and where it came from.
-struct endpoint_answer {
-    endpoint_answer() = default;
-    std::string endpoint;
-    http::response reply;
-};
-
 // Decides which tries a request gets: another one only if the one before was
 // surely not run or may be repeated, and only within the deadline, the retry
 // budget and a bound on their number.
@@ -47,6 +32,9 @@
     // failure if there may be no other try.
     void failed(const std::string& endpoint, base::verdict outcome, const std::string& reason);
 
+    // Notes that an earlier exchange of the same request may have run.
+    void begun_before() noexcept { m_worst = std::max(m_worst, base::verdict::may_have_run); }
+
     // Returns the worst verdict of all tries so far.
     base::verdict outcome() const noexcept { return m_worst; }
 
@@ -63,6 +51,26 @@
     base::verdict m_worst = base::verdict::not_run;
 };
 
+// How one request may be tried.
+struct try_plan {
+    // Returns the endpoint for the next try; throws `request_failure`.
+    std::function<boost::asio::awaitable<chosen_endpoint>(try_sequence&)> next;
+    http::request message;
+    http::exchange_options options;
+    bool idempotent = false;
+    // Called if the exchange was cancelled, with the endpoint that has it.
+    std::function<void(const chosen_endpoint&)> cancelled;
+};
+
+// A whole response and where it came from.
+struct endpoint_answer {
+    endpoint_answer() = default;
+    std::string endpoint;
+    http::response reply;
+    // What became of the request: also of the tries before this answer.
+    base::verdict outcome = base::verdict::ran;
+};
+
 // Returns whether an endpoint's response says that it did not start the
 // request.
 bool is_not_started(const http::response& reply);
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -14,6 +14,7 @@
 #include <state.pb.h>
 
 #include <csignal>
+#include <mutex>
 
 namespace cicadaport::entry {
 namespace asio = boost::asio;
@@ -23,7 +24,7 @@
 // How long the balancer gets to see that this process is not ready any more.
 constexpr std::chrono::milliseconds balancer_notice{500};
 constexpr std::chrono::milliseconds drain_poll{20};
-// No request that can't be handed over runs longer.
+// No call of a service runs longer; completions are handed over before.
 constexpr std::chrono::milliseconds longest_request{70'000};
 constexpr std::chrono::milliseconds claim_time{2'000};
 
@@ -59,8 +60,13 @@
                                                         : std::make_unique<claims::claim_store>(
                                                               m_pool.context(0), settings.log)},
           m_gateway{m_pool, m_view, m_metrics, settings.path, m_claims.get(), &m_decisions},
-          m_load_feed{m_pool.context(0), m_view,      m_loads,
-                      m_decisions,       m_processes, settings.common.id},
+          m_load_feed{m_pool.context(0),
+                      m_view,
+                      m_loads,
+                      m_decisions,
+                      m_processes,
+                      {settings.common.id, settings.common.availability_zone},
+                      [this](std::vector<std::string> unused) { leave_out(std::move(unused)); }},
           m_callers{m_pool,
                     settings.caller_address.ip,
                     settings.caller_address.port,
@@ -101,17 +107,37 @@
     void take(const fold::state& state)
     {
         auto drained = drained_endpoints(state);
+        const std::scoped_lock lock{m_viewed_mutex};
         if (state.configuration_offset() == m_viewed_offset && drained == m_viewed_drained) {
             return;
         }
-        m_view.replace(std::make_unique<routing::view>(
-            state.document(), state.configuration_offset(), drained, m_loads));
+        m_viewed_document = state.document();
         m_viewed_offset = state.configuration_offset();
         m_viewed_drained = std::move(drained);
+        make_view();
         m_configuration_offset.store(m_viewed_offset, std::memory_order_release);
         spdlog::info("configuration_in_force offset={}", m_viewed_offset);
     }
 
+    // Takes the engines that this process does not use out of its view.
+    void leave_out(std::vector<std::string> unused)
+    {
+        const std::scoped_lock lock{m_viewed_mutex};
+        m_unused = std::move(unused);
+        if (m_viewed_document) {
+            make_view();
+        }
+    }
+
+    // Call with the mutex held.
+    void make_view()
+    {
+        auto without = m_viewed_drained;
+        without.insert(without.end(), m_unused.begin(), m_unused.end());
+        m_view.replace(
+            std::make_unique<routing::view>(m_viewed_document, m_viewed_offset, without, m_loads));
+    }
+
     // Called by the follower's thread alone.
     protocol::process_status status()
     {
@@ -166,8 +192,8 @@
     }
 
     // Readiness turns first, then accepting stops, then the requests that run
-    // go on to their end within the grace time. Streams that are longer go on
-    // at another entry process; other requests are bounded by their timeouts.
+    // go on to their end within the grace time. Completions that are longer go
+    // on at another entry process; calls are bounded by their timeouts.
     asio::awaitable<void> drain()
     {
         spdlog::info("drain_started active={}", m_callers.active_requests());
@@ -177,7 +203,7 @@
         m_callers.drain();
         co_await wait_for_requests(m_settings.common.grace_time);
         spdlog::info("hand_over_started active={}", m_callers.active_requests());
-        m_gateway.hand_over_streams();
+        m_gateway.hand_over();
         co_await wait_for_requests(longest_request);
         co_await wait_for_claims();
         spdlog::info("drain_ended active={}", m_callers.active_requests());
@@ -217,8 +243,12 @@
     offered_rates m_offered;
     fold::replica m_replica;
     relay::process_table m_processes;
+    // What the view in force was made of.
+    std::mutex m_viewed_mutex;
+    std::shared_ptr<const configuration::document> m_viewed_document;
     std::uint64_t m_viewed_offset = 0;
     std::vector<std::string> m_viewed_drained;
+    std::vector<std::string> m_unused;
     std::atomic<std::uint64_t> m_configuration_offset{0};
     std::atomic<bool> m_draining{false};
     std::unique_ptr<claims::claim_store> m_claims;
--- a/src/entry/resumable.cpp
+++ b/src/entry/resumable.cpp
@@ -1,6 +1,7 @@
 #include "cicadaport/base/identifier.h"
 #include "cicadaport/entry/paths.h"
 #include "cicadaport/entry/request_end.h"
+#include "internal/engine_stages.h"
 #include "internal/resumable_stream.h"
 #include "internal/stream_cancel.h"
 
@@ -11,18 +12,37 @@
 
 constexpr std::chrono::milliseconds whole_answer_time{60'000};
 
-try_plan plan_of(path_resources& resources, const caller_exchange& exchange,
-                 const completion_request& wanted, http::cancellation& cancel)
+// Ends one completion when its process stops, for as long as it lives. Belongs
+// to one event loop.
+class stop_watch {
+public:
+    stop_watch(worker& own, http::cancellation& cancel) : m_own{own}, m_number{own.next_stream++}
+    {
+        m_own.hand_over_calls[m_number] = [this, &cancel] {
+            m_stopping = true;
+            cancel.request();
+        };
+    }
+    ~stop_watch() { m_own.hand_over_calls.erase(m_number); }
+    stop_watch(const stop_watch&) = delete;
+    stop_watch& operator=(const stop_watch&) = delete;
+
+    bool stopping() const noexcept { return m_stopping; }
+
+private:
+    worker& m_own;
+    std::uint64_t m_number;
+    bool m_stopping = false;
+};
+
+try_plan plan_of(path_resources& resources, const caller_exchange& exchange, engine_stages& stages,
+                 http::cancellation& cancel)
 {
     const auto& message = exchange.message;
     const auto name = stream_prefix(exchange.context.account, exchange.context.id, message.body) +
                       base::make_identifier();
     try_plan plan;
-    plan.choose = [&](const endpoint_filter& filter) {
-        const engine_request request{exchange.context, wanted.model, message.body};
-        const base::rcu_reader guard;
-        return choose_engine(resources.view.read(guard), request, filter, resources.own);
-    };
+    plan.next = [&](try_sequence& tries) { return stages.next(tries, cancel); };
     plan.message = {"POST", message.target, forwarded_fields(message, name), message.body};
     plan.options.response_time = whole_answer_time;
     plan.options.cancel = &cancel;
@@ -39,10 +59,23 @@
 {
     http::cancellation cancel;
     const auto watch = exchange.writer.watch_peer([&] { cancel.request(); });
-    const auto plan = plan_of(resources, exchange, wanted, cancel);
-    auto answer = co_await exchange_with_retries(resources, exchange.context, plan);
-    const auto outcome = is_not_started(answer.reply) ? base::verdict::not_run : base::verdict::ran;
-    answer.reply.fields.add(verdict_field, base::to_string(outcome));
+    engine_stages stages{resources, exchange, wanted.model};
+    const auto plan = plan_of(resources, exchange, stages, cancel);
+    const stop_watch stop{resources.own, cancel};
+    endpoint_answer answer;
+    try {
+        answer = co_await exchange_with_retries(resources, exchange.context, plan);
+    }
+    catch (const request_failure& failure) {
+        if (!stop.stopping()) {
+            throw;
+        }
+        // Nothing of the answer was delivered: it can be asked for again at
+        // once, through another entry process.
+        throw request_failure{failure_kind::unavailable, failure.outcome(),
+                              "this entry process stops", std::chrono::milliseconds{0}};
+    }
+    answer.reply.fields.add(verdict_field, base::to_string(answer.outcome));
     co_await exchange.writer.send(std::move(answer.reply));
     report_answered(resources.counters, exchange.context, answer.endpoint);
 }
--- a/src/entry/tries.cpp
+++ b/src/entry/tries.cpp
@@ -99,7 +99,7 @@
 {
     try_sequence tries{resources.own, context, plan.idempotent};
     for (;;) {
-        const auto endpoint = tries.next(plan.choose);
+        const auto endpoint = co_await plan.next(tries);
         endpoint_answer answer;
         answer.endpoint = endpoint.name;
         auto message = plan.message;
@@ -119,6 +119,7 @@
         }
         if (whole) {
             tries.succeeded(endpoint.name);
+            answer.outcome = is_not_started(answer.reply) ? tries.outcome() : verdict::ran;
             co_return answer;
         }
         if (plan.options.cancel != nullptr && plan.options.cancel->requested()) {
--- a/src/operator_tool/admin_client.cpp
+++ b/src/operator_tool/admin_client.cpp
@@ -15,11 +15,7 @@
 http::response admin_client::call(const std::string& method, const std::string& path,
                                   std::string body)
 {
-    const http::request message{
-        method,
-        "/v1/admin/" + path,
-        {{"Authorization", "Bearer " + m_key}, {"Content-Type", "application/json"}},
-        std::move(body)};
+    const auto message = make_request(method, path, std::move(body));
     std::string failures;
     for (std::size_t i = 0; i < m_addresses.size(); ++i) {
         try {
@@ -37,6 +33,35 @@
     throw http::exchange_error{base::verdict::not_run, "no address given"};
 }
 
+std::vector<http::response> admin_client::ask_each(const std::string& path)
+{
+    const auto message = make_request("GET", path, {});
+    std::vector<http::response> out;
+    std::string failures;
+    for (const auto& each : m_addresses) {
+        try {
+            out.push_back(call_one(each, message));
+        }
+        catch (const http::exchange_error& error) {
+            failures += failures.empty() ? "" : "\n";
+            failures += http::to_string(each) + ": " + error.what();
+        }
+    }
+    if (out.empty()) {
+        throw http::exchange_error{base::verdict::not_run, failures};
+    }
+    return out;
+}
+
+http::request admin_client::make_request(const std::string& method, const std::string& path,
+                                         std::string body) const
+{
+    return {method,
+            "/v1/admin/" + path,
+            {{"Authorization", "Bearer " + m_key}, {"Content-Type", "application/json"}},
+            std::move(body)};
+}
+
 http::response admin_client::call_one(const http::address& to, http::request message)
 {
     std::optional<http::response> reply;
