relay: what callers ask for stays out of an entry process's large table

Change: an entry process, which has no use for them, gets a large table without them; a table is large above 64 processes, whatever they tell.

--- a/include/cicadaport/relay/table_part.h
+++ b/include/cicadaport/relay/table_part.h
@@ -27,7 +27,8 @@
 //
 // A small table goes to every follower once a second. Of a large one an entry
 // process gets those that read the log once a second, for it follows one of
-// them, and all others now and then: it only counts them. Control processes
+// them, and all others now and then, without what callers ask of them: it only
+// counts them. Control processes
 // need to know of everybody how far it is, and get the whole table.
 //
 // Not thread safe; time is passed in.
@@ -42,8 +43,8 @@
     // Returns whether `reader` is to be told anything now; ask before `choose`.
     bool is_due(const table_reader& reader, time_point now);
 
-    // A table up to this size is small: that of some 70 processes.
-    static constexpr std::size_t small_table_bytes = 4'000;
+    // A table of up to so many processes is small.
+    static constexpr std::size_t small_table = 64;
     static constexpr std::chrono::seconds interval{1};
     // Half of the time after which a silent process is forgotten.
     static constexpr std::chrono::seconds whole_interval{15};
--- a/src/relay/table_part.cpp
+++ b/src/relay/table_part.cpp
@@ -13,15 +13,6 @@
 
 static_assert(table_part::whole_interval * 2 <= process_table::forget_after);
 
-std::size_t bytes_of(const std::vector<protocol::process_status>& statuses)
-{
-    std::size_t out = 0;
-    for (const auto& status : statuses) {
-        out += status.ByteSizeLong();
-    }
-    return out;
-}
-
 } // namespace
 
 bool table_part::is_due(const table_reader& reader, time_point now)
@@ -41,12 +32,15 @@
 table_part::choose(const table_reader& reader, std::vector<protocol::process_status> known,
                    time_point now)
 {
-    if (!reader.is_entry || bytes_of(known) <= small_table_bytes) {
+    if (!reader.is_entry || known.size() <= small_table) {
         return known;
     }
     auto& all = m_told[reader.peer].all;
     if (reader.follows && (!all || now - *all >= whole_interval)) {
         all = now;
+        for (auto& each : known) {
+            each.clear_offered();
+        }
         return known;
     }
     std::erase_if(known, [](const auto& each) { return !each.reads_log(); });
--- a/test/relay/table_part_test.cpp
+++ b/test/relay/table_part_test.cpp
@@ -59,6 +59,14 @@
     EXPECT_EQ(told(m_entry, letter_processes, table_part::whole_interval), letter_processes);
 }
 
+TEST_F(table_part_test, an_entry_gets_a_large_table_without_what_callers_ask_for)
+{
+    auto known = processes(letter_processes);
+    known.back().add_offered()->set_model("model-0");
+    EXPECT_EQ(m_part.choose(m_control, known, start).back().offered_size(), 1);
+    EXPECT_EQ(m_part.choose(m_entry, known, start).back().offered_size(), 0);
+}
+
 TEST_F(table_part_test, an_entry_that_only_looks_gets_the_readers_of_the_log)
 {
     EXPECT_EQ(told(m_looking_entry, letter_processes, 0s), letter_log_readers);
