membership: kept ranks of watchers are a unit of their own

Cause: that ranks are kept until endpoints or processes change had no test: a watcher that ends would go unreplaced without one. Change: `watcher_ranks` beside `watcher_rank`, with a test for each of the two. Conclusion: no change in behaviour.

--- a/include/cicadaport/membership/endpoint_watch.h
+++ b/include/cicadaport/membership/endpoint_watch.h
@@ -4,14 +4,13 @@
 #include "cicadaport/configuration/document.h"
 #include "cicadaport/fold/replica.h"
 #include "cicadaport/membership/endpoint_monitor.h"
+#include "cicadaport/membership/watchers.h"
 #include "cicadaport/platform/proposer.h"
 
 #include <boost/asio/awaitable.hpp>
 
 #include <functional>
 #include <map>
-#include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,7 +50,6 @@
         bool reporting = false;
     };
 
-    void rank_endpoints();
     boost::asio::awaitable<void> read_host_list();
     boost::asio::awaitable<void> probe(configuration::endpoint endpoint);
     boost::asio::awaitable<void> report(std::string endpoint, condition standing);
@@ -64,11 +62,7 @@
     std::map<std::string, watched> m_watched;
     std::map<std::string, listed_state> m_hosts;
     bool m_reading_hosts = false;
-    // Own ranks, in the order of the document's endpoints, and what they rest
-    // on: 720 endpoints and 410 processes are too many to rank each time.
-    std::vector<std::optional<std::size_t>> m_ranks;
-    std::shared_ptr<const configuration::document> m_document;
-    std::vector<std::string> m_processes;
+    watcher_ranks m_ranks;
 };
 
 } // namespace cicadaport::membership
--- a/src/membership/endpoint_watch.cpp
+++ b/src/membership/endpoint_watch.cpp
@@ -1,7 +1,5 @@
 #include "cicadaport/membership/endpoint_watch.h"
 
-#include "cicadaport/membership/watchers.h"
-
 #include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
 #include <state.pb.h>
@@ -42,7 +40,7 @@
 } // namespace
 
 endpoint_watch::endpoint_watch(watch_services services)
-    : m_services{std::move(services)}, m_client{m_services.context}
+    : m_services{std::move(services)}, m_client{m_services.context}, m_ranks{m_services.process}
 {
 }
 
@@ -54,12 +52,13 @@
             m_reading_hosts = true;
             asio::co_spawn(m_services.context, read_host_list(), asio::detached);
         }
-        rank_endpoints();
-        const auto document = m_document;
-        for (std::size_t i = 0; i < document->endpoints.size(); ++i) {
+        std::shared_ptr<const configuration::document> document;
+        m_services.replica.inspect([&](const fold::state& state) { document = state.document(); });
+        const auto ranks = m_ranks.update(document, m_services.live_processes());
+        for (std::size_t i = 0; i < ranks.size(); ++i) {
             const auto& endpoint = document->endpoints[i];
-            if (m_ranks[i]) {
-                look_at(endpoint, *m_ranks[i]);
+            if (ranks[i]) {
+                look_at(endpoint, *ranks[i]);
             }
             else {
                 m_watched.erase(endpoint.name);
@@ -70,22 +69,6 @@
     }
 }
 
-void endpoint_watch::rank_endpoints()
-{
-    std::shared_ptr<const configuration::document> document;
-    m_services.replica.inspect([&](const fold::state& state) { document = state.document(); });
-    auto processes = m_services.live_processes();
-    if (document == m_document && processes == m_processes) {
-        return;
-    }
-    m_document = std::move(document);
-    m_processes = std::move(processes);
-    m_ranks.clear();
-    for (const auto& endpoint : m_document->endpoints) {
-        m_ranks.push_back(watcher_rank(endpoint.name, m_services.process, m_processes));
-    }
-}
-
 // While the list is down, what it said last stands.
 asio::awaitable<void> endpoint_watch::read_host_list()
 {
--- a/src/membership/watchers.cpp
+++ b/src/membership/watchers.cpp
@@ -21,4 +21,21 @@
     return rank < watchers_per_endpoint ? std::optional{rank} : std::nullopt;
 }
 
+std::span<const std::optional<std::size_t>>
+watcher_ranks::update(std::shared_ptr<const configuration::document> document,
+                      std::span<const std::string> processes)
+{
+    if (document == m_document && std::ranges::equal(processes, m_processes)) {
+        return m_ranks;
+    }
+    m_document = std::move(document);
+    m_processes.assign(processes.begin(), processes.end());
+    m_ranks.clear();
+    m_ranks.reserve(m_document->endpoints.size());
+    for (const auto& endpoint : m_document->endpoints) {
+        m_ranks.push_back(watcher_rank(endpoint.name, m_process, m_processes));
+    }
+    return m_ranks;
+}
+
 } // namespace cicadaport::membership
--- a/test/membership/watchers_test.cpp
+++ b/test/membership/watchers_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
 #include <vector>
 
 namespace cicadaport::membership {
@@ -45,5 +46,42 @@
     EXPECT_EQ(ranked(0), second);
 }
 
+std::shared_ptr<const configuration::document> document_of(int endpoints)
+{
+    auto out = std::make_shared<configuration::document>();
+    for (int i = 0; i < endpoints; ++i) {
+        out->endpoints.emplace_back().name = "e" + std::to_string(i);
+    }
+    return out;
+}
+
+std::size_t watched_by(watcher_ranks& ranks,
+                       const std::shared_ptr<const configuration::document>& document,
+                       const names& processes)
+{
+    std::size_t count = 0;
+    for (const auto& rank : ranks.update(document, processes)) {
+        count += rank ? 1 : 0;
+    }
+    return count;
+}
+
+TEST(watchers_test, kept_ranks_follow_processes_that_come_and_go)
+{
+    constexpr int endpoints = 40;
+    const auto document = document_of(endpoints);
+    watcher_ranks ranks{"a"};
+    EXPECT_EQ(watched_by(ranks, document, {"a", "b"}), endpoints);
+    EXPECT_LT(watched_by(ranks, document, {"a", "b", "c", "d"}), endpoints);
+    EXPECT_EQ(watched_by(ranks, document, {"a", "d"}), endpoints) << "two ended";
+}
+
+TEST(watchers_test, kept_ranks_follow_the_endpoints)
+{
+    watcher_ranks ranks{"a"};
+    EXPECT_EQ(watched_by(ranks, document_of(3), {"a"}), 3U);
+    EXPECT_EQ(watched_by(ranks, document_of(5), {"a"}), 5U);
+}
+
 } // namespace
 } // namespace cicadaport::membership
