--- a/include/cicadaport/entry/engine_subset.h
+++ b/include/cicadaport/entry/engine_subset.h
@@ -18,16 +18,20 @@
 // evenly among the models. A fleet of no more is used whole by every process.
 constexpr std::size_t most_engines = 18;
 
-// However many models there are, each has so many engines.
+// However many models there are, each has so many engines, and where some of
+// them prefill only, each of the two stages has so many places.
 constexpr std::size_t least_engines_per_model = 4;
+constexpr std::size_t least_engines_per_stage = 2;
 
 // One engine to pick from. Refers to strings that the caller owns.
 struct subset_candidate {
     std::string_view name;
     std::string_view model;
     std::string_view availability_zone;
-    // Whether it can be given whole requests, as far as this process knows.
+    // Whether it can be given work, as far as this process knows.
     bool usable = true;
+    // Whether it reads prompts only, for others to answer.
+    bool prefills = false;
 };
 
 // Returns the place of `engine` in the order of `process`; lower comes first.
@@ -37,7 +41,8 @@
 // Returns the indexes of the engines that `process` in `availability_zone`
 // uses, in ascending order.
 //
-// Half of a model's places go to engines in the own availability zone. An
+// A model's places are shared out between engines that prefill only and the
+// others, half of them to the own availability zone. An
 // engine that is not usable stays, so that its return is noticed, and the next
 // in order joins it. Thread safety: any thread.
 //
--- a/include/cicadaport/entry/load_feed.h
+++ b/include/cicadaport/entry/load_feed.h
@@ -108,7 +108,8 @@
     http::client m_client;
     std::map<std::string, known_engine> m_engines;
     std::shared_ptr<const configuration::document> m_document;
-    // Which engines were usable when the present ones were chosen.
+    // Which engines were usable, and which prefilled only, when the present
+    // ones were chosen.
     std::vector<bool> m_chosen_among;
     byte_budget m_report_budget{report_bytes_per_second};
     byte_budget m_event_budget{event_bytes_per_second};
--- a/src/entry/engine_subset.cpp
+++ b/src/entry/engine_subset.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <xxhash.h>
 
 namespace cicadaport::entry {
 namespace {
@@ -24,53 +25,66 @@
     return usable;
 }
 
+// The engines of one stage, by whether they are in the own availability zone.
+struct stage_engines {
+    ordered_engines own;
+    ordered_engines other;
+    std::size_t size() const noexcept { return own.size() + other.size(); }
+};
+
+struct model_engines {
+    stage_engines prefill;
+    stage_engines answer;
+};
+
+// Returns how many of a model's places go to engines that prefill only: as
+// large a part as they have of its engines, some at least for each stage, and
+// none that the other stage could fill.
+std::size_t prefill_places(const model_engines& model, std::size_t places)
+{
+    const auto prefill = model.prefill.size();
+    const auto answer = model.answer.size();
+    const auto part = (places * prefill + (prefill + answer) / 2) / (prefill + answer);
+    const auto wanted = std::clamp(part, least_engines_per_stage, places - least_engines_per_stage);
+    const auto left_by_answer = places - std::min(answer, places);
+    return std::max(std::min(wanted, prefill), left_by_answer);
+}
+
+void take_stage(std::span<const subset_candidate> engines, stage_engines& stage, std::size_t places,
+                std::vector<std::size_t>& out)
+{
+    std::ranges::sort(stage.own);
+    const auto usable = take(engines, stage.own, places / 2, out);
+    auto& rest = stage.other;
+    rest.insert(rest.end(), stage.own.begin(), stage.own.end());
+    std::ranges::sort(rest);
+    take(engines, rest, places - usable, out);
+}
+
 } // namespace
 
-// FNV-1a with a finalizer, for names that differ in their last letters only.
 std::uint64_t subset_order(std::string_view process, std::string_view engine)
 {
-    constexpr std::uint64_t offset_basis = 0xcbf29ce484222325;
-    constexpr std::uint64_t prime = 0x100000001b3;
-    constexpr std::uint64_t mix_factor = 0xff51afd7ed558ccd;
-    constexpr unsigned mix_shift = 33;
-    std::uint64_t hash = offset_basis;
-    const auto add = [&](std::string_view text) {
-        for (const char each : text) {
-            hash = (hash ^ static_cast<unsigned char>(each)) * prime;
-        }
-    };
-    add(process);
-    add("/");
-    add(engine);
-    hash = (hash ^ (hash >> mix_shift)) * mix_factor;
-    return hash ^ (hash >> mix_shift);
+    const auto seed = XXH3_64bits(process.data(), process.size());
+    return XXH3_64bits_withSeed(engine.data(), engine.size(), seed);
 }
 
 std::vector<std::size_t> choose_subset(std::span<const subset_candidate> engines,
                                        std::string_view process, std::string_view availability_zone)
 {
-    struct by_zone {
-        ordered_engines own;
-        ordered_engines other;
-    };
-    std::map<std::string_view, by_zone> models;
+    std::map<std::string_view, model_engines> models;
     for (std::size_t i = 0; i < engines.size(); ++i) {
         auto& model = models[engines[i].model];
-        auto& group = engines[i].availability_zone == availability_zone ? model.own : model.other;
+        auto& stage = engines[i].prefills ? model.prefill : model.answer;
+        auto& group = engines[i].availability_zone == availability_zone ? stage.own : stage.other;
         group.emplace_back(subset_order(process, engines[i].name), i);
     }
     std::vector<std::size_t> out;
-    if (models.empty()) {
-        return out;
-    }
-    const auto places = std::max(most_engines / models.size(), least_engines_per_model);
     for (auto& [name, model] : models) {
-        std::ranges::sort(model.own);
-        std::ranges::sort(model.other);
-        auto usable = take(engines, model.own, places / 2, out);
-        model.other.insert(model.other.end(), model.own.begin(), model.own.end());
-        std::ranges::sort(model.other);
-        usable += take(engines, model.other, places - usable, out);
+        const auto places = std::max(most_engines / models.size(), least_engines_per_model);
+        const auto for_prefill = prefill_places(model, places);
+        take_stage(engines, model.prefill, for_prefill, out);
+        take_stage(engines, model.answer, places - for_prefill, out);
     }
     std::ranges::sort(out);
     return out;
--- a/src/entry/load_feed.cpp
+++ b/src/entry/load_feed.cpp
@@ -40,8 +40,7 @@
     if (!used) {
         return true;
     }
-    return in_service && takes_work && role != routing::engine_role::prefill &&
-           now - std::max(answered_at, used_since) < silent_after;
+    return in_service && takes_work && now - std::max(answered_at, used_since) < silent_after;
 }
 
 load_feed::load_feed(asio::io_context& context, const base::published<routing::view>& view,
@@ -129,16 +128,19 @@
 void load_feed::choose_engines(time_point now)
 {
     std::vector<subset_candidate> among;
-    std::vector<bool> usable;
+    std::vector<bool> state;
     among.reserve(m_engines.size());
     for (const auto& [name, engine] : m_engines) {
-        usable.push_back(engine.is_usable(now));
-        among.push_back({name, engine.model, engine.availability_zone, usable.back()});
+        const bool usable_now = engine.is_usable(now);
+        const bool prefills = engine.role == routing::engine_role::prefill;
+        state.push_back(usable_now);
+        state.push_back(prefills);
+        among.push_back({name, engine.model, engine.availability_zone, usable_now, prefills});
     }
-    if (usable == m_chosen_among) {
+    if (state == m_chosen_among) {
         return;
     }
-    m_chosen_among = std::move(usable);
+    m_chosen_among = std::move(state);
     const auto chosen = choose_subset(among, m_self.id, m_self.availability_zone);
     std::vector<std::string> unused;
     std::size_t index = 0;
@@ -339,6 +341,7 @@
         const bool serving = engine.used && engine.is_heard(now) && engine.takes_work;
         next->endpoints[index] = {engine.history.others(), engine.role, serving};
     }
+    next->find_prefill_engines();
     m_decisions.loads.replace(std::move(next));
 }
 
--- a/test/entry/engine_subset_test.cpp
+++ b/test/entry/engine_subset_test.cpp
@@ -53,6 +53,35 @@
     EXPECT_EQ(choose_subset(small.candidates, "entry-1", "zone-1").size(), most_engines);
 }
 
+TEST(engine_subset_test, a_small_fleet_is_used_whole_however_its_roles_are_shared_out)
+{
+    for (std::size_t prefills = 0; prefills <= most_engines; ++prefills) {
+        fleet small{most_engines, 1, 3};
+        for (std::size_t i = 0; i < prefills; ++i) {
+            small.candidates[i].prefills = true;
+        }
+        EXPECT_EQ(choose_subset(small.candidates, "entry-1", "zone-1").size(), most_engines)
+            << prefills << " prefill";
+    }
+}
+
+TEST_F(letter_fleet_test, both_stages_have_engines_in_every_process)
+{
+    for (std::size_t i = 0; i < letter_engines; ++i) {
+        m_fleet.candidates[i].prefills = i / letter_models % 3 == 0;
+    }
+    for (std::size_t process = 0; process < letter_processes; ++process) {
+        std::map<std::pair<std::string_view, bool>, std::size_t> stages;
+        for (const auto i : subset_of(process)) {
+            ++stages[{m_fleet.candidates[i].model, m_fleet.candidates[i].prefills}];
+        }
+        EXPECT_EQ(stages.size(), 2 * letter_models);
+        for (const auto& [stage, count] : stages) {
+            EXPECT_GE(count, least_engines_per_stage) << stage.first << ' ' << stage.second;
+        }
+    }
+}
+
 TEST(engine_subset_test, nothing_is_chosen_from_nothing)
 {
     EXPECT_THAT(choose_subset({}, "entry-1", "zone-1"), testing::IsEmpty());
--- a/test/roles/controller_test.cpp
+++ b/test/roles/controller_test.cpp
@@ -145,6 +145,57 @@
     EXPECT_EQ(controller.last_outcome(), change_outcome::timed_out);
 }
 
+TEST(role_controller_test, a_change_that_an_engine_is_busy_with_is_waited_for)
+{
+    role_controller controller{settings_for("rent_or_buy")};
+    auto engines = two_and_two();
+    auto now = start;
+    ASSERT_EQ(first_order(controller, engines, long_prompts, now, 10s)->engine, "d2");
+    engines[3].changing = true;
+    controller.observe(engines, long_prompts, now + 1min);
+    EXPECT_EQ(controller.last_outcome(), change_outcome::running);
+    engines[3].changing = false;
+    engines[3].role = engine_role::prefill;
+    controller.observe(engines, long_prompts, now + 2min);
+    EXPECT_EQ(controller.last_outcome(), change_outcome::applied);
+}
+
+TEST(role_controller_test, an_engine_that_may_not_change_is_not_taken)
+{
+    role_controller controller{settings_for("rent_or_buy")};
+    auto engines = two_and_two();
+    engines[3].may_change = false;
+    auto now = start;
+    const auto order = first_order(controller, engines, long_prompts, now, 10s);
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->engine, "d1") << "d2 has less to drain but must stay";
+}
+
+TEST(role_controller_test, a_change_held_back_says_why_and_spends_no_losses)
+{
+    role_controller controller{settings_for("rent_or_buy")};
+    auto engines = two_and_two();
+    engines[2].may_change = false;
+    engines[3].may_change = false;
+    auto now = start;
+    EXPECT_FALSE(first_order(controller, engines, long_prompts, now, 10s));
+    EXPECT_NE(controller.present().held_back.find("spare"), std::string::npos);
+    EXPECT_GE(controller.present().lost_to_prefill, 20);
+    engines[3].may_change = true;
+    EXPECT_TRUE(controller.observe(engines, long_prompts, now)) << "it was paid for already";
+    EXPECT_TRUE(controller.present().held_back.empty());
+}
+
+TEST(role_controller_test, a_change_held_back_by_a_floor_says_so)
+{
+    auto settings = settings_for("rent_or_buy");
+    settings.least_decode = 2;
+    role_controller controller{settings};
+    auto now = start;
+    EXPECT_FALSE(first_order(controller, two_and_two(), long_prompts, now, 10s));
+    EXPECT_NE(controller.present().held_back.find("floor"), std::string::npos);
+}
+
 // The guarantee: changes times price is at most the goodput lost.
 TEST(role_controller_test, no_mix_makes_it_change_more_often_than_the_losses_pay_for)
 {
