--- a/src/entry/engine_decision.cpp
+++ b/src/entry/engine_decision.cpp
@@ -195,11 +195,10 @@
                   const routing::placement_choice& choice, const std::string& model,
                   decision_state& state)
 {
-    const auto tokens = static_cast<std::uint64_t>(question.needs.prompt_tokens);
     const auto* reader = choice.prefill != nullptr ? choice.prefill : choice.chosen;
-    const std::uint64_t cached =
-        reader == nullptr ? 0 : question.prefix.tokens_at(reader->load->index);
-    state.offered.note(model, tokens - std::min(cached, tokens), question.needs.output_tokens);
+    const double cached = reader == nullptr ? 0.0 : question.prefix.tokens_at(reader->load->index);
+    const auto to_read = std::max(question.needs.prompt_tokens - cached, 0.0);
+    state.offered.note(model, to_read, question.needs.output_tokens);
 }
 
 // Returns the engine that is to make the answer.
--- a/test/entry/two_stage_test.cpp
+++ b/test/entry/two_stage_test.cpp
@@ -149,8 +149,8 @@
     std::unique_ptr<served_gateway> serve(const std::vector<http::address>& engines)
     {
         return std::make_unique<served_gateway>(test_configuration(engines, {}),
-                                                settings::completion_path::resumable, nullptr, {},
-                                                1, &m_decisions);
+                                                settings::completion_path::resumable, nullptr,
+                                                std::vector<std::string>{}, 1, &m_decisions);
     }
 
     std::size_t prefills() const
