relay: a process that starts does not begin with what may be old

Cause: a control process that was started again while the log was out of reach took over the state of the only peer in reach, which had been cut off: it showed offset 6, then 1 (fault_run_test, 4 of 4 runs, known red until now). Ruled out: a peer's log contact within 4 s as the sign: the same test failed, as the peer had been cut off for 1.3 s only; all relays: one dead host would keep every new process out in an outage. Change: the first state comes from a relay that has heard from the log since this process started, or is the newest of more than half of all relays; a relay counts itself among them without an answer. Two control hosts can't start a process in an outage any more; six can while four answer.

--- a/include/cicadaport/relay/follower.h
+++ b/include/cicadaport/relay/follower.h
@@ -20,7 +20,10 @@
 // from the first that answers, and, now and then, from another one, so that a
 // relay that is itself cut off can't hold this process back.
 //
-// A process that starts asks every relay once and takes the newest state.
+// A process that starts asks every relay and begins with the answer of one that
+// has heard from the log since then, or else with the newest of more than half of them: a process
+// that had a newer configuration before must not go back to that of a relay
+// which is cut off as it is.
 // Runs on a thread of its own until destroyed. The replica and the table must
 // outlive it.
 class follower {
@@ -28,8 +31,10 @@
     // Says what this process tells of itself.
     using status_source = std::function<protocol::process_status()>;
 
+    // `own_relays` is how many relays there are beside those: one in a process
+    // that is itself a relay.
     follower(std::vector<http::address> relays, fold::replica& log, process_table& processes,
-             status_source status);
+             status_source status, std::size_t own_relays = 0);
     ~follower();
     follower(const follower&) = delete;
     follower& operator=(const follower&) = delete;
--- a/include/cicadaport/relay/relay_server.h
+++ b/include/cicadaport/relay/relay_server.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace cicadaport::relay {
 
@@ -25,11 +26,13 @@
     // Says how long ago the log or another relay answered this process, so
     // that followers of a relay that is cut off know of it.
     using contact_age_source = std::function<std::chrono::milliseconds()>;
+    // Says how long ago the log itself answered this process, if it ever did.
+    using log_age_source = std::function<std::optional<std::chrono::milliseconds>()>;
 
     // Listens at once, on a free port where the port is 0; throws zmq::error_t
     // if it can't.
     relay_server(const http::address& listen, fold::replica& log, process_table& processes,
-                 contact_age_source contact_age = {});
+                 contact_age_source contact_age = {}, log_age_source log_age = {});
     ~relay_server();
     relay_server(const relay_server&) = delete;
     relay_server& operator=(const relay_server&) = delete;
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -58,10 +58,11 @@
           m_release_limit{m_pool.context(0)}
     {
         m_replica.add_listener([this](const fold::state& state) { note(state); });
-        m_follower = std::make_unique<relay::follower>(settings.peers, m_replica, m_processes,
-                                                       [this] { return status(); });
+        m_follower = std::make_unique<relay::follower>(
+            settings.peers, m_replica, m_processes, [this] { return status(); }, 1);
         m_relay = std::make_unique<relay::relay_server>(
-            settings.relay_address, m_replica, m_processes, [this] { return contact_age(); });
+            settings.relay_address, m_replica, m_processes, [this] { return contact_age(); },
+            [this] { return m_tailer.since_last_answer(); });
         asio::co_spawn(m_pool.context(0), m_tailer.run(), asio::detached);
         asio::co_spawn(m_pool.context(0), direct(), asio::detached);
         asio::co_spawn(m_pool.context(0), m_watch.run(), asio::detached);
--- a/src/relay/follower.cpp
+++ b/src/relay/follower.cpp
@@ -30,8 +30,8 @@
 class follower::implementation {
 public:
     implementation(std::vector<http::address> relays, fold::replica& log, process_table& processes,
-                   status_source status)
-        : m_relays{std::move(relays)}, m_log{log},
+                   status_source status, std::size_t own_relays)
+        : m_relays{std::move(relays)}, m_all_relays{m_relays.size() + own_relays}, m_log{log},
           m_processes{processes}, m_status{std::move(status)}, m_random{std::random_device{}()}
     {
         if (!m_relays.empty()) {
@@ -54,6 +54,11 @@
         ask_everyone(stop);
         auto next_cross_check = clock::now() + cross_check_interval;
         while (!stop.stop_requested()) {
+            if (is_fresh()) {
+                std::this_thread::sleep_for(retry_pause);
+                ask_everyone(stop);
+                continue;
+            }
             prefer_a_log_reader();
             if (!pull(m_relays[m_current], pull_wait)) {
                 m_current = (m_current + 1) % m_relays.size();
@@ -151,12 +156,6 @@
                          reply.refused());
             return false;
         }
-        if (!reply.state().empty()) {
-            install(relay, reply.state());
-        }
-        const std::vector<protocol::log_entry> entries{reply.entries().begin(),
-                                                       reply.entries().end()};
-        m_log.apply(entries);
         const auto now = clock::now();
         for (const auto& member : reply.members()) {
             m_processes.note(member, now);
@@ -166,9 +165,52 @@
         if (contact > m_last_contact.load(std::memory_order_acquire)) {
             m_last_contact.store(contact, std::memory_order_release);
         }
+        if (is_fresh()) {
+            begin_with(relay, std::move(reply));
+        }
+        else {
+            take_records(relay, reply);
+        }
         return true;
     }
 
+    // A process that starts knows nothing of what it had in force before.
+    bool is_fresh() const { return m_log.offset() == 0; }
+
+    // Begins with the answer of a relay that has heard from the log since this
+    // process started, or else with the newest of more than half of all relays:
+    // a few of them may be cut off together with this process and know an old
+    // configuration only.
+    void begin_with(const http::address& relay, protocol::pull_reply reply)
+    {
+        const milliseconds log_age{reply.log_age_ms()};
+        const bool reads_log = log_age.count() > 0 && log_age < clock::now() - m_started;
+        m_held.insert_or_assign(relay, std::move(reply));
+        if (reads_log) {
+            take_records(relay, m_held.at(relay));
+        }
+        else if (m_held.size() * 2 > m_all_relays) {
+            const auto newest =
+                std::max_element(m_held.begin(), m_held.end(), [](const auto& a, const auto& b) {
+                    return a.second.end_offset() < b.second.end_offset();
+                });
+            take_records(newest->first, newest->second);
+        }
+        if (!is_fresh()) {
+            m_held.clear();
+        }
+    }
+
+    void take_records(const http::address& relay, const protocol::pull_reply& reply)
+    {
+        if (!reply.state().empty()) {
+            install(relay, reply.state());
+        }
+        const std::vector<protocol::log_entry> entries{reply.entries().begin(),
+                                                       reply.entries().end()};
+        m_log.apply(entries);
+    }
+
     // A state that this build can't read leaves the one it has in force.
     void install(const http::address& relay, const std::string& state)
     {
@@ -195,12 +237,16 @@
     }
 
     std::vector<http::address> m_relays;
+    std::size_t m_all_relays;
+    clock::time_point m_started = clock::now();
     fold::replica& m_log;
     process_table& m_processes;
     status_source m_status;
     std::mt19937_64 m_random;
     zmq::context_t m_context;
     std::map<http::address, zmq::socket_t> m_sockets;
+    // What relays answered while this process was fresh.
+    std::map<http::address, protocol::pull_reply> m_held;
     std::size_t m_current = 0;
     clock::time_point m_next_preference;
     clock::time_point m_passed_over_until;
@@ -210,8 +256,9 @@
 };
 
 follower::follower(std::vector<http::address> relays, fold::replica& log, process_table& processes,
-                   status_source status)
-    : m_impl{std::make_unique<implementation>(std::move(relays), log, processes, std::move(status))}
+                   status_source status, std::size_t own_relays)
+    : m_impl{std::make_unique<implementation>(std::move(relays), log, processes, std::move(status),
+                                              own_relays)}
 {
 }
 
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -33,9 +33,9 @@
 class relay_server::implementation {
 public:
     implementation(const http::address& listen, fold::replica& log, process_table& processes,
-                   contact_age_source contact_age)
-        : m_log{log}, m_processes{processes},
-          m_contact_age{std::move(contact_age)}, m_socket{m_context, zmq::socket_type::router}
+                   contact_age_source contact_age, log_age_source log_age)
+        : m_log{log}, m_processes{processes}, m_contact_age{std::move(contact_age)},
+          m_log_age{std::move(log_age)}, m_socket{m_context, zmq::socket_type::router}
     {
         m_socket.set(zmq::sockopt::linger, 0);
         const auto port = listen.port == 0 ? "*" : std::to_string(listen.port);
@@ -121,6 +121,12 @@
             const auto age = std::min<std::chrono::milliseconds>(m_contact_age(), longest_age);
             reply.set_contact_age_ms(static_cast<std::uint32_t>(age.count()));
         }
+        if (const auto age = m_log_age ? m_log_age() : std::nullopt) {
+            // 0 would say that the log never answered.
+            const auto told = std::clamp<std::chrono::milliseconds>(
+                *age, std::chrono::milliseconds{1}, longest_age);
+            reply.set_log_age_ms(static_cast<std::uint32_t>(told.count()));
+        }
         if (m_table_part.is_due(pull.reader, now)) {
             auto statuses = m_table_part.choose(pull.reader, m_processes.list(now), now);
             limit_work(statuses);
@@ -140,6 +146,7 @@
     fold::replica& m_log;
     process_table& m_processes;
     contact_age_source m_contact_age;
+    log_age_source m_log_age;
     table_part m_table_part;
     zmq::context_t m_context;
     zmq::socket_t m_socket;
@@ -149,8 +156,10 @@
 };
 
 relay_server::relay_server(const http::address& listen, fold::replica& log,
-                           process_table& processes, contact_age_source contact_age)
-    : m_impl{std::make_unique<implementation>(listen, log, processes, std::move(contact_age))}
+                           process_table& processes, contact_age_source contact_age,
+                           log_age_source log_age)
+    : m_impl{std::make_unique<implementation>(listen, log, processes, std::move(contact_age),
+                                              std::move(log_age))}
 {
 }
 
