cleaning: one function for the tokens that an engine has to read itself

Cause: a decision worked out the part of a prompt that an engine has not cached in three places, for the prefill engine, the answering engine and what is told as offered; three tests each held the hash of the operator's key. Change: tokens_to_read, called by all three; the hash stands in process_fixture beside the key itself. Nothing behaves differently.

--- a/src/entry/engine_decision.cpp
+++ b/src/entry/engine_decision.cpp
@@ -170,15 +170,22 @@
     return lives ? &*found : nullptr;
 }
 
+// Returns how many tokens of the prompt the engine would have to read itself.
+std::uint64_t tokens_to_read(const routing::placement_question& question,
+                             const routing::candidate& at)
+{
+    const auto tokens = static_cast<std::uint64_t>(question.needs.prompt_tokens);
+    const std::uint64_t cached = question.prefix.tokens_at(at.load->index);
+    return tokens - std::min(cached, tokens);
+}
+
 // Returns the engine that is to read the prompt of a request divided by `choice`.
 chosen_endpoint prefill_endpoint(const routing::placement_question& question,
                                  const routing::placement_choice& choice, decision_state& state,
                                  engine_expectation expected)
 {
     const auto& at = *choice.prefill;
-    const auto tokens = static_cast<std::uint64_t>(question.needs.prompt_tokens);
-    const std::uint64_t cached = question.prefix.tokens_at(at.load->index);
-    expected.prefill_tokens = tokens - std::min(cached, tokens);
+    expected.prefill_tokens = tokens_to_read(question, at);
     expected.output_tokens = 0;
     expected.predicted = {choice.prefilled_after, choice.prefilled_after};
     const auto rank = expected.rank;
@@ -196,8 +203,8 @@
                   decision_state& state)
 {
     const auto* reader = choice.prefill != nullptr ? choice.prefill : choice.chosen;
-    const double cached = reader == nullptr ? 0.0 : question.prefix.tokens_at(reader->load->index);
-    const auto to_read = std::max(question.needs.prompt_tokens - cached, 0.0);
+    const auto to_read = reader == nullptr ? question.needs.prompt_tokens
+                                           : static_cast<double>(tokens_to_read(question, *reader));
     state.offered.note(model, to_read, question.needs.output_tokens);
 }
 
@@ -207,10 +214,7 @@
                                 engine_expectation expected, std::string kv_source)
 {
     const auto& at = *choice.chosen;
-    const auto tokens = static_cast<std::uint64_t>(question.needs.prompt_tokens);
-    const std::uint64_t cached =
-        question.prefilled ? tokens : question.prefix.tokens_at(at.load->index);
-    expected.prefill_tokens = tokens - std::min(cached, tokens);
+    expected.prefill_tokens = question.prefilled ? 0 : tokens_to_read(question, at);
     expected.output_tokens = static_cast<std::uint64_t>(question.needs.output_tokens);
     expected.predicted = choice.predicted;
     const auto rank = expected.rank;
--- a/test/authority/control_fixture.h
+++ b/test/authority/control_fixture.h
@@ -11,10 +11,6 @@
 
 namespace cicadaport::authority::testing {
 
-// SHA-256 of "operator-key".
-constexpr char operator_key_sha256[] =
-    "c9736463f555cdb7d2a78cfd7aa8b8c4f09d906d78f8dab9228eda30a28c2818";
-
 class control_fixture : public ::testing::Test {
 protected:
     struct control {
--- a/test/authority/process_fixture.h
+++ b/test/authority/process_fixture.h
@@ -20,6 +20,10 @@
 
 namespace cicadaport::authority::testing {
 
+// SHA-256 of "operator-key", the key with which `call` speaks to processes.
+constexpr char operator_key_sha256[] =
+    "c9736463f555cdb7d2a78cfd7aa8b8c4f09d906d78f8dab9228eda30a28c2818";
+
 // One of the project's programs that a test started; it is killed at the latest
 // when this ends. Its environment is empty but for what is given.
 class child_process {
--- a/test/control/readiness_test.cpp
+++ b/test/control/readiness_test.cpp
@@ -9,10 +9,6 @@
 
 using namespace authority::testing;
 
-// SHA-256 of "operator-key".
-constexpr char operator_key_sha256[] =
-    "c9736463f555cdb7d2a78cfd7aa8b8c4f09d906d78f8dab9228eda30a28c2818";
-
 std::string address(std::uint16_t port)
 {
     return "127.0.0.1:" + std::to_string(port);
--- a/test/membership/leaving_endpoint_test.cpp
+++ b/test/membership/leaving_endpoint_test.cpp
@@ -13,13 +13,11 @@
 using authority::testing::child_process;
 using authority::testing::eventually;
 using authority::testing::free_port;
+using authority::testing::operator_key_sha256;
 using nlohmann::json;
 
 // From when a process could know that an endpoint leaves.
 constexpr std::chrono::milliseconds no_new_work_after{3'000};
-// SHA-256 of "operator-key".
-constexpr char operator_key_sha256[] =
-    "c9736463f555cdb7d2a78cfd7aa8b8c4f09d906d78f8dab9228eda30a28c2818";
 
 class leaving_endpoint_test : public ::testing::Test {
 protected:
