--- a/bench/claims.cpp
+++ b/bench/claims.cpp
@@ -5,7 +5,7 @@
 // against a log whose answers take some milliseconds.
 #include "cicadaport/base/io_pool.h"
 #include "cicadaport/claims/claim_store.h"
-#include "cicadaport/platform/log_client.h"
+#include "cicadaport/shared_log/log_client.h"
 #include "cicadaport/standins/log_service.h"
 
 #include <algorithm>
@@ -52,7 +52,7 @@
         const auto claim = co_await store.acquire(wanted, start);
         failed = claim.outcome != claims::claim_outcome::won;
     }
-    catch (const platform::log_error&) {
+    catch (const shared_log::log_error&) {
         failed = true;
     }
     const std::chrono::duration<double, std::milli> took = clock_type::now() - start;
--- a/include/cicadaport/authority/partition_director.h
+++ b/include/cicadaport/authority/partition_director.h
@@ -5,8 +5,8 @@
 #include "cicadaport/authority/lease_keeper.h"
 #include "cicadaport/authority/partition_roles.h"
 #include "cicadaport/fold/replica.h"
-#include "cicadaport/platform/proposer.h"
 #include "cicadaport/relay/process_table.h"
+#include "cicadaport/shared_log/proposer.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -20,7 +20,7 @@
 struct director_services {
     boost::asio::io_context& context;
     const fold::replica& replica;
-    platform::proposer& proposals;
+    shared_log::proposer& proposals;
     engine_client& engines;
     const relay::process_table& processes;
     // Returns whether every live process has folded up to an offset.
--- a/include/cicadaport/claims/claim_store.h
+++ b/include/cicadaport/claims/claim_store.h
@@ -77,7 +77,7 @@
     claim_store& operator=(const claim_store&) = delete;
 
     // Claims a key, or waits until `wait_until` for the answer of the claim
-    // that holds it. Throws `platform::log_error` if the log can't tell: the
+    // that holds it. Throws `shared_log::log_error` if the log can't tell: the
     // request must not run then.
     boost::asio::awaitable<claim_result> acquire(claim_request wanted,
                                                  std::chrono::steady_clock::time_point wait_until);
--- a/include/cicadaport/control/admin_api.h
+++ b/include/cicadaport/control/admin_api.h
@@ -4,8 +4,8 @@
 #include "cicadaport/authority/partition_roles.h"
 #include "cicadaport/fold/replica.h"
 #include "cicadaport/http/server.h"
-#include "cicadaport/platform/proposer.h"
 #include "cicadaport/relay/process_table.h"
+#include "cicadaport/shared_log/proposer.h"
 
 #include <functional>
 #include <optional>
@@ -28,7 +28,7 @@
     using role_source = std::function<std::vector<authority::role_report>()>;
 
     admin_api(const fold::replica& replica, const relay::process_table& processes,
-              platform::proposer& proposals, std::string operator_key_sha256,
+              shared_log::proposer& proposals, std::string operator_key_sha256,
               role_source roles = {});
 
     boost::asio::awaitable<void> handle(const http::request& message,
@@ -49,7 +49,7 @@
 
     const fold::replica& m_replica;
     const relay::process_table& m_processes;
-    platform::proposer& m_proposals;
+    shared_log::proposer& m_proposals;
     std::string m_operator_key_sha256;
     role_source m_roles;
 };
--- a/include/cicadaport/membership/endpoint_watch.h
+++ b/include/cicadaport/membership/endpoint_watch.h
@@ -5,7 +5,7 @@
 #include "cicadaport/fold/replica.h"
 #include "cicadaport/membership/endpoint_monitor.h"
 #include "cicadaport/membership/watchers.h"
-#include "cicadaport/platform/proposer.h"
+#include "cicadaport/shared_log/proposer.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -20,7 +20,7 @@
 struct watch_services {
     boost::asio::io_context& context;
     const fold::replica& replica;
-    platform::proposer& proposals;
+    shared_log::proposer& proposals;
     http::address host_list;
     std::string process;
     // Names the processes heard of lately.
--- a/include/cicadaport/platform/log_client.h
+++ b/include/cicadaport/shared_log/log_client.h
@@ -19,7 +19,7 @@
 class read_reply;
 }
 
-namespace cicadaport::platform {
+namespace cicadaport::shared_log {
 
 // The log did not answer as it should.
 class log_error : public std::runtime_error {
@@ -58,4 +58,4 @@
     std::string m_stream;
 };
 
-} // namespace cicadaport::platform
+} // namespace cicadaport::shared_log
--- a/include/cicadaport/platform/proposer.h
+++ b/include/cicadaport/shared_log/proposer.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "cicadaport/fold/replica.h"
-#include "cicadaport/platform/log_client.h"
+#include "cicadaport/shared_log/log_client.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -15,7 +15,7 @@
 class record;
 }
 
-namespace cicadaport::platform {
+namespace cicadaport::shared_log {
 
 // Proposes records on behalf of one process.
 //
@@ -53,4 +53,4 @@
     std::mt19937_64 m_random;
 };
 
-} // namespace cicadaport::platform
+} // namespace cicadaport::shared_log
--- a/include/cicadaport/platform/snapshotter.h
+++ b/include/cicadaport/shared_log/snapshotter.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "cicadaport/fold/replica.h"
-#include "cicadaport/platform/proposer.h"
+#include "cicadaport/shared_log/proposer.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -10,7 +10,7 @@
 #include <cstdint>
 #include <functional>
 
-namespace cicadaport::platform {
+namespace cicadaport::shared_log {
 
 // Proposes each snapshot that the fold says is due. Processes take turns by
 // rank: rank 0 proposes at once, each further one waits longer, so that there
@@ -43,4 +43,4 @@
     clock::time_point m_seen_at;
 };
 
-} // namespace cicadaport::platform
+} // namespace cicadaport::shared_log
--- a/include/cicadaport/platform/tailer.h
+++ b/include/cicadaport/shared_log/tailer.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "cicadaport/fold/replica.h"
-#include "cicadaport/platform/log_client.h"
+#include "cicadaport/shared_log/log_client.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -12,7 +12,7 @@
 #include <optional>
 #include <random>
 
-namespace cicadaport::platform {
+namespace cicadaport::shared_log {
 
 // Reads the log from where the replica stands, for ever, with growing random
 // pauses while the log is down. A replica that fell behind retention, or a
@@ -54,4 +54,4 @@
     std::atomic<clock::duration> m_last_answer{clock::duration::zero()};
 };
 
-} // namespace cicadaport::platform
+} // namespace cicadaport::shared_log
--- a/src/authority/partition_director.cpp
+++ b/src/authority/partition_director.cpp
@@ -137,7 +137,7 @@
         }
         co_return made.accepted;
     }
-    catch (const platform::log_error& error) {
+    catch (const shared_log::log_error& error) {
         spdlog::warn("proposal_failed partition={} error=\"{}\"", m_partition, error.what());
     }
     co_return false;
--- a/src/claims/claim_store.cpp
+++ b/src/claims/claim_store.cpp
@@ -3,7 +3,7 @@
 #include "cicadaport/base/digest.h"
 #include "cicadaport/base/identifier.h"
 #include "cicadaport/base/safeguards.h"
-#include "cicadaport/platform/log_client.h"
+#include "cicadaport/shared_log/log_client.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -18,7 +18,7 @@
 using base::safeguard;
 using base::safeguards;
 using base::verdict;
-using platform::log_error;
+using shared_log::log_error;
 using std::chrono::milliseconds;
 using steady_time = std::chrono::steady_clock::time_point;
 
@@ -326,7 +326,7 @@
     }
 
     asio::io_context& m_context;
-    platform::log_client m_log;
+    shared_log::log_client m_log;
     claim_settings m_settings;
     claim_index m_index;
     std::uint64_t m_offset = 0;
--- a/src/control/admin_api.cpp
+++ b/src/control/admin_api.cpp
@@ -33,7 +33,7 @@
     return {status, {{"Content-Type", "application/problem+json"}}, body.dump()};
 }
 
-http::response log_unavailable(const platform::log_error& error)
+http::response log_unavailable(const shared_log::log_error& error)
 {
     auto reply = problem(status_unavailable, "log_unavailable", error.what());
     reply.fields.add("Retry-After", "5");
@@ -63,7 +63,7 @@
 } // namespace
 
 admin_api::admin_api(const fold::replica& replica, const relay::process_table& processes,
-                     platform::proposer& proposals, std::string operator_key_sha256,
+                     shared_log::proposer& proposals, std::string operator_key_sha256,
                      role_source roles)
     : m_replica{replica}, m_processes{processes}, m_proposals{proposals},
       m_operator_key_sha256{std::move(operator_key_sha256)}, m_roles{std::move(roles)}
@@ -137,7 +137,7 @@
         }
         offset = made.offset;
     }
-    catch (const platform::log_error& error) {
+    catch (const shared_log::log_error& error) {
         failure = log_unavailable(error);
     }
     if (failure) {
@@ -193,7 +193,7 @@
         co_await m_proposals.propose(record);
         co_return http::json_response(status_ok, json{{"endpoint", wish->endpoint()}}.dump());
     }
-    catch (const platform::log_error& error) {
+    catch (const shared_log::log_error& error) {
         co_return log_unavailable(error);
     }
 }
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -6,11 +6,11 @@
 #include "cicadaport/control/metrics.h"
 #include "cicadaport/http/health.h"
 #include "cicadaport/membership/endpoint_watch.h"
-#include "cicadaport/platform/snapshotter.h"
-#include "cicadaport/platform/tailer.h"
 #include "cicadaport/relay/follower.h"
 #include "cicadaport/relay/log_readers.h"
 #include "cicadaport/relay/relay_server.h"
+#include "cicadaport/shared_log/snapshotter.h"
+#include "cicadaport/shared_log/tailer.h"
 
 #include <peer.pb.h>
 #include <spdlog/spdlog.h>
@@ -194,11 +194,11 @@
     fold::replica m_replica;
     std::uint64_t m_noted_configuration = 0;
     relay::process_table m_processes;
-    platform::log_client m_tail_log;
-    platform::log_client m_append_log;
-    platform::tailer m_tailer;
-    platform::proposer m_proposals;
-    platform::snapshotter m_snapshots;
+    shared_log::log_client m_tail_log;
+    shared_log::log_client m_append_log;
+    shared_log::tailer m_tailer;
+    shared_log::proposer m_proposals;
+    shared_log::snapshotter m_snapshots;
     metrics m_metrics{m_replica, m_processes};
     http::health_source m_health{[this] { return is_ready(); },
                                  [this] { return m_metrics.expose(contact_age()); }};
--- a/src/entry/service_call.cpp
+++ b/src/entry/service_call.cpp
@@ -3,7 +3,7 @@
 #include "cicadaport/entry/engine_choice.h"
 #include "cicadaport/entry/paths.h"
 #include "cicadaport/entry/request_end.h"
-#include "cicadaport/platform/log_client.h"
+#include "cicadaport/shared_log/log_client.h"
 #include "internal/tries.h"
 
 namespace cicadaport::entry {
@@ -117,7 +117,7 @@
     try {
         co_return co_await resources.claims->acquire(wanted, wait_until);
     }
-    catch (const platform::log_error& error) {
+    catch (const shared_log::log_error& error) {
         if (!safeguards::is_on(safeguard::confirmed_claim)) {
             claims::claim_result unconfirmed;
             unconfirmed.outcome = claims::claim_outcome::won;
--- a/src/faults/internal/session.h
+++ b/src/faults/internal/session.h
@@ -3,7 +3,7 @@
 
 #include "cicadaport/faults/run.h"
 #include "cicadaport/http/client.h"
-#include "cicadaport/platform/log_client.h"
+#include "cicadaport/shared_log/log_client.h"
 #include "internal/fleet.h"
 #include "internal/log_records.h"
 
@@ -81,7 +81,7 @@
     std::exception_ptr m_failure;
     boost::asio::io_context m_context;
     http::client m_client;
-    platform::log_client m_log;
+    shared_log::log_client m_log;
 };
 
 } // namespace cicadaport::faults
--- a/src/faults/session.cpp
+++ b/src/faults/session.cpp
@@ -475,7 +475,7 @@
         try {
             reply = co_await m_log.read(m_log_records.offset(), log_wait);
         }
-        catch (const platform::log_error&) {
+        catch (const shared_log::log_error&) {
             failed = true;
         }
         if (failed) {
--- a/src/membership/endpoint_watch.cpp
+++ b/src/membership/endpoint_watch.cpp
@@ -138,7 +138,7 @@
         co_await m_services.proposals.propose(record);
         spdlog::info("endpoint_reported endpoint={} condition={}", endpoint, to_string(standing));
     }
-    catch (const platform::log_error& error) {
+    catch (const shared_log::log_error& error) {
         spdlog::warn("endpoint_not_reported endpoint={} error=\"{}\"", endpoint, error.what());
     }
     if (const auto found = m_watched.find(endpoint); found != m_watched.end()) {
--- a/src/platform/log_client.cpp
+++ b/src/shared_log/log_client.cpp
@@ -1,8 +1,8 @@
-#include "cicadaport/platform/log_client.h"
+#include "cicadaport/shared_log/log_client.h"
 
 #include <platform.pb.h>
 
-namespace cicadaport::platform {
+namespace cicadaport::shared_log {
 namespace asio = boost::asio;
 
 namespace {
@@ -62,4 +62,4 @@
     }
 }
 
-} // namespace cicadaport::platform
+} // namespace cicadaport::shared_log
--- a/src/platform/proposer.cpp
+++ b/src/shared_log/proposer.cpp
@@ -1,11 +1,11 @@
-#include "cicadaport/platform/proposer.h"
+#include "cicadaport/shared_log/proposer.h"
 
 #include "cicadaport/base/identifier.h"
 
 #include <record.pb.h>
 #include <spdlog/spdlog.h>
 
-namespace cicadaport::platform {
+namespace cicadaport::shared_log {
 namespace asio = boost::asio;
 using base::verdict;
 using std::chrono::milliseconds;
@@ -99,4 +99,4 @@
     co_return std::nullopt;
 }
 
-} // namespace cicadaport::platform
+} // namespace cicadaport::shared_log
--- a/src/platform/snapshotter.cpp
+++ b/src/shared_log/snapshotter.cpp
@@ -1,4 +1,4 @@
-#include "cicadaport/platform/snapshotter.h"
+#include "cicadaport/shared_log/snapshotter.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -6,7 +6,7 @@
 #include <record.pb.h>
 #include <spdlog/spdlog.h>
 
-namespace cicadaport::platform {
+namespace cicadaport::shared_log {
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
@@ -69,4 +69,4 @@
     }
 }
 
-} // namespace cicadaport::platform
+} // namespace cicadaport::shared_log
--- a/src/platform/tailer.cpp
+++ b/src/shared_log/tailer.cpp
@@ -1,4 +1,4 @@
-#include "cicadaport/platform/tailer.h"
+#include "cicadaport/shared_log/tailer.h"
 
 #include "cicadaport/base/digest.h"
 
@@ -8,7 +8,7 @@
 
 #include <algorithm>
 
-namespace cicadaport::platform {
+namespace cicadaport::shared_log {
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
@@ -143,4 +143,4 @@
     }
 }
 
-} // namespace cicadaport::platform
+} // namespace cicadaport::shared_log
--- a/test/operator_tool/publish_test.cpp
+++ b/test/operator_tool/publish_test.cpp
@@ -1,7 +1,7 @@
 #include "cicadaport/base/digest.h"
 #include "cicadaport/control/admin_api.h"
 #include "cicadaport/operator_tool/commands.h"
-#include "cicadaport/platform/tailer.h"
+#include "cicadaport/shared_log/tailer.h"
 #include "cicadaport/standins/log_service.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -94,10 +94,10 @@
     http::address m_log_address{"127.0.0.1", m_log_server.port()};
     fold::replica m_replica;
     relay::process_table m_processes;
-    platform::log_client m_tail_log{m_pool.context(0), m_log_address, "s"};
-    platform::log_client m_append_log{m_pool.context(0), m_log_address, "s"};
-    platform::tailer m_tailer{m_tail_log, m_replica};
-    platform::proposer m_proposals{m_pool.context(0), m_append_log, m_replica, "control"};
+    shared_log::log_client m_tail_log{m_pool.context(0), m_log_address, "s"};
+    shared_log::log_client m_append_log{m_pool.context(0), m_log_address, "s"};
+    shared_log::tailer m_tailer{m_tail_log, m_replica};
+    shared_log::proposer m_proposals{m_pool.context(0), m_append_log, m_replica, "control"};
     control::admin_api m_api{m_replica, m_processes, m_proposals, base::sha256_hex(operator_key)};
     std::string m_rival_text;
     http::server m_admin_server;
--- a/test/platform/log_fixture.h
+++ b/test/shared_log/log_fixture.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "cicadaport/http/server.h"
-#include "cicadaport/platform/proposer.h"
-#include "cicadaport/platform/tailer.h"
+#include "cicadaport/shared_log/proposer.h"
+#include "cicadaport/shared_log/tailer.h"
 #include "cicadaport/standins/log_service.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -14,7 +14,7 @@
 
 #include <thread>
 
-namespace cicadaport::platform {
+namespace cicadaport::shared_log {
 
 // How long a test waits for something before it fails.
 constexpr std::chrono::seconds longest_wait{30};
@@ -101,4 +101,4 @@
     std::jthread m_thread;
 };
 
-} // namespace cicadaport::platform
+} // namespace cicadaport::shared_log
--- a/test/platform/proposer_test.cpp
+++ b/test/shared_log/proposer_test.cpp
@@ -1,10 +1,10 @@
-#include "cicadaport/platform/proposer.h"
+#include "cicadaport/shared_log/proposer.h"
 
 #include "platform/log_fixture.h"
 
 #include <state.pb.h>
 
-namespace cicadaport::platform {
+namespace cicadaport::shared_log {
 namespace {
 
 class proposer_test : public log_fixture {
@@ -115,4 +115,4 @@
 }
 
 } // namespace
-} // namespace cicadaport::platform
+} // namespace cicadaport::shared_log
--- a/test/platform/tailer_test.cpp
+++ b/test/shared_log/tailer_test.cpp
@@ -1,11 +1,11 @@
-#include "cicadaport/platform/tailer.h"
+#include "cicadaport/shared_log/tailer.h"
 
-#include "cicadaport/platform/snapshotter.h"
+#include "cicadaport/shared_log/snapshotter.h"
 #include "platform/log_fixture.h"
 
 #include <state.pb.h>
 
-namespace cicadaport::platform {
+namespace cicadaport::shared_log {
 namespace {
 
 class tailer_test : public log_fixture {
@@ -123,4 +123,4 @@
 }
 
 } // namespace
-} // namespace cicadaport::platform
+} // namespace cicadaport::shared_log
