--- a/include/cicadaport/authority/lease_keeper.h
+++ b/include/cicadaport/authority/lease_keeper.h
@@ -10,12 +10,12 @@
 //       propose(renewal);                      // decided: accepted
 //       keeper.accepted(fencing_number, now);  // the time before proposing
 //   }
-//   if (keeper.is_held(boot_clock::now())) give_orders();
+//   if (keeper.is_held(base::boot_clock::now())) give_orders();
 //
 // Not thread safe.
 #pragma once
 
-#include "cicadaport/authority/boot_clock.h"
+#include "cicadaport/base/boot_clock.h"
 
 #include <cstdint>
 #include <optional>
@@ -52,41 +52,41 @@
     lease_keeper(std::string self, lease_timing timing, std::uint64_t seed);
 
     // Returns what to propose now.
-    lease_action next(const observed_lease& lease, boot_clock::time_point now);
+    lease_action next(const observed_lease& lease, base::boot_clock::time_point now);
 
     // The fold accepted a claim or renewal that was proposed at `sent_at`.
-    void accepted(std::uint64_t fencing_number, boot_clock::time_point sent_at);
+    void accepted(std::uint64_t fencing_number, base::boot_clock::time_point sent_at);
 
     // A renewal was proposed at `sent_at` and its outcome is not known, or not
     // yet: it gives no authority.
-    void proposed(boot_clock::time_point sent_at) { m_last_proposed = sent_at; }
+    void proposed(base::boot_clock::time_point sent_at) { m_last_proposed = sent_at; }
 
     // The fold refused a renewal, or the lease was released.
     void lost();
 
     // Returns whether this process may give orders at `now`.
-    bool is_held(boot_clock::time_point now) const noexcept { return now < m_held_until; }
-    boot_clock::time_point held_until() const noexcept { return m_held_until; }
+    bool is_held(base::boot_clock::time_point now) const noexcept { return now < m_held_until; }
+    base::boot_clock::time_point held_until() const noexcept { return m_held_until; }
     std::uint64_t fencing_number() const noexcept { return m_fencing_number; }
 
     // When this process's claim was accepted; earlier holders' leases had ended.
-    boot_clock::time_point claimed_at() const noexcept { return m_claimed_at; }
+    base::boot_clock::time_point claimed_at() const noexcept { return m_claimed_at; }
 
 private:
-    lease_action next_for_holder(boot_clock::time_point now) const;
-    lease_action next_for_claimant(const observed_lease& lease, boot_clock::time_point now);
+    lease_action next_for_holder(base::boot_clock::time_point now) const;
+    lease_action next_for_claimant(const observed_lease& lease, base::boot_clock::time_point now);
 
     std::string m_self;
     lease_timing m_timing;
     std::mt19937_64 m_random;
     std::uint64_t m_fencing_number = 0;
-    boot_clock::time_point m_held_until{};
-    boot_clock::time_point m_claimed_at{};
-    std::optional<boot_clock::time_point> m_last_proposed;
+    base::boot_clock::time_point m_held_until{};
+    base::boot_clock::time_point m_claimed_at{};
+    std::optional<base::boot_clock::time_point> m_last_proposed;
     // The renewal that is being waited out, and until when.
     std::optional<std::uint64_t> m_seen_renewal;
     bool m_seen_released = false;
-    boot_clock::time_point m_claim_after{};
+    base::boot_clock::time_point m_claim_after{};
 };
 
 } // namespace cicadaport::authority
--- a/include/cicadaport/authority/partition_director.h
+++ b/include/cicadaport/authority/partition_director.h
@@ -51,9 +51,9 @@
     // What this process remembers of one engine between steps.
     struct engine_memory {
         bool busy = false;
-        boot_clock::time_point next_look{};
+        base::boot_clock::time_point next_look{};
         // A different order may be sent from then on.
-        boot_clock::time_point quiet_from{};
+        base::boot_clock::time_point quiet_from{};
         std::string draining_for;
         std::chrono::steady_clock::time_point drained_since{};
     };
@@ -84,7 +84,7 @@
     lease_keeper m_keeper;
     std::map<std::string, engine_memory> m_engines;
     partition_roles m_roles;
-    boot_clock::time_point m_next_roles{};
+    base::boot_clock::time_point m_next_roles{};
     bool m_stopping = false;
     bool m_ended = false;
 };
--- a/include/cicadaport/authority/process_deadline.h
+++ b/include/cicadaport/authority/process_deadline.h
@@ -5,12 +5,12 @@
 // Its sockets close with it.
 //
 //   const process_deadline bound{lease.held_until()};
-//   if (lease.is_held(boot_clock::now())) co_await send(order);
+//   if (lease.is_held(base::boot_clock::now())) co_await send(order);
 //
 // Thread safety: make and destroy on any thread.
 #pragma once
 
-#include "cicadaport/authority/boot_clock.h"
+#include "cicadaport/base/boot_clock.h"
 
 #include <ctime>
 
@@ -19,7 +19,7 @@
 class process_deadline {
 public:
     // Throws std::system_error if the kernel gives no timer.
-    explicit process_deadline(boot_clock::time_point at);
+    explicit process_deadline(base::boot_clock::time_point at);
     ~process_deadline();
     process_deadline(const process_deadline&) = delete;
     process_deadline& operator=(const process_deadline&) = delete;
--- a/include/cicadaport/authority/boot_clock.h
+++ b/include/cicadaport/base/boot_clock.h
@@ -4,10 +4,10 @@
 #include <chrono>
 #include <ctime>
 
-namespace cicadaport::authority {
+namespace cicadaport::base {
 
-// Leases are counted on this clock, because a suspended holder must find its
-// lease expired when it wakes. Thread safety: any thread.
+// Leases and deadlines are counted on this clock: a suspended process must find its
+// lease and its requests expired when it wakes. Thread safety: any thread.
 struct boot_clock {
     using duration = std::chrono::nanoseconds;
     using rep = duration::rep;
@@ -24,4 +24,4 @@
     }
 };
 
-} // namespace cicadaport::authority
+} // namespace cicadaport::base
--- /dev/null
+++ b/include/cicadaport/serving/caller_connection.h
@@ -0,0 +1,70 @@
+// A caller's connection: requests are read one after the other, and each is
+// answered before the next begins.
+//
+// Belongs to the event loop.
+#pragma once
+
+#include "cicadaport/serving/exchange.h"
+#include "cicadaport/transport/tcp_connection.h"
+
+#include <unordered_set>
+
+namespace cicadaport::serving {
+
+class caller_connection;
+using caller_set = std::unordered_set<std::shared_ptr<caller_connection>>;
+
+class caller_connection final : public transport::connection_observer,
+                                public caller_port,
+                                public std::enable_shared_from_this<caller_connection> {
+public:
+    // Keeps itself in `all` while it is open.
+    caller_connection(host_state& host, caller_set& all, boost::asio::ip::tcp::socket socket);
+    ~caller_connection() override;
+
+    void start();
+
+    // Closes in order if no request is being read or answered.
+    void close_if_idle();
+
+    bool is_answering() const noexcept { return m_exchange != nullptr; }
+
+    // Ends the answer under way, if any, and the connection.
+    void end_now();
+
+private:
+    void on_input() override;
+    void on_end(transport::connection_end how) override;
+    void on_written() override;
+
+    void answer(unsigned status, const http::field_list& fields, std::string_view body) override;
+    void begin(unsigned status, const http::field_list& fields) override;
+    void write(std::string_view piece) override;
+    void finish() override;
+    void cut() override;
+    std::size_t unsent() const override { return m_connection->unsent(); }
+
+    void read_requests();
+    void refuse_message();
+    void wait_for_request();
+    void limit_reading();
+    std::string head_of(unsigned status, const http::field_list& fields, std::string_view framing);
+    void answer_ended();
+    void close_politely();
+    void drop();
+    transport::message_limits message_limits() const;
+
+    host_state& m_host;
+    caller_set& m_all;
+    std::shared_ptr<transport::tcp_connection> m_connection;
+    transport::message_reader m_reader;
+    std::string m_body;
+    std::shared_ptr<exchange> m_exchange;
+    transport::timer_queue::handle m_limit;
+    bool m_continue_sent = false;
+    bool m_closing = false;
+    bool m_reading = false;
+    bool m_head_limited = false;
+};
+
+} // namespace cicadaport::serving
--- /dev/null
+++ b/include/cicadaport/serving/deployment.h
@@ -0,0 +1,108 @@
+// What a host serves: routes, services and bounds on what callers may send.
+//
+// A deployment is immutable and replaced as a whole. A request keeps the one
+// that it began with.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace cicadaport::serving {
+
+using std::chrono::milliseconds;
+
+// A service and the part of a route's requests that goes to it.
+struct service_share {
+    std::string service;
+    double weight = 1;
+};
+
+// How often a request may run.
+enum class repeat_rule {
+    // At most once.
+    once,
+    // More than once without harm.
+    any,
+};
+
+struct route {
+    std::string name;
+    std::string host;
+    std::string path_prefix;
+    repeat_rule repeats = repeat_rule::once;
+    // The answer is a series of events.
+    bool streamed = false;
+    // A broken series may be continued by another replica.
+    bool resumable = false;
+    // The request carries a prompt and is served by engines.
+    bool has_prompt = false;
+    milliseconds time_limit{10'000};
+    milliseconds latency_objective{1'000};
+    // The most replicas to which one request may be sent.
+    std::uint32_t most_attempts = 1;
+    // 0 is the most urgent.
+    std::uint32_t priority = 0;
+    std::vector<service_share> shares;
+};
+
+// What is configured of a service's engines.
+struct engine_terms {
+    std::uint32_t slots = 1;
+    double memory_tokens = 0;
+    double bytes_per_token = 0;
+    double link_mbps = 0;
+    milliseconds switch_time{0};
+};
+
+struct service {
+    std::string name;
+    // Connections that one replica takes from all hosts together.
+    std::uint32_t most_connections = 64;
+    std::optional<engine_terms> engines;
+};
+
+// Bounds on callers.
+struct caller_limits {
+    std::uint32_t head_bytes = 32 * 1024;
+    std::uint64_t body_bytes = 4ULL * 1024 * 1024;
+    milliseconds head_time{10'000};
+    milliseconds idle_time{60'000};
+};
+
+class deployment {
+public:
+    deployment(std::uint64_t version, std::vector<route> routes, std::vector<service> services,
+               caller_limits limits);
+
+    std::uint64_t version() const noexcept { return m_version; }
+    const caller_limits& limits() const noexcept { return m_limits; }
+
+    // Returns the route of `host` with the longest prefix that begins `path`,
+    // or null.
+    const route* find_route(std::string_view host, std::string_view path) const;
+
+    // Returns the service of this name, or null.
+    const service* find_service(const std::string& name) const;
+
+    // Returns the service that a request of `of` goes to; `point` is from
+    // [0, 1) and picks among the shares.
+    static const std::string& pick_service(const route& of, double point);
+
+private:
+    std::uint64_t m_version;
+    std::vector<route> m_routes;
+    caller_limits m_limits;
+    // Indices of a host's routes, the longest prefix first.
+    std::unordered_map<std::string, std::vector<std::size_t>> m_by_host;
+    std::unordered_map<std::string, service> m_services;
+};
+
+using deployment_pointer = std::shared_ptr<const deployment>;
+
+} // namespace cicadaport::serving
--- /dev/null
+++ b/include/cicadaport/serving/exchange.h
@@ -0,0 +1,111 @@
+// One caller's request, from its last byte to the end of its answer.
+//
+// Belongs to the event loop. The exchange keeps itself alive while an endpoint
+// works on it.
+#pragma once
+
+#include "cicadaport/serving/caller_port.h"
+#include "cicadaport/serving/event_buffer.h"
+#include "cicadaport/serving/host_state.h"
+
+#include <set>
+
+namespace cicadaport::serving {
+
+class exchange final : public transport::answer_observer,
+                       public std::enable_shared_from_this<exchange> {
+public:
+    exchange(host_state& host, caller_port& caller, transport::message_head head, std::string body);
+    ~exchange() override;
+
+    // Finds the route and sends the request, or answers at once.
+    void start();
+
+    // The caller has closed its connection; the endpoint is told to stop.
+    void caller_left();
+
+    // The caller takes no more bytes for now, or takes them again.
+    void caller_is_slow();
+    void caller_drained();
+
+private:
+    enum class step { idle, reading_prompt, running };
+
+    // answer_observer
+    bool owns(const transport::message_head& head) override;
+    void on_head(transport::message_head head) override;
+    void on_body(std::string_view piece) override;
+    void on_complete() override;
+    void on_failure(transport::exchange_failure failure) override;
+
+    bool find_route();
+    void place();
+    void place_prompt(const service& target);
+    void place_plain();
+    void send(step what, const endpoint_pointer& to, const run_terms& terms);
+    void send_run(const endpoint_pointer& to, std::optional<read_prompt> from);
+    void send_prompt(const prompt_plan& plan);
+
+    void prompt_answered();
+    void prompt_failed(bool rejected);
+    void run_answered();
+    void run_rejected();
+    void run_unanswered();
+    void out_of_patience();
+    void deadline_passed();
+
+    // Tries another endpoint if one more attempt is allowed; returns whether.
+    bool try_again();
+    void forward_events(bool at_end);
+    void leave_endpoint();
+    void drop_prompt();
+    void count_work(const std::string& engine, std::uint32_t urgency, fine_milliseconds work);
+    void end_work();
+
+    void refuse(milliseconds pause, std::string_view reason);
+    void fail(unsigned status, std::string_view reason);
+    void finish();
+    milliseconds left() const;
+    bool may_have_run() const noexcept { return m_unsettled; }
+
+    host_state& m_host;
+    // Null once the answer has ended.
+    caller_port* m_caller;
+    transport::message_head m_head;
+    std::string m_body;
+    request_terms m_terms;
+    deployment_pointer m_deployment;
+    const route* m_route = nullptr;
+    std::string m_service;
+    time_point m_arrived{};
+    time_point m_deadline{};
+    transport::timer_queue::handle m_deadline_timer;
+    transport::timer_queue::handle m_patience;
+    std::shared_ptr<exchange> m_self;
+
+    step m_step = step::idle;
+    endpoint_pointer m_endpoint;
+    std::shared_ptr<transport::exchange_connection> m_connection;
+    http::address m_address;
+    time_point m_sent{};
+    std::set<std::string> m_excluded;
+    // Replicas that the request was sent to for running.
+    std::uint32_t m_attempts = 0;
+    std::uint32_t m_connect_tries = 0;
+    // A replica may have run it and has not said otherwise.
+    bool m_unsettled = false;
+    bool m_hand_over_tried = false;
+
+    prompt_plan m_plan;
+    std::optional<read_prompt> m_prompt;
+    std::string m_working_engine;
+    engine_queue::work_id m_work = 0;
+
+    std::optional<transport::message_head> m_answer;
+    answer_terms m_answer_terms;
+    std::string m_answer_body;
+    event_buffer m_events;
+    bool m_begun = false;
+};
+
+} // namespace cicadaport::serving
--- /dev/null
+++ b/include/cicadaport/serving/host_process.h
@@ -0,0 +1,49 @@
+// The process that runs on each host: it takes callers' connections, follows
+// the platform's lists and sends requests to endpoints, all on one event loop.
+//
+// Nothing is agreed between hosts and nothing is kept by them. What a request
+// needs is read from the platform's lists; orders are given to nobody.
+#pragma once
+
+#include "cicadaport/serving/caller_connection.h"
+#include "cicadaport/serving/feed_follower.h"
+
+#include <memory>
+
+namespace cicadaport::serving {
+
+// What a host is told at its start.
+struct host_settings {
+    std::string name;
+    std::string availability_zone;
+    http::address caller_address;
+    http::address readiness_address;
+    http::address store_address;
+    // How long a planned stop may take.
+    milliseconds grace_time{8'000};
+    // Attempts beyond the first of all hosts together, as a part of requests.
+    attempt_budget::bounds attempts;
+};
+
+class host_process {
+public:
+    host_process(host_settings settings, const wire_format& wire);
+    ~host_process();
+    host_process(const host_process&) = delete;
+    host_process& operator=(const host_process&) = delete;
+
+    // Serves until `stop()` has taken effect.
+    void run();
+
+    // Begins a planned stop: not ready any longer, then no new connections,
+    // then the end once all requests are answered. Call on the event loop.
+    void stop();
+
+    bool is_ready() const noexcept;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_impl;
+};
+
+} // namespace cicadaport::serving
--- /dev/null
+++ b/include/cicadaport/serving/placement.h
@@ -0,0 +1,147 @@
+// Which endpoints serve a request.
+//
+// The load that this answers: prompts of very different lengths whose mix
+// turns within seconds, on engines of two stages. A prompt can be read by a
+// prefill engine, which hands its memory to the decode engine that answers, or
+// by the decode engine itself at half the speed. Each request takes the way
+// with the earliest predicted first token; so work spreads over both kinds of
+// engines in proportion to what is left of them.
+//
+// Pure: times and randomness are passed in. Not thread safe.
+#pragma once
+
+#include "cicadaport/serving/deployment.h"
+#include "cicadaport/serving/endpoint_health.h"
+#include "cicadaport/serving/engine_queue.h"
+#include "cicadaport/serving/wire.h"
+
+#include <random>
+#include <set>
+
+namespace cicadaport::serving {
+
+// What an engine needs for prompts, from the sheets of the deployments.
+struct engine_costs {
+    // Prompt tokens that a prefill engine reads in a millisecond.
+    double tokens_per_ms = 64.2;
+    // Milliseconds for a million pairs of a token and one before it.
+    double pair_ms_per_million = 0.647;
+    // A decode engine reads at this part of the speed, between the tokens of
+    // other requests.
+    double decode_engine_part = 0.4;
+    // From the end of reading to the first event, one step.
+    fine_milliseconds first_event{5};
+    // Handing over a prompt's memory: two more messages and the set-up of the
+    // transfer.
+    fine_milliseconds hand_over{4};
+    // Each message between availability zones takes this much longer, both ways.
+    fine_milliseconds other_zone{2};
+};
+
+// What is asked for one prompt.
+struct prompt_question {
+    const std::vector<prompt_part>* prompt = nullptr;
+    double prompt_tokens = 0;
+    std::uint32_t urgency = 0;
+    double bytes_per_token = 0;
+    double link_mbps = 0;
+    std::string_view availability_zone;
+    time_point now{};
+    // Endpoints that have failed this request.
+    const std::set<std::string>* excluded = nullptr;
+    // Whether another engine may read the prompt.
+    bool may_hand_over = true;
+};
+
+// A way to serve a prompt.
+struct prompt_plan {
+    // Reads the prompt for `runner`; null if `runner` does it.
+    endpoint_pointer reader;
+    endpoint_pointer runner;
+    // What the engine that reads the prompt needs for it alone, and when it will
+    // be done with it, from now.
+    fine_milliseconds reading{0};
+    fine_milliseconds read_after{0};
+    // From now to the first event.
+    fine_milliseconds first_event{0};
+    // Of the request at the engines.
+    std::uint32_t urgency = 0;
+};
+
+// What this host knows of one engine.
+struct engine_state {
+    engine_queue queue;
+    endpoint_health health;
+    // Prompts' beginnings that were sent there, and when last.
+    std::unordered_map<std::uint64_t, time_point> beginnings;
+    // Observed over predicted time, as a moving average.
+    double slowness = 1;
+};
+
+class engine_placement {
+public:
+    // A beginning is expected to be kept for this long after its last use.
+    static constexpr std::chrono::seconds kept_beginning{20};
+    static constexpr std::size_t most_beginnings = 4'096;
+
+    explicit engine_placement(engine_costs costs = {}) : m_costs{costs} {}
+
+    // Returns the way with the earliest first event; without a runner if there
+    // is no engine to use.
+    prompt_plan choose(const prompt_question& question,
+                       const std::vector<endpoint_pointer>& engines);
+
+    // Notes that an engine was sent this prompt.
+    void note_prompt(const std::string& engine, const std::vector<prompt_part>& prompt,
+                     time_point now);
+
+    // Notes how long a prompt took against what was predicted.
+    void note_time(const std::string& engine, fine_milliseconds predicted,
+                   fine_milliseconds observed);
+
+    engine_state& state(const std::string& engine) { return m_engines[engine]; }
+    void forget(const std::string& engine) { m_engines.erase(engine); }
+
+private:
+    // The keys of a prompt's shared beginnings, the shortest first, and the
+    // engines that hosts prefer for the longest one.
+    struct preferences {
+        std::vector<std::uint64_t> keys;
+        const endpoint* for_prefill = nullptr;
+        const endpoint* for_decode = nullptr;
+    };
+
+    double kept_tokens(const prompt_question& question, const endpoint& engine,
+                       const preferences& preferred_engines);
+
+    // Returns how long the engine needs for the prompt alone.
+    fine_milliseconds reading_time(const prompt_question& question, const endpoint& engine,
+                                   const preferences& preferred_engines);
+
+    engine_costs m_costs;
+    std::unordered_map<std::string, engine_state> m_engines;
+};
+
+// What this host knows of one replica of a plain service.
+struct replica_state {
+    endpoint_health health;
+    std::uint32_t in_flight = 0;
+};
+
+// Choosing among replicas of plain services: those of the own availability
+// zone first, as long as they have free slots; among them the least used.
+class replica_placement {
+public:
+    endpoint_pointer choose(const std::vector<endpoint_pointer>& replicas,
+                            std::string_view availability_zone,
+                            const std::set<std::string>& excluded, time_point now,
+                            std::mt19937_64& random);
+
+    replica_state& state(const std::string& replica) { return m_replicas[replica]; }
+    void forget(const std::string& replica) { m_replicas.erase(replica); }
+
+private:
+    std::unordered_map<std::string, replica_state> m_replicas;
+};
+
+} // namespace cicadaport::serving
--- /dev/null
+++ b/include/cicadaport/serving/wire.h
@@ -0,0 +1,144 @@
+// What a host says to callers' requests, endpoints and the platform's store,
+// without the words in which it is said.
+//
+// The adapter to a platform implements `wire_format`; nothing else knows the
+// platform's names and formats.
+#pragma once
+
+#include "cicadaport/serving/deployment.h"
+#include "cicadaport/serving/endpoint_table.h"
+#include "cicadaport/transport/message_reader.h"
+
+namespace cicadaport::serving {
+
+// One part of a prompt; equal parts at the beginning of two prompts are read
+// once by an engine that keeps them.
+struct prompt_part {
+    std::uint64_t id = 0;
+    std::uint32_t tokens = 0;
+};
+
+// What a caller says of its request.
+struct request_terms {
+    std::string id;
+    // The authority that the caller addresses, without a port.
+    std::string host;
+    std::string path;
+    // How long the caller waits; nothing if it did not say.
+    std::optional<milliseconds> time_left;
+    std::vector<prompt_part> prompt;
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t most_output_tokens = 0;
+};
+
+// The memory of a prompt that an engine has read for another.
+struct read_prompt {
+    http::address at;
+    std::string handle;
+};
+
+// What a host asks of one endpoint for a request.
+struct run_terms {
+    // Only this replica may run it.
+    std::string endpoint;
+    milliseconds time_left{0};
+    // Engines take work of lower numbers first; nothing for plain services.
+    std::optional<std::uint32_t> urgency;
+    // Only read the prompt and keep its memory for another engine.
+    bool only_read_prompt = false;
+    // Begin with this memory instead of reading the prompt.
+    std::optional<read_prompt> from;
+    // Continue a stream after this event.
+    std::optional<std::string> after_event;
+};
+
+// What an answer's head says beside status and fields.
+struct answer_terms {
+    std::optional<std::string> request_id;
+    // The endpoint states that the request has not run and never will.
+    bool states_not_run = false;
+    // It carries the endpoint's signature.
+    bool is_signed = false;
+    // The body is not the one that the endpoint made for the caller.
+    bool is_encoded = false;
+};
+
+// The platform's lists that hosts follow.
+enum class feed { configuration, endpoints };
+
+// One entry of a list; without a value it was removed.
+struct feed_entry {
+    std::string key;
+    std::optional<std::string> value;
+};
+
+struct feed_page {
+    std::vector<feed_entry> entries;
+    // Where reading goes on.
+    std::uint64_t next_offset = 0;
+    // Whether a newest-of-each-key answer has further pages.
+    bool more = false;
+};
+
+// The answer of the store could not be used.
+class store_error : public std::runtime_error {
+public:
+    enum class kind {
+        // Nothing was done; ask again later.
+        refused,
+        // The records asked for have expired: begin anew.
+        expired,
+    };
+
+    store_error(kind what, const std::string& reason) : std::runtime_error{reason}, m_kind{what} {}
+    kind what_kind() const noexcept { return m_kind; }
+
+private:
+    kind m_kind;
+};
+
+// The request is not one that can be served.
+class invalid_request : public std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+// Thread safety: all members from any thread.
+class wire_format {
+public:
+    virtual ~wire_format() = default;
+
+    // Reads a request's head; throws `invalid_request`.
+    virtual request_terms read_request(const transport::message_head& head) const = 0;
+
+    // Returns the request that is sent to an endpoint, as bytes.
+    virtual std::string run_request(const transport::message_head& head, std::string_view body,
+                                    const run_terms& terms) const = 0;
+
+    // Returns the request that frees a prompt's memory.
+    virtual std::string release_request(const read_prompt& prompt) const = 0;
+
+    virtual answer_terms read_answer(const transport::message_head& head) const = 0;
+
+    // Returns the handle in an engine's answer that it has read a prompt;
+    // nothing if there is none.
+    virtual std::optional<std::string> read_prompt_handle(std::string_view body) const = 0;
+
+    // Returns the fields of a refusal that tells when to come back.
+    virtual http::field come_back_after(milliseconds pause) const = 0;
+    // Returns the field that repeats a request's id.
+    virtual http::field identity_field(const std::string& id) const = 0;
+
+    // Requests to the store, as bytes, and its answers; the reading members
+    // throw `store_error`.
+    virtual std::string newest_request(feed of, const std::string& after_key) const = 0;
+    virtual std::string read_request(feed of, std::uint64_t from, milliseconds wait) const = 0;
+    virtual feed_page read_newest(unsigned status, std::string_view body) const = 0;
+    virtual feed_page read_records(unsigned status, std::string_view body,
+                                   std::uint64_t from) const = 0;
+
+    // Return nothing, and log why, if the value can't be read.
+    virtual deployment_pointer read_deployment(const feed_entry& entry) const = 0;
+    virtual std::optional<endpoint_report> read_endpoint(const feed_entry& entry) const = 0;
+};
+
+} // namespace cicadaport::serving
--- /dev/null
+++ b/include/cicadaport/transport/tcp_connection.h
@@ -0,0 +1,106 @@
+// One TCP connection on one event loop.
+//
+// Bytes that arrive are gathered for the owner to take; bytes to send are
+// queued. A read is always outstanding unless the owner pauses it, so that a
+// peer that leaves is noticed at once.
+//
+// Belongs to one event loop. The observer is called until `close()` or
+// `abort()` and never afterwards. It must keep itself alive during its calls.
+#pragma once
+
+#include "cicadaport/http/address.h"
+#include "cicadaport/transport/timer_queue.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <memory>
+#include <string>
+
+namespace cicadaport::transport {
+
+enum class connection_end {
+    // The peer closed its side in order.
+    closed,
+    // Reset, timed out or never made.
+    failed,
+};
+
+// What the owner of a connection is told.
+class connection_observer {
+public:
+    virtual ~connection_observer() = default;
+    virtual void on_connected() {}
+    // `input()` has grown.
+    virtual void on_input() = 0;
+    virtual void on_end(connection_end how) = 0;
+    // All bytes given to `write()` were handed to the system.
+    virtual void on_written() {}
+};
+
+// Bounds that the system keeps for a connection.
+struct socket_times {
+    // How long sent bytes may stay unacknowledged, and how long a quiet
+    // peer may stay silent to the system's own probes.
+    std::chrono::milliseconds peer_silence{4'000};
+};
+
+class tcp_connection : public std::enable_shared_from_this<tcp_connection> {
+public:
+    explicit tcp_connection(boost::asio::ip::tcp::socket socket) : m_socket{std::move(socket)} {}
+    explicit tcp_connection(boost::asio::io_context& context) : m_socket{context} {}
+    ~tcp_connection();
+    tcp_connection(const tcp_connection&) = delete;
+    tcp_connection& operator=(const tcp_connection&) = delete;
+
+    // `observer` must live until the connection is closed; null stops the calls.
+    void set_observer(connection_observer* observer) noexcept { m_observer = observer; }
+
+    // Begins to connect; `on_connected()` or `on_end()` follows.
+    void connect(const http::address& to, socket_times times = {});
+
+    // Takes a connection that was accepted into use.
+    void start(socket_times times = {});
+
+    // Bytes that have arrived and were not consumed.
+    std::string_view input() const noexcept;
+    void consume(std::size_t count) noexcept;
+
+    void pause_reading() noexcept { m_paused = true; }
+    void resume_reading();
+
+    void write(std::string bytes);
+
+    // Bytes that wait to be handed to the system.
+    std::size_t unsent() const noexcept { return m_sending.size() + m_queued.size(); }
+
+    bool is_open() const noexcept { return m_socket.is_open(); }
+
+    // Tells the peer that nothing more will be sent; reading goes on.
+    void shut_sending() noexcept;
+
+    // Closes in order. If input has not been read, the system resets.
+    void close() noexcept;
+
+    // Closes with a reset, so that the peer sees that what it has is not whole.
+    void abort() noexcept;
+
+private:
+    void set_options(socket_times times) noexcept;
+    void wait_for_input();
+    void read_input();
+    void end(connection_end how);
+    void send_queued();
+
+    boost::asio::ip::tcp::socket m_socket;
+    connection_observer* m_observer = nullptr;
+    std::string m_input;
+    std::size_t m_consumed = 0;
+    std::string m_sending;
+    std::string m_queued;
+    bool m_paused = false;
+    bool m_waiting = false;
+    bool m_connected = false;
+    bool m_write_failed = false;
+};
+
+} // namespace cicadaport::transport
--- /dev/null
+++ b/include/cicadaport/transport/timer_queue.h
@@ -0,0 +1,78 @@
+// Deadlines of one event loop, counted on a clock that goes on while the host
+// is suspended.
+//
+// All deadlines share one timer of the loop. It fires at most once per
+// `resolution`, so that thousands of deadlines cost few wake-ups.
+//
+//   timer_queue timers{context};
+//   auto limit = timers.call_at(timers.now() + 600ms, [this] { give_up(); });
+//
+// Belongs to one event loop.
+#pragma once
+
+#include "cicadaport/base/boot_clock.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+
+namespace cicadaport::transport {
+
+using clock = base::boot_clock;
+using time_point = clock::time_point;
+
+class timer_queue {
+    struct entry {
+        std::uint64_t id = 0;
+        std::function<void()> action;
+    };
+    using entries = std::multimap<time_point, entry>;
+
+public:
+    // A quarter of the shortest time limit that callers of this queue use.
+    static constexpr std::chrono::milliseconds resolution{5};
+
+    explicit timer_queue(boost::asio::io_context& context);
+
+    // A deadline that is given up when this object ends. It must not outlive
+    // the queue.
+    class handle {
+    public:
+        handle() = default;
+        handle(handle&& other) noexcept;
+        handle& operator=(handle&& other) noexcept;
+        ~handle() { cancel(); }
+
+        void cancel() noexcept;
+        bool is_set() const noexcept { return m_queue != nullptr; }
+
+    private:
+        friend class timer_queue;
+        handle(timer_queue& queue, std::uint64_t id) : m_queue{&queue}, m_id{id} {}
+
+        timer_queue* m_queue = nullptr;
+        std::uint64_t m_id = 0;
+    };
+
+    static time_point now() noexcept { return clock::now(); }
+
+    // Calls `action` once, at `when` or up to `resolution` later.
+    [[nodiscard]] handle call_at(time_point when, std::function<void()> action);
+
+private:
+    void cancel(std::uint64_t id) noexcept;
+    void arm();
+    void fire();
+
+    boost::asio::steady_timer m_timer;
+    entries m_entries;
+    std::map<std::uint64_t, entries::iterator> m_by_id;
+    std::uint64_t m_last_id = 0;
+    // When the timer fires next; nothing while it is not set.
+    std::optional<time_point> m_armed_for;
+};
+
+} // namespace cicadaport::transport
--- /dev/null
+++ b/programs/host/main.cpp
@@ -0,0 +1,36 @@
+// The process that runs on each host of the users' platform.
+#include "platform/settings.h"
+#include "platform/wire.h"
+
+#include "cicadaport/telemetry/log.h"
+
+#include <CLI/CLI.hpp>
+#include <spdlog/spdlog.h>
+
+#include <cstdlib>
+
+int main(int argc, char** argv)
+{
+    using namespace cicadaport;
+    CLI::App app{"Serves callers on one host of the platform."};
+    std::string settings_file;
+    std::string log_level = "info";
+    app.add_option("--settings", settings_file, "The settings file of this host")
+        ->envname(platform::settings_variable)
+        ->required();
+    app.add_option("--log-level", log_level, "trace, debug, info, warn or error")
+        ->capture_default_str();
+    CLI11_PARSE(app, argc, argv);
+    telemetry::start_logging("host", log_level);
+    try {
+        const auto settings = platform::read_settings(settings_file);
+        const platform::wire wire{settings.store_address};
+        serving::host_process process{settings, wire};
+        process.run();
+        return EXIT_SUCCESS;
+    }
+    catch (const std::exception& error) {
+        spdlog::critical("host_failed error=\"{}\"", error.what());
+        return EXIT_FAILURE;
+    }
+}
--- a/src/authority/lease_keeper.cpp
+++ b/src/authority/lease_keeper.cpp
@@ -9,7 +9,7 @@
 {
 }
 
-lease_action lease_keeper::next(const observed_lease& lease, boot_clock::time_point now)
+lease_action lease_keeper::next(const observed_lease& lease, base::boot_clock::time_point now)
 {
     if (!lease.released && lease.holder == m_self) {
         if (m_fencing_number != lease.fencing_number) {
@@ -21,7 +21,7 @@
     return next_for_claimant(lease, now);
 }
 
-lease_action lease_keeper::next_for_holder(boot_clock::time_point now) const
+lease_action lease_keeper::next_for_holder(base::boot_clock::time_point now) const
 {
     if (m_last_proposed && now < *m_last_proposed + m_timing.renewal_interval()) {
         return lease_action::none;
@@ -30,7 +30,7 @@
 }
 
 lease_action lease_keeper::next_for_claimant(const observed_lease& lease,
-                                             boot_clock::time_point now)
+                                             base::boot_clock::time_point now)
 {
     if (m_seen_renewal != lease.renewed_offset || m_seen_released != lease.released) {
         m_seen_renewal = lease.renewed_offset;
@@ -39,12 +39,12 @@
         const auto rest = lease.released ? std::chrono::duration<double, std::milli>{0}
                                          : lease.duration * (1 + m_timing.clock_rate_bound);
         m_claim_after =
-            now + std::chrono::ceil<boot_clock::duration>(rest) + milliseconds{pick(m_random)};
+            now + std::chrono::ceil<base::boot_clock::duration>(rest) + milliseconds{pick(m_random)};
     }
     return now >= m_claim_after ? lease_action::claim : lease_action::none;
 }
 
-void lease_keeper::accepted(std::uint64_t fencing_number, boot_clock::time_point sent_at)
+void lease_keeper::accepted(std::uint64_t fencing_number, base::boot_clock::time_point sent_at)
 {
     if (fencing_number != m_fencing_number) {
         m_fencing_number = fencing_number;
--- a/src/authority/partition_director.cpp
+++ b/src/authority/partition_director.cpp
@@ -84,7 +84,7 @@
 asio::awaitable<void> partition_director::keep_lease()
 {
     const auto lease = observe_lease();
-    const auto sent_at = boot_clock::now();
+    const auto sent_at = base::boot_clock::now();
     const auto action = m_keeper.next(lease, sent_at);
     if (action == lease_action::none) {
         co_return;
@@ -115,7 +115,7 @@
 
 asio::awaitable<void> partition_director::release()
 {
-    if (!m_keeper.is_held(boot_clock::now())) {
+    if (!m_keeper.is_held(base::boot_clock::now())) {
         co_return;
     }
     protocol::record record;
@@ -200,7 +200,7 @@
 
 void partition_director::start_looks()
 {
-    const auto now = boot_clock::now();
+    const auto now = base::boot_clock::now();
     if (!m_keeper.is_held(now)) {
         return;
     }
@@ -215,7 +215,7 @@
 
 void partition_director::ask_for_roles()
 {
-    const auto now = boot_clock::now();
+    const auto now = base::boot_clock::now();
     if (now < m_next_roles || !m_keeper.is_held(now)) {
         return;
     }
@@ -232,7 +232,7 @@
 
 std::optional<role_report> partition_director::roles_now() const
 {
-    if (!m_keeper.is_held(boot_clock::now())) {
+    if (!m_keeper.is_held(base::boot_clock::now())) {
         return std::nullopt;
     }
     return m_roles.report();
@@ -242,10 +242,10 @@
 {
     auto& memory = m_engines[name];
     auto view = view_of(name);
-    memory.next_look = boot_clock::now() + look_interval;
+    memory.next_look = base::boot_clock::now() + look_interval;
     if (view) {
         if (view->is_outstanding() || (view->wish && !view->wish->role().empty())) {
-            memory.next_look = boot_clock::now() + look_interval_outstanding;
+            memory.next_look = base::boot_clock::now() + look_interval_outstanding;
         }
         co_await look_once(std::move(*view), memory);
     }
@@ -294,7 +294,7 @@
 // An engine that checks fencing numbers refuses what arrives late by itself.
 bool partition_director::is_quiet(const engine_view& view, const engine_memory& memory) const
 {
-    const auto now = boot_clock::now();
+    const auto now = base::boot_clock::now();
     const auto predecessors = m_keeper.claimed_at() + longest_packet_life;
     const bool nothing_arrives = now >= predecessors && now >= memory.quiet_from;
     return nothing_arrives || (view.endpoint.checks_fencing && now >= memory.quiet_from);
@@ -350,7 +350,7 @@
     const auto fencing_number = m_keeper.fencing_number();
     const auto has_time = [&] {
         return is_switched_off("lease_check") ||
-               boot_clock::now() + m_timing.duration / 2 < held_until;
+               base::boot_clock::now() + m_timing.duration / 2 < held_until;
     };
     if (!has_time()) {
         spdlog::info("order_not_sent endpoint={} reason=lease_ends", view.endpoint.name);
@@ -369,7 +369,7 @@
         view.endpoint.address, view.orders->intent(), fencing_number, limit);
     pause_if_asked("after_write");
     if (!answered) {
-        memory.quiet_from = boot_clock::now() + longest_packet_life;
+        memory.quiet_from = base::boot_clock::now() + longest_packet_life;
     }
 }
 
@@ -385,7 +385,7 @@
     settlement.set_order_id(view.orders->intent().order_id());
     settlement.set_applied(applied);
     if (!applied) {
-        memory.quiet_from = boot_clock::now() + pause_after_failure;
+        memory.quiet_from = base::boot_clock::now() + pause_after_failure;
     }
     const bool accepted = co_await propose(std::move(record));
     spdlog::info("order_settled endpoint={} order={} applied={} accepted={}", view.endpoint.name,
--- a/src/authority/process_deadline.cpp
+++ b/src/authority/process_deadline.cpp
@@ -5,7 +5,7 @@
 
 namespace cicadaport::authority {
 
-process_deadline::process_deadline(boot_clock::time_point at)
+process_deadline::process_deadline(base::boot_clock::time_point at)
 {
     sigevent event{};
     event.sigev_notify = SIGEV_SIGNAL;
--- /dev/null
+++ b/src/serving/caller_connection.cpp
@@ -0,0 +1,283 @@
+#include "cicadaport/serving/caller_connection.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <fmt/format.h>
+
+namespace cicadaport::serving {
+namespace {
+
+// Bytes of further requests that are taken while one is being answered.
+constexpr std::size_t most_pipelined = 64 * 1024;
+// Until callers' bounds are configured.
+constexpr caller_limits default_limits{};
+// A body must arrive within this time after its head.
+constexpr milliseconds body_time{20'000};
+// After the last byte of the last answer the caller's own end is awaited.
+constexpr milliseconds closing_time{1'000};
+
+// Fields that concern one connection only, or that are written anew.
+bool is_connection_field(std::string_view name)
+{
+    constexpr std::string_view names[] = {
+        "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
+        "TE",         "Trailer",    "Upgrade",          "Content-Length"};
+    return std::any_of(std::begin(names), std::end(names),
+                       [&](std::string_view each) { return boost::beast::iequals(each, name); });
+}
+
+} // namespace
+
+caller_connection::caller_connection(host_state& host, caller_set& all,
+                                     boost::asio::ip::tcp::socket socket)
+    : m_host{host}, m_all{all}, m_connection{std::make_shared<transport::tcp_connection>(
+                                    std::move(socket))},
+      m_reader{transport::message_kind::request, message_limits()}
+{
+}
+
+caller_connection::~caller_connection()
+{
+    m_connection->close();
+}
+
+transport::message_limits caller_connection::message_limits() const
+{
+    const auto& limits = m_host.deployed ? m_host.deployed->limits() : default_limits;
+    return {limits.head_bytes, limits.body_bytes};
+}
+
+void caller_connection::start()
+{
+    m_all.insert(shared_from_this());
+    m_connection->set_observer(this);
+    wait_for_request();
+    m_connection->start();
+}
+
+void caller_connection::wait_for_request()
+{
+    m_reader = transport::message_reader{transport::message_kind::request, message_limits()};
+    m_body.clear();
+    m_continue_sent = false;
+    m_reading = false;
+    m_head_limited = false;
+    const auto& limits = m_host.deployed ? m_host.deployed->limits() : default_limits;
+    m_limit =
+        m_host.timers.call_at(m_host.timers.now() + limits.idle_time, [this] { close_politely(); });
+}
+
+void caller_connection::limit_reading()
+{
+    const auto& limits = m_host.deployed ? m_host.deployed->limits() : default_limits;
+    const bool head_done = m_reader.head_complete();
+    if (m_reading && m_head_limited == head_done) {
+        return;
+    }
+    m_reading = true;
+    m_head_limited = head_done;
+    m_limit =
+        m_host.timers.call_at(m_host.timers.now() + (head_done ? body_time : limits.head_time),
+                              [this] { close_politely(); });
+}
+
+void caller_connection::on_input()
+{
+    const auto keep = shared_from_this();
+    if (m_closing) {
+        m_connection->consume(m_connection->input().size());
+        return;
+    }
+    if (m_exchange != nullptr) {
+        if (m_connection->input().size() > most_pipelined) {
+            m_connection->pause_reading();
+        }
+        return;
+    }
+    read_requests();
+}
+
+void caller_connection::read_requests()
+{
+    while (m_exchange == nullptr && !m_closing && !m_connection->input().empty()) {
+        const auto used = m_reader.feed(m_connection->input());
+        m_connection->consume(used);
+        if (m_reader.problem() != transport::reading_problem::none) {
+            refuse_message();
+            return;
+        }
+        m_body += m_reader.take_body();
+        if (!m_reader.complete()) {
+            limit_reading();
+            if (m_reader.head_complete() && !m_continue_sent &&
+                m_reader.head().fields.find("Expect")) {
+                m_continue_sent = true;
+                m_connection->write("HTTP/1.1 100 Continue\r\n\r\n");
+            }
+            return;
+        }
+        m_limit.cancel();
+        if (!m_reader.keeps_connection()) {
+            m_closing = true;
+        }
+        m_exchange = std::make_shared<exchange>(m_host, *this, std::move(m_reader.head()),
+                                                std::move(m_body));
+        // A copy: the exchange may end at once.
+        const auto current = m_exchange;
+        current->start();
+    }
+}
+
+void caller_connection::refuse_message()
+{
+    constexpr unsigned bad_request = 400;
+    constexpr unsigned too_large = 413;
+    constexpr unsigned head_too_large = 431;
+    const auto problem = m_reader.problem();
+    m_closing = true;
+    answer(problem == transport::reading_problem::body_too_large   ? too_large
+           : problem == transport::reading_problem::head_too_large ? head_too_large
+                                                                   : bad_request,
+           {}, "the request can't be read");
+}
+
+void caller_connection::on_end(transport::connection_end)
+{
+    const auto keep = shared_from_this();
+    if (m_exchange != nullptr) {
+        std::exchange(m_exchange, nullptr)->caller_left();
+    }
+    drop();
+}
+
+void caller_connection::on_written()
+{
+    const auto keep = shared_from_this();
+    if (m_exchange != nullptr) {
+        m_exchange->caller_drained();
+    }
+    else if (m_closing) {
+        close_politely();
+    }
+}
+
+std::string caller_connection::head_of(unsigned status, const http::field_list& fields,
+                                       std::string_view framing)
+{
+    m_closing = m_closing || m_host.is_stopping;
+    const auto reason =
+        boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(status));
+    auto out = fmt::format("HTTP/1.1 {} {}\r\n", status, std::string_view{reason});
+    for (const auto& each : fields) {
+        if (!is_connection_field(each.name)) {
+            out += each.name;
+            out += ": ";
+            out += each.value;
+            out += "\r\n";
+        }
+    }
+    if (m_closing) {
+        out += "Connection: close\r\n";
+    }
+    out += framing;
+    out += "\r\n\r\n";
+    return out;
+}
+
+void caller_connection::answer(unsigned status, const http::field_list& fields,
+                               std::string_view body)
+{
+    constexpr unsigned no_content = 204;
+    constexpr unsigned not_modified = 304;
+    const bool bodiless = status == no_content || status == not_modified;
+    auto bytes =
+        head_of(status, fields,
+                bodiless ? "Content-Length: 0" : fmt::format("Content-Length: {}", body.size()));
+    if (!bodiless) {
+        bytes += body;
+    }
+    m_connection->write(std::move(bytes));
+    answer_ended();
+}
+
+void caller_connection::begin(unsigned status, const http::field_list& fields)
+{
+    m_connection->write(head_of(status, fields, "Transfer-Encoding: chunked"));
+}
+
+void caller_connection::write(std::string_view piece)
+{
+    m_connection->write(fmt::format("{:x}\r\n{}\r\n", piece.size(), piece));
+}
+
+void caller_connection::finish()
+{
+    m_connection->write("0\r\n\r\n");
+    answer_ended();
+}
+
+void caller_connection::cut()
+{
+    m_exchange.reset();
+    m_connection->abort();
+    drop();
+}
+
+void caller_connection::answer_ended()
+{
+    m_exchange.reset();
+    m_connection->resume_reading();
+    if (m_closing) {
+        if (m_connection->unsent() == 0) {
+            close_politely();
+        }
+        return;
+    }
+    wait_for_request();
+    // The answer may have been given inside a call of `read_requests()`; what
+    // has arrived meanwhile is read from the loop.
+    if (!m_connection->input().empty()) {
+        boost::asio::post(m_host.context, [self = shared_from_this()] {
+            if (self->m_exchange == nullptr && !self->m_closing) {
+                self->read_requests();
+            }
+        });
+    }
+}
+
+void caller_connection::close_if_idle()
+{
+    if (m_exchange == nullptr && !m_reading && !m_closing) {
+        close_politely();
+    }
+}
+
+void caller_connection::close_politely()
+{
+    m_closing = true;
+    m_connection->shut_sending();
+    m_limit = m_host.timers.call_at(m_host.timers.now() + closing_time, [this] {
+        const auto keep = shared_from_this();
+        drop();
+    });
+}
+
+void caller_connection::end_now()
+{
+    const auto keep = shared_from_this();
+    if (m_exchange != nullptr) {
+        std::exchange(m_exchange, nullptr)->caller_left();
+    }
+    m_connection->abort();
+    drop();
+}
+
+void caller_connection::drop()
+{
+    m_limit.cancel();
+    m_connection->close();
+    m_all.erase(shared_from_this());
+}
+
+} // namespace cicadaport::serving
--- /dev/null
+++ b/src/serving/endpoint_table.cpp
@@ -0,0 +1,88 @@
+#include "cicadaport/serving/endpoint_table.h"
+
+#include <algorithm>
+
+namespace cicadaport::serving {
+
+void endpoint_table::apply(const endpoint_report& report, time_point now)
+{
+    auto& known = m_known[report.id];
+    const bool older =
+        report.incarnation < known.incarnation ||
+        (report.incarnation == known.incarnation && report.sequence < known.sequence);
+    if (older) {
+        return;
+    }
+    const bool restarted = report.incarnation > known.incarnation;
+    known.left = (known.left && !restarted) || report.leaving;
+    known.incarnation = report.incarnation;
+    known.sequence = report.sequence;
+    known.at = now;
+    const auto found = m_current.find(report.id);
+    const bool same = found != m_current.end() && !restarted &&
+                      found->second->report.service == report.service &&
+                      found->second->report.address == report.address;
+    if (same && !known.left) {
+        found->second->report = report;
+        return;
+    }
+    drop(report.id);
+    if (!known.left) {
+        auto added = std::make_shared<endpoint>(report);
+        m_by_service[report.service].push_back(added);
+        m_current.emplace(report.id, std::move(added));
+    }
+    forget_old(now);
+}
+
+void endpoint_table::remove(const std::string& id, time_point now)
+{
+    m_known[id].at = now;
+    drop(id);
+}
+
+void endpoint_table::keep_only(const std::vector<std::string>& ids, time_point now)
+{
+    std::vector<std::string> missing;
+    for (const auto& [id, each] : m_current) {
+        if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
+            missing.push_back(id);
+        }
+    }
+    for (const auto& id : missing) {
+        remove(id, now);
+    }
+}
+
+const std::vector<endpoint_pointer>& endpoint_table::serving(const std::string& service) const
+{
+    static const std::vector<endpoint_pointer> none;
+    const auto found = m_by_service.find(service);
+    return found == m_by_service.end() ? none : found->second;
+}
+
+endpoint_pointer endpoint_table::find(const std::string& id) const
+{
+    const auto found = m_current.find(id);
+    return found == m_current.end() ? nullptr : found->second;
+}
+
+void endpoint_table::drop(const std::string& id)
+{
+    const auto found = m_current.find(id);
+    if (found == m_current.end()) {
+        return;
+    }
+    found->second->gone = true;
+    std::erase(m_by_service[found->second->report.service], found->second);
+    m_current.erase(found);
+}
+
+void endpoint_table::forget_old(time_point now)
+{
+    std::erase_if(m_known, [&](const auto& each) {
+        return !m_current.contains(each.first) && now - each.second.at > remembered;
+    });
+}
+
+} // namespace cicadaport::serving
--- /dev/null
+++ b/src/serving/exchange.cpp
@@ -0,0 +1,643 @@
+#include "cicadaport/serving/exchange.h"
+
+#include "cicadaport/serving/prompt_release.h"
+
+#include <spdlog/spdlog.h>
+
+namespace cicadaport::serving {
+namespace {
+
+using transport::exchange_failure;
+
+// An endpoint ends its work at the time that it was given and says so; its
+// answer is awaited for this long.
+constexpr milliseconds answer_slack{30};
+// With less time than this left, no further attempt can succeed.
+constexpr milliseconds least_useful_time{15};
+// Endpoints tried for one request that can't be connected to.
+constexpr std::uint32_t most_connect_tries = 6;
+// A first answer is awaited for this part of the objective before another
+// replica is tried; what is left must suffice for it.
+constexpr double patience_part = 0.55;
+// Engines are given this many times what was predicted.
+constexpr double engine_patience = 4;
+constexpr milliseconds least_prompt_patience{400};
+// The part of its time that a late request may be predicted to need.
+constexpr double usable_time = 0.8;
+// When callers may come back: after an empty service, and after a full one.
+constexpr milliseconds pause_without_endpoint{400};
+constexpr milliseconds pause_when_full{250};
+// Urgencies between two priorities.
+constexpr std::uint32_t urgency_step = 2;
+// Bytes that wait for a slow caller before its endpoint is read no further.
+constexpr std::size_t most_unsent = 128 * 1024;
+
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_timeout = 504;
+
+bool is_success(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
+// Statuses that promise that a request has not run.
+bool promises_not_run(unsigned status)
+{
+    return status == 408 || status == status_misdirected || status == 429 ||
+           status == status_unavailable;
+}
+
+} // namespace
+
+exchange::exchange(host_state& host, caller_port& caller, transport::message_head head,
+                   std::string body)
+    : m_host{host}, m_caller{&caller}, m_head{std::move(head)}, m_body{std::move(body)},
+      m_arrived{host.timers.now()}
+{
+}
+
+exchange::~exchange() = default;
+
+void exchange::start()
+{
+    m_self = shared_from_this();
+    if (find_route()) {
+        m_deadline_timer =
+            m_host.timers.call_at(m_deadline + answer_slack, [this] { deadline_passed(); });
+        place();
+    }
+}
+
+bool exchange::find_route()
+{
+    try {
+        m_terms = m_host.wire.read_request(m_head);
+    }
+    catch (const invalid_request& error) {
+        fail(status_bad_request, error.what());
+        return false;
+    }
+    m_deployment = m_host.deployed;
+    if (m_deployment == nullptr) {
+        refuse(pause_without_endpoint, "no configuration yet");
+        return false;
+    }
+    m_route = m_deployment->find_route(m_terms.host, m_terms.path);
+    if (m_route == nullptr) {
+        fail(status_not_found, "no such route");
+        return false;
+    }
+    const auto point = std::uniform_real_distribution<double>{0, 1}(m_host.random);
+    m_service = deployment::pick_service(*m_route, point);
+    m_deadline =
+        m_arrived + std::min(m_terms.time_left.value_or(m_route->time_limit), m_route->time_limit);
+    m_host.budget.count_request(m_service, m_arrived);
+    return true;
+}
+
+milliseconds exchange::left() const
+{
+    return std::chrono::duration_cast<milliseconds>(m_deadline - m_host.timers.now());
+}
+
+void exchange::place()
+{
+    const auto* target = m_deployment->find_service(m_service);
+    if (left() < least_useful_time) {
+        deadline_passed();
+    }
+    else if (m_route->has_prompt && target != nullptr && target->engines) {
+        place_prompt(*target);
+    }
+    else {
+        place_plain();
+    }
+}
+
+void exchange::place_plain()
+{
+    const auto now = m_host.timers.now();
+    const auto& replicas = m_host.endpoints.serving(m_service);
+    const auto chosen =
+        m_host.replicas.choose(replicas, m_host.availability_zone, m_excluded, now, m_host.random);
+    if (chosen == nullptr) {
+        refuse(pause_without_endpoint, "no replica to use");
+        return;
+    }
+    send_run(chosen, std::nullopt);
+}
+
+void exchange::place_prompt(const service& target)
+{
+    const auto now = m_host.timers.now();
+    const auto& engines = m_host.endpoints.serving(m_service);
+    prompt_question question;
+    question.prompt = &m_terms.prompt;
+    question.prompt_tokens = m_terms.prompt_tokens;
+    question.urgency = std::min(m_route->priority * urgency_step, late_urgency - 1);
+    question.bytes_per_token = target.engines->bytes_per_token;
+    question.link_mbps = target.engines->link_mbps;
+    question.availability_zone = m_host.availability_zone;
+    question.now = now;
+    question.excluded = &m_excluded;
+    question.may_hand_over = !m_hand_over_tried && !m_events.last_event();
+    m_plan = m_host.engines.choose(question, engines);
+    if (m_plan.runner == nullptr) {
+        refuse(pause_without_endpoint, "no engine to use");
+        return;
+    }
+    const fine_milliseconds waited = now - m_arrived;
+    if (waited + m_plan.first_event > m_route->latency_objective) {
+        // It will be late: what can be in time goes first.
+        question.urgency = late_urgency;
+        m_plan = m_host.engines.choose(question, engines);
+        if (m_plan.first_event > usable_time * fine_milliseconds{left()}) {
+            refuse(pause_when_full, "no engine in time");
+            return;
+        }
+    }
+    m_plan.urgency = question.urgency;
+    if (m_prompt) {
+        send_run(m_plan.runner, m_prompt);
+    }
+    else if (m_plan.reader != nullptr) {
+        send_prompt(m_plan);
+    }
+    else {
+        m_host.engines.note_prompt(m_plan.runner->report.id, m_terms.prompt, now);
+        count_work(m_plan.runner->report.id, m_plan.urgency, m_plan.reading);
+        send_run(m_plan.runner, std::nullopt);
+    }
+}
+
+void exchange::send_prompt(const prompt_plan& plan)
+{
+    m_hand_over_tried = true;
+    ++m_host.counts.handed_over;
+    m_host.engines.note_prompt(plan.reader->report.id, m_terms.prompt, m_host.timers.now());
+    count_work(plan.reader->report.id, plan.urgency, plan.reading);
+    run_terms terms;
+    terms.only_read_prompt = true;
+    terms.urgency = plan.urgency;
+    const auto patience =
+        std::max<fine_milliseconds>(engine_patience * plan.read_after, least_prompt_patience);
+    m_patience = m_host.timers.call_at(m_host.timers.now() +
+                                           std::chrono::duration_cast<clock::duration>(patience),
+                                       [this] { out_of_patience(); });
+    send(step::reading_prompt, plan.reader, terms);
+}
+
+void exchange::send_run(const endpoint_pointer& to, std::optional<read_prompt> from)
+{
+    run_terms terms;
+    if (m_route->has_prompt) {
+        terms.urgency = m_plan.urgency;
+    }
+    terms.from = std::move(from);
+    terms.after_event = m_events.last_event();
+    const auto expected =
+        m_route->has_prompt ? engine_patience * m_plan.first_event : fine_milliseconds{0};
+    const auto patience = std::max<fine_milliseconds>(
+        expected, patience_part * fine_milliseconds{m_route->latency_objective});
+    m_patience = m_host.timers.call_at(m_host.timers.now() +
+                                           std::chrono::duration_cast<clock::duration>(patience),
+                                       [this] { out_of_patience(); });
+    if (!m_route->has_prompt) {
+        ++m_host.replicas.state(to->report.id).in_flight;
+    }
+    send(step::running, to, terms);
+}
+
+void exchange::send(step what, const endpoint_pointer& to, const run_terms& terms)
+{
+    auto complete = terms;
+    complete.endpoint = to->report.id;
+    complete.time_left = std::max(left(), milliseconds{1});
+    m_step = what;
+    m_endpoint = to;
+    m_address = to->report.address;
+    m_sent = m_host.timers.now();
+    m_answer.reset();
+    m_answer_body.clear();
+    m_events.restart();
+    const bool once = m_route->repeats == repeat_rule::once && what == step::running;
+    m_connection = m_host.connections.take(m_address, once ? transport::reuse_rule::certain
+                                                           : transport::reuse_rule::any);
+    if (what == step::running) {
+        ++m_attempts;
+        m_unsettled = true;
+    }
+    m_connection->send(m_host.wire.run_request(m_head, m_body, complete), *this);
+}
+
+bool exchange::owns(const transport::message_head& head)
+{
+    const auto terms = m_host.wire.read_answer(head);
+    return terms.request_id ? *terms.request_id == m_terms.id : !is_success(head.status);
+}
+
+void exchange::on_head(transport::message_head head)
+{
+    m_answer_terms = m_host.wire.read_answer(head);
+    m_answer = std::move(head);
+}
+
+void exchange::on_body(std::string_view piece)
+{
+    const bool forwarded = m_step == step::running && m_route->streamed &&
+                           is_success(m_answer->status) && m_answer_terms.is_signed &&
+                           !m_answer_terms.is_encoded;
+    if (!forwarded) {
+        m_answer_body += piece;
+        return;
+    }
+    m_events.feed(piece);
+    forward_events(false);
+}
+
+void exchange::forward_events(bool at_end)
+{
+    auto events = m_events.take_whole();
+    if (at_end) {
+        events += m_events.take_rest();
+    }
+    if (events.empty() && !at_end) {
+        return;
+    }
+    if (!m_begun) {
+        m_begun = true;
+        m_patience.cancel();
+        if (m_route->has_prompt) {
+            end_work();
+            const fine_milliseconds observed = m_host.timers.now() - m_sent;
+            if (!m_prompt) {
+                m_host.engines.note_time(m_endpoint->report.id, m_plan.read_after, observed);
+            }
+        }
+        m_caller->begin(m_answer->status, m_answer->fields);
+    }
+    if (!events.empty()) {
+        m_caller->write(events);
+    }
+    if (m_caller != nullptr && m_caller->unsent() > most_unsent) {
+        caller_is_slow();
+    }
+}
+
+void exchange::on_complete()
+{
+    m_patience.cancel();
+    m_host.connections.give_back(m_address, std::exchange(m_connection, nullptr));
+    if (m_step == step::reading_prompt) {
+        prompt_answered();
+    }
+    else {
+        run_answered();
+    }
+}
+
+void exchange::prompt_answered()
+{
+    const fine_milliseconds observed = m_host.timers.now() - m_sent;
+    end_work();
+    if (!is_success(m_answer->status)) {
+        prompt_failed(m_answer_terms.states_not_run || m_answer->status == status_misdirected);
+        return;
+    }
+    auto handle = m_host.wire.read_prompt_handle(m_answer_body);
+    if (!handle) {
+        prompt_failed(false);
+        return;
+    }
+    auto& state = m_host.engines.state(m_endpoint->report.id);
+    state.health.succeeded();
+    m_host.engines.note_time(m_endpoint->report.id, m_plan.read_after, observed);
+    m_prompt = read_prompt{m_address, std::move(*handle)};
+    m_host.engines.note_prompt(m_plan.runner->report.id, m_terms.prompt, m_host.timers.now());
+    if (m_plan.runner->gone) {
+        place();
+        return;
+    }
+    send_run(m_plan.runner, m_prompt);
+}
+
+void exchange::prompt_failed(bool rejected)
+{
+    end_work();
+    m_host.engines.state(m_endpoint->report.id).health.failed(m_host.timers.now());
+    m_excluded.insert(m_endpoint->report.id);
+    if (rejected) {
+        // A refused reading counts as an attempt.
+        ++m_attempts;
+        m_host.budget.count_attempt(m_service, m_host.timers.now());
+        if (m_attempts >= m_route->most_attempts) {
+            refuse(pause_when_full, "the engine took no prompt");
+            return;
+        }
+    }
+    place();
+}
+
+void exchange::run_answered()
+{
+    const auto now = m_host.timers.now();
+    const auto status = m_answer->status;
+    const bool genuine =
+        !is_success(status) || (m_answer_terms.is_signed && !m_answer_terms.is_encoded);
+    auto& health = m_route->has_prompt ? m_host.engines.state(m_endpoint->report.id).health
+                                       : m_host.replicas.state(m_endpoint->report.id).health;
+    if (!is_success(status) && (m_answer_terms.states_not_run || status == status_misdirected)) {
+        run_rejected();
+        return;
+    }
+    if (!genuine) {
+        health.failed(now);
+        run_unanswered();
+        return;
+    }
+    if (is_success(status)) {
+        health.succeeded();
+        m_prompt.reset();
+        ++m_host.counts.answered;
+        if (m_route->streamed) {
+            forward_events(true);
+            if (m_caller != nullptr) {
+                m_caller->finish();
+            }
+        }
+        else {
+            m_caller->answer(status, m_answer->fields, m_answer_body);
+        }
+        finish();
+        return;
+    }
+    if (status >= 500) {
+        health.failed(now);
+    }
+    const bool may_repeat = m_route->repeats == repeat_rule::any && status >= 500;
+    if (may_repeat && !m_begun && try_again()) {
+        return;
+    }
+    if (m_begun) {
+        fail(status_bad_gateway, "the stream could not be continued");
+        return;
+    }
+    if (promises_not_run(status)) {
+        // Without the endpoint's own statement this would promise too much.
+        fail(status_bad_gateway, "the replica failed");
+        return;
+    }
+    ++m_host.counts.failed;
+    m_caller->answer(status, m_answer->fields, m_answer_body);
+    finish();
+}
+
+void exchange::run_rejected()
+{
+    m_unsettled = false;
+    end_work();
+    m_excluded.insert(m_endpoint->report.id);
+    const bool lost_prompt = m_prompt.has_value();
+    if (lost_prompt) {
+        // The prompt's memory could not be had; the engine itself is sound.
+        m_host.engines.state(m_plan.reader ? m_plan.reader->report.id : m_endpoint->report.id)
+            .health.failed(m_host.timers.now());
+        m_prompt.reset();
+    }
+    if (try_again()) {
+        return;
+    }
+    if (m_begun) {
+        fail(status_bad_gateway, "the stream could not be continued");
+    }
+    else {
+        refuse(pause_when_full, "the replica took no request");
+    }
+}
+
+void exchange::run_unanswered()
+{
+    end_work();
+    drop_prompt();
+    m_excluded.insert(m_endpoint->report.id);
+    const bool may_repeat = m_route->repeats == repeat_rule::any || m_route->resumable;
+    if (may_repeat && try_again()) {
+        return;
+    }
+    fail(status_bad_gateway, "the replica gave no whole answer");
+}
+
+bool exchange::try_again()
+{
+    if (m_attempts >= m_route->most_attempts || left() < least_useful_time ||
+        !m_host.budget.take(m_service, m_host.timers.now())) {
+        return false;
+    }
+    ++m_host.counts.further_attempts;
+    leave_endpoint();
+    place();
+    return true;
+}
+
+void exchange::on_failure(exchange_failure failure)
+{
+    m_patience.cancel();
+    m_connection.reset();
+    const auto now = m_host.timers.now();
+    auto& health = m_route->has_prompt ? m_host.engines.state(m_endpoint->report.id).health
+                                       : m_host.replicas.state(m_endpoint->report.id).health;
+    if (failure == exchange_failure::not_sent) {
+        health.unreachable(now);
+        end_work();
+        m_excluded.insert(m_endpoint->report.id);
+        if (m_step == step::running) {
+            --m_attempts;
+            m_unsettled = m_begun;
+        }
+        else {
+            m_hand_over_tried = false;
+        }
+        if (++m_connect_tries < most_connect_tries) {
+            leave_endpoint();
+            place();
+        }
+        else {
+            refuse(pause_without_endpoint, "no replica could be reached");
+        }
+        return;
+    }
+    health.failed(now);
+    if (m_step == step::reading_prompt) {
+        prompt_failed(false);
+    }
+    else {
+        run_unanswered();
+    }
+}
+
+void exchange::out_of_patience()
+{
+    auto& health = m_route->has_prompt ? m_host.engines.state(m_endpoint->report.id).health
+                                       : m_host.replicas.state(m_endpoint->report.id).health;
+    health.failed(m_host.timers.now());
+    if (m_step == step::reading_prompt) {
+        const auto failed = m_endpoint->report.id;
+        leave_endpoint();
+        end_work();
+        m_excluded.insert(failed);
+        place();
+        return;
+    }
+    const bool may_repeat = m_route->repeats == repeat_rule::any || m_route->resumable;
+    if (!m_begun && may_repeat && !m_answer) {
+        const auto slow = m_endpoint->report.id;
+        m_excluded.insert(slow);
+        if (m_attempts < m_route->most_attempts && left() >= least_useful_time &&
+            m_host.budget.take(m_service, m_host.timers.now())) {
+            ++m_host.counts.further_attempts;
+            leave_endpoint();
+            end_work();
+            drop_prompt();
+            place();
+        }
+    }
+}
+
+void exchange::deadline_passed()
+{
+    leave_endpoint();
+    if (m_begun) {
+        fail(status_timeout, "out of time");
+    }
+    else if (may_have_run()) {
+        fail(status_timeout, "out of time");
+    }
+    else {
+        refuse(pause_when_full, "out of time");
+    }
+}
+
+void exchange::caller_left()
+{
+    if (m_caller == nullptr) {
+        return;
+    }
+    ++m_host.counts.callers_left;
+    m_caller = nullptr;
+    finish();
+}
+
+void exchange::caller_is_slow()
+{
+    if (m_connection != nullptr) {
+        m_connection->pause_reading();
+    }
+}
+
+void exchange::caller_drained()
+{
+    if (m_connection != nullptr) {
+        m_connection->resume_reading();
+    }
+}
+
+void exchange::leave_endpoint()
+{
+    m_patience.cancel();
+    if (m_endpoint != nullptr && !m_route->has_prompt && m_step == step::running) {
+        auto& in_flight = m_host.replicas.state(m_endpoint->report.id).in_flight;
+        in_flight -= in_flight > 0 ? 1 : 0;
+    }
+    m_step = step::idle;
+    if (m_connection != nullptr) {
+        std::exchange(m_connection, nullptr)->abandon();
+    }
+}
+
+void exchange::drop_prompt()
+{
+    if (!m_prompt) {
+        return;
+    }
+    release_prompt(m_host, *std::exchange(m_prompt, std::nullopt));
+}
+
+void exchange::count_work(const std::string& engine, std::uint32_t urgency, fine_milliseconds work)
+{
+    m_working_engine = engine;
+    m_work = ++m_host.last_work;
+    m_host.engines.state(engine).queue.add(m_work, urgency, work, m_host.timers.now());
+    if (m_host.listener != nullptr) {
+        m_host.listener->work_added(engine, m_work, urgency, work);
+    }
+}
+
+void exchange::end_work()
+{
+    if (m_work == 0) {
+        return;
+    }
+    m_host.engines.state(m_working_engine).queue.remove(m_work, m_host.timers.now());
+    if (m_host.listener != nullptr) {
+        m_host.listener->work_ended(m_working_engine, m_work);
+    }
+    m_work = 0;
+}
+
+void exchange::refuse(milliseconds pause, std::string_view reason)
+{
+    if (m_begun || may_have_run()) {
+        fail(status_bad_gateway, reason);
+        return;
+    }
+    ++m_host.counts.refused;
+    spdlog::debug("request_refused id={} reason=\"{}\"", m_terms.id, reason);
+    // Callers that were refused together come back spread over twice the pause.
+    const auto spread =
+        pause +
+        milliseconds{std::uniform_int_distribution<std::int64_t>{0, pause.count()}(m_host.random)};
+    http::field_list fields;
+    const auto again = m_host.wire.come_back_after(spread);
+    fields.add(again.name, again.value);
+    const auto identity = m_host.wire.identity_field(m_terms.id);
+    fields.add(identity.name, identity.value);
+    m_caller->answer(status_unavailable, fields, reason);
+    finish();
+}
+
+void exchange::fail(unsigned status, std::string_view reason)
+{
+    if (m_begun) {
+        ++m_host.counts.cut;
+        m_caller->cut();
+    }
+    else {
+        ++m_host.counts.failed;
+        http::field_list fields;
+        if (!m_terms.id.empty()) {
+            const auto identity = m_host.wire.identity_field(m_terms.id);
+            fields.add(identity.name, identity.value);
+        }
+        m_caller->answer(status, fields, reason);
+    }
+    spdlog::debug("request_failed id={} status={} reason=\"{}\"", m_terms.id, status, reason);
+    finish();
+}
+
+void exchange::finish()
+{
+    const auto keep = std::exchange(m_self, nullptr);
+    m_caller = nullptr;
+    m_deadline_timer.cancel();
+    if (m_route != nullptr) {
+        leave_endpoint();
+        end_work();
+        drop_prompt();
+    }
+}
+
+} // namespace cicadaport::serving
--- /dev/null
+++ b/src/serving/host_process.cpp
@@ -0,0 +1,325 @@
+#include "cicadaport/serving/host_process.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <spdlog/spdlog.h>
+
+#include <csignal>
+
+namespace cicadaport::serving {
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+namespace {
+
+// The balancer asks once a second and needs two misses; connections that it
+// made before are still taken.
+constexpr milliseconds accepting_after_stop{2'600};
+// Kept free at the end of the grace time.
+constexpr milliseconds grace_margin{600};
+constexpr milliseconds housekeeping_interval{1'000};
+constexpr milliseconds stop_check_interval{50};
+constexpr milliseconds accept_pause{20};
+
+// An accepted version must be in force on every host within seconds: a broken
+// connection to the store must show well before.
+constexpr feed_follower::pace configuration_pace{milliseconds{1'500}, milliseconds{0}};
+// Replicas that leave are sent nothing after two seconds.
+constexpr feed_follower::pace endpoints_pace{milliseconds{1'000}, milliseconds{800}};
+
+// Takes connections and gives them to `on_connection`.
+class listener {
+public:
+    listener(asio::io_context& context, transport::timer_queue& timers, const http::address& at,
+             std::function<void(tcp::socket)> on_connection)
+        : m_timers{timers}, m_acceptor{context}, m_on_connection{std::move(on_connection)}
+    {
+        const tcp::endpoint address{asio::ip::make_address(at.ip), at.port};
+        m_acceptor.open(address.protocol());
+        m_acceptor.set_option(asio::socket_base::reuse_address{true});
+        m_acceptor.bind(address);
+        m_acceptor.listen();
+        accept();
+    }
+
+    void close()
+    {
+        error_code ignored;
+        m_acceptor.close(ignored);
+    }
+
+    http::address address() const
+    {
+        const auto at = m_acceptor.local_endpoint();
+        return {at.address().to_string(), at.port()};
+    }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([this](error_code error, tcp::socket socket) {
+            if (!m_acceptor.is_open()) {
+                return;
+            }
+            if (!error) {
+                m_on_connection(std::move(socket));
+                accept();
+                return;
+            }
+            spdlog::warn("accept_failed error=\"{}\"", error.message());
+            m_pause = m_timers.call_at(m_timers.now() + accept_pause, [this] { accept(); });
+        });
+    }
+
+    transport::timer_queue& m_timers;
+    tcp::acceptor m_acceptor;
+    std::function<void(tcp::socket)> m_on_connection;
+    transport::timer_queue::handle m_pause;
+};
+
+// Answers the balancer's question whether the host is ready, on each request
+// that a connection brings.
+class readiness_connection final : public transport::connection_observer,
+                                   public std::enable_shared_from_this<readiness_connection> {
+public:
+    readiness_connection(tcp::socket socket, std::function<bool()> is_ready)
+        : m_connection{std::make_shared<transport::tcp_connection>(std::move(socket))},
+          m_is_ready{std::move(is_ready)}
+    {
+    }
+    ~readiness_connection() override { m_connection->close(); }
+
+    void start()
+    {
+        m_self = shared_from_this();
+        m_connection->set_observer(this);
+        m_connection->start();
+    }
+
+private:
+    void on_input() override
+    {
+        const auto keep = shared_from_this();
+        m_connection->consume(m_reader.feed(m_connection->input()));
+        if (m_reader.problem() != transport::reading_problem::none) {
+            end();
+        }
+        else if (m_reader.complete()) {
+            m_reader = fresh_reader();
+            m_connection->write(m_is_ready() ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                                             : "HTTP/1.1 503 Service Unavailable\r\n"
+                                               "Content-Length: 0\r\n\r\n");
+        }
+    }
+
+    void on_end(transport::connection_end) override { end(); }
+
+    void end()
+    {
+        const auto keep = std::exchange(m_self, nullptr);
+        m_connection->close();
+    }
+
+    static transport::message_reader fresh_reader()
+    {
+        return transport::message_reader{transport::message_kind::request, {}};
+    }
+
+    std::shared_ptr<transport::tcp_connection> m_connection;
+    std::function<bool()> m_is_ready;
+    transport::message_reader m_reader = fresh_reader();
+    std::shared_ptr<readiness_connection> m_self;
+};
+
+} // namespace
+
+class host_process::implementation {
+public:
+    implementation(host_settings settings, const wire_format& wire)
+        : m_settings{std::move(settings)}, m_context{1}, m_state{m_context, wire,
+                                                                 m_settings.availability_zone,
+                                                                 m_settings.attempts},
+          m_configuration{m_state, m_settings.store_address, feed::configuration,
+                          configuration_pace, configuration_callbacks()},
+          m_endpoints{m_state, m_settings.store_address, feed::endpoints, endpoints_pace,
+                      endpoint_callbacks()},
+          m_signals{m_context}
+    {
+        std::signal(SIGPIPE, SIG_IGN);
+        m_signals.add(SIGTERM);
+        m_signals.add(SIGINT);
+        m_signals.async_wait([this](error_code error, int) {
+            if (!error) {
+                stop();
+            }
+        });
+    }
+
+    void run()
+    {
+        m_readiness.emplace(m_context, m_state.timers, m_settings.readiness_address,
+                            [this](tcp::socket socket) {
+                                std::make_shared<readiness_connection>(std::move(socket), [this] {
+                                    return is_ready();
+                                })->start();
+                            });
+        m_callers.emplace(
+            m_context, m_state.timers, m_settings.caller_address, [this](tcp::socket socket) {
+                std::make_shared<caller_connection>(m_state, m_connections, std::move(socket))
+                    ->start();
+            });
+        m_configuration.start();
+        m_endpoints.start();
+        keep_house();
+        spdlog::info("host_started name={} zone={}", m_settings.name, m_settings.availability_zone);
+        m_context.run();
+    }
+
+    void stop()
+    {
+        if (m_state.is_stopping) {
+            return;
+        }
+        m_state.is_stopping = true;
+        m_stop_at = m_state.timers.now();
+        spdlog::info("host_stops answering={}", answering());
+        check_stop();
+    }
+
+    bool is_ready() const noexcept
+    {
+        return !m_state.is_stopping && m_state.deployed != nullptr && m_endpoints.has_read();
+    }
+
+private:
+    feed_follower::callbacks configuration_callbacks()
+    {
+        const auto take = [this](const std::vector<feed_entry>& entries) {
+            take_configuration(entries);
+        };
+        return {take, take};
+    }
+
+    feed_follower::callbacks endpoint_callbacks()
+    {
+        return {[this](const std::vector<feed_entry>& entries) {
+                    std::vector<std::string> ids;
+                    for (const auto& each : entries) {
+                        ids.push_back(each.key);
+                    }
+                    m_state.endpoints.keep_only(ids, m_state.timers.now());
+                    take_endpoints(entries);
+                },
+                [this](const std::vector<feed_entry>& entries) { take_endpoints(entries); }};
+    }
+
+    // Takes the newest of the versions; one that is older than the one in
+    // force changes nothing.
+    void take_configuration(const std::vector<feed_entry>& entries)
+    {
+        for (auto each = entries.rbegin(); each != entries.rend(); ++each) {
+            auto read = m_state.wire.read_deployment(*each);
+            if (read == nullptr) {
+                continue;
+            }
+            if (m_state.deployed == nullptr || read->version() > m_state.deployed->version()) {
+                spdlog::info("configuration_in_force version={}", read->version());
+                m_state.deployed = std::move(read);
+            }
+            return;
+        }
+    }
+
+    void take_endpoints(const std::vector<feed_entry>& entries)
+    {
+        const auto now = m_state.timers.now();
+        for (const auto& each : entries) {
+            const auto report = m_state.wire.read_endpoint(each);
+            if (report) {
+                m_state.endpoints.apply(*report, now);
+            }
+            else {
+                m_state.endpoints.remove(each.key, now);
+            }
+        }
+    }
+
+    void keep_house()
+    {
+        m_state.connections.trim();
+        m_housekeeping = m_state.timers.call_at(m_state.timers.now() + housekeeping_interval,
+                                                [this] { keep_house(); });
+    }
+
+    std::size_t answering() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_connections.begin(), m_connections.end(),
+                          [](const auto& each) { return each->is_answering(); }));
+    }
+
+    void check_stop()
+    {
+        const auto since = m_state.timers.now() - m_stop_at;
+        if (since >= accepting_after_stop) {
+            m_callers->close();
+            const auto all = m_connections;
+            for (const auto& each : all) {
+                each->close_if_idle();
+            }
+            if (m_connections.empty() || since >= m_settings.grace_time - grace_margin) {
+                end();
+                return;
+            }
+        }
+        m_stop_check = m_state.timers.call_at(m_state.timers.now() + stop_check_interval,
+                                              [this] { check_stop(); });
+    }
+
+    void end()
+    {
+        spdlog::info("host_stopped cut={}", answering());
+        const auto all = m_connections;
+        for (const auto& each : all) {
+            each->end_now();
+        }
+        m_context.stop();
+    }
+
+    host_settings m_settings;
+    asio::io_context m_context;
+    host_state m_state;
+    caller_set m_connections;
+    feed_follower m_configuration;
+    feed_follower m_endpoints;
+    asio::signal_set m_signals;
+    std::optional<listener> m_readiness;
+    std::optional<listener> m_callers;
+    transport::timer_queue::handle m_housekeeping;
+    transport::timer_queue::handle m_stop_check;
+    time_point m_stop_at{};
+};
+
+host_process::host_process(host_settings settings, const wire_format& wire)
+    : m_impl{std::make_unique<implementation>(std::move(settings), wire)}
+{
+}
+
+host_process::~host_process() = default;
+
+void host_process::run()
+{
+    m_impl->run();
+}
+
+void host_process::stop()
+{
+    m_impl->stop();
+}
+
+bool host_process::is_ready() const noexcept
+{
+    return m_impl->is_ready();
+}
+
+} // namespace cicadaport::serving
--- /dev/null
+++ b/src/serving/host_state.cpp
@@ -0,0 +1,31 @@
+#include "cicadaport/serving/host_state.h"
+
+namespace cicadaport::serving {
+namespace {
+
+// A connection inside a region is made in a few milliseconds; an endpoint that
+// takes longer than this is down or cut off.
+constexpr std::chrono::milliseconds connect_time{300};
+// A peer that does not acknowledge bytes for so long is cut off.
+constexpr std::chrono::milliseconds peer_silence{3'000};
+
+transport::exchange_connection::times endpoint_times()
+{
+    transport::exchange_connection::times out;
+    out.connect = connect_time;
+    out.socket.peer_silence = peer_silence;
+    return out;
+}
+
+} // namespace
+
+host_state::host_state(boost::asio::io_context& with_context, const wire_format& with_wire,
+                       std::string zone, attempt_budget::bounds budget_bounds)
+    : context{with_context}, timers{with_context}, wire{with_wire}, availability_zone{std::move(
+                                                                        zone)},
+      connections{with_context, timers, transport::message_limits{}, endpoint_times()},
+      budget{budget_bounds}, random{std::random_device{}()}
+{
+}
+
+} // namespace cicadaport::serving
--- /dev/null
+++ b/src/transport/exchange_connection.cpp
@@ -0,0 +1,183 @@
+#include "cicadaport/transport/exchange_connection.h"
+
+#include <charconv>
+
+namespace cicadaport::transport {
+namespace {
+
+// Reads the idle time of a Keep-Alive field such as "timeout=5, max=100".
+std::optional<std::chrono::seconds> idle_time_of(const http::field_list& fields)
+{
+    constexpr std::string_view parameter = "timeout=";
+    const auto value = fields.find("Keep-Alive");
+    const auto at = value ? value->find(parameter) : std::string_view::npos;
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto digits = value->substr(at + parameter.size());
+    unsigned count = 0;
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), count);
+    return error == std::errc{} ? std::optional{std::chrono::seconds{count}} : std::nullopt;
+}
+
+} // namespace
+
+exchange_connection::exchange_connection(boost::asio::io_context& context, timer_queue& timers,
+                                         message_limits limits)
+    : m_timers{timers}, m_limits{limits}, m_connection{std::make_shared<tcp_connection>(context)},
+      m_reader{message_kind::response, limits}
+{
+}
+
+exchange_connection::~exchange_connection()
+{
+    m_connection->close();
+}
+
+void exchange_connection::connect(const http::address& to, times limits)
+{
+    m_open = true;
+    m_connection->set_observer(this);
+    m_connection->connect(to, limits.socket);
+    m_connect_limit = m_timers.call_at(m_timers.now() + limits.connect,
+                                       [this] { fail(exchange_failure::not_sent); });
+}
+
+void exchange_connection::send(std::string request, answer_observer& observer)
+{
+    m_observer = &observer;
+    m_reader = message_reader{message_kind::response, m_limits};
+    m_head_taken = false;
+    m_skipping = false;
+    m_connection->write(std::move(request));
+}
+
+void exchange_connection::abandon() noexcept
+{
+    m_observer = nullptr;
+    m_open = false;
+    m_reusable = false;
+    m_connect_limit.cancel();
+    m_connection->abort();
+}
+
+void exchange_connection::on_connected()
+{
+    m_connected = true;
+    m_idle_since = m_timers.now();
+    m_connect_limit.cancel();
+}
+
+void exchange_connection::on_input()
+{
+    const auto keep = shared_from_this();
+    if (m_observer == nullptr) {
+        // Nobody asked for these bytes.
+        abandon();
+        return;
+    }
+    read_answer();
+}
+
+void exchange_connection::read_answer()
+{
+    while (m_open && m_observer != nullptr) {
+        const auto input = m_connection->input();
+        const auto used = m_reader.feed(input);
+        m_connection->consume(used);
+        if (m_reader.problem() != reading_problem::none) {
+            fail(exchange_failure::cut_short);
+            return;
+        }
+        if (m_reader.head_complete() && !m_head_taken && !take_head()) {
+            return;
+        }
+        auto piece = m_reader.take_body();
+        if (!piece.empty() && !m_skipping) {
+            m_observer->on_body(piece);
+        }
+        // The observer may have ended the exchange.
+        if (!m_open || m_observer == nullptr) {
+            return;
+        }
+        if (m_reader.complete()) {
+            if (!m_skipping) {
+                complete();
+                return;
+            }
+            m_reader = message_reader{message_kind::response, m_limits};
+            m_head_taken = false;
+            m_skipping = false;
+            if (m_connection->input().empty()) {
+                return;
+            }
+        }
+        else if (used == 0 || m_connection->input().empty()) {
+            return;
+        }
+    }
+}
+
+bool exchange_connection::take_head()
+{
+    m_head_taken = true;
+    m_peer_keeps = m_reader.keeps_connection();
+    if (m_observer->owns(m_reader.head())) {
+        if (const auto idle = idle_time_of(m_reader.head().fields)) {
+            m_kept_idle = idle;
+        }
+        m_observer->on_head(std::move(m_reader.head()));
+        return m_open && m_observer != nullptr;
+    }
+    ++m_unowned;
+    m_reusable = false;
+    if (m_reader.ends_with_connection()) {
+        fail(exchange_failure::unanswered);
+        return false;
+    }
+    m_skipping = true;
+    return true;
+}
+
+void exchange_connection::complete()
+{
+    const bool clean = m_connection->input().empty() && m_connection->unsent() == 0;
+    m_reusable = m_reusable && clean && m_peer_keeps && !m_reader.ends_with_connection();
+    m_idle_since = m_timers.now();
+    auto* observer = std::exchange(m_observer, nullptr);
+    if (!m_reusable) {
+        abandon();
+    }
+    observer->on_complete();
+}
+
+void exchange_connection::on_end(connection_end how)
+{
+    const auto keep = shared_from_this();
+    if (m_observer == nullptr) {
+        abandon();
+        return;
+    }
+    if (how == connection_end::closed && m_head_taken && !m_skipping) {
+        m_reader.feed_end();
+        if (m_reader.complete()) {
+            complete();
+            return;
+        }
+    }
+    fail(!m_connected                  ? exchange_failure::not_sent
+         : m_head_taken && !m_skipping ? exchange_failure::cut_short
+                                       : exchange_failure::unanswered);
+}
+
+void exchange_connection::fail(exchange_failure failure)
+{
+    const auto keep = shared_from_this();
+    auto* observer = std::exchange(m_observer, nullptr);
+    abandon();
+    if (observer != nullptr) {
+        observer->on_failure(failure);
+    }
+}
+
+} // namespace cicadaport::transport
--- /dev/null
+++ b/src/transport/tcp_connection.cpp
@@ -0,0 +1,222 @@
+#include "cicadaport/transport/tcp_connection.h"
+
+#include <boost/asio/write.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace cicadaport::transport {
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+namespace {
+
+// One read takes at most this many bytes; one buffer serves the whole loop.
+constexpr std::size_t read_bytes = 64 * 1024;
+// Consumed bytes are dropped from the front of the input beyond this.
+constexpr std::size_t compact_bytes = 16 * 1024;
+
+std::span<char> read_buffer()
+{
+    static thread_local std::vector<char> buffer(read_bytes);
+    return buffer;
+}
+
+void set_option(int descriptor, int level, int option, int value) noexcept
+{
+    // An option that the system does not take only makes a dead peer show later.
+    ::setsockopt(descriptor, level, option, &value, sizeof(value));
+}
+
+} // namespace
+
+tcp_connection::~tcp_connection()
+{
+    close();
+}
+
+void tcp_connection::connect(const http::address& to, socket_times times)
+{
+    error_code error;
+    const auto ip = asio::ip::make_address(to.ip, error);
+    if (!error) {
+        m_socket.open(tcp::v4(), error);
+    }
+    if (error) {
+        asio::post(m_socket.get_executor(),
+                   [self = shared_from_this()] { self->end(connection_end::failed); });
+        return;
+    }
+    set_options(times);
+    m_socket.async_connect(tcp::endpoint{ip, to.port},
+                           [self = shared_from_this()](error_code failure) {
+                               if (!self->m_socket.is_open()) {
+                                   return;
+                               }
+                               if (failure) {
+                                   self->end(connection_end::failed);
+                                   return;
+                               }
+                               self->m_connected = true;
+                               self->wait_for_input();
+                               if (self->m_observer != nullptr) {
+                                   self->m_observer->on_connected();
+                               }
+                               self->send_queued();
+                           });
+}
+
+void tcp_connection::start(socket_times times)
+{
+    set_options(times);
+    m_connected = true;
+    wait_for_input();
+}
+
+void tcp_connection::set_options(socket_times times) noexcept
+{
+    error_code ignored;
+    m_socket.non_blocking(true, ignored);
+    const auto descriptor = m_socket.native_handle();
+    const auto silence = static_cast<int>(times.peer_silence.count());
+    constexpr int probes = 2;
+    const int probe_seconds = std::max(1, silence / 1'000 / (probes + 1));
+    set_option(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, silence);
+    set_option(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, probe_seconds);
+    set_option(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, probe_seconds);
+    set_option(descriptor, IPPROTO_TCP, TCP_KEEPCNT, probes);
+}
+
+std::string_view tcp_connection::input() const noexcept
+{
+    return std::string_view{m_input}.substr(m_consumed);
+}
+
+void tcp_connection::consume(std::size_t count) noexcept
+{
+    m_consumed += count;
+    if (m_consumed == m_input.size()) {
+        m_input.clear();
+        m_consumed = 0;
+    }
+    else if (m_consumed > compact_bytes) {
+        m_input.erase(0, m_consumed);
+        m_consumed = 0;
+    }
+}
+
+void tcp_connection::resume_reading()
+{
+    m_paused = false;
+    wait_for_input();
+}
+
+void tcp_connection::wait_for_input()
+{
+    if (m_waiting || m_paused || !m_connected || !m_socket.is_open()) {
+        return;
+    }
+    m_waiting = true;
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+        self->m_waiting = false;
+        if (!error && !self->m_paused && self->m_socket.is_open()) {
+            self->read_input();
+        }
+    });
+}
+
+void tcp_connection::read_input()
+{
+    const auto buffer = read_buffer();
+    error_code error;
+    const auto count = m_socket.read_some(asio::buffer(buffer.data(), buffer.size()), error);
+    if (error == asio::error::would_block) {
+        wait_for_input();
+        return;
+    }
+    if (error) {
+        end(error == asio::error::eof ? connection_end::closed : connection_end::failed);
+        return;
+    }
+    m_input.append(buffer.data(), count);
+    if (m_observer != nullptr) {
+        m_observer->on_input();
+    }
+    wait_for_input();
+}
+
+void tcp_connection::end(connection_end how)
+{
+    if (m_observer != nullptr) {
+        m_observer->on_end(how);
+    }
+}
+
+void tcp_connection::write(std::string bytes)
+{
+    if (!m_socket.is_open() || m_write_failed) {
+        return;
+    }
+    if (m_queued.empty()) {
+        m_queued = std::move(bytes);
+    }
+    else {
+        m_queued += bytes;
+    }
+    send_queued();
+}
+
+void tcp_connection::send_queued()
+{
+    if (!m_connected || !m_sending.empty() || m_queued.empty() || !m_socket.is_open()) {
+        return;
+    }
+    m_sending = std::exchange(m_queued, {});
+    asio::async_write(m_socket, asio::buffer(m_sending),
+                      [self = shared_from_this()](error_code error, std::size_t) {
+                          self->m_sending.clear();
+                          if (!self->m_socket.is_open()) {
+                              return;
+                          }
+                          if (error) {
+                              // What the peer sent before is still to be read;
+                              // the reading side tells the end.
+                              self->m_write_failed = true;
+                              self->m_queued.clear();
+                              return;
+                          }
+                          if (!self->m_queued.empty()) {
+                              self->send_queued();
+                          }
+                          else if (self->m_observer != nullptr) {
+                              self->m_observer->on_written();
+                          }
+                      });
+}
+
+void tcp_connection::shut_sending() noexcept
+{
+    error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+void tcp_connection::close() noexcept
+{
+    m_observer = nullptr;
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
+void tcp_connection::abort() noexcept
+{
+    error_code ignored;
+    if (m_socket.is_open()) {
+        m_socket.set_option(asio::socket_base::linger{true, 0}, ignored);
+    }
+    close();
+}
+
+} // namespace cicadaport::transport
--- /dev/null
+++ b/src/transport/timer_queue.cpp
@@ -0,0 +1,84 @@
+#include "cicadaport/transport/timer_queue.h"
+
+namespace cicadaport::transport {
+
+// After a suspension of the host the timer, which stood still with the steady
+// clock, fires late by at most this much.
+constexpr std::chrono::milliseconds longest_wait{250};
+
+timer_queue::timer_queue(boost::asio::io_context& context) : m_timer{context} {}
+
+timer_queue::handle::handle(handle&& other) noexcept
+    : m_queue{std::exchange(other.m_queue, nullptr)}, m_id{other.m_id}
+{
+}
+
+timer_queue::handle& timer_queue::handle::operator=(handle&& other) noexcept
+{
+    if (this != &other) {
+        cancel();
+        m_queue = std::exchange(other.m_queue, nullptr);
+        m_id = other.m_id;
+    }
+    return *this;
+}
+
+void timer_queue::handle::cancel() noexcept
+{
+    if (m_queue != nullptr) {
+        std::exchange(m_queue, nullptr)->cancel(m_id);
+    }
+}
+
+timer_queue::handle timer_queue::call_at(time_point when, std::function<void()> action)
+{
+    const auto id = ++m_last_id;
+    m_by_id[id] = m_entries.emplace(when, entry{id, std::move(action)});
+    arm();
+    return handle{*this, id};
+}
+
+void timer_queue::cancel(std::uint64_t id) noexcept
+{
+    const auto found = m_by_id.find(id);
+    if (found != m_by_id.end()) {
+        m_entries.erase(found->second);
+        m_by_id.erase(found);
+    }
+}
+
+void timer_queue::arm()
+{
+    if (m_entries.empty()) {
+        return;
+    }
+    const auto at = now();
+    const auto first = std::max(m_entries.begin()->first, at + resolution);
+    const auto when = std::min(first, at + longest_wait);
+    if (m_armed_for && *m_armed_for <= when + resolution) {
+        return;
+    }
+    m_armed_for = when;
+    m_timer.expires_after(
+        std::chrono::duration_cast<std::chrono::steady_clock::duration>(when - at));
+    m_timer.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            fire();
+        }
+    });
+}
+
+void timer_queue::fire()
+{
+    m_armed_for.reset();
+    while (!m_entries.empty() && m_entries.begin()->first <= now()) {
+        const auto first = m_entries.begin();
+        const auto due = std::move(first->second);
+        m_by_id.erase(due.id);
+        m_entries.erase(first);
+        due.action();
+    }
+    arm();
+}
+
+} // namespace cicadaport::transport
--- a/test/authority/lease_keeper_test.cpp
+++ b/test/authority/lease_keeper_test.cpp
@@ -8,7 +8,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::uint64_t seed = 7;
-const boot_clock::time_point start{std::chrono::hours{1}};
+const base::boot_clock::time_point start{std::chrono::hours{1}};
 
 observed_lease lease_of(std::string holder, std::uint64_t renewed_offset)
 {
@@ -80,7 +80,7 @@
         holder.accepted(5, start);
         for (auto elapsed = 0ms; holder.is_held(start + elapsed); elapsed += 1ms) {
             const auto fast = elapsed * (1 + timing.clock_rate_bound);
-            const auto seen = start + std::chrono::duration_cast<boot_clock::duration>(fast);
+            const auto seen = start + std::chrono::duration_cast<base::boot_clock::duration>(fast);
             EXPECT_EQ(claimant.next(lease_of("a", 5), seen), lease_action::none);
         }
     }
