serving: decode engines that only answer, others that also read prompts of single events

A decode engine that reads a chunk in each step needs about 20 ms a step, nine steps an event. Ruled out: waiting for the first event (median far below the objective). Change: hosts divide decode engines by the same hash; prompts whose answers have several events are read by prefill engines; a beginning that another engine keeps counts twice.

--- a/include/cicadaport/serving/event_buffer.h
+++ b/include/cicadaport/serving/event_buffer.h
@@ -23,12 +23,16 @@
     // A new stream begins that goes on after `last_event()`.
     void restart() { m_held.clear(); }
 
+    // How many whole events were returned.
+    std::size_t count() const noexcept { return m_count; }
+
     // The id of the last event returned.
     const std::optional<std::string>& last_event() const noexcept { return m_last; }
 
 private:
     std::string m_held;
     std::optional<std::string> m_last;
+    std::size_t m_count = 0;
 };
 
 } // namespace cicadaport::serving
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -27,6 +27,22 @@
     std::uint64_t handed_over = 0;
 };
 
+// How many events the answers of a route have, as a moving average.
+class event_counts {
+public:
+    // Up to this, answers count as single events.
+    static constexpr double single = 1.3;
+
+    void learn(const std::string& route, std::size_t events);
+
+    // Returns whether answers of the route have several events; true before
+    // any was seen.
+    bool are_many(const std::string& route) const;
+
+private:
+    std::unordered_map<std::string, double> m_mean;
+};
+
 struct host_state {
     host_state(boost::asio::io_context& with_context, const wire_format& with_wire,
                std::string zone, attempt_budget::bounds budget_bounds);
@@ -42,6 +58,7 @@
     attempt_budget budget;
     engine_placement engines;
     replica_placement replicas;
+    event_counts events;
     std::mt19937_64 random;
     request_counts counts;
     work_listener* listener = nullptr;
--- a/include/cicadaport/serving/placement.h
+++ b/include/cicadaport/serving/placement.h
@@ -7,6 +7,11 @@
 // with the earliest predicted first token; so work spreads over both kinds of
 // engines in proportion to what is left of them.
 //
+// A decode engine that reads prompts makes the streams that run beside them
+// pause. So decode engines are divided, in the same way by every host: some
+// only answer, with prompts that others have read; the rest also read prompts,
+// but only of requests whose answer is a single event, which can't pause.
+//
 // Pure: times and randomness are passed in. Not thread safe.
 #pragma once
 
@@ -36,6 +41,11 @@
     fine_milliseconds hand_over{4};
     // Each message between availability zones takes this much longer, both ways.
     fine_milliseconds other_zone{2};
+    // Reading a beginning again that another engine keeps counts this many
+    // times: it also drives another beginning out.
+    double repeated_reading = 2;
+    // Part of the decode engines that only answer.
+    double answering_part = 1.0 / 3;
 };
 
 // What is asked for one prompt.
@@ -51,6 +61,8 @@
     const std::set<std::string>* excluded = nullptr;
     // Whether another engine may read the prompt.
     bool may_hand_over = true;
+    // Whether its answer has several events, so that pauses matter.
+    bool many_events = true;
 };
 
 // A way to serve a prompt.
@@ -76,6 +88,8 @@
     std::unordered_map<std::uint64_t, time_point> beginnings;
     // Observed over predicted time, as a moving average.
     double slowness = 1;
+    // Requests of this host that are being answered there.
+    std::uint32_t answering = 0;
 };
 
 class engine_placement {
@@ -111,12 +125,16 @@
         const endpoint* for_decode = nullptr;
     };
 
-    double kept_tokens(const prompt_question& question, const endpoint& engine,
-                       const preferences& preferred_engines);
+    // What reading a prompt costs one engine.
+    struct reading_cost {
+        fine_milliseconds time{0};
+        // What is read there though another engine keeps it.
+        fine_milliseconds repeated{0};
+    };
 
-    // Returns how long the engine needs for the prompt alone.
-    fine_milliseconds reading_time(const prompt_question& question, const endpoint& engine,
-                                   const preferences& preferred_engines);
+    reading_cost cost_of_reading(const prompt_question& question, const endpoint& engine,
+                                 const preferences& preferred_engines);
+    std::set<const endpoint*> answering_engines(const std::vector<endpoint_pointer>& engines) const;
 
     engine_costs m_costs;
     std::unordered_map<std::string, engine_state> m_engines;
--- a/src/serving/event_buffer.cpp
+++ b/src/serving/event_buffer.cpp
@@ -61,6 +61,7 @@
             m_last = std::string{*id};
         }
         out += event;
+        ++m_count;
     }
     m_held.erase(0, start);
     return out;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -144,6 +144,7 @@
     question.availability_zone = m_host.availability_zone;
     question.now = now;
     question.excluded = &m_excluded;
+    question.many_events = m_host.events.are_many(m_route->name);
     question.may_hand_over = !m_hand_over_tried && !m_events.last_event();
     m_plan = m_host.engines.choose(question, engines);
     if (m_plan.runner == nullptr) {
@@ -206,9 +207,8 @@
     m_patience = m_host.timers.call_at(m_host.timers.now() +
                                            std::chrono::duration_cast<clock::duration>(patience),
                                        [this] { out_of_patience(); });
-    if (!m_route->has_prompt) {
-        ++m_host.replicas.state(to->report.id).in_flight;
-    }
+    ++(m_route->has_prompt ? m_host.engines.state(to->report.id).answering
+                           : m_host.replicas.state(to->report.id).in_flight);
     send(step::running, to, terms);
 }
 
@@ -365,6 +365,7 @@
         ++m_host.counts.answered;
         if (m_route->streamed) {
             forward_events(true);
+            m_host.events.learn(m_route->name, m_events.count());
             if (m_caller != nullptr) {
                 m_caller->finish();
             }
@@ -548,8 +549,10 @@
 void exchange::leave_endpoint()
 {
     m_patience.cancel();
-    if (m_endpoint != nullptr && !m_route->has_prompt && m_step == step::running) {
-        auto& in_flight = m_host.replicas.state(m_endpoint->report.id).in_flight;
+    if (m_endpoint != nullptr && m_step == step::running) {
+        auto& in_flight = m_route->has_prompt
+                              ? m_host.engines.state(m_endpoint->report.id).answering
+                              : m_host.replicas.state(m_endpoint->report.id).in_flight;
         in_flight -= in_flight > 0 ? 1 : 0;
     }
     m_step = step::idle;
--- a/src/serving/host_state.cpp
+++ b/src/serving/host_state.cpp
@@ -19,6 +19,20 @@
 
 } // namespace
 
+void event_counts::learn(const std::string& route, std::size_t events)
+{
+    constexpr double new_part = 0.1;
+    const auto count = static_cast<double>(events);
+    const auto [found, added] = m_mean.emplace(route, count);
+    found->second += added ? 0 : new_part * (count - found->second);
+}
+
+bool event_counts::are_many(const std::string& route) const
+{
+    const auto found = m_mean.find(route);
+    return found == m_mean.end() || found->second > single;
+}
+
 host_state::host_state(boost::asio::io_context& with_context, const wire_format& with_wire,
                        std::string zone, attempt_budget::bounds budget_bounds)
     : context{with_context}, timers{with_context}, wire{with_wire}, availability_zone{std::move(
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -1,5 +1,7 @@
 #include "cicadaport/serving/placement.h"
 
+#include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace cicadaport::serving {
@@ -12,9 +14,6 @@
 constexpr double least_slowness = 0.7;
 constexpr double most_slowness = 8;
 constexpr double observation_part = 0.2;
-// How far a host trusts that an engine keeps a beginning which other hosts
-// would send there too.
-constexpr double preferred_engine_trust = 0.5;
 
 std::uint64_t mix(std::uint64_t value) noexcept
 {
@@ -57,44 +56,66 @@
 
 } // namespace
 
-double engine_placement::kept_tokens(const prompt_question& question, const endpoint& engine,
-                                     const preferences& preferred_engines)
+engine_placement::reading_cost
+engine_placement::cost_of_reading(const prompt_question& question, const endpoint& engine,
+                                  const preferences& preferred_engines)
 {
     const auto& keys = preferred_engines.keys;
-    const auto& known = m_engines[engine.report.id].beginnings;
+    const auto& known = m_engines[engine.report.id];
     double kept = 0;
     double rest = 0;
     bool certain = true;
     for (std::size_t index = 0; index < keys.size(); ++index) {
-        const auto found = known.find(keys[index]);
-        certain = certain && found != known.end() && question.now - found->second < kept_beginning;
+        const auto found = known.beginnings.find(keys[index]);
+        certain = certain && found != known.beginnings.end() &&
+                  question.now - found->second < kept_beginning;
         (certain ? kept : rest) += (*question.prompt)[index].tokens;
     }
     const bool is_preferred =
         &engine == preferred_engines.for_prefill || &engine == preferred_engines.for_decode;
-    return kept + (is_preferred ? preferred_engine_trust * rest : 0);
-}
-
-fine_milliseconds engine_placement::reading_time(const prompt_question& question,
-                                                 const endpoint& engine,
-                                                 const preferences& preferred_engines)
-{
-    const auto kept =
-        std::min(kept_tokens(question, engine, preferred_engines), question.prompt_tokens);
+    if (is_preferred) {
+        kept += std::exchange(rest, 0);
+    }
+    kept = std::min(kept, question.prompt_tokens);
     const auto read = question.prompt_tokens - kept;
     const auto pairs = read * (kept + read / 2);
-    auto time =
+    const auto time =
         read / m_costs.tokens_per_ms + pairs / pairs_in_million * m_costs.pair_ms_per_million;
-    if (engine.report.stage == engine_stage::decode) {
-        time /= m_costs.decode_engine_part;
+    const auto part =
+        engine.report.stage == engine_stage::decode ? m_costs.decode_engine_part : 1.0;
+    reading_cost out;
+    out.time = fine_milliseconds{time / part * known.slowness};
+    out.repeated = fine_milliseconds{m_costs.repeated_reading * rest / m_costs.tokens_per_ms};
+    return out;
+}
+
+std::set<const endpoint*>
+engine_placement::answering_engines(const std::vector<endpoint_pointer>& engines) const
+{
+    std::vector<std::pair<std::uint64_t, const endpoint*>> decoding;
+    for (const auto& each : engines) {
+        if (each->report.stage != engine_stage::prefill) {
+            decoding.emplace_back(mix(std::hash<std::string>{}(each->report.id)), each.get());
+        }
+    }
+    std::sort(decoding.begin(), decoding.end());
+    const auto part = std::ceil(m_costs.answering_part * static_cast<double>(decoding.size()));
+    // Two at least, so that one engine's loss does not end all streams.
+    const auto count = std::min(decoding.size(), std::max<std::size_t>(2, part));
+    std::set<const endpoint*> out;
+    for (std::size_t index = 0; index < count; ++index) {
+        out.insert(decoding[index].second);
     }
-    return fine_milliseconds{time * m_engines[engine.report.id].slowness};
+    return out;
 }
 
 prompt_plan engine_placement::choose(const prompt_question& question,
                                      const std::vector<endpoint_pointer>& engines)
 {
     constexpr fine_milliseconds never{std::numeric_limits<double>::max()};
+    constexpr fine_milliseconds last_resort{std::chrono::seconds{30}};
+    // Requests of other hosts run beside those of this one.
+    constexpr fine_milliseconds per_answer{0.5};
     const bool all_avoided = std::all_of(engines.begin(), engines.end(), [&](const auto& each) {
         return m_engines[each->report.id].health.is_avoided(question.now);
     });
@@ -105,62 +126,75 @@
         favoured.for_prefill = preferred(longest, engine_stage::prefill, engines);
         favoured.for_decode = preferred(longest, engine_stage::decode, engines);
     }
+    const auto answering = answering_engines(engines);
+    const auto bits = question.prompt_tokens * question.bytes_per_token * bits_per_byte;
+    const auto transfer = question.link_mbps > 0
+                              ? fine_milliseconds{bits / question.link_mbps / bits_per_ms_per_mbps}
+                              : fine_milliseconds{0};
+    const auto distance_to = [&](const endpoint& engine) {
+        return engine.report.availability_zone == question.availability_zone ? fine_milliseconds{0}
+                                                                             : m_costs.other_zone;
+    };
+    // An engine that fails is a last resort.
+    const auto distrust_of = [&](const engine_state& known) {
+        return known.health.is_avoided(question.now) && !all_avoided ? last_resort
+                                                                     : fine_milliseconds{0};
+    };
     prompt_plan alone;
     prompt_plan handed_over;
-    fine_milliseconds best_alone = never;
-    fine_milliseconds best_reader = never;
-    fine_milliseconds best_runner = never;
-    endpoint_pointer runner;
+    auto best_alone = never;
+    auto best_reader = never;
     for (const auto& each : engines) {
-        auto& known = m_engines[each->report.id];
         if (question.excluded->contains(each->report.id)) {
             continue;
         }
-        const auto distance = each->report.availability_zone == question.availability_zone
-                                  ? fine_milliseconds{0}
-                                  : m_costs.other_zone;
-        // An engine that fails is a last resort.
-        const auto distrust = known.health.is_avoided(question.now) && !all_avoided
-                                  ? fine_milliseconds{std::chrono::seconds{30}}
-                                  : fine_milliseconds{0};
+        auto& known = m_engines[each->report.id];
         const auto wait = known.queue.wait(question.urgency, question.now) * known.slowness;
-        const auto reading = reading_time(question, *each, favoured);
-        const auto done = wait + reading + distance + distrust;
-        if (each->report.stage == engine_stage::prefill) {
-            if (done < best_reader) {
-                best_reader = done;
-                handed_over.reader = each;
-                handed_over.reading = reading;
-                handed_over.read_after = wait + reading;
-            }
+        const auto reading = cost_of_reading(question, *each, favoured);
+        const auto read_after = wait + reading.time;
+        auto cost = read_after + reading.repeated + distance_to(*each) + distrust_of(known);
+        const bool is_reader = each->report.stage == engine_stage::prefill;
+        if (!is_reader && (question.many_events || answering.contains(each.get()))) {
+            // Its streams, or this one, would pause.
+            cost += last_resort / 2;
+        }
+        if (cost < (is_reader ? best_reader : best_alone)) {
+            auto& plan = is_reader ? handed_over : alone;
+            (is_reader ? best_reader : best_alone) = cost;
+            (is_reader ? plan.reader : plan.runner) = each;
+            plan.reading = reading.time;
+            plan.read_after = read_after;
+            plan.first_event = read_after + distance_to(*each) + m_costs.first_event;
+        }
+    }
+    if (!question.may_hand_over || !handed_over.reader) {
+        return alone;
+    }
+    auto best_runner = never;
+    for (const auto& each : engines) {
+        if (each->report.stage == engine_stage::prefill ||
+            question.excluded->contains(each->report.id)) {
             continue;
         }
-        if (done < best_alone) {
-            best_alone = done;
-            alone.runner = each;
-            alone.reading = reading;
-            alone.read_after = wait + reading;
+        const auto& known = m_engines[each->report.id];
+        auto cost = known.answering * per_answer + distance_to(*each) + distrust_of(known);
+        cost += each->report.availability_zone == handed_over.reader->report.availability_zone
+                    ? transfer
+                    : 2 * transfer;
+        if (!answering.contains(each.get())) {
+            cost += last_resort / 2;
         }
-        // What waits there delays a prompt that is handed over only where no
-        // chunk of it comes first.
-        const auto reached = wait / 4 + distance + distrust;
-        if (reached < best_runner) {
-            best_runner = reached;
-            runner = each;
+        if (cost < best_runner) {
+            best_runner = cost;
+            handed_over.runner = each;
         }
     }
-    alone.first_event = best_alone + m_costs.first_event;
-    if (!question.may_hand_over || !handed_over.reader || !runner) {
+    if (!handed_over.runner) {
         return alone;
     }
-    handed_over.runner = runner;
-    const auto bits = question.prompt_tokens * question.bytes_per_token * bits_per_byte;
-    const auto transfer = question.link_mbps > 0
-                              ? fine_milliseconds{bits / question.link_mbps / bits_per_ms_per_mbps}
-                              : fine_milliseconds{0};
-    handed_over.first_event =
-        best_reader + transfer + m_costs.hand_over + best_runner + m_costs.first_event;
-    return handed_over.first_event < alone.first_event ? handed_over : alone;
+    handed_over.first_event += transfer + m_costs.hand_over;
+    const auto cost_apart = best_reader + best_runner + m_costs.hand_over;
+    return alone.runner == nullptr || cost_apart < best_alone ? handed_over : alone;
 }
 
 void engine_placement::note_prompt(const std::string& engine,
