serving: hosts tell each other what they give to engines; three of five decode engines answer

Ruled out: prompt memory (a third used), transfers. Change: datagrams with begun and ended work, six tenths of the decode engines answer, more if their slots fill.

--- a/cmake/cicadaport.cmake
+++ b/cmake/cicadaport.cmake
@@ -25,6 +25,13 @@
   -Wno-maybe-uninitialized)
 target_compile_options(cicadaport_pch PRIVATE ${cicadaport_warnings})
 
+# The messages between hosts alone, without those of the other processes.
+function(cicadaport_news)
+  add_library(protocol STATIC ${CMAKE_SOURCE_DIR}/protocol/generated/news.pb.cc)
+  target_include_directories(protocol SYSTEM PUBLIC ${CMAKE_SOURCE_DIR}/protocol/generated)
+  target_link_libraries(protocol PUBLIC protobuf::libprotobuf-lite)
+endfunction()
+
 function(cicadaport_protocol)
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/protocol/generated/*.pb.cc)
   add_library(protocol STATIC ${sources})
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -47,7 +47,7 @@
     void send_prompt(const prompt_plan& plan);
 
     void prompt_answered();
-    void prompt_failed(bool rejected);
+    void prompt_failed();
     void run_answered();
     void run_rejected();
     void run_unanswered();
@@ -59,8 +59,8 @@
     void forward_events(bool at_end);
     void leave_endpoint();
     void drop_prompt();
-    void count_work(const std::string& engine, std::uint32_t urgency, fine_milliseconds work);
-    void end_work();
+    void begin_reading(const endpoint& engine);
+    void end_reading();
 
     void refuse(milliseconds pause, std::string_view reason);
     void fail(unsigned status, std::string_view reason);
@@ -98,8 +98,9 @@
 
     prompt_plan m_plan;
     std::optional<read_prompt> m_prompt;
-    std::string m_working_engine;
-    engine_queue::work_id m_work = 0;
+    // Numbers of work that was counted; 0 if there is none.
+    std::uint64_t m_reading = 0;
+    std::uint64_t m_answering = 0;
 
     std::optional<transport::message_head> m_answer;
     answer_terms m_answer_terms;
--- a/include/cicadaport/serving/host_process.h
+++ b/include/cicadaport/serving/host_process.h
@@ -7,6 +7,7 @@
 
 #include "cicadaport/serving/caller_connection.h"
 #include "cicadaport/serving/feed_follower.h"
+#include "cicadaport/serving/peer_news.h"
 
 #include <memory>
 
@@ -19,6 +20,7 @@
     http::address caller_address;
     http::address readiness_address;
     http::address store_address;
+    peer_settings peers;
     // How long a planned stop may take.
     milliseconds grace_time{8'000};
     // Attempts beyond the first of all hosts together, as a part of requests.
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -7,13 +7,14 @@
 
 namespace cicadaport::serving {
 
-// Told to the other hosts, so that they count the work too.
-class work_listener {
+// Tells the other hosts what this one gives to engines.
+class news_writer {
 public:
-    virtual ~work_listener() = default;
-    virtual void work_added(const std::string& engine, engine_queue::work_id id,
-                            std::uint32_t urgency, fine_milliseconds work) = 0;
-    virtual void work_ended(const std::string& engine, engine_queue::work_id id) = 0;
+    virtual ~news_writer() = default;
+    virtual void work_begun(std::uint64_t id, const engine_work& work) = 0;
+    virtual void work_ended(std::uint64_t id) = 0;
+    // The engine takes no work for a time.
+    virtual void engine_paused(std::uint32_t engine, milliseconds time) = 0;
 };
 
 // How requests ended, for logs and metrics.
@@ -47,6 +48,11 @@
     host_state(boost::asio::io_context& with_context, const wire_format& with_wire,
                std::string zone, attempt_budget::bounds budget_bounds);
 
+    // Counts work given to an engine, here and at the other hosts, until
+    // `end_work()` with the number returned.
+    std::uint64_t begin_work(const engine_work& work);
+    void end_work(std::uint64_t id);
+
     boost::asio::io_context& context;
     transport::timer_queue timers;
     const wire_format& wire;
@@ -56,13 +62,15 @@
     deployment_pointer deployed;
     endpoint_table endpoints;
     attempt_budget budget;
+    fleet_work fleet;
     engine_placement engines;
     replica_placement replicas;
     event_counts events;
     std::mt19937_64 random;
     request_counts counts;
-    work_listener* listener = nullptr;
-    engine_queue::work_id last_work = 0;
+    // Null while this host tells nobody.
+    news_writer* news = nullptr;
+    std::uint64_t last_work = 0;
     // Whether the process has been told to stop.
     bool is_stopping = false;
 };
--- /dev/null
+++ b/include/cicadaport/serving/peer_news.h
@@ -0,0 +1,81 @@
+// Tells the other hosts in datagrams what work this host gives to engines, and
+// takes what they tell.
+//
+// The load that this answers: hosts that each see a sixth of the traffic and
+// choose engines by it would all send to the same one. Datagrams take half a
+// millisecond, reports of engines hundreds. Nothing that must be right rests
+// on them: a host that hears nobody serves with what it knows itself.
+//
+// Belongs to the event loop.
+#pragma once
+
+#include "cicadaport/serving/host_state.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+namespace cicadaport::protocol {
+class host_news;
+}
+
+namespace cicadaport::serving {
+
+struct peer_settings {
+    // Where this host hears the others; all use the same port.
+    http::address own;
+    // Hosts to speak to first. They may be gone.
+    std::vector<std::string> first_ips;
+};
+
+class peer_news final : public news_writer {
+public:
+    // Work is told this much later at most, so that several pieces share a
+    // datagram.
+    static constexpr milliseconds gathering_time{8};
+    static constexpr milliseconds greeting_interval{1'000};
+    // A host that is silent for so long has ended or is cut off.
+    static constexpr milliseconds silence{3'500};
+    // Hosts that are told of each piece of work. More would cost each host
+    // more than it gains.
+    static constexpr std::size_t most_told = 24;
+
+    peer_news(host_state& host, peer_settings settings);
+    ~peer_news() override;
+
+    void start();
+
+    // Returns how many other hosts have been heard of late.
+    std::size_t heard() const noexcept { return m_peers.size(); }
+
+    void work_begun(std::uint64_t id, const engine_work& work) override;
+    void work_ended(std::uint64_t id) override;
+    void engine_paused(std::uint32_t engine, milliseconds time) override;
+
+private:
+    using udp_address = boost::asio::ip::udp::endpoint;
+    struct peer {
+        host_number number = 0;
+        time_point heard{};
+    };
+
+    void gather();
+    void flush();
+    void greet();
+    void receive();
+    void take(const udp_address& from, std::string_view datagram);
+    void send(const protocol::host_news& news, const udp_address& to);
+
+    host_state& m_host;
+    peer_settings m_settings;
+    boost::asio::ip::udp::socket m_socket;
+    host_number m_own_number;
+    std::unique_ptr<protocol::host_news> m_gathered;
+    transport::timer_queue::handle m_flush;
+    transport::timer_queue::handle m_greeting;
+    std::map<udp_address, peer> m_peers;
+    // Told of by others, not heard yet.
+    std::map<udp_address, time_point> m_hearsay;
+    std::string m_buffer;
+    udp_address m_sender;
+};
+
+} // namespace cicadaport::serving
--- a/include/cicadaport/serving/placement.h
+++ b/include/cicadaport/serving/placement.h
@@ -17,7 +17,7 @@
 
 #include "cicadaport/serving/deployment.h"
 #include "cicadaport/serving/endpoint_health.h"
-#include "cicadaport/serving/engine_queue.h"
+#include "cicadaport/serving/fleet_work.h"
 #include "cicadaport/serving/wire.h"
 
 #include <random>
@@ -44,8 +44,10 @@
     // Reading a beginning again that another engine keeps counts this many
     // times: it also drives another beginning out.
     double repeated_reading = 2;
-    // Part of the decode engines that only answer.
-    double answering_part = 1.0 / 3;
+    // Part of the decode engines that only answer, at least.
+    double answering_part = 0.6;
+    // Part of their slots that answers may fill before more engines answer.
+    double answering_fill = 0.7;
 };
 
 // What is asked for one prompt.
@@ -74,6 +76,8 @@
     // be done with it, from now.
     fine_milliseconds reading{0};
     fine_milliseconds read_after{0};
+    // What an engine that does nothing but read would need.
+    fine_milliseconds nominal_reading{0};
     // From now to the first event.
     fine_milliseconds first_event{0};
     // Of the request at the engines.
@@ -82,14 +86,11 @@
 
 // What this host knows of one engine.
 struct engine_state {
-    engine_queue queue;
     endpoint_health health;
     // Prompts' beginnings that were sent there, and when last.
     std::unordered_map<std::uint64_t, time_point> beginnings;
     // Observed over predicted time, as a moving average.
     double slowness = 1;
-    // Requests of this host that are being answered there.
-    std::uint32_t answering = 0;
 };
 
 class engine_placement {
@@ -98,7 +99,18 @@
     static constexpr std::chrono::seconds kept_beginning{20};
     static constexpr std::size_t most_beginnings = 4'096;
 
-    explicit engine_placement(engine_costs costs = {}) : m_costs{costs} {}
+    // `work` must outlive the placement.
+    explicit engine_placement(fleet_work& work, engine_costs costs = {})
+        : m_work{work}, m_costs{costs}
+    {
+    }
+
+    // The decode engines that only answer, the same for all hosts that hear of
+    // the same work.
+    std::set<const endpoint*> answering_engines(const std::vector<endpoint_pointer>& engines) const;
+
+    // Whether an engine changes its stage and takes no work.
+    bool is_paused(const endpoint& engine, time_point now) const;
 
     // Returns the way with the earliest first event; without a runner if there
     // is no engine to use.
@@ -113,6 +125,9 @@
     void note_time(const std::string& engine, fine_milliseconds predicted,
                    fine_milliseconds observed);
 
+    // The engine takes no work until then: it changes its stage.
+    void pause(std::uint32_t engine, time_point until) { m_paused[engine] = until; }
+
     engine_state& state(const std::string& engine) { return m_engines[engine]; }
     void forget(const std::string& engine) { m_engines.erase(engine); }
 
@@ -128,16 +143,18 @@
     // What reading a prompt costs one engine.
     struct reading_cost {
         fine_milliseconds time{0};
+        fine_milliseconds nominal{0};
         // What is read there though another engine keeps it.
         fine_milliseconds repeated{0};
     };
 
     reading_cost cost_of_reading(const prompt_question& question, const endpoint& engine,
                                  const preferences& preferred_engines);
-    std::set<const endpoint*> answering_engines(const std::vector<endpoint_pointer>& engines) const;
 
+    fleet_work& m_work;
     engine_costs m_costs;
     std::unordered_map<std::string, engine_state> m_engines;
+    std::unordered_map<std::uint32_t, time_point> m_paused;
 };
 
 // What this host knows of one replica of a plain service.
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -170,7 +170,7 @@
     }
     else {
         m_host.engines.note_prompt(m_plan.runner->report.id, m_terms.prompt, now);
-        count_work(m_plan.runner->report.id, m_plan.urgency, m_plan.reading);
+        begin_reading(*m_plan.runner);
         send_run(m_plan.runner, std::nullopt);
     }
 }
@@ -180,7 +180,7 @@
     m_hand_over_tried = true;
     ++m_host.counts.handed_over;
     m_host.engines.note_prompt(plan.reader->report.id, m_terms.prompt, m_host.timers.now());
-    count_work(plan.reader->report.id, plan.urgency, plan.reading);
+    begin_reading(*plan.reader);
     run_terms terms;
     terms.only_read_prompt = true;
     terms.urgency = plan.urgency;
@@ -207,8 +207,14 @@
     m_patience = m_host.timers.call_at(m_host.timers.now() +
                                            std::chrono::duration_cast<clock::duration>(patience),
                                        [this] { out_of_patience(); });
-    ++(m_route->has_prompt ? m_host.engines.state(to->report.id).answering
-                           : m_host.replicas.state(to->report.id).in_flight);
+    if (m_route->has_prompt) {
+        engine_work work;
+        work.engine = engine_number(to->report.id);
+        m_answering = m_host.begin_work(work);
+    }
+    else {
+        ++m_host.replicas.state(to->report.id).in_flight;
+    }
     send(step::running, to, terms);
 }
 
@@ -272,7 +278,7 @@
         m_begun = true;
         m_patience.cancel();
         if (m_route->has_prompt) {
-            end_work();
+            end_reading();
             const fine_milliseconds observed = m_host.timers.now() - m_sent;
             if (!m_prompt) {
                 m_host.engines.note_time(m_endpoint->report.id, m_plan.read_after, observed);
@@ -303,14 +309,14 @@
 void exchange::prompt_answered()
 {
     const fine_milliseconds observed = m_host.timers.now() - m_sent;
-    end_work();
+    end_reading();
     if (!is_success(m_answer->status)) {
-        prompt_failed(m_answer_terms.states_not_run || m_answer->status == status_misdirected);
+        prompt_failed();
         return;
     }
     auto handle = m_host.wire.read_prompt_handle(m_answer_body);
     if (!handle) {
-        prompt_failed(false);
+        prompt_failed();
         return;
     }
     auto& state = m_host.engines.state(m_endpoint->report.id);
@@ -325,21 +331,17 @@
     send_run(m_plan.runner, m_prompt);
 }
 
-void exchange::prompt_failed(bool rejected)
+void exchange::prompt_failed()
 {
-    end_work();
+    end_reading();
     m_host.engines.state(m_endpoint->report.id).health.failed(m_host.timers.now());
     m_excluded.insert(m_endpoint->report.id);
-    if (rejected) {
-        // A refused reading counts as an attempt.
-        ++m_attempts;
-        m_host.budget.count_attempt(m_service, m_host.timers.now());
-        if (m_attempts >= m_route->most_attempts) {
-            refuse(pause_when_full, "the engine took no prompt");
-            return;
-        }
+    // Only a reading that an engine accepted is free. The request itself has
+    // not been sent for running.
+    ++m_attempts;
+    if (!try_again()) {
+        refuse(pause_when_full, "the engine read no prompt");
     }
-    place();
 }
 
 void exchange::run_answered()
@@ -400,7 +402,7 @@
 void exchange::run_rejected()
 {
     m_unsettled = false;
-    end_work();
+    end_reading();
     m_excluded.insert(m_endpoint->report.id);
     const bool lost_prompt = m_prompt.has_value();
     if (lost_prompt) {
@@ -422,7 +424,7 @@
 
 void exchange::run_unanswered()
 {
-    end_work();
+    end_reading();
     drop_prompt();
     m_excluded.insert(m_endpoint->report.id);
     const bool may_repeat = m_route->repeats == repeat_rule::any || m_route->resumable;
@@ -453,7 +455,7 @@
                                        : m_host.replicas.state(m_endpoint->report.id).health;
     if (failure == exchange_failure::not_sent) {
         health.unreachable(now);
-        end_work();
+        end_reading();
         m_excluded.insert(m_endpoint->report.id);
         if (m_step == step::running) {
             --m_attempts;
@@ -473,7 +475,7 @@
     }
     health.failed(now);
     if (m_step == step::reading_prompt) {
-        prompt_failed(false);
+        prompt_failed();
     }
     else {
         run_unanswered();
@@ -486,11 +488,17 @@
                                        : m_host.replicas.state(m_endpoint->report.id).health;
     health.failed(m_host.timers.now());
     if (m_step == step::reading_prompt) {
-        const auto failed = m_endpoint->report.id;
-        leave_endpoint();
-        end_work();
-        m_excluded.insert(failed);
-        place();
+        // To leave an engine that has not begun would use up an attempt.
+        const auto slow = m_endpoint->report.id;
+        if (m_attempts + 1 < m_route->most_attempts &&
+            m_host.budget.take(m_service, m_host.timers.now())) {
+            ++m_host.counts.further_attempts;
+            ++m_attempts;
+            leave_endpoint();
+            end_reading();
+            m_excluded.insert(slow);
+            place();
+        }
         return;
     }
     const bool may_repeat = m_route->repeats == repeat_rule::any || m_route->resumable;
@@ -501,7 +509,7 @@
             m_host.budget.take(m_service, m_host.timers.now())) {
             ++m_host.counts.further_attempts;
             leave_endpoint();
-            end_work();
+            end_reading();
             drop_prompt();
             place();
         }
@@ -549,10 +557,11 @@
 void exchange::leave_endpoint()
 {
     m_patience.cancel();
-    if (m_endpoint != nullptr && m_step == step::running) {
-        auto& in_flight = m_route->has_prompt
-                              ? m_host.engines.state(m_endpoint->report.id).answering
-                              : m_host.replicas.state(m_endpoint->report.id).in_flight;
+    if (m_answering != 0) {
+        m_host.end_work(std::exchange(m_answering, 0));
+    }
+    if (m_endpoint != nullptr && !m_route->has_prompt && m_step == step::running) {
+        auto& in_flight = m_host.replicas.state(m_endpoint->report.id).in_flight;
         in_flight -= in_flight > 0 ? 1 : 0;
     }
     m_step = step::idle;
@@ -569,26 +578,21 @@
     release_prompt(m_host, *std::exchange(m_prompt, std::nullopt));
 }
 
-void exchange::count_work(const std::string& engine, std::uint32_t urgency, fine_milliseconds work)
+void exchange::begin_reading(const endpoint& engine)
 {
-    m_working_engine = engine;
-    m_work = ++m_host.last_work;
-    m_host.engines.state(engine).queue.add(m_work, urgency, work, m_host.timers.now());
-    if (m_host.listener != nullptr) {
-        m_host.listener->work_added(engine, m_work, urgency, work);
-    }
+    engine_work work;
+    work.engine = engine_number(engine.report.id);
+    work.urgency = m_plan.urgency;
+    work.reading = m_plan.reading;
+    work.nominal_reading = m_plan.nominal_reading;
+    m_reading = m_host.begin_work(work);
 }
 
-void exchange::end_work()
+void exchange::end_reading()
 {
-    if (m_work == 0) {
-        return;
-    }
-    m_host.engines.state(m_working_engine).queue.remove(m_work, m_host.timers.now());
-    if (m_host.listener != nullptr) {
-        m_host.listener->work_ended(m_working_engine, m_work);
+    if (m_reading != 0) {
+        m_host.end_work(std::exchange(m_reading, 0));
     }
-    m_work = 0;
 }
 
 void exchange::refuse(milliseconds pause, std::string_view reason)
@@ -638,7 +642,7 @@
     m_deadline_timer.cancel();
     if (m_route != nullptr) {
         leave_endpoint();
-        end_work();
+        end_reading();
         drop_prompt();
     }
 }
--- /dev/null
+++ b/src/serving/fleet_work.cpp
@@ -0,0 +1,120 @@
+#include "cicadaport/serving/fleet_work.h"
+
+#include <xxhash.h>
+
+#include <cmath>
+
+namespace cicadaport::serving {
+namespace {
+
+using fine_seconds = std::chrono::duration<double>;
+
+double faded(double value, time_point since, time_point now)
+{
+    const fine_seconds passed = now - since;
+    const fine_seconds time = fleet_work::demand_time;
+    return value * std::exp(-std::max(passed / time, 0.0));
+}
+
+} // namespace
+
+std::uint32_t engine_number(const std::string& id)
+{
+    return XXH32(id.data(), id.size(), 0);
+}
+
+engine_queue::work_id fleet_work::item_id(host_number host, std::uint64_t id) noexcept
+{
+    // Hosts number their work from 1; their own numbers are random.
+    constexpr unsigned work_bits = 40;
+    return (host << work_bits) ^ id;
+}
+
+void fleet_work::begin(host_number host, std::uint64_t id, const engine_work& work, time_point now)
+{
+    const bool reads = work.reading > fine_milliseconds{0};
+    auto& items = m_hosts[host];
+    if (!items.emplace(id, item{work.engine, reads, now + longest_answer}).second) {
+        return;
+    }
+    auto& engine = m_engines[work.engine];
+    if (!reads) {
+        ++engine.answering;
+        ++m_answering;
+        return;
+    }
+    engine.queue.add(item_id(host, id), work.urgency, work.reading, now);
+    m_demand =
+        faded(m_demand, m_demand_at, now) + work.nominal_reading / fine_milliseconds{demand_time};
+    m_demand_at = now;
+}
+
+void fleet_work::end(host_number host, std::uint64_t id, time_point now)
+{
+    const auto known = m_hosts.find(host);
+    if (known == m_hosts.end()) {
+        return;
+    }
+    const auto found = known->second.find(id);
+    if (found != known->second.end()) {
+        take_out(host, id, found->second, now);
+        known->second.erase(found);
+    }
+}
+
+void fleet_work::take_out(host_number host, std::uint64_t id, const item& which, time_point now)
+{
+    auto& engine = m_engines[which.engine];
+    if (which.reads) {
+        engine.queue.remove(item_id(host, id), now);
+    }
+    else {
+        --engine.answering;
+        --m_answering;
+    }
+}
+
+void fleet_work::forget(host_number host, time_point now)
+{
+    const auto known = m_hosts.find(host);
+    if (known == m_hosts.end()) {
+        return;
+    }
+    for (const auto& [id, each] : known->second) {
+        take_out(host, id, each, now);
+    }
+    m_hosts.erase(known);
+}
+
+void fleet_work::forget_old(time_point now)
+{
+    for (auto& [host, items] : m_hosts) {
+        for (auto each = items.begin(); each != items.end();) {
+            if (each->second.expires < now) {
+                take_out(host, each->first, each->second, now);
+                each = items.erase(each);
+            }
+            else {
+                ++each;
+            }
+        }
+    }
+}
+
+fine_milliseconds fleet_work::wait(std::uint32_t engine, std::uint32_t urgency, time_point now)
+{
+    return m_engines[engine].queue.wait(urgency, now);
+}
+
+std::size_t fleet_work::answering(std::uint32_t engine) const
+{
+    const auto found = m_engines.find(engine);
+    return found == m_engines.end() ? 0 : found->second.answering;
+}
+
+double fleet_work::reading_demand(time_point now) const
+{
+    return faded(m_demand, m_demand_at, now);
+}
+
+} // namespace cicadaport::serving
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -143,7 +143,7 @@
                           configuration_pace, configuration_callbacks()},
           m_endpoints{m_state, m_settings.store_address, feed::endpoints, endpoints_pace,
                       endpoint_callbacks()},
-          m_signals{m_context}
+          m_news{m_state, m_settings.peers}, m_signals{m_context}
     {
         std::signal(SIGPIPE, SIG_IGN);
         m_signals.add(SIGTERM);
@@ -170,6 +170,7 @@
             });
         m_configuration.start();
         m_endpoints.start();
+        m_news.start();
         keep_house();
         spdlog::info("host_started name={} zone={}", m_settings.name, m_settings.availability_zone);
         m_context.run();
@@ -247,6 +248,7 @@
     void keep_house()
     {
         m_state.connections.trim();
+        m_state.fleet.forget_old(m_state.timers.now());
         m_housekeeping = m_state.timers.call_at(m_state.timers.now() + housekeeping_interval,
                                                 [this] { keep_house(); });
     }
@@ -292,6 +294,7 @@
     caller_set m_connections;
     feed_follower m_configuration;
     feed_follower m_endpoints;
+    peer_news m_news;
     asio::signal_set m_signals;
     std::optional<listener> m_readiness;
     std::optional<listener> m_callers;
--- a/src/serving/host_state.cpp
+++ b/src/serving/host_state.cpp
@@ -38,8 +38,26 @@
     : context{with_context}, timers{with_context}, wire{with_wire}, availability_zone{std::move(
                                                                         zone)},
       connections{with_context, timers, transport::message_limits{}, endpoint_times()},
-      budget{budget_bounds}, random{std::random_device{}()}
+      budget{budget_bounds}, engines{fleet}, random{std::random_device{}()}
 {
 }
 
+std::uint64_t host_state::begin_work(const engine_work& work)
+{
+    const auto id = ++last_work;
+    fleet.begin(0, id, work, timers.now());
+    if (news != nullptr) {
+        news->work_begun(id, work);
+    }
+    return id;
+}
+
+void host_state::end_work(std::uint64_t id)
+{
+    fleet.end(0, id, timers.now());
+    if (news != nullptr) {
+        news->work_ended(id);
+    }
+}
+
 } // namespace cicadaport::serving
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -84,6 +84,7 @@
     const auto part =
         engine.report.stage == engine_stage::decode ? m_costs.decode_engine_part : 1.0;
     reading_cost out;
+    out.nominal = fine_milliseconds{time};
     out.time = fine_milliseconds{time / part * known.slowness};
     out.repeated = fine_milliseconds{m_costs.repeated_reading * rest / m_costs.tokens_per_ms};
     return out;
@@ -99,9 +100,15 @@
         }
     }
     std::sort(decoding.begin(), decoding.end());
-    const auto part = std::ceil(m_costs.answering_part * static_cast<double>(decoding.size()));
+    double slots = 1;
+    for (const auto& [weight, each] : decoding) {
+        slots = std::max<double>(slots, each->report.slots);
+    }
+    const auto needed = static_cast<double>(m_work.answering()) / (slots * m_costs.answering_fill);
+    const auto part = m_costs.answering_part * static_cast<double>(decoding.size());
     // Two at least, so that one engine's loss does not end all streams.
-    const auto count = std::min(decoding.size(), std::max<std::size_t>(2, part));
+    const auto count = std::min(decoding.size(),
+                                static_cast<std::size_t>(std::ceil(std::max({2.0, needed, part}))));
     std::set<const endpoint*> out;
     for (std::size_t index = 0; index < count; ++index) {
         out.insert(decoding[index].second);
@@ -114,7 +121,7 @@
 {
     constexpr fine_milliseconds never{std::numeric_limits<double>::max()};
     constexpr fine_milliseconds last_resort{std::chrono::seconds{30}};
-    // Requests of other hosts run beside those of this one.
+    // Each answer makes the steps of the others a little longer.
     constexpr fine_milliseconds per_answer{0.5};
     const bool all_avoided = std::all_of(engines.begin(), engines.end(), [&](const auto& each) {
         return m_engines[each->report.id].health.is_avoided(question.now);
@@ -136,9 +143,10 @@
                                                                              : m_costs.other_zone;
     };
     // An engine that fails is a last resort.
-    const auto distrust_of = [&](const engine_state& known) {
-        return known.health.is_avoided(question.now) && !all_avoided ? last_resort
-                                                                     : fine_milliseconds{0};
+    const auto distrust_of = [&](const endpoint& engine, const engine_state& known) {
+        const bool avoided = (known.health.is_avoided(question.now) && !all_avoided) ||
+                             is_paused(engine, question.now);
+        return avoided ? last_resort : fine_milliseconds{0};
     };
     prompt_plan alone;
     prompt_plan handed_over;
@@ -149,10 +157,11 @@
             continue;
         }
         auto& known = m_engines[each->report.id];
-        const auto wait = known.queue.wait(question.urgency, question.now) * known.slowness;
+        const auto number = engine_number(each->report.id);
+        const auto wait = m_work.wait(number, question.urgency, question.now);
         const auto reading = cost_of_reading(question, *each, favoured);
         const auto read_after = wait + reading.time;
-        auto cost = read_after + reading.repeated + distance_to(*each) + distrust_of(known);
+        auto cost = read_after + reading.repeated + distance_to(*each) + distrust_of(*each, known);
         const bool is_reader = each->report.stage == engine_stage::prefill;
         if (!is_reader && (question.many_events || answering.contains(each.get()))) {
             // Its streams, or this one, would pause.
@@ -163,6 +172,7 @@
             (is_reader ? best_reader : best_alone) = cost;
             (is_reader ? plan.reader : plan.runner) = each;
             plan.reading = reading.time;
+            plan.nominal_reading = reading.nominal;
             plan.read_after = read_after;
             plan.first_event = read_after + distance_to(*each) + m_costs.first_event;
         }
@@ -177,7 +187,12 @@
             continue;
         }
         const auto& known = m_engines[each->report.id];
-        auto cost = known.answering * per_answer + distance_to(*each) + distrust_of(known);
+        const auto answers = m_work.answering(engine_number(each->report.id));
+        auto cost = static_cast<double>(answers) * per_answer + distance_to(*each) +
+                    distrust_of(*each, known);
+        if (answers >= each->report.slots) {
+            cost += last_resort / 4;
+        }
         cost += each->report.availability_zone == handed_over.reader->report.availability_zone
                     ? transfer
                     : 2 * transfer;
@@ -197,6 +212,12 @@
     return alone.runner == nullptr || cost_apart < best_alone ? handed_over : alone;
 }
 
+bool engine_placement::is_paused(const endpoint& engine, time_point now) const
+{
+    const auto found = m_paused.find(engine_number(engine.report.id));
+    return found != m_paused.end() && now < found->second;
+}
+
 void engine_placement::note_prompt(const std::string& engine,
                                    const std::vector<prompt_part>& prompt, time_point now)
 {
--- a/test/shared_log/proposer_test.cpp
+++ b/test/shared_log/proposer_test.cpp
@@ -1,6 +1,6 @@
 #include "cicadaport/shared_log/proposer.h"
 
-#include "platform/log_fixture.h"
+#include "shared_log/log_fixture.h"
 
 #include <state.pb.h>
 
--- a/test/shared_log/tailer_test.cpp
+++ b/test/shared_log/tailer_test.cpp
@@ -1,7 +1,7 @@
 #include "cicadaport/shared_log/tailer.h"
 
 #include "cicadaport/shared_log/snapshotter.h"
-#include "platform/log_fixture.h"
+#include "shared_log/log_fixture.h"
 
 #include <state.pb.h>
 
