serving: stage orders by rent-or-buy, announced in the store before they are sent

Conclusion: decode engines that also read follow swings at once; orders only for what lasts. The share of answering engines follows the answers that run.

--- a/include/cicadaport/serving/deployment.h
+++ b/include/cicadaport/serving/deployment.h
@@ -90,6 +90,8 @@
     // Returns the service of this name, or null.
     const service* find_service(const std::string& name) const;
 
+    const std::unordered_map<std::string, service>& services() const noexcept { return m_services; }
+
     // Returns the service that a request of `of` goes to; `point` is from
     // [0, 1) and picks among the shares.
     static const std::string& pick_service(const route& of, double point);
--- a/include/cicadaport/serving/host_process.h
+++ b/include/cicadaport/serving/host_process.h
@@ -1,13 +1,14 @@
 // The process that runs on each host: it takes callers' connections, follows
 // the platform's lists and sends requests to endpoints, all on one event loop.
 //
-// Nothing is agreed between hosts and nothing is kept by them. What a request
-// needs is read from the platform's lists; orders are given to nobody.
+// Hosts keep nothing. What a request needs is read from the platform's lists;
+// orders to engines are announced in the platform's store before they are sent.
 #pragma once
 
 #include "cicadaport/serving/caller_connection.h"
 #include "cicadaport/serving/feed_follower.h"
 #include "cicadaport/serving/peer_news.h"
+#include "cicadaport/serving/stage_director.h"
 
 #include <memory>
 
--- a/include/cicadaport/serving/placement.h
+++ b/include/cicadaport/serving/placement.h
@@ -45,7 +45,7 @@
     // times: it also drives another beginning out.
     double repeated_reading = 2;
     // Part of the decode engines that only answer, at least.
-    double answering_part = 0.6;
+    double answering_part = 0.34;
     // Part of their slots that answers may fill before more engines answer.
     double answering_fill = 0.7;
 };
--- /dev/null
+++ b/include/cicadaport/serving/stage_director.h
@@ -0,0 +1,71 @@
+// Gives engines orders to change their stage, when the policy says so.
+//
+// Each host may; the ledger of announced orders decides who does. No order is
+// sent that is not announced, and none again: an order without an answer is
+// left to show its effect in the list of replicas.
+//
+// Belongs to the event loop.
+#pragma once
+
+#include "cicadaport/serving/host_state.h"
+#include "cicadaport/serving/order_ledger.h"
+#include "cicadaport/serving/stage_policy.h"
+
+#include <set>
+
+namespace cicadaport::serving {
+
+class stage_director {
+public:
+    static constexpr milliseconds look_interval{250};
+    // Hosts that want the same change begin at different times.
+    static constexpr milliseconds longest_start_delay{400};
+    // Engines that change at the same time, at most.
+    static constexpr std::size_t most_at_once = 6;
+
+    stage_director(host_state& host, http::address store, std::string holder)
+        : m_host{host}, m_store{std::move(store)}, m_holder{std::move(holder)}
+    {
+    }
+
+    // Looks several times a second from now on.
+    void start() { look(); }
+
+private:
+    // One change that is being made.
+    struct change {
+        std::string service;
+        stage_change wanted;
+        std::vector<endpoint_pointer> engines;
+        std::vector<stage_order> orders;
+        std::uint64_t list_end = 0;
+        std::size_t asked = 0;
+        time_point announced{};
+    };
+    using change_pointer = std::shared_ptr<change>;
+
+    void look();
+    stage_view view_of(const std::string& service) const;
+    engine_stage stage_of(const endpoint& engine) const;
+    stage_change decide(const std::string& service);
+    std::vector<endpoint_pointer> engines_to_change(const std::string& service,
+                                                    const stage_change& wanted);
+
+    void begin(const std::string& service);
+    void read_announcements(const change_pointer& current, const std::string& after);
+    void ask_engines(const change_pointer& current);
+    void announce(const change_pointer& current);
+    void send_orders(const change_pointer& current, std::uint64_t first_offset);
+    void give_up(std::string_view reason);
+
+    host_state& m_host;
+    http::address m_store;
+    std::string m_holder;
+    stage_policy m_policy;
+    order_ledger m_ledger;
+    transport::timer_queue::handle m_look;
+    transport::timer_queue::handle m_start;
+    bool m_busy = false;
+};
+
+} // namespace cicadaport::serving
--- a/include/cicadaport/serving/wire.h
+++ b/include/cicadaport/serving/wire.h
@@ -63,13 +63,21 @@
     bool is_encoded = false;
 };
 
-// The platform's lists that hosts follow.
-enum class feed { configuration, endpoints };
+// Lists in the platform's store: two that hosts follow, and the announcements
+// of orders, which hosts write.
+enum class feed { configuration, endpoints, orders };
 
 // One entry of a list; without a value it was removed.
 struct feed_entry {
+    feed_entry(std::string with_key, std::optional<std::string> with_value,
+               std::uint64_t at_offset = 0)
+        : key{std::move(with_key)}, value{std::move(with_value)}, offset{at_offset}
+    {
+    }
+
     std::string key;
     std::optional<std::string> value;
+    std::uint64_t offset = 0;
 };
 
 struct feed_page {
@@ -80,6 +88,25 @@
     bool more = false;
 };
 
+// What an engine says of orders.
+struct engine_status {
+    // How many orders it has accepted since its start.
+    std::uint64_t orders_accepted = 0;
+    // Whether an order is being carried out.
+    bool is_changing = false;
+};
+
+// An order to an engine to change its stage.
+struct stage_order {
+    std::string engine;
+    engine_stage to = engine_stage::none;
+    // Who gives it.
+    std::string holder;
+    std::uint64_t fencing_token = 0;
+    // The order is void unless the engine has accepted so many.
+    std::uint64_t expected_orders = 0;
+};
+
 // The answer of the store could not be used.
 class store_error : public std::runtime_error {
 public:
@@ -136,6 +163,19 @@
     virtual feed_page read_records(unsigned status, std::string_view body,
                                    std::uint64_t from) const = 0;
 
+    // Appends entries if the list ends at `at`, all or none.
+    virtual std::string append_request(feed to, const std::vector<feed_entry>& entries,
+                                       std::uint64_t at) const = 0;
+    // Returns the offset of the first entry, or nothing if none was appended.
+    virtual std::optional<std::uint64_t> read_append(unsigned status,
+                                                     std::string_view body) const = 0;
+
+    // Orders to engines, and what they say of them.
+    virtual std::string status_request(const endpoint_report& engine) const = 0;
+    virtual std::optional<engine_status> read_status(unsigned status,
+                                                     std::string_view body) const = 0;
+    virtual std::string order_request(const http::address& to, const stage_order& order) const = 0;
+
     // Return nothing, and log why, if the value can't be read.
     virtual deployment_pointer read_deployment(const feed_entry& entry) const = 0;
     virtual std::optional<endpoint_report> read_endpoint(const feed_entry& entry) const = 0;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -1,6 +1,6 @@
 #include "cicadaport/serving/exchange.h"
 
-#include "cicadaport/serving/prompt_release.h"
+#include "cicadaport/serving/single_call.h"
 
 #include <spdlog/spdlog.h>
 
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -143,7 +143,8 @@
                           configuration_pace, configuration_callbacks()},
           m_endpoints{m_state, m_settings.store_address, feed::endpoints, endpoints_pace,
                       endpoint_callbacks()},
-          m_news{m_state, m_settings.peers}, m_signals{m_context}
+          m_news{m_state, m_settings.peers},
+          m_director{m_state, m_settings.store_address, m_settings.name}, m_signals{m_context}
     {
         std::signal(SIGPIPE, SIG_IGN);
         m_signals.add(SIGTERM);
@@ -171,6 +172,7 @@
         m_configuration.start();
         m_endpoints.start();
         m_news.start();
+        m_director.start();
         keep_house();
         spdlog::info("host_started name={} zone={}", m_settings.name, m_settings.availability_zone);
         m_context.run();
@@ -295,6 +297,7 @@
     feed_follower m_configuration;
     feed_follower m_endpoints;
     peer_news m_news;
+    stage_director m_director;
     asio::signal_set m_signals;
     std::optional<listener> m_readiness;
     std::optional<listener> m_callers;
--- /dev/null
+++ b/src/serving/stage_director.cpp
@@ -0,0 +1,252 @@
+#include "cicadaport/serving/stage_director.h"
+
+#include "cicadaport/serving/single_call.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace cicadaport::serving {
+namespace {
+
+constexpr milliseconds store_time{500};
+constexpr milliseconds engine_time{300};
+// Running answers end before an engine changes: it takes no work for this much
+// longer than the change itself.
+constexpr milliseconds emptying_time{1'200};
+// After a change that came to nothing.
+constexpr milliseconds pause_after_failure{2'000};
+
+std::string_view to_string(engine_stage stage)
+{
+    return stage == engine_stage::prefill ? "prefill" : "decode";
+}
+
+std::optional<engine_stage> parse_stage(std::string_view text)
+{
+    if (text == "prefill") {
+        return engine_stage::prefill;
+    }
+    return text == "decode" ? std::optional{engine_stage::decode} : std::nullopt;
+}
+
+} // namespace
+
+void stage_director::look()
+{
+    m_look = m_host.timers.call_at(m_host.timers.now() + look_interval, [this] { look(); });
+    if (m_busy || m_host.is_stopping || m_host.deployed == nullptr) {
+        return;
+    }
+    for (const auto& [name, each] : m_host.deployed->services()) {
+        if (!each.engines || decide(name).engines == 0) {
+            continue;
+        }
+        m_busy = true;
+        const auto delay = milliseconds{std::uniform_int_distribution<std::int64_t>{
+            0, longest_start_delay.count()}(m_host.random)};
+        m_start = m_host.timers.call_at(m_host.timers.now() + delay,
+                                        [this, service = name] { begin(service); });
+        return;
+    }
+}
+
+engine_stage stage_director::stage_of(const endpoint& engine) const
+{
+    return m_ledger.changing_to(engine.report.id, m_host.timers.now())
+        .value_or(engine.report.stage);
+}
+
+stage_view stage_director::view_of(const std::string& service) const
+{
+    stage_view out;
+    const auto now = m_host.timers.now();
+    for (const auto& each : m_host.endpoints.serving(service)) {
+        const auto stage = stage_of(*each);
+        out.prefill += stage == engine_stage::prefill ? 1 : 0;
+        out.decode += stage == engine_stage::decode ? 1 : 0;
+        out.slots = std::max<double>(out.slots, each->report.slots);
+    }
+    out.reading = m_host.fleet.reading_demand(now);
+    out.answering = static_cast<double>(m_host.fleet.answering());
+    const auto* configured = m_host.deployed->find_service(service);
+    if (configured != nullptr && configured->engines) {
+        out.switch_time = configured->engines->switch_time;
+    }
+    return out;
+}
+
+stage_change stage_director::decide(const std::string& service)
+{
+    return m_policy.decide(view_of(service), m_host.timers.now());
+}
+
+void stage_director::begin(const std::string& service)
+{
+    auto current = std::make_shared<change>();
+    current->service = service;
+    read_announcements(current, {});
+}
+
+void stage_director::read_announcements(const change_pointer& current, const std::string& after)
+{
+    call_once(m_host, m_store, m_host.wire.newest_request(feed::orders, after), store_time,
+              [this, current, first = after.empty()](const std::optional<call_answer>& answer) {
+                  if (!answer) {
+                      give_up("the store gave no answer");
+                      return;
+                  }
+                  try {
+                      const auto page = m_host.wire.read_newest(answer->status, answer->body);
+                      for (const auto& each : page.entries) {
+                          const auto to = parse_stage(each.value.value_or(""));
+                          m_ledger.note(each.key, each.offset, to.value_or(engine_stage::none),
+                                        m_host.timers.now());
+                      }
+                      if (first) {
+                          current->list_end = page.next_offset;
+                      }
+                      if (page.more && !page.entries.empty()) {
+                          read_announcements(current, page.entries.back().key);
+                          return;
+                      }
+                  }
+                  catch (const store_error& error) {
+                      give_up(error.what());
+                      return;
+                  }
+                  ask_engines(current);
+              });
+}
+
+std::vector<endpoint_pointer> stage_director::engines_to_change(const std::string& service,
+                                                                const stage_change& wanted)
+{
+    const auto now = m_host.timers.now();
+    const auto& engines = m_host.endpoints.serving(service);
+    const auto answering = m_host.engines.answering_engines(engines);
+    std::vector<std::pair<double, endpoint_pointer>> out;
+    for (const auto& each : engines) {
+        const auto stage = each->report.stage;
+        const bool fits = stage != engine_stage::none && stage != wanted.to &&
+                          !m_ledger.changing_to(each->report.id, now);
+        if (!fits || !m_ledger.is_free(each->report.id, now) ||
+            m_host.engines.state(each->report.id).health.is_avoided(now)) {
+            continue;
+        }
+        // Those with the least to lose first.
+        const auto number = engine_number(each->report.id);
+        auto cost = static_cast<double>(m_host.fleet.answering(number)) +
+                    m_host.fleet.wait(number, late_urgency, now).count();
+        constexpr double answers = 1e6;
+        cost += answering.contains(each.get()) ? answers : 0;
+        out.emplace_back(cost, each);
+    }
+    std::sort(out.begin(), out.end(),
+              [](const auto& left, const auto& right) { return left.first < right.first; });
+    std::vector<endpoint_pointer> chosen;
+    for (const auto& [cost, each] : out) {
+        if (chosen.size() < std::min(wanted.engines, most_at_once)) {
+            chosen.push_back(each);
+        }
+    }
+    return chosen;
+}
+
+void stage_director::ask_engines(const change_pointer& current)
+{
+    // What others have announced may have met the need.
+    current->wanted = decide(current->service);
+    current->engines = engines_to_change(current->service, current->wanted);
+    if (current->wanted.engines == 0 || current->engines.empty()) {
+        m_policy.changed();
+        give_up("nothing left to change");
+        return;
+    }
+    current->asked = current->engines.size();
+    for (const auto& each : current->engines) {
+        call_once(m_host, each->report.address, m_host.wire.status_request(each->report),
+                  engine_time, [this, current, each](const std::optional<call_answer>& answer) {
+                      const auto status =
+                          answer ? m_host.wire.read_status(answer->status, answer->body)
+                                 : std::nullopt;
+                      if (status && !status->is_changing && !each->gone) {
+                          stage_order order;
+                          order.engine = each->report.id;
+                          order.to = current->wanted.to;
+                          order.holder = m_holder;
+                          order.expected_orders = status->orders_accepted;
+                          current->orders.push_back(order);
+                      }
+                      if (--current->asked == 0) {
+                          announce(current);
+                      }
+                  });
+    }
+}
+
+void stage_director::announce(const change_pointer& current)
+{
+    if (current->orders.empty() || m_host.is_stopping) {
+        give_up("no engine can take an order");
+        return;
+    }
+    std::vector<feed_entry> entries;
+    for (const auto& each : current->orders) {
+        entries.emplace_back(each.engine, std::string{to_string(each.to)});
+    }
+    current->announced = m_host.timers.now();
+    call_once(m_host, m_store, m_host.wire.append_request(feed::orders, entries, current->list_end),
+              store_time, [this, current](const std::optional<call_answer>& answer) {
+                  const auto offset =
+                      answer ? m_host.wire.read_append(answer->status, answer->body) : std::nullopt;
+                  if (!offset) {
+                      give_up("the orders could not be announced");
+                      return;
+                  }
+                  send_orders(current, *offset);
+              });
+}
+
+void stage_director::send_orders(const change_pointer& current, std::uint64_t first_offset)
+{
+    const auto now = m_host.timers.now();
+    auto offset = first_offset;
+    for (auto& each : current->orders) {
+        m_ledger.note(each.engine, offset, each.to, now);
+        // Tokens begin with 1.
+        each.fencing_token = ++offset;
+        const auto engine = m_host.endpoints.find(each.engine);
+        if (engine == nullptr || !order_ledger::may_send(current->announced, now)) {
+            spdlog::warn("order_not_sent engine={} token={}", each.engine, each.fencing_token);
+            continue;
+        }
+        spdlog::info("order_sent engine={} to={} token={} expected={}", each.engine,
+                     to_string(each.to), each.fencing_token, each.expected_orders);
+        const auto* configured = m_host.deployed->find_service(current->service);
+        const auto pause = emptying_time + (configured != nullptr && configured->engines
+                                                ? configured->engines->switch_time
+                                                : milliseconds{0});
+        const auto number = engine_number(each.engine);
+        m_host.engines.pause(number, now + pause);
+        if (m_host.news != nullptr) {
+            m_host.news->engine_paused(number, pause);
+        }
+        call_once(
+            m_host, engine->report.address, m_host.wire.order_request(engine->report.address, each),
+            engine_time, [id = each.engine](const std::optional<call_answer>& answer) {
+                spdlog::info("order_answered engine={} status={}", id, answer ? answer->status : 0);
+            });
+    }
+    m_policy.changed();
+    m_busy = false;
+}
+
+void stage_director::give_up(std::string_view reason)
+{
+    spdlog::info("stage_change_given_up reason=\"{}\"", reason);
+    m_start = m_host.timers.call_at(m_host.timers.now() + pause_after_failure,
+                                    [this] { m_busy = false; });
+}
+
+} // namespace cicadaport::serving
--- /dev/null
+++ b/src/serving/stage_policy.cpp
@@ -0,0 +1,60 @@
+#include "cicadaport/serving/stage_policy.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cicadaport::serving {
+namespace {
+
+using fine_seconds = std::chrono::duration<double>;
+
+// Longer gaps between decisions tell nothing of the time in between.
+constexpr fine_seconds longest_step{0.5};
+
+std::size_t engines_needed(double load)
+{
+    return std::max(stage_policy::least_engines, static_cast<std::size_t>(std::ceil(load)));
+}
+
+// Returns how many engines of `from` may go, and by how much they are wanted.
+double wanted(std::size_t have, std::size_t need, std::size_t others, std::size_t others_need)
+{
+    const auto lack = need > have ? need - have : 0;
+    const auto spare = others > others_need ? others - others_need : 0;
+    return static_cast<double>(std::min(lack, spare));
+}
+
+} // namespace
+
+stage_change stage_policy::decide(const stage_view& view, time_point now)
+{
+    const auto step = std::min<fine_seconds>(now - m_at, longest_step);
+    m_at = now;
+    const fine_seconds half_life = loss_half_life;
+    const auto kept = std::exp2(-step / half_life);
+    const auto need_prefill = engines_needed(view.reading / reading_fill);
+    const auto need_decode = engines_needed(view.answering / (view.slots * answering_fill));
+    const auto more_prefill = wanted(view.prefill, need_prefill, view.decode, need_decode);
+    const auto more_decode = wanted(view.decode, need_decode, view.prefill, need_prefill);
+    m_lost_reading =
+        m_lost_reading * kept + more_prefill * (1 - decode_reading_part) * step.count();
+    m_lost_answering = m_lost_answering * kept + more_decode * step.count();
+    const fine_seconds switching = view.switch_time;
+    // An engine that changes is missing where it was.
+    if (more_prefill > 0 &&
+        m_lost_reading >= price_factor * switching.count() * decode_reading_part) {
+        return {engine_stage::prefill, static_cast<std::size_t>(more_prefill)};
+    }
+    if (more_decode > 0 && m_lost_answering >= price_factor * switching.count()) {
+        return {engine_stage::decode, static_cast<std::size_t>(more_decode)};
+    }
+    return {};
+}
+
+void stage_policy::changed() noexcept
+{
+    m_lost_reading = 0;
+    m_lost_answering = 0;
+}
+
+} // namespace cicadaport::serving
