serving: what callers wait for, replicas that failed, and decode engines beyond the peak

Change: a prompt that would show no event before its caller leaves is refused at once; a failed replica is excluded; decode engines beyond the peak need of 20 s are given to reading at the price of one change, taken back at four times that.

--- a/include/cicadaport/serving/deployment.h
+++ b/include/cicadaport/serving/deployment.h
@@ -44,6 +44,10 @@
     bool has_prompt = false;
     milliseconds time_limit{10'000};
     milliseconds latency_objective{1'000};
+    // The longest pause between two events with which a stream is in time.
+    milliseconds pause_objective{0};
+    // Callers leave a stream that shows no event for so long.
+    milliseconds caller_patience{10'000};
     // The most replicas to which one request may be sent.
     std::uint32_t most_attempts = 1;
     // 0 is the most urgent.
--- a/include/cicadaport/serving/stage_policy.h
+++ b/include/cicadaport/serving/stage_policy.h
@@ -47,9 +47,12 @@
     static constexpr std::size_t least_engines = 2;
     // Loss counts half after this time without more.
     static constexpr std::chrono::seconds loss_half_life{4};
-    // A change costs so many times the work that the engine can't do meanwhile:
-    // mixes that swing within seconds have turned before it pays.
-    static constexpr double price_factor = 4;
+    // Decode engines are only given away beyond what the most answers of this
+    // time needed: answers come back within seconds, engines don't.
+    static constexpr std::chrono::seconds peak_time{20};
+    // And they are only taken back for what lasts: a change costs so many times
+    // the work that the engine can't do meanwhile.
+    static constexpr double price_of_return = 4;
 
     // Returns the change to make now, usually none. Call it several times a
     // second.
@@ -59,6 +62,9 @@
     void changed() noexcept;
 
 private:
+    // The most answers of late and when they were seen.
+    double m_peak_answering = 0;
+    time_point m_peak_at{};
     // Engine-seconds lost so far for want of the stage.
     double m_lost_reading = 0;
     double m_lost_answering = 0;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -156,7 +156,9 @@
         // It will be late: what can be in time goes first.
         question.urgency = late_urgency;
         m_plan = m_host.engines.choose(question, engines);
-        if (m_plan.first_event > usable_time * fine_milliseconds{left()}) {
+        const auto patience =
+            std::min<fine_milliseconds>(left(), m_arrived + m_route->caller_patience - now);
+        if (m_plan.first_event > usable_time * patience) {
             refuse(pause_when_full, "no engine in time");
             return;
         }
@@ -381,6 +383,7 @@
     if (status >= 500) {
         health.failed(now);
     }
+    m_excluded.insert(m_endpoint->report.id);
     const bool may_repeat = m_route->repeats == repeat_rule::any && status >= 500;
     if (may_repeat && !m_begun && try_again()) {
         return;
--- a/src/serving/stage_policy.cpp
+++ b/src/serving/stage_policy.cpp
@@ -34,18 +34,22 @@
     const auto kept = std::exp2(-step / half_life);
     const auto need_prefill = engines_needed(view.reading / reading_fill);
     const auto need_decode = engines_needed(view.answering / (view.slots * answering_fill));
-    const auto more_prefill = wanted(view.prefill, need_prefill, view.decode, need_decode);
+    if (view.answering >= m_peak_answering || now - m_peak_at > peak_time) {
+        m_peak_answering = view.answering;
+        m_peak_at = now;
+    }
+    const auto peak_decode = engines_needed(m_peak_answering / (view.slots * answering_fill));
+    const auto more_prefill = wanted(view.prefill, need_prefill, view.decode, peak_decode);
     const auto more_decode = wanted(view.decode, need_decode, view.prefill, need_prefill);
     m_lost_reading =
         m_lost_reading * kept + more_prefill * (1 - decode_reading_part) * step.count();
     m_lost_answering = m_lost_answering * kept + more_decode * step.count();
     const fine_seconds switching = view.switch_time;
     // An engine that changes is missing where it was.
-    if (more_prefill > 0 &&
-        m_lost_reading >= price_factor * switching.count() * decode_reading_part) {
+    if (more_prefill > 0 && m_lost_reading >= switching.count() * decode_reading_part) {
         return {engine_stage::prefill, static_cast<std::size_t>(more_prefill)};
     }
-    if (more_decode > 0 && m_lost_answering >= price_factor * switching.count()) {
+    if (more_decode > 0 && m_lost_answering >= price_of_return * switching.count()) {
         return {engine_stage::decode, static_cast<std::size_t>(more_decode)};
     }
     return {};
