--- a/include/cicadaport/serving/endpoint_health.h
+++ b/include/cicadaport/serving/endpoint_health.h
@@ -23,12 +23,17 @@
     static constexpr double bad_part = 0.35;
     static constexpr double memory = 0.8;
 
-    void succeeded() noexcept
+    void succeeded(time_point now) noexcept
     {
         m_failed_part *= memory;
         m_streak = 0;
+        m_last_success = now;
     }
 
+    // Returns whether the endpoint has answered anything since then: a request
+    // that waits there waits for others, not for nothing.
+    bool has_answered_since(time_point then) const noexcept { return m_last_success >= then; }
+
     // The endpoint failed a request.
     void failed(time_point now) noexcept
     {
@@ -58,6 +63,7 @@
     double m_failed_part = 0;
     unsigned m_streak = 0;
     time_point m_avoid_until{};
+    time_point m_last_success{};
 };
 
 } // namespace cicadaport::serving
--- a/include/cicadaport/serving/engine_queue.h
+++ b/include/cicadaport/serving/engine_queue.h
@@ -2,8 +2,8 @@
 // more would wait.
 //
 // Work is counted from when it was sent until it has ended, by this host and,
-// as far as they tell, by the others. An engine reads the most urgent prompt
-// first. Time that passes while there is work counts as progress.
+// as far as they tell, by the others. An engine reads one prompt to its end and
+// takes the most urgent of those that wait next, the oldest first.
 //
 // Pure: times are passed in. Not thread safe.
 #pragma once
@@ -11,6 +11,7 @@
 #include "cicadaport/serving/endpoint_table.h"
 
 #include <array>
+#include <optional>
 #include <unordered_map>
 
 namespace cicadaport::serving {
@@ -27,8 +28,8 @@
     // A host's own number for a piece of work, with the host above it.
     using work_id = std::uint64_t;
 
-    // Of work that should have been done by now, this part still counts: the
-    // engine has not told that it ended.
+    // Of work that should have ended by now, this part still counts: nobody has
+    // told that it did.
     static constexpr double least_left = 0.25;
     // Work of which no end was heard counts for this much longer than it
     // should take.
@@ -46,16 +47,23 @@
     struct item {
         std::uint32_t urgency = 0;
         fine_milliseconds work{0};
+        // The place among all that were added.
+        std::uint64_t place = 0;
         time_point expires{};
     };
+    using items = std::unordered_map<work_id, item>;
 
-    void advance(time_point now);
-    void take_out(std::unordered_map<work_id, item>::iterator found);
+    void forget_overdue(time_point now);
+    void take_out(items::iterator found, time_point now);
+    void begin_next(time_point now);
 
-    std::unordered_map<work_id, item> m_items;
-    std::array<fine_milliseconds, urgency_levels> m_sums{};
-    fine_milliseconds m_progress{0};
-    time_point m_at{};
+    items m_items;
+    // Sums of what waits and is not being read.
+    std::array<fine_milliseconds, urgency_levels> m_waiting{};
+    std::uint64_t m_last_place = 0;
+    // What is being read, as far as can be told, and since when.
+    std::optional<work_id> m_current;
+    time_point m_current_since{};
 };
 
 } // namespace cicadaport::serving
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -51,6 +51,8 @@
     void run_answered();
     void run_rejected();
     void run_unanswered();
+    // Doubts the endpoint if it shows nothing for so long.
+    void be_patient(fine_milliseconds time);
     void out_of_patience();
     void deadline_passed();
 
@@ -62,6 +64,8 @@
     void begin_reading(const endpoint& engine);
     void end_reading();
 
+    void note_event();
+    void log_end(std::string_view result, std::string_view reason) const;
     void refuse(milliseconds pause, std::string_view reason);
     void fail(unsigned status, std::string_view reason);
     void finish();
@@ -95,6 +99,13 @@
     // A replica may have run it and has not said otherwise.
     bool m_unsettled = false;
     bool m_hand_over_tried = false;
+    bool m_served = false;
+    size_class m_size = size_class::usual;
+
+    // For the log: when events came.
+    time_point m_first_event{};
+    time_point m_last_event{};
+    clock::duration m_longest_pause{0};
 
     prompt_plan m_plan;
     std::optional<read_prompt> m_prompt;
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -3,6 +3,7 @@
 
 #include "cicadaport/serving/attempt_budget.h"
 #include "cicadaport/serving/placement.h"
+#include "cicadaport/serving/size_fairness.h"
 #include "cicadaport/transport/connection_pool.h"
 
 namespace cicadaport::serving {
@@ -31,8 +32,8 @@
 // How many events the answers of a route have, as a moving average.
 class event_counts {
 public:
-    // Up to this, answers count as single events.
-    static constexpr double single = 1.3;
+    // Up to this many events seldom pause beside prompts that are read.
+    static constexpr double few = 4;
 
     void learn(const std::string& route, std::size_t events);
 
@@ -66,6 +67,7 @@
     engine_placement engines;
     replica_placement replicas;
     event_counts events;
+    size_fairness sizes;
     std::mt19937_64 random;
     request_counts counts;
     // Null while this host tells nobody.
--- a/include/cicadaport/serving/placement.h
+++ b/include/cicadaport/serving/placement.h
@@ -10,7 +10,7 @@
 // A decode engine that reads prompts makes the streams that run beside them
 // pause. So decode engines are divided, in the same way by every host: some
 // only answer, with prompts that others have read; the rest also read prompts,
-// but only of requests whose answer is a single event, which can't pause.
+// but only of requests whose answers have few events, which seldom pause.
 //
 // Pure: times and randomness are passed in. Not thread safe.
 #pragma once
@@ -41,6 +41,8 @@
     fine_milliseconds hand_over{4};
     // Each message between availability zones takes this much longer, both ways.
     fine_milliseconds other_zone{2};
+    // Each answer makes the steps of the others a little longer.
+    fine_milliseconds per_answer{0.5};
     // Reading a beginning again that another engine keeps counts this many
     // times: it also drives another beginning out.
     double repeated_reading = 2;
@@ -87,6 +89,8 @@
 // What this host knows of one engine.
 struct engine_state {
     endpoint_health health;
+    // Whether other engines get the memory of the prompts that it reads.
+    endpoint_health memory_health;
     // Prompts' beginnings that were sent there, and when last.
     std::unordered_map<std::uint64_t, time_point> beginnings;
     // Observed over predicted time, as a moving average.
@@ -117,6 +121,11 @@
     prompt_plan choose(const prompt_question& question,
                        const std::vector<endpoint_pointer>& engines);
 
+    // Returns the engine that answers a prompt which `reader` has read; null if
+    // there is none to use.
+    endpoint_pointer choose_runner(const prompt_question& question, const endpoint& reader,
+                                   const std::vector<endpoint_pointer>& engines);
+
     // Notes that an engine was sent this prompt.
     void note_prompt(const std::string& engine, const std::vector<prompt_part>& prompt,
                      time_point now);
@@ -140,6 +149,11 @@
         const endpoint* for_decode = nullptr;
     };
 
+    struct runner_choice {
+        endpoint_pointer runner;
+        fine_milliseconds cost{0};
+    };
+
     // What reading a prompt costs one engine.
     struct reading_cost {
         fine_milliseconds time{0};
@@ -148,6 +162,13 @@
         fine_milliseconds repeated{0};
     };
 
+    runner_choice best_runner(const prompt_question& question, const endpoint& reader,
+                              const std::vector<endpoint_pointer>& engines) const;
+    // An engine in another availability zone costs so much more.
+    fine_milliseconds distance_to(const prompt_question& question, const endpoint& engine) const;
+    fine_milliseconds transfer_time(const prompt_question& question) const;
+    // An engine that fails, or changes its stage, is a last resort.
+    fine_milliseconds distrust_of(const prompt_question& question, const endpoint& engine) const;
     reading_cost cost_of_reading(const prompt_question& question, const endpoint& engine,
                                  const preferences& preferred_engines);
 
--- a/include/cicadaport/serving/stage_director.h
+++ b/include/cicadaport/serving/stage_director.h
@@ -20,8 +20,9 @@
     static constexpr milliseconds look_interval{250};
     // Hosts that want the same change begin at different times.
     static constexpr milliseconds longest_start_delay{400};
-    // Engines that change at the same time, at most.
-    static constexpr std::size_t most_at_once = 6;
+    // Engines that change at the same time, at most: an order that is carried
+    // out late takes its engine away when nobody expects it.
+    static constexpr std::size_t most_at_once = 3;
 
     stage_director(host_state& host, http::address store, std::string holder)
         : m_host{host}, m_store{std::move(store)}, m_holder{std::move(holder)}
--- a/include/cicadaport/serving/stage_policy.h
+++ b/include/cicadaport/serving/stage_policy.h
@@ -39,7 +39,7 @@
     // prompts wait for longer than they are read.
     static constexpr double reading_fill = 0.65;
     // Answers leave this part of the slots for bursts.
-    static constexpr double answering_fill = 0.7;
+    static constexpr double answering_fill = 0.55;
     // Decode engines that read beside answering do this part of the work.
     static constexpr double decode_reading_part = 0.4;
     // Never fewer engines of a stage than this, so that the loss of one does
--- a/src/serving/engine_queue.cpp
+++ b/src/serving/engine_queue.cpp
@@ -4,68 +4,83 @@
 
 namespace cicadaport::serving {
 
-void engine_queue::advance(time_point now)
+void engine_queue::add(work_id id, std::uint32_t urgency, fine_milliseconds work, time_point now)
 {
-    if (now <= m_at) {
+    forget_overdue(now);
+    const auto level = std::min<std::uint32_t>(urgency, urgency_levels - 1);
+    const auto longest = wait(late_urgency, now) + work;
+    const auto expires = now + std::chrono::duration_cast<clock::duration>(2 * longest) + overdue;
+    if (!m_items.emplace(id, item{level, work, ++m_last_place, expires}).second) {
         return;
     }
-    if (!m_items.empty()) {
-        m_progress += now - m_at;
+    m_waiting.at(level) += work;
+    if (!m_current) {
+        begin_next(now);
     }
-    m_at = now;
+}
+
+void engine_queue::remove(work_id id, time_point now)
+{
+    forget_overdue(now);
+    const auto found = m_items.find(id);
+    if (found != m_items.end()) {
+        take_out(found, now);
+    }
+}
+
+void engine_queue::forget_overdue(time_point now)
+{
     for (auto each = m_items.begin(); each != m_items.end();) {
         const auto current = each++;
         if (current->second.expires < now) {
-            take_out(current);
+            take_out(current, now);
         }
     }
 }
 
-void engine_queue::add(work_id id, std::uint32_t urgency, fine_milliseconds work, time_point now)
+void engine_queue::take_out(items::iterator found, time_point now)
 {
-    advance(now);
-    const auto level = std::min<std::uint32_t>(urgency, urgency_levels - 1);
-    fine_milliseconds ahead{0};
-    for (const auto& sum : m_sums) {
-        ahead += sum;
+    const bool was_current = m_current == found->first;
+    if (!was_current) {
+        auto& sum = m_waiting.at(found->second.urgency);
+        sum = std::max(sum - found->second.work, fine_milliseconds{0});
     }
-    const auto expires =
-        now + std::chrono::duration_cast<clock::duration>(2 * (ahead + work)) + overdue;
-    if (m_items.emplace(id, item{level, work, expires}).second) {
-        m_sums.at(level) += work;
-    }
-}
-
-void engine_queue::remove(work_id id, time_point now)
-{
-    advance(now);
-    const auto found = m_items.find(id);
-    if (found != m_items.end()) {
-        take_out(found);
+    m_items.erase(found);
+    if (was_current) {
+        begin_next(now);
     }
 }
 
-void engine_queue::take_out(std::unordered_map<work_id, item>::iterator found)
+void engine_queue::begin_next(time_point now)
 {
-    auto& sum = m_sums.at(found->second.urgency);
-    sum = std::max(sum - found->second.work, fine_milliseconds{0});
-    m_progress = std::max(m_progress - found->second.work, fine_milliseconds{0});
-    m_items.erase(found);
-    if (m_items.empty()) {
-        m_sums.fill(fine_milliseconds{0});
-        m_progress = fine_milliseconds{0};
+    const auto next =
+        std::min_element(m_items.begin(), m_items.end(), [](const auto& left, const auto& right) {
+            return std::pair{left.second.urgency, left.second.place} <
+                   std::pair{right.second.urgency, right.second.place};
+        });
+    if (next == m_items.end()) {
+        m_current.reset();
+        m_waiting.fill(fine_milliseconds{0});
+        return;
     }
+    m_current = next->first;
+    m_current_since = now;
+    m_waiting.at(next->second.urgency) -= next->second.work;
 }
 
 fine_milliseconds engine_queue::wait(std::uint32_t urgency, time_point now)
 {
-    advance(now);
     fine_milliseconds ahead{0};
     for (std::size_t level = 0; level <= std::min<std::size_t>(urgency, urgency_levels - 1);
          ++level) {
-        ahead += m_sums.at(level);
+        ahead += std::max(m_waiting.at(level), fine_milliseconds{0});
+    }
+    if (m_current) {
+        const auto work = m_items.at(*m_current).work;
+        const fine_milliseconds spent = now - m_current_since;
+        ahead += std::max(work - spent, least_left * work);
     }
-    return std::max(ahead - m_progress, least_left * ahead);
+    return ahead;
 }
 
 } // namespace cicadaport::serving
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "cicadaport/serving/single_call.h"
 
+#include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
 namespace cicadaport::serving {
@@ -23,7 +24,7 @@
 constexpr double engine_patience = 4;
 constexpr milliseconds least_prompt_patience{400};
 // The part of its time that a late request may be predicted to need.
-constexpr double usable_time = 0.8;
+constexpr double usable_time = 0.9;
 // When callers may come back: after an empty service, and after a full one.
 constexpr milliseconds pause_without_endpoint{400};
 constexpr milliseconds pause_when_full{250};
@@ -96,6 +97,9 @@
     m_deadline =
         m_arrived + std::min(m_terms.time_left.value_or(m_route->time_limit), m_route->time_limit);
     m_host.budget.count_request(m_service, m_arrived);
+    if (m_route->has_prompt) {
+        m_size = m_host.sizes.classify(m_route->name, m_terms.prompt_tokens);
+    }
     return true;
 }
 
@@ -146,28 +150,35 @@
     question.excluded = &m_excluded;
     question.many_events = m_host.events.are_many(m_route->name);
     question.may_hand_over = !m_hand_over_tried && !m_events.last_event();
+    if (m_prompt && m_plan.reader) {
+        m_plan.runner = m_host.engines.choose_runner(question, *m_plan.reader, engines);
+        if (m_plan.runner == nullptr) {
+            refuse(pause_without_endpoint, "no engine to use");
+            return;
+        }
+        send_run(m_plan.runner, m_prompt);
+        return;
+    }
     m_plan = m_host.engines.choose(question, engines);
     if (m_plan.runner == nullptr) {
         refuse(pause_without_endpoint, "no engine to use");
         return;
     }
     const fine_milliseconds waited = now - m_arrived;
-    if (waited + m_plan.first_event > m_route->latency_objective) {
+    if (waited + m_plan.first_event > m_route->latency_objective &&
+        !m_host.sizes.is_behind(m_route->name, m_size)) {
         // It will be late: what can be in time goes first.
         question.urgency = late_urgency;
         m_plan = m_host.engines.choose(question, engines);
-        const auto patience =
-            std::min<fine_milliseconds>(left(), m_arrived + m_route->caller_patience - now);
-        if (m_plan.first_event > usable_time * patience) {
-            refuse(pause_when_full, "no engine in time");
-            return;
-        }
     }
-    m_plan.urgency = question.urgency;
-    if (m_prompt) {
-        send_run(m_plan.runner, m_prompt);
+    const auto patience =
+        std::min<fine_milliseconds>(left(), m_arrived + m_route->caller_patience - now);
+    if (m_attempts == 0 && m_plan.first_event > usable_time * patience) {
+        refuse(pause_when_full, "no engine in time");
+        return;
     }
-    else if (m_plan.reader != nullptr) {
+    m_plan.urgency = question.urgency;
+    if (m_plan.reader != nullptr) {
         send_prompt(m_plan);
     }
     else {
@@ -289,6 +300,7 @@
         m_caller->begin(m_answer->status, m_answer->fields);
     }
     if (!events.empty()) {
+        note_event();
         m_caller->write(events);
     }
     if (m_caller != nullptr && m_caller->unsent() > most_unsent) {
@@ -296,6 +308,35 @@
     }
 }
 
+void exchange::note_event()
+{
+    const auto now = m_host.timers.now();
+    if (m_first_event == time_point{}) {
+        m_first_event = now;
+    }
+    else {
+        m_longest_pause = std::max(m_longest_pause, now - m_last_event);
+    }
+    m_last_event = now;
+}
+
+void exchange::log_end(std::string_view result, std::string_view reason) const
+{
+    if (!spdlog::should_log(spdlog::level::debug)) {
+        return;
+    }
+    const auto ms = [](clock::duration time) { return fine_milliseconds{time}.count(); };
+    const auto first = m_first_event == time_point{} ? time_point{m_arrived} : m_first_event;
+    spdlog::debug("request_ended id={} route={} result={} reason=\"{}\" attempts={} endpoint={} "
+                  "reader={} tokens={} urgency={} predicted_ms={:.1f} first_event_ms={:.1f} "
+                  "longest_pause_ms={:.1f} total_ms={:.1f}",
+                  m_terms.id, m_route != nullptr ? m_route->name : "", result, reason, m_attempts,
+                  m_endpoint ? m_endpoint->report.id : "",
+                  m_plan.reader ? m_plan.reader->report.id : "", m_terms.prompt_tokens,
+                  m_plan.urgency, m_plan.first_event.count(), ms(first - m_arrived),
+                  ms(m_longest_pause), ms(m_host.timers.now() - m_arrived));
+}
+
 void exchange::on_complete()
 {
     m_patience.cancel();
@@ -322,7 +363,7 @@
         return;
     }
     auto& state = m_host.engines.state(m_endpoint->report.id);
-    state.health.succeeded();
+    state.health.succeeded(m_host.timers.now());
     m_host.engines.note_time(m_endpoint->report.id, m_plan.read_after, observed);
     m_prompt = read_prompt{m_address, std::move(*handle)};
     m_host.engines.note_prompt(m_plan.runner->report.id, m_terms.prompt, m_host.timers.now());
@@ -364,8 +405,13 @@
         return;
     }
     if (is_success(status)) {
-        health.succeeded();
+        health.succeeded(now);
+        if (m_prompt && m_plan.reader) {
+            m_host.engines.state(m_plan.reader->report.id).memory_health.succeeded(now);
+        }
         m_prompt.reset();
+        m_served = true;
+        log_end("answered", "");
         ++m_host.counts.answered;
         if (m_route->streamed) {
             forward_events(true);
@@ -404,15 +450,20 @@
 
 void exchange::run_rejected()
 {
+    const auto now = m_host.timers.now();
     m_unsettled = false;
     end_reading();
     m_excluded.insert(m_endpoint->report.id);
-    const bool lost_prompt = m_prompt.has_value();
-    if (lost_prompt) {
-        // The prompt's memory could not be had; the engine itself is sound.
-        m_host.engines.state(m_plan.reader ? m_plan.reader->report.id : m_endpoint->report.id)
-            .health.failed(m_host.timers.now());
-        m_prompt.reset();
+    if (m_route->has_prompt) {
+        m_host.engines.state(m_endpoint->report.id).health.failed(now);
+    }
+    if (m_prompt && m_plan.reader) {
+        // Either it takes no work, or the prompt's memory could not be had.
+        auto& memory = m_host.engines.state(m_plan.reader->report.id).memory_health;
+        memory.failed(now);
+        if (memory.is_avoided(now)) {
+            drop_prompt();
+        }
     }
     if (try_again()) {
         return;
@@ -485,11 +536,25 @@
     }
 }
 
+void exchange::be_patient(fine_milliseconds time)
+{
+    const auto limit = std::chrono::duration_cast<clock::duration>(time);
+    m_patience = m_host.timers.call_at(m_host.timers.now() + limit, [this, limit] {
+        auto& health = m_route->has_prompt ? m_host.engines.state(m_endpoint->report.id).health
+                                           : m_host.replicas.state(m_endpoint->report.id).health;
+        const auto now = m_host.timers.now();
+        if (m_route->has_prompt && health.has_answered_since(now - limit)) {
+            // Others are served; this one's turn comes.
+            be_patient(fine_milliseconds{limit});
+            return;
+        }
+        health.failed(now);
+        out_of_patience();
+    });
+}
+
 void exchange::out_of_patience()
 {
-    auto& health = m_route->has_prompt ? m_host.engines.state(m_endpoint->report.id).health
-                                       : m_host.replicas.state(m_endpoint->report.id).health;
-    health.failed(m_host.timers.now());
     if (m_step == step::reading_prompt) {
         // To leave an engine that has not begun would use up an attempt.
         const auto slow = m_endpoint->report.id;
@@ -539,6 +604,7 @@
         return;
     }
     ++m_host.counts.callers_left;
+    log_end("caller_left", "");
     m_caller = nullptr;
     finish();
 }
@@ -605,7 +671,7 @@
         return;
     }
     ++m_host.counts.refused;
-    spdlog::debug("request_refused id={} reason=\"{}\"", m_terms.id, reason);
+    log_end("refused", reason);
     // Callers that were refused together come back spread over twice the pause.
     const auto spread =
         pause +
@@ -634,7 +700,7 @@
         }
         m_caller->answer(status, fields, reason);
     }
-    spdlog::debug("request_failed id={} status={} reason=\"{}\"", m_terms.id, status, reason);
+    log_end(fmt::format("failed_{}", status), reason);
     finish();
 }
 
@@ -644,6 +710,9 @@
     m_caller = nullptr;
     m_deadline_timer.cancel();
     if (m_route != nullptr) {
+        if (m_route->has_prompt) {
+            m_host.sizes.note(m_route->name, m_size, m_served);
+        }
         leave_endpoint();
         end_reading();
         drop_prompt();
--- a/src/serving/feed_follower.cpp
+++ b/src/serving/feed_follower.cpp
@@ -137,8 +137,11 @@
     if (m_failures == 0) {
         spdlog::warn("feed_interrupted feed={} reason=\"{}\"", to_string(m_which), reason);
     }
+    // A host that has read nothing yet serves nobody.
     const auto pause =
-        std::min(first_pause * (1U << std::min(m_failures, most_doublings)), longest_pause);
+        m_has_read
+            ? std::min(first_pause * (1U << std::min(m_failures, most_doublings)), longest_pause)
+            : first_pause;
     ++m_failures;
     // Hosts that lost the store together don't come back together.
     const auto spread =
--- a/src/serving/host_state.cpp
+++ b/src/serving/host_state.cpp
@@ -30,7 +30,7 @@
 bool event_counts::are_many(const std::string& route) const
 {
     const auto found = m_mean.find(route);
-    return found == m_mean.end() || found->second > single;
+    return found == m_mean.end() || found->second > few;
 }
 
 host_state::host_state(boost::asio::io_context& with_context, const wire_format& with_wire,
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -15,6 +15,14 @@
 constexpr double most_slowness = 8;
 constexpr double observation_part = 0.2;
 
+// Costs that no wait outweighs, the worst last: an engine that also reads
+// prompts, one without a free slot, streams that pause, an engine that fails.
+constexpr fine_milliseconds reads_too{std::chrono::seconds{5}};
+constexpr fine_milliseconds full{std::chrono::seconds{10}};
+constexpr fine_milliseconds pauses{std::chrono::seconds{30}};
+constexpr fine_milliseconds last_resort{std::chrono::seconds{60}};
+constexpr fine_milliseconds never{std::numeric_limits<double>::max()};
+
 std::uint64_t mix(std::uint64_t value) noexcept
 {
     // The finalizer of splitmix64.
@@ -116,16 +124,73 @@
     return out;
 }
 
+fine_milliseconds engine_placement::distance_to(const prompt_question& question,
+                                                const endpoint& engine) const
+{
+    return engine.report.availability_zone == question.availability_zone ? fine_milliseconds{0}
+                                                                         : m_costs.other_zone;
+}
+
+fine_milliseconds engine_placement::transfer_time(const prompt_question& question) const
+{
+    const auto bits = question.prompt_tokens * question.bytes_per_token * bits_per_byte;
+    return question.link_mbps > 0
+               ? fine_milliseconds{bits / question.link_mbps / bits_per_ms_per_mbps}
+               : fine_milliseconds{0};
+}
+
+fine_milliseconds engine_placement::distrust_of(const prompt_question& question,
+                                                const endpoint& engine) const
+{
+    const auto found = m_engines.find(engine.report.id);
+    const bool avoided =
+        is_paused(engine, question.now) ||
+        (found != m_engines.end() && (found->second.health.is_avoided(question.now) ||
+                                      found->second.memory_health.is_avoided(question.now)));
+    return avoided ? last_resort : fine_milliseconds{0};
+}
+
+engine_placement::runner_choice
+engine_placement::best_runner(const prompt_question& question, const endpoint& reader,
+                              const std::vector<endpoint_pointer>& engines) const
+{
+    const auto answering = answering_engines(engines);
+    const auto transfer = transfer_time(question);
+    runner_choice out{nullptr, never};
+    for (const auto& each : engines) {
+        if (each->report.stage == engine_stage::prefill ||
+            question.excluded->contains(each->report.id)) {
+            continue;
+        }
+        const auto answers = m_work.answering(engine_number(each->report.id));
+        auto cost = static_cast<double>(answers) * m_costs.per_answer +
+                    distance_to(question, *each) + distrust_of(question, *each);
+        const bool near = each->report.availability_zone == reader.report.availability_zone;
+        cost += near ? transfer : 2 * transfer;
+        if (answers >= each->report.slots) {
+            // What runs there would be put back.
+            cost += full;
+        }
+        if (!answering.contains(each.get())) {
+            cost += reads_too;
+        }
+        if (cost < out.cost) {
+            out = {each, cost};
+        }
+    }
+    return out;
+}
+
+endpoint_pointer engine_placement::choose_runner(const prompt_question& question,
+                                                 const endpoint& reader,
+                                                 const std::vector<endpoint_pointer>& engines)
+{
+    return best_runner(question, reader, engines).runner;
+}
+
 prompt_plan engine_placement::choose(const prompt_question& question,
                                      const std::vector<endpoint_pointer>& engines)
 {
-    constexpr fine_milliseconds never{std::numeric_limits<double>::max()};
-    constexpr fine_milliseconds last_resort{std::chrono::seconds{30}};
-    // Each answer makes the steps of the others a little longer.
-    constexpr fine_milliseconds per_answer{0.5};
-    const bool all_avoided = std::all_of(engines.begin(), engines.end(), [&](const auto& each) {
-        return m_engines[each->report.id].health.is_avoided(question.now);
-    });
     preferences favoured;
     favoured.keys = beginnings_of(*question.prompt);
     if (!favoured.keys.empty()) {
@@ -134,20 +199,6 @@
         favoured.for_decode = preferred(longest, engine_stage::decode, engines);
     }
     const auto answering = answering_engines(engines);
-    const auto bits = question.prompt_tokens * question.bytes_per_token * bits_per_byte;
-    const auto transfer = question.link_mbps > 0
-                              ? fine_milliseconds{bits / question.link_mbps / bits_per_ms_per_mbps}
-                              : fine_milliseconds{0};
-    const auto distance_to = [&](const endpoint& engine) {
-        return engine.report.availability_zone == question.availability_zone ? fine_milliseconds{0}
-                                                                             : m_costs.other_zone;
-    };
-    // An engine that fails is a last resort.
-    const auto distrust_of = [&](const endpoint& engine, const engine_state& known) {
-        const bool avoided = (known.health.is_avoided(question.now) && !all_avoided) ||
-                             is_paused(engine, question.now);
-        return avoided ? last_resort : fine_milliseconds{0};
-    };
     prompt_plan alone;
     prompt_plan handed_over;
     auto best_alone = never;
@@ -156,16 +207,16 @@
         if (question.excluded->contains(each->report.id)) {
             continue;
         }
-        auto& known = m_engines[each->report.id];
-        const auto number = engine_number(each->report.id);
-        const auto wait = m_work.wait(number, question.urgency, question.now);
+        const auto wait =
+            m_work.wait(engine_number(each->report.id), question.urgency, question.now);
         const auto reading = cost_of_reading(question, *each, favoured);
         const auto read_after = wait + reading.time;
-        auto cost = read_after + reading.repeated + distance_to(*each) + distrust_of(*each, known);
+        const auto distance = distance_to(question, *each);
+        auto cost = read_after + reading.repeated + distance + distrust_of(question, *each);
         const bool is_reader = each->report.stage == engine_stage::prefill;
         if (!is_reader && (question.many_events || answering.contains(each.get()))) {
             // Its streams, or this one, would pause.
-            cost += last_resort / 2;
+            cost += pauses;
         }
         if (cost < (is_reader ? best_reader : best_alone)) {
             auto& plan = is_reader ? handed_over : alone;
@@ -174,41 +225,19 @@
             plan.reading = reading.time;
             plan.nominal_reading = reading.nominal;
             plan.read_after = read_after;
-            plan.first_event = read_after + distance_to(*each) + m_costs.first_event;
+            plan.first_event = read_after + distance + m_costs.first_event;
         }
     }
     if (!question.may_hand_over || !handed_over.reader) {
         return alone;
     }
-    auto best_runner = never;
-    for (const auto& each : engines) {
-        if (each->report.stage == engine_stage::prefill ||
-            question.excluded->contains(each->report.id)) {
-            continue;
-        }
-        const auto& known = m_engines[each->report.id];
-        const auto answers = m_work.answering(engine_number(each->report.id));
-        auto cost = static_cast<double>(answers) * per_answer + distance_to(*each) +
-                    distrust_of(*each, known);
-        if (answers >= each->report.slots) {
-            cost += last_resort / 4;
-        }
-        cost += each->report.availability_zone == handed_over.reader->report.availability_zone
-                    ? transfer
-                    : 2 * transfer;
-        if (!answering.contains(each.get())) {
-            cost += last_resort / 2;
-        }
-        if (cost < best_runner) {
-            best_runner = cost;
-            handed_over.runner = each;
-        }
-    }
-    if (!handed_over.runner) {
+    const auto runner = best_runner(question, *handed_over.reader, engines);
+    if (!runner.runner) {
         return alone;
     }
-    handed_over.first_event += transfer + m_costs.hand_over;
-    const auto cost_apart = best_reader + best_runner + m_costs.hand_over;
+    handed_over.runner = runner.runner;
+    handed_over.first_event += transfer_time(question) + m_costs.hand_over;
+    const auto cost_apart = best_reader + runner.cost + m_costs.hand_over;
     return alone.runner == nullptr || cost_apart < best_alone ? handed_over : alone;
 }
 
--- /dev/null
+++ b/src/serving/size_fairness.cpp
@@ -0,0 +1,48 @@
+#include "cicadaport/serving/size_fairness.h"
+
+#include <algorithm>
+
+namespace cicadaport::serving {
+namespace {
+
+constexpr double largest_part = 0.1;
+constexpr double large_part = 0.3;
+// How much one outcome counts: classes have a tenth of the requests.
+constexpr double class_step = 0.1;
+constexpr double all_step = 0.02;
+
+} // namespace
+
+size_class size_fairness::classify(const std::string& route, std::uint32_t size)
+{
+    auto& known = m_routes[route];
+    const auto count = std::min(known.seen, remembered);
+    const auto larger = std::count_if(known.sizes.begin(), known.sizes.begin() + count,
+                                      [&](std::uint32_t each) { return each >= size; });
+    known.sizes.at(known.seen++ % remembered) = size;
+    const auto part =
+        static_cast<double>(larger) / static_cast<double>(std::max<std::size_t>(count, 1));
+    if (count < remembered / 4 || part >= large_part) {
+        return size_class::usual;
+    }
+    return part < largest_part ? size_class::largest : size_class::large;
+}
+
+void size_fairness::note(const std::string& route, size_class of, bool served)
+{
+    auto& known = m_routes[route];
+    const double outcome = served ? 1 : 0;
+    auto& part = known.served.at(static_cast<std::size_t>(of));
+    part += class_step * (outcome - part);
+    known.all_served += all_step * (outcome - known.all_served);
+}
+
+bool size_fairness::is_behind(const std::string& route, size_class of) const
+{
+    const auto found = m_routes.find(route);
+    return found != m_routes.end() && of != size_class::usual &&
+           found->second.served.at(static_cast<std::size_t>(of)) <
+               least_part * found->second.all_served;
+}
+
+} // namespace cicadaport::serving
--- a/src/serving/stage_policy.cpp
+++ b/src/serving/stage_policy.cpp
@@ -43,7 +43,7 @@
     const auto more_decode = wanted(view.decode, need_decode, view.prefill, need_prefill);
     m_lost_reading =
         m_lost_reading * kept + more_prefill * (1 - decode_reading_part) * step.count();
-    m_lost_answering = m_lost_answering * kept + more_decode * step.count();
+    m_lost_answering = m_lost_answering * kept + std::min(more_decode, 1.0) * step.count();
     const fine_seconds switching = view.switch_time;
     // An engine that changes is missing where it was.
     if (more_prefill > 0 && m_lost_reading >= switching.count() * decode_reading_part) {
