serving: graded trust in endpoints; decode engines keep a third of a fleet

A replica that fails two in five was avoided like a dead one, which sent its load to the others. Change: a failing part costs in proportion, three failures in a row avoid; decode keeps a third of the engines; prompts read beside answers cost by the answers that would pause.

--- a/include/cicadaport/serving/endpoint_health.h
+++ b/include/cicadaport/serving/endpoint_health.h
@@ -1,8 +1,9 @@
 // How far an endpoint is trusted, from what became of requests sent there.
 //
-// No status checks are needed. An endpoint that fails is avoided for a time
-// that doubles with each further failure; then single requests try it again.
-// Avoided endpoints are still used where all are avoided.
+// No status checks are needed. An endpoint that fails part of its requests
+// costs as much more as it fails; one that fails several in a row, or can't be
+// reached, is avoided for a time that doubles, then single requests try it
+// again. Avoided endpoints are still used where all are avoided.
 //
 // Pure: times are passed in. Not thread safe.
 #pragma once
@@ -18,10 +19,10 @@
     // the time in which a fleet has to recover.
     static constexpr std::chrono::milliseconds first_pause{500};
     static constexpr std::chrono::milliseconds longest_pause{4'000};
-    // Failures among recent answers at which an endpoint that also succeeds is
-    // avoided, as a part of them.
-    static constexpr double bad_part = 0.35;
-    static constexpr double memory = 0.8;
+    // Failures in a row that a sound endpoint seldom shows.
+    static constexpr unsigned failures_in_a_row = 3;
+    // What an outcome leaves of the memory of those before.
+    static constexpr double memory = 0.85;
 
     void succeeded(time_point now) noexcept
     {
@@ -39,7 +40,7 @@
     {
         m_failed_part = memory * m_failed_part + (1 - memory);
         ++m_streak;
-        if (m_streak >= 2 || m_failed_part >= bad_part) {
+        if (m_streak >= failures_in_a_row) {
             avoid(now);
         }
     }
@@ -47,16 +48,19 @@
     // The endpoint can't be reached or does not react.
     void unreachable(time_point now) noexcept
     {
-        m_streak = std::max(m_streak + 1, 2U);
+        m_streak = std::max(m_streak + 1, failures_in_a_row);
         avoid(now);
     }
 
+    // Part of the recent requests that failed, from 0 to 1.
+    double failed_part() const noexcept { return m_failed_part; }
+
     bool is_avoided(time_point now) const noexcept { return now < m_avoid_until; }
 
 private:
     void avoid(time_point now) noexcept
     {
-        const auto doublings = std::min(m_streak > 2 ? m_streak - 2 : 0U, 3U);
+        const auto doublings = std::min(m_streak - failures_in_a_row, 3U);
         m_avoid_until = now + std::min(first_pause * (1U << doublings), longest_pause);
     }
 
--- a/include/cicadaport/serving/placement.h
+++ b/include/cicadaport/serving/placement.h
@@ -43,6 +43,12 @@
     fine_milliseconds other_zone{2};
     // Each answer makes the steps of the others a little longer.
     fine_milliseconds per_answer{0.5};
+    // A request that fails has cost so much.
+    fine_milliseconds failure{300};
+    // Each answer that an engine streams pauses while it reads; and an answer
+    // pauses for as many times what the engine has to read.
+    fine_milliseconds per_paused_answer{10};
+    double pause_behind_reading = 3;
     // Reading a beginning again that another engine keeps counts this many
     // times: it also drives another beginning out.
     double repeated_reading = 2;
@@ -149,6 +155,9 @@
         const endpoint* for_decode = nullptr;
     };
 
+    preferences preferences_of(const prompt_question& question,
+                               const std::vector<endpoint_pointer>& engines) const;
+
     struct runner_choice {
         endpoint_pointer runner;
         fine_milliseconds cost{0};
--- a/include/cicadaport/serving/stage_policy.h
+++ b/include/cicadaport/serving/stage_policy.h
@@ -45,6 +45,10 @@
     // Never fewer engines of a stage than this, so that the loss of one does
     // not end all service.
     static constexpr std::size_t least_engines = 2;
+    // Decode engines are not given away below this part of all engines: replicas
+    // that leave or crash are missed at once, and orders can't be given while
+    // the store is down.
+    static constexpr double least_decode_part = 1.0 / 3;
     // Loss counts half after this time without more.
     static constexpr std::chrono::seconds loss_half_life{4};
     // Decode engines are only given away beyond what the most answers of this
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -22,7 +22,7 @@
 constexpr double patience_part = 0.55;
 // Engines are given this many times what was predicted.
 constexpr double engine_patience = 4;
-constexpr milliseconds least_prompt_patience{400};
+constexpr milliseconds least_prompt_patience{900};
 // The part of its time that a late request may be predicted to need.
 constexpr double usable_time = 0.9;
 // When callers may come back: after an empty service, and after a full one.
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -23,6 +23,9 @@
 constexpr fine_milliseconds last_resort{std::chrono::seconds{60}};
 constexpr fine_milliseconds never{std::numeric_limits<double>::max()};
 
+// A replica that fails all requests is as bad as one with so many for each slot.
+constexpr double failure_cost = 4;
+
 std::uint64_t mix(std::uint64_t value) noexcept
 {
     // The finalizer of splitmix64.
@@ -45,23 +48,42 @@
     return keys;
 }
 
-// Returns which engine of a stage all hosts send `key` to while they know
-// nothing better: the highest random weight.
-const endpoint* preferred(std::uint64_t key, engine_stage stage,
-                          const std::vector<endpoint_pointer>& engines)
+// Returns which of `among` all hosts send `key` to while they know nothing
+// better: the highest random weight.
+const endpoint* preferred(std::uint64_t key, const std::set<const endpoint*>& among)
 {
     const endpoint* best = nullptr;
     std::uint64_t best_weight = 0;
-    for (const auto& each : engines) {
-        const auto weight = mix(key ^ std::hash<std::string>{}(each->report.id));
-        if (each->report.stage == stage && (best == nullptr || weight > best_weight)) {
-            best = each.get();
+    for (const auto* each : among) {
+        const auto weight = mix(key ^ engine_number(each->report.id));
+        if (best == nullptr || weight > best_weight) {
+            best = each;
             best_weight = weight;
         }
     }
     return best;
 }
 
+// Returns the engines for which `fits` in an order that is the same on all
+// hosts.
+template <typename Fits>
+std::vector<const endpoint*> in_common_order(const std::vector<endpoint_pointer>& engines,
+                                             Fits fits)
+{
+    std::vector<std::pair<std::uint64_t, const endpoint*>> ordered;
+    for (const auto& each : engines) {
+        if (fits(*each)) {
+            ordered.emplace_back(mix(engine_number(each->report.id)), each.get());
+        }
+    }
+    std::sort(ordered.begin(), ordered.end());
+    std::vector<const endpoint*> out;
+    for (const auto& [weight, each] : ordered) {
+        out.push_back(each);
+    }
+    return out;
+}
+
 } // namespace
 
 engine_placement::reading_cost
@@ -101,15 +123,10 @@
 std::set<const endpoint*>
 engine_placement::answering_engines(const std::vector<endpoint_pointer>& engines) const
 {
-    std::vector<std::pair<std::uint64_t, const endpoint*>> decoding;
-    for (const auto& each : engines) {
-        if (each->report.stage != engine_stage::prefill) {
-            decoding.emplace_back(mix(std::hash<std::string>{}(each->report.id)), each.get());
-        }
-    }
-    std::sort(decoding.begin(), decoding.end());
+    const auto decoding = in_common_order(
+        engines, [](const endpoint& each) { return each.report.stage != engine_stage::prefill; });
     double slots = 1;
-    for (const auto& [weight, each] : decoding) {
+    for (const auto* each : decoding) {
         slots = std::max<double>(slots, each->report.slots);
     }
     const auto needed = static_cast<double>(m_work.answering()) / (slots * m_costs.answering_fill);
@@ -117,10 +134,25 @@
     // Two at least, so that one engine's loss does not end all streams.
     const auto count = std::min(decoding.size(),
                                 static_cast<std::size_t>(std::ceil(std::max({2.0, needed, part}))));
-    std::set<const endpoint*> out;
-    for (std::size_t index = 0; index < count; ++index) {
-        out.insert(decoding[index].second);
+    return {decoding.begin(), decoding.begin() + static_cast<std::ptrdiff_t>(count)};
+}
+
+engine_placement::preferences
+engine_placement::preferences_of(const prompt_question& question,
+                                 const std::vector<endpoint_pointer>& engines) const
+{
+    preferences out;
+    out.keys = beginnings_of(*question.prompt);
+    if (out.keys.empty()) {
+        return out;
+    }
+    std::set<const endpoint*> reading;
+    std::set<const endpoint*> decoding;
+    for (const auto& each : engines) {
+        (each->report.stage == engine_stage::prefill ? reading : decoding).insert(each.get());
     }
+    out.for_prefill = preferred(out.keys.back(), reading);
+    out.for_decode = preferred(out.keys.back(), decoding);
     return out;
 }
 
@@ -142,12 +174,19 @@
 fine_milliseconds engine_placement::distrust_of(const prompt_question& question,
                                                 const endpoint& engine) const
 {
+    if (is_paused(engine, question.now)) {
+        return last_resort;
+    }
     const auto found = m_engines.find(engine.report.id);
-    const bool avoided =
-        is_paused(engine, question.now) ||
-        (found != m_engines.end() && (found->second.health.is_avoided(question.now) ||
-                                      found->second.memory_health.is_avoided(question.now)));
-    return avoided ? last_resort : fine_milliseconds{0};
+    if (found == m_engines.end()) {
+        return fine_milliseconds{0};
+    }
+    const auto& [health, memory_health] =
+        std::tie(found->second.health, found->second.memory_health);
+    if (health.is_avoided(question.now) || memory_health.is_avoided(question.now)) {
+        return last_resort;
+    }
+    return std::max(health.failed_part(), memory_health.failed_part()) * m_costs.failure;
 }
 
 engine_placement::runner_choice
@@ -167,6 +206,8 @@
                     distance_to(question, *each) + distrust_of(question, *each);
         const bool near = each->report.availability_zone == reader.report.availability_zone;
         cost += near ? transfer : 2 * transfer;
+        cost += m_costs.pause_behind_reading *
+                m_work.wait(engine_number(each->report.id), late_urgency, question.now);
         if (answers >= each->report.slots) {
             // What runs there would be put back.
             cost += full;
@@ -191,13 +232,7 @@
 prompt_plan engine_placement::choose(const prompt_question& question,
                                      const std::vector<endpoint_pointer>& engines)
 {
-    preferences favoured;
-    favoured.keys = beginnings_of(*question.prompt);
-    if (!favoured.keys.empty()) {
-        const auto longest = favoured.keys.back();
-        favoured.for_prefill = preferred(longest, engine_stage::prefill, engines);
-        favoured.for_decode = preferred(longest, engine_stage::decode, engines);
-    }
+    const auto favoured = preferences_of(question, engines);
     const auto answering = answering_engines(engines);
     prompt_plan alone;
     prompt_plan handed_over;
@@ -218,6 +253,10 @@
             // Its streams, or this one, would pause.
             cost += pauses;
         }
+        if (!is_reader) {
+            const auto answers = m_work.answering(engine_number(each->report.id));
+            cost += static_cast<double>(answers) * m_costs.per_paused_answer;
+        }
         if (cost < (is_reader ? best_reader : best_alone)) {
             auto& plan = is_reader ? handed_over : alone;
             (is_reader ? best_reader : best_alone) = cost;
@@ -283,7 +322,7 @@
         // One request of this host for each slot is as bad as another zone.
         auto cost = static_cast<double>(known.in_flight) / slots;
         cost += each->report.availability_zone == availability_zone ? 0 : 1;
-        cost += known.health.is_avoided(now) ? 1'000 : 0;
+        cost += known.health.is_avoided(now) ? 1'000 : failure_cost * known.health.failed_part();
         cost += std::uniform_real_distribution<double>{0, 0.05}(random);
         if (cost < best_cost) {
             best_cost = cost;
--- a/src/serving/stage_policy.cpp
+++ b/src/serving/stage_policy.cpp
@@ -38,7 +38,9 @@
         m_peak_answering = view.answering;
         m_peak_at = now;
     }
-    const auto peak_decode = engines_needed(m_peak_answering / (view.slots * answering_fill));
+    const auto peak_decode = std::max(
+        engines_needed(m_peak_answering / (view.slots * answering_fill)),
+        engines_needed(least_decode_part * static_cast<double>(view.prefill + view.decode)));
     const auto more_prefill = wanted(view.prefill, need_prefill, view.decode, peak_decode);
     const auto more_decode = wanted(view.decode, need_decode, view.prefill, need_prefill);
     m_lost_reading =
