tests: connections and decisions of the host process; answers take engines back again

The test of engines taken back failed on its first run: lost answers were summed with a half-life of 4 s, at most 5.8 engine-seconds, and never reached the price of 12. They now count half after 12 s against a price of 9.

--- a/include/cicadaport/serving/stage_policy.h
+++ b/include/cicadaport/serving/stage_policy.h
@@ -51,12 +51,14 @@
     static constexpr double least_decode_part = 1.0 / 3;
     // Loss counts half after this time without more.
     static constexpr std::chrono::seconds loss_half_life{4};
+    // Lost answers count for longer: their price is higher.
+    static constexpr std::chrono::seconds answer_loss_half_life{12};
     // Decode engines are only given away beyond what the most answers of this
     // time needed: answers come back within seconds, engines don't.
     static constexpr std::chrono::seconds peak_time{20};
     // And they are only taken back for what lasts: a change costs so many times
     // the work that the engine can't do meanwhile.
-    static constexpr double price_of_return = 4;
+    static constexpr double price_of_return = 3;
 
     // Returns the change to make now, usually none. Call it several times a
     // second.
--- a/src/serving/stage_policy.cpp
+++ b/src/serving/stage_policy.cpp
@@ -30,8 +30,8 @@
 {
     const auto step = std::min<fine_seconds>(now - m_at, longest_step);
     m_at = now;
-    const fine_seconds half_life = loss_half_life;
-    const auto kept = std::exp2(-step / half_life);
+    const auto kept = std::exp2(-step / fine_seconds{loss_half_life});
+    const auto answers_kept = std::exp2(-step / fine_seconds{answer_loss_half_life});
     const auto need_prefill = engines_needed(view.reading / reading_fill);
     const auto need_decode = engines_needed(view.answering / (view.slots * answering_fill));
     if (view.answering >= m_peak_answering || now - m_peak_at > peak_time) {
@@ -45,7 +45,7 @@
     const auto more_decode = wanted(view.decode, need_decode, view.prefill, need_prefill);
     m_lost_reading =
         m_lost_reading * kept + more_prefill * (1 - decode_reading_part) * step.count();
-    m_lost_answering = m_lost_answering * kept + std::min(more_decode, 1.0) * step.count();
+    m_lost_answering = m_lost_answering * answers_kept + std::min(more_decode, 1.0) * step.count();
     const fine_seconds switching = view.switch_time;
     // An engine that changes is missing where it was.
     if (more_prefill > 0 && m_lost_reading >= switching.count() * decode_reading_part) {
--- /dev/null
+++ b/test/serving/attempt_budget_test.cpp
@@ -0,0 +1,55 @@
+#include "cicadaport/serving/attempt_budget.h"
+
+#include <gtest/gtest.h>
+
+namespace cicadaport::serving {
+namespace {
+
+using namespace std::chrono_literals;
+
+const time_point start{std::chrono::hours{1}};
+
+int taken(attempt_budget& budget, time_point now)
+{
+    int count = 0;
+    while (budget.take("s", now)) {
+        ++count;
+    }
+    return count;
+}
+
+TEST(attempt_budget_test, grants_less_than_the_fleets_ratio_of_its_requests)
+{
+    attempt_budget budget{{0.2, 10s}};
+    for (int request = 0; request < 100; ++request) {
+        budget.count_request("s", start);
+    }
+    const auto granted = taken(budget, start);
+    EXPECT_GT(granted, 10);
+    EXPECT_LE(granted, 20);
+}
+
+TEST(attempt_budget_test, an_idle_host_takes_less_than_its_part_of_the_smallest_known_slack)
+{
+    // 216 attempts for 88 hosts.
+    attempt_budget budget{{0.2, 10s}};
+    EXPECT_LE(taken(budget, start), 216 / 88);
+}
+
+TEST(attempt_budget_test, forgets_what_is_older_than_the_window)
+{
+    attempt_budget budget{{0.2, 10s}};
+    const auto first = taken(budget, start);
+    EXPECT_EQ(taken(budget, start + 9s), 0);
+    EXPECT_EQ(taken(budget, start + 11s), first);
+}
+
+TEST(attempt_budget_test, counts_each_service_apart)
+{
+    attempt_budget budget{{0.2, 10s}};
+    taken(budget, start);
+    EXPECT_TRUE(budget.take("t", start));
+}
+
+} // namespace
+} // namespace cicadaport::serving
--- /dev/null
+++ b/test/serving/endpoint_table_test.cpp
@@ -0,0 +1,89 @@
+#include "cicadaport/serving/endpoint_table.h"
+
+#include <gtest/gtest.h>
+
+namespace cicadaport::serving {
+namespace {
+
+using namespace std::chrono_literals;
+
+const time_point start{std::chrono::hours{1}};
+
+endpoint_report report(const std::string& id, std::int64_t incarnation, std::int64_t sequence)
+{
+    endpoint_report out;
+    out.id = id;
+    out.service = "s";
+    out.address = {"127.0.0.1", 80};
+    out.incarnation = incarnation;
+    out.sequence = sequence;
+    return out;
+}
+
+TEST(endpoint_table_test, offers_what_is_reported)
+{
+    endpoint_table table;
+    table.apply(report("a", 1, 1), start);
+    ASSERT_EQ(table.serving("s").size(), 1U);
+    EXPECT_EQ(table.serving("s")[0]->report.id, "a");
+    EXPECT_TRUE(table.serving("other").empty());
+}
+
+TEST(endpoint_table_test, an_old_report_does_not_bring_back_a_replica_that_leaves)
+{
+    endpoint_table table;
+    table.apply(report("a", 1, 5), start);
+    auto leaving = report("a", 1, 6);
+    leaving.leaving = true;
+    table.apply(leaving, start);
+    EXPECT_TRUE(table.serving("s").empty());
+    table.apply(report("a", 1, 4), start);
+    EXPECT_TRUE(table.serving("s").empty()) << "older than what is known";
+    table.apply(report("a", 1, 7), start);
+    EXPECT_TRUE(table.serving("s").empty()) << "the incarnation has said that it leaves";
+}
+
+TEST(endpoint_table_test, a_restart_under_the_same_id_is_another_replica)
+{
+    endpoint_table table;
+    table.apply(report("a", 1, 50), start);
+    const auto before = table.serving("s")[0];
+    table.apply(report("a", 2, 1), start);
+    ASSERT_EQ(table.serving("s").size(), 1U);
+    EXPECT_NE(table.serving("s")[0], before);
+    EXPECT_TRUE(before->gone);
+}
+
+TEST(endpoint_table_test, a_removed_replica_comes_back_with_its_next_report)
+{
+    endpoint_table table;
+    table.apply(report("a", 1, 5), start);
+    table.remove("a", start);
+    EXPECT_TRUE(table.serving("s").empty());
+    table.apply(report("a", 1, 6), start + 1s);
+    EXPECT_EQ(table.serving("s").size(), 1U);
+}
+
+TEST(endpoint_table_test, a_complete_list_removes_what_it_does_not_name)
+{
+    endpoint_table table;
+    table.apply(report("a", 1, 1), start);
+    table.apply(report("b", 1, 1), start);
+    table.keep_only({"b", "c"}, start);
+    EXPECT_EQ(table.find("a"), nullptr);
+    EXPECT_NE(table.find("b"), nullptr);
+}
+
+TEST(endpoint_table_test, a_replica_that_moves_to_another_service_leaves_the_first)
+{
+    endpoint_table table;
+    table.apply(report("a", 1, 1), start);
+    auto moved = report("a", 1, 2);
+    moved.service = "t";
+    table.apply(moved, start);
+    EXPECT_TRUE(table.serving("s").empty());
+    EXPECT_EQ(table.serving("t").size(), 1U);
+}
+
+} // namespace
+} // namespace cicadaport::serving
--- /dev/null
+++ b/test/serving/event_buffer_test.cpp
@@ -0,0 +1,73 @@
+#include "cicadaport/serving/event_buffer.h"
+#include "cicadaport/serving/size_fairness.h"
+
+#include <gtest/gtest.h>
+
+namespace cicadaport::serving {
+namespace {
+
+TEST(event_buffer_test, returns_whole_events_only)
+{
+    event_buffer events;
+    events.feed("id: 1\ndata: a\n\nid: 2\nda");
+    EXPECT_EQ(events.take_whole(), "id: 1\ndata: a\n\n");
+    EXPECT_EQ(events.take_whole(), "");
+    events.feed("ta: b\n\n");
+    EXPECT_EQ(events.take_whole(), "id: 2\ndata: b\n\n");
+    EXPECT_EQ(events.last_event(), "2");
+    EXPECT_EQ(events.count(), 2U);
+}
+
+TEST(event_buffer_test, a_torn_event_is_not_part_of_the_stream_that_goes_on)
+{
+    event_buffer events;
+    events.feed("id: 1\ndata: a\n\nid: 2\ndata: torn");
+    events.take_whole();
+    events.restart();
+    events.feed("id: 2\ndata: b\n\n");
+    EXPECT_EQ(events.take_whole(), "id: 2\ndata: b\n\n");
+}
+
+TEST(event_buffer_test, events_that_were_returned_before_are_passed_over)
+{
+    event_buffer events;
+    events.feed("id: 9\ndata: a\n\n");
+    events.take_whole();
+    events.restart();
+    events.feed("id: 9\ndata: a\n\nid: 10\ndata: b\n\n");
+    EXPECT_EQ(events.take_whole(), "id: 10\ndata: b\n\n");
+}
+
+TEST(event_buffer_test, keeps_what_ends_a_stream_without_an_empty_line)
+{
+    event_buffer events;
+    events.feed("data: x\n\ndata: end");
+    EXPECT_EQ(events.take_whole(), "data: x\n\n");
+    EXPECT_EQ(events.take_rest(), "data: end");
+}
+
+TEST(size_fairness_test, tells_the_largest_tenth_from_the_rest)
+{
+    size_fairness fairness;
+    for (std::uint32_t size = 1; size <= 64; ++size) {
+        fairness.classify("r", size);
+    }
+    EXPECT_EQ(fairness.classify("r", 100), size_class::largest);
+    EXPECT_EQ(fairness.classify("r", 52), size_class::large);
+    EXPECT_EQ(fairness.classify("r", 10), size_class::usual);
+}
+
+TEST(size_fairness_test, a_class_that_is_served_less_often_is_behind)
+{
+    size_fairness fairness;
+    for (int request = 0; request < 20; ++request) {
+        fairness.note("r", size_class::usual, true);
+        fairness.note("r", size_class::largest, request % 4 == 0);
+    }
+    EXPECT_TRUE(fairness.is_behind("r", size_class::largest));
+    EXPECT_FALSE(fairness.is_behind("r", size_class::usual));
+    EXPECT_FALSE(fairness.is_behind("other", size_class::largest));
+}
+
+} // namespace
+} // namespace cicadaport::serving
--- /dev/null
+++ b/test/serving/placement_test.cpp
@@ -0,0 +1,213 @@
+#include "cicadaport/serving/placement.h"
+
+#include <gtest/gtest.h>
+
+namespace cicadaport::serving {
+namespace {
+
+using namespace std::chrono_literals;
+
+const time_point start{std::chrono::hours{1}};
+
+endpoint_pointer engine(const std::string& id, engine_stage stage, const std::string& zone = "z")
+{
+    endpoint_report out;
+    out.id = id;
+    out.service = "s";
+    out.stage = stage;
+    out.slots = 64;
+    out.availability_zone = zone;
+    return std::make_shared<endpoint>(out);
+}
+
+class engine_placement_test : public ::testing::Test {
+protected:
+    engine_placement_test()
+    {
+        for (int index = 0; index < 3; ++index) {
+            engines.push_back(engine("p" + std::to_string(index), engine_stage::prefill));
+        }
+        for (int index = 0; index < 6; ++index) {
+            engines.push_back(engine("d" + std::to_string(index), engine_stage::decode));
+        }
+        question.prompt = &prompt;
+        question.prompt_tokens = 2'000;
+        question.availability_zone = "z";
+        question.now = start;
+        question.excluded = &excluded;
+    }
+
+    void load(const std::string& id, fine_milliseconds time)
+    {
+        engine_work work;
+        work.engine = engine_number(id);
+        work.reading = work.nominal_reading = time;
+        fleet.begin(0, ++last, work, start);
+    }
+
+    fleet_work fleet;
+    engine_placement placement{fleet};
+    std::vector<endpoint_pointer> engines;
+    std::vector<prompt_part> prompt{{1, 500}, {2, 1'500}};
+    std::set<std::string> excluded;
+    prompt_question question;
+    std::uint64_t last = 0;
+};
+
+TEST_F(engine_placement_test, a_prompt_with_many_events_is_read_by_a_prefill_engine)
+{
+    const auto plan = placement.choose(question, engines);
+    ASSERT_NE(plan.reader, nullptr);
+    EXPECT_EQ(plan.reader->report.stage, engine_stage::prefill);
+    EXPECT_EQ(plan.runner->report.stage, engine_stage::decode);
+    EXPECT_TRUE(placement.answering_engines(engines).contains(plan.runner.get()));
+}
+
+TEST_F(engine_placement_test, it_stays_with_prefill_engines_also_when_they_are_loaded)
+{
+    for (const auto* id : {"p0", "p1", "p2"}) {
+        load(id, 2s);
+    }
+    EXPECT_NE(placement.choose(question, engines).reader, nullptr);
+}
+
+TEST_F(engine_placement_test, a_prompt_with_few_events_goes_to_an_idle_decode_engine_instead)
+{
+    question.many_events = false;
+    for (const auto* id : {"p0", "p1", "p2"}) {
+        load(id, 2s);
+    }
+    const auto plan = placement.choose(question, engines);
+    EXPECT_EQ(plan.reader, nullptr);
+    EXPECT_FALSE(placement.answering_engines(engines).contains(plan.runner.get()));
+}
+
+TEST_F(engine_placement_test, a_decode_engine_reads_it_all_when_there_is_no_prefill_engine)
+{
+    engines.erase(engines.begin(), engines.begin() + 3);
+    const auto plan = placement.choose(question, engines);
+    EXPECT_EQ(plan.reader, nullptr);
+    EXPECT_NE(plan.runner, nullptr);
+}
+
+TEST_F(engine_placement_test, chooses_the_engine_with_the_least_wait)
+{
+    load("p0", 500ms);
+    load("p1", 500ms);
+    EXPECT_EQ(placement.choose(question, engines).reader->report.id, "p2");
+}
+
+TEST_F(engine_placement_test, equal_beginnings_go_to_the_same_engine)
+{
+    std::set<std::string> readers;
+    for (std::uint64_t own = 100; own < 120; ++own) {
+        prompt.back() = {own, 1'500};
+        readers.insert(placement.choose(question, engines).reader->report.id);
+    }
+    EXPECT_EQ(readers.size(), 1U);
+}
+
+TEST_F(engine_placement_test, different_beginnings_spread_over_engines)
+{
+    std::set<std::string> readers;
+    for (std::uint64_t beginning = 100; beginning < 120; ++beginning) {
+        prompt.front() = {beginning, 500};
+        readers.insert(placement.choose(question, engines).reader->report.id);
+    }
+    EXPECT_EQ(readers.size(), 3U);
+}
+
+TEST_F(engine_placement_test, passes_over_engines_that_failed_this_request)
+{
+    excluded = {"p0", "p1"};
+    EXPECT_EQ(placement.choose(question, engines).reader->report.id, "p2");
+}
+
+TEST_F(engine_placement_test, passes_over_an_engine_that_changes_its_stage)
+{
+    const auto first = placement.choose(question, engines).reader->report.id;
+    placement.pause(engine_number(first), start + 4s);
+    EXPECT_NE(placement.choose(question, engines).reader->report.id, first);
+    question.now = start + 5s;
+    EXPECT_EQ(placement.choose(question, engines).reader->report.id, first);
+}
+
+TEST_F(engine_placement_test, avoids_an_engine_that_can_not_be_reached_while_others_can)
+{
+    const auto first = placement.choose(question, engines).reader->report.id;
+    placement.state(first).health.unreachable(start);
+    EXPECT_NE(placement.choose(question, engines).reader->report.id, first);
+    for (const auto& each : engines) {
+        placement.state(each->report.id).health.unreachable(start);
+    }
+    EXPECT_NE(placement.choose(question, engines).runner, nullptr) << "a last resort is used";
+}
+
+TEST_F(engine_placement_test, an_answering_engine_without_a_free_slot_is_left_for_another)
+{
+    for (int answer = 0; answer < 64; ++answer) {
+        for (const auto* each : placement.answering_engines(engines)) {
+            fleet.begin(9, ++last, engine_work{engine_number(each->report.id), 0, {}, {}}, start);
+        }
+    }
+    const auto plan = placement.choose(question, engines);
+    EXPECT_LT(fleet.answering(engine_number(plan.runner->report.id)), 64U);
+}
+
+TEST_F(engine_placement_test, more_engines_answer_when_more_answers_run)
+{
+    const auto before = placement.answering_engines(engines).size();
+    for (int answer = 0; answer < 200; ++answer) {
+        fleet.begin(9, ++last, engine_work{engine_number("d0"), 0, {}, {}}, start);
+    }
+    EXPECT_GT(placement.answering_engines(engines).size(), before);
+}
+
+TEST(replica_placement_test, stays_in_its_availability_zone_while_there_are_free_slots)
+{
+    replica_placement placement;
+    std::mt19937_64 random{1};
+    const std::vector<endpoint_pointer> replicas{engine("near", engine_stage::none, "z"),
+                                                 engine("far", engine_stage::none, "y")};
+    EXPECT_EQ(placement.choose(replicas, "z", {}, start, random)->report.id, "near");
+    placement.state("near").in_flight = 2 * 64;
+    EXPECT_EQ(placement.choose(replicas, "z", {}, start, random)->report.id, "far");
+}
+
+TEST(replica_placement_test, prefers_a_replica_that_fails_less)
+{
+    replica_placement placement;
+    std::mt19937_64 random{1};
+    const std::vector<endpoint_pointer> replicas{engine("a", engine_stage::none),
+                                                 engine("b", engine_stage::none)};
+    placement.state("a").health.failed(start);
+    placement.state("a").health.failed(start);
+    EXPECT_EQ(placement.choose(replicas, "z", {}, start, random)->report.id, "b");
+    EXPECT_EQ(placement.choose(replicas, "z", {"b"}, start, random)->report.id, "a");
+}
+
+TEST(endpoint_health_test, an_endpoint_that_fails_in_a_row_is_avoided_and_comes_back)
+{
+    endpoint_health health;
+    for (unsigned failure = 0; failure < endpoint_health::failures_in_a_row; ++failure) {
+        EXPECT_FALSE(health.is_avoided(start));
+        health.failed(start);
+    }
+    EXPECT_TRUE(health.is_avoided(start));
+    EXPECT_FALSE(health.is_avoided(start + endpoint_health::first_pause));
+    health.succeeded(start + 1s);
+    EXPECT_LT(health.failed_part(), 0.5);
+}
+
+TEST(endpoint_health_test, each_further_failure_doubles_the_pause_up_to_a_bound)
+{
+    endpoint_health health;
+    for (int failure = 0; failure < 20; ++failure) {
+        health.unreachable(start);
+    }
+    EXPECT_TRUE(health.is_avoided(start + endpoint_health::longest_pause - 1ms));
+    EXPECT_FALSE(health.is_avoided(start + endpoint_health::longest_pause));
+}
+
+} // namespace
+} // namespace cicadaport::serving
--- /dev/null
+++ b/test/serving/stage_policy_test.cpp
@@ -0,0 +1,144 @@
+#include "cicadaport/serving/order_ledger.h"
+#include "cicadaport/serving/stage_policy.h"
+
+#include <gtest/gtest.h>
+
+namespace cicadaport::serving {
+namespace {
+
+using namespace std::chrono_literals;
+
+const time_point start{std::chrono::hours{1}};
+
+stage_view view(std::size_t prefill, std::size_t decode, double reading, double answering)
+{
+    return {prefill, decode, reading, answering, 64, 3s};
+}
+
+// Asks the policy four times a second for so long; returns the first change.
+stage_change ask(stage_policy& policy, const stage_view& what, time_point& now,
+                 std::chrono::milliseconds time)
+{
+    for (const auto end = now + time; now < end; now += 250ms) {
+        const auto change = policy.decide(what, now);
+        if (change.engines > 0) {
+            return change;
+        }
+    }
+    return {};
+}
+
+TEST(stage_policy_test, changes_nothing_while_the_stages_suffice)
+{
+    stage_policy policy;
+    auto now = start;
+    EXPECT_EQ(ask(policy, view(4, 5, 2, 60), now, 60s).engines, 0U);
+}
+
+TEST(stage_policy_test, gives_decode_engines_to_reading_once_the_loss_exceeds_the_price)
+{
+    stage_policy policy;
+    auto now = start;
+    const auto change = ask(policy, view(4, 5, 8, 60), now, 10s);
+    EXPECT_EQ(change.to, engine_stage::prefill);
+    EXPECT_GE(now - start, 500ms) << "not at the first sign";
+}
+
+TEST(stage_policy_test, does_not_react_to_a_short_burst)
+{
+    stage_policy policy;
+    auto now = start;
+    for (int swing = 0; swing < 20; ++swing) {
+        EXPECT_EQ(ask(policy, view(4, 5, 7, 60), now, 250ms).engines, 0U);
+        EXPECT_EQ(ask(policy, view(4, 5, 1, 60), now, 8s).engines, 0U);
+    }
+}
+
+TEST(stage_policy_test, keeps_the_decode_engines_that_the_last_peak_of_answers_needed)
+{
+    stage_policy policy;
+    auto now = start;
+    policy.decide(view(4, 5, 1, 170), now);
+    now += 1s;
+    EXPECT_EQ(ask(policy, view(4, 5, 12, 20), now, 15s).engines, 0U);
+}
+
+TEST(stage_policy_test, keeps_a_third_of_the_engines_for_decode)
+{
+    stage_policy policy;
+    auto now = start;
+    EXPECT_EQ(ask(policy, view(12, 6, 30, 0), now, 30s).engines, 0U);
+    EXPECT_GT(ask(policy, view(11, 7, 30, 0), now, 30s).engines, 0U);
+}
+
+TEST(stage_policy_test, takes_engines_back_for_what_lasts)
+{
+    stage_policy policy;
+    auto now = start;
+    EXPECT_EQ(ask(policy, view(7, 2, 1, 200), now, 5s).engines, 0U);
+    EXPECT_EQ(ask(policy, view(7, 2, 1, 200), now, 30s).to, engine_stage::decode);
+}
+
+TEST(stage_policy_test, a_mix_that_turns_after_each_change_costs_at_most_what_was_lost)
+{
+    stage_policy policy;
+    auto now = start;
+    int changes = 0;
+    bool long_prompts = true;
+    for (int turn = 0; turn < 20; ++turn) {
+        const auto what = long_prompts ? view(4, 5, 8, 60) : view(6, 3, 1, 60);
+        if (ask(policy, what, now, 3s).engines > 0) {
+            policy.changed();
+            ++changes;
+        }
+        long_prompts = !long_prompts;
+    }
+    EXPECT_LE(changes, 10);
+}
+
+TEST(order_ledger_test, an_engine_is_free_until_an_order_is_announced_and_long_after)
+{
+    order_ledger ledger;
+    EXPECT_TRUE(ledger.is_free("e", start));
+    ledger.note("e", 4, engine_stage::prefill, start);
+    EXPECT_FALSE(ledger.is_free("e", start + 13s));
+    EXPECT_TRUE(ledger.is_free("e", start + order_ledger::quiet_time));
+    EXPECT_TRUE(ledger.is_free("other", start));
+}
+
+TEST(order_ledger_test, reading_the_same_announcement_again_does_not_prolong_it)
+{
+    order_ledger ledger;
+    ledger.note("e", 4, engine_stage::prefill, start);
+    ledger.note("e", 4, engine_stage::prefill, start + 10s);
+    EXPECT_TRUE(ledger.is_free("e", start + order_ledger::quiet_time));
+    ledger.note("e", 5, engine_stage::decode, start + 20s);
+    EXPECT_FALSE(ledger.is_free("e", start + 21s));
+}
+
+TEST(order_ledger_test, tells_what_an_engine_may_be_changing_to)
+{
+    order_ledger ledger;
+    ledger.note("e", 4, engine_stage::prefill, start);
+    EXPECT_EQ(ledger.changing_to("e", start + 1s), engine_stage::prefill);
+    EXPECT_FALSE(ledger.changing_to("e", start + order_ledger::changing_time));
+}
+
+TEST(order_ledger_test, a_host_that_was_frozen_after_its_announcement_sends_nothing)
+{
+    EXPECT_TRUE(order_ledger::may_send(start, start + 800ms));
+    EXPECT_FALSE(order_ledger::may_send(start, start + 5s));
+}
+
+TEST(order_ledger_test, orders_of_two_hosts_lie_further_apart_than_a_lease)
+{
+    // The longest lease of the known deployments, with the time in which a
+    // connection that was begun in time still delivers.
+    constexpr auto lease = 3s;
+    EXPECT_GT(order_ledger::quiet_time, order_ledger::sending_time + lease + 1s);
+    // Orders without an answer are carried out up to 12 s later.
+    EXPECT_GT(order_ledger::quiet_time, order_ledger::sending_time + 12s);
+}
+
+} // namespace
+} // namespace cicadaport::serving
--- /dev/null
+++ b/test/transport/message_reader_test.cpp
@@ -0,0 +1,88 @@
+#include "cicadaport/transport/message_reader.h"
+
+#include <gtest/gtest.h>
+
+namespace cicadaport::transport {
+namespace {
+
+TEST(message_reader_test, reads_a_request_that_comes_byte_by_byte)
+{
+    const std::string bytes = "POST /a?b=c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz";
+    message_reader reader{message_kind::request, {}};
+    std::string held;
+    std::string body;
+    for (const char each : bytes) {
+        held += each;
+        held.erase(0, reader.feed(held));
+        body += reader.take_body();
+    }
+    ASSERT_TRUE(reader.complete());
+    EXPECT_EQ(reader.head().method, "POST");
+    EXPECT_EQ(reader.head().target, "/a?b=c");
+    EXPECT_EQ(reader.head().fields.find("host"), "h");
+    EXPECT_EQ(body, "xyz");
+    EXPECT_TRUE(reader.keeps_connection());
+}
+
+TEST(message_reader_test, leaves_bytes_behind_a_message_unread)
+{
+    const std::string first = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    message_reader reader{message_kind::request, {}};
+    EXPECT_EQ(reader.feed(first + "GET /next HTTP/1.1\r\n\r\n"), first.size());
+    EXPECT_TRUE(reader.complete());
+}
+
+TEST(message_reader_test, joins_chunks_and_keeps_trailers_out_of_the_head)
+{
+    message_reader reader{message_kind::response, {}};
+    reader.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "2\r\nab\r\n1\r\nc\r\n0\r\nLate: 1\r\n\r\n");
+    ASSERT_TRUE(reader.complete());
+    EXPECT_EQ(reader.take_body(), "abc");
+    EXPECT_FALSE(reader.head().fields.find("Late"));
+}
+
+TEST(message_reader_test, takes_the_end_of_the_connection_as_end_of_a_body_without_length)
+{
+    message_reader reader{message_kind::response, {}};
+    reader.feed("HTTP/1.1 200 OK\r\n\r\nabc");
+    EXPECT_TRUE(reader.ends_with_connection());
+    EXPECT_FALSE(reader.complete());
+    reader.feed_end();
+    EXPECT_TRUE(reader.complete());
+}
+
+TEST(message_reader_test, does_not_take_the_end_of_the_connection_for_the_end_of_a_counted_body)
+{
+    message_reader reader{message_kind::response, {}};
+    reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
+    reader.feed_end();
+    EXPECT_FALSE(reader.complete());
+    EXPECT_EQ(reader.problem(), reading_problem::malformed);
+}
+
+TEST(message_reader_test, refuses_two_framings_of_one_request)
+{
+    for (const std::string framing :
+         {"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+          "Content-Length: 3\r\nContent-Length: 4\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+          "Transfer-Encoding: identity\r\n", "Content-Length: +3\r\n", "Content-Length : 3\r\n"}) {
+        message_reader reader{message_kind::request, {}};
+        reader.feed("POST / HTTP/1.1\r\nHost: h\r\n" + framing + "\r\n");
+        EXPECT_NE(reader.problem(), reading_problem::none) << framing;
+    }
+}
+
+TEST(message_reader_test, tells_which_limit_a_message_exceeds)
+{
+    message_reader long_head{message_kind::request, {64, 8}};
+    long_head.feed("GET / HTTP/1.1\r\nLong: " + std::string(100, 'x') + "\r\n\r\n");
+    EXPECT_EQ(long_head.problem(), reading_problem::head_too_large);
+    message_reader long_body{message_kind::request, {1'024, 8}};
+    long_body.feed("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n");
+    EXPECT_EQ(long_body.problem(), reading_problem::body_too_large);
+}
+
+} // namespace
+} // namespace cicadaport::transport
--- /dev/null
+++ b/test/transport/peer.h
@@ -0,0 +1,103 @@
+// A server for tests that says just what a test makes it say.
+#pragma once
+
+#include "cicadaport/http/address.h"
+#include "cicadaport/transport/timer_queue.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cicadaport::transport::testing {
+
+// Accepts connections on loopback and gathers what arrives on each. It belongs
+// to the test's event loop.
+class peer {
+public:
+    struct connection {
+        explicit connection(boost::asio::ip::tcp::socket from) : socket{std::move(from)} {}
+
+        boost::asio::ip::tcp::socket socket;
+        std::string received;
+        bool ended = false;
+
+        void say(std::string_view bytes)
+        {
+            boost::system::error_code ignored;
+            boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
+        }
+
+        void reset()
+        {
+            boost::system::error_code ignored;
+            socket.set_option(boost::asio::socket_base::linger{true, 0}, ignored);
+            socket.close(ignored);
+        }
+    };
+    using connection_pointer = std::shared_ptr<connection>;
+
+    // `on_input` is called whenever a connection has received more.
+    peer(boost::asio::io_context& context, std::function<void(connection&)> on_input)
+        : m_acceptor{context, {boost::asio::ip::make_address("127.0.0.1"), 0}},
+          m_on_input{std::move(on_input)}
+    {
+        accept();
+    }
+
+    http::address address() const { return {"127.0.0.1", m_acceptor.local_endpoint().port()}; }
+
+    std::vector<connection_pointer> connections;
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept(
+            [this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
+                if (error) {
+                    return;
+                }
+                connections.push_back(std::make_shared<connection>(std::move(socket)));
+                read(connections.back());
+                accept();
+            });
+    }
+
+    void read(const connection_pointer& from)
+    {
+        auto buffer = std::make_shared<std::string>(4'096, '\0');
+        from->socket.async_read_some(
+            boost::asio::buffer(*buffer),
+            [this, from, buffer](boost::system::error_code error, std::size_t count) {
+                if (error) {
+                    from->ended = true;
+                    return;
+                }
+                from->received.append(*buffer, 0, count);
+                m_on_input(*from);
+                if (from->socket.is_open()) {
+                    read(from);
+                }
+            });
+    }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::function<void(connection&)> m_on_input;
+};
+
+// Runs the loop until `done` or for five seconds; returns whether it was done.
+template <typename Done>
+bool run_until(boost::asio::io_context& context, Done done)
+{
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds{5};
+    while (!done() && std::chrono::steady_clock::now() < limit) {
+        context.restart();
+        context.run_for(std::chrono::milliseconds{5});
+    }
+    return done();
+}
+
+} // namespace cicadaport::transport::testing
