--- a/include/cicadaport/serving/host_process.h
+++ b/include/cicadaport/serving/host_process.h
@@ -46,11 +46,9 @@
     void run();
 
     // Begins a planned stop: not ready any longer, then no new connections,
-    // then the end once all requests are answered. Call on the event loop.
+    // then the end once all requests are answered. From any thread.
     void stop();
 
-    bool is_ready() const noexcept;
-
 private:
     class implementation;
     std::unique_ptr<implementation> m_impl;
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -23,7 +23,7 @@
 
 // An accepted version must be in force on every host within seconds: a broken
 // connection to the store must show well before.
-constexpr feed_follower::pace configuration_pace{milliseconds{1'500}, milliseconds{0}};
+constexpr feed_follower::pace configuration_pace{milliseconds{1'500}, milliseconds{50}};
 // Replicas that leave are sent nothing after two seconds.
 constexpr feed_follower::pace endpoints_pace{milliseconds{1'000}, milliseconds{800}};
 
@@ -179,6 +179,11 @@
         m_context.run();
     }
 
+    void post_stop()
+    {
+        asio::post(m_context, [this] { stop(); });
+    }
+
     void stop()
     {
         if (m_state.is_stopping) {
@@ -352,12 +357,7 @@
 
 void host_process::stop()
 {
-    m_impl->stop();
-}
-
-bool host_process::is_ready() const noexcept
-{
-    return m_impl->is_ready();
+    m_impl->post_stop();
 }
 
 } // namespace cicadaport::serving
--- /dev/null
+++ b/test/platform/stand_ins.h
@@ -0,0 +1,334 @@
+// Small stand-ins of the platform's store and replicas, speaking its protocol.
+//
+// They run on an event loop of their own thread. What they are told to do and
+// what they have seen may be used from the test's thread.
+#pragma once
+
+#include "cicadaport/http/message.h"
+#include "cicadaport/transport/message_reader.h"
+
+#include <boost/asio.hpp>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace cicadaport::platform::testing {
+
+using boost::asio::ip::tcp;
+using transport::message_head;
+using transport::message_kind;
+using transport::message_reader;
+
+// One request as a stand-in received it.
+struct received_request {
+    message_head head;
+    std::string body;
+
+    std::string field(std::string_view name) const
+    {
+        return std::string{head.fields.find(name).value_or("")};
+    }
+    std::string path() const { return head.target.substr(0, head.target.find('?')); }
+    // A parameter of the query, as it was written.
+    std::string parameter(const std::string& name) const
+    {
+        const auto at = head.target.find(name + "=");
+        if (at == std::string::npos) {
+            return {};
+        }
+        const auto start = at + name.size() + 1;
+        return head.target.substr(start, head.target.find('&', start) - start);
+    }
+};
+
+// What a stand-in says to a request.
+struct spoken {
+    std::string bytes;
+    enum class then { keep, close, reset } after = then::keep;
+    std::chrono::milliseconds delay{0};
+};
+
+inline spoken say(unsigned status, const std::string& fields, const std::string& body)
+{
+    return {"HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields +
+            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
+}
+
+// Serves connections on loopback; `answer` is called on the server's thread.
+class scripted_server {
+public:
+    using answer_function = std::function<spoken(const received_request&)>;
+
+    explicit scripted_server(answer_function answer)
+        : m_acceptor{m_context, {boost::asio::ip::make_address("127.0.0.1"), 0}}, m_answer{
+                                                                                      std::move(
+                                                                                          answer)}
+    {
+        accept();
+        m_thread = std::thread{[this] { m_context.run(); }};
+    }
+
+    ~scripted_server()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    http::address address() const { return {"127.0.0.1", m_acceptor.local_endpoint().port()}; }
+
+    void set_answer(answer_function answer)
+    {
+        const std::lock_guard lock{m_mutex};
+        m_answer = std::move(answer);
+    }
+
+    std::vector<received_request> requests() const
+    {
+        const std::lock_guard lock{m_mutex};
+        return m_requests;
+    }
+
+    // How many connections their peers have closed while a request was open.
+    int abandoned() const { return m_abandoned; }
+
+private:
+    struct session {
+        explicit session(tcp::socket from, boost::asio::io_context& context)
+            : socket{std::move(from)}, timer{context}
+        {
+        }
+        tcp::socket socket;
+        boost::asio::steady_timer timer;
+        std::array<char, 8192> buffer{};
+        std::string input;
+        message_reader reader{message_kind::request, {}};
+        std::string body;
+        bool open = false;
+    };
+    using session_pointer = std::shared_ptr<session>;
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+            if (!error) {
+                read(std::make_shared<session>(std::move(socket), m_context));
+                accept();
+            }
+        });
+    }
+
+    void read(const session_pointer& from)
+    {
+        from->socket.async_read_some(
+            boost::asio::buffer(from->buffer),
+            [this, from](boost::system::error_code error, std::size_t count) {
+                if (error) {
+                    m_abandoned += from->open ? 1 : 0;
+                    return;
+                }
+                from->input.append(from->buffer.data(), count);
+                from->input.erase(0, from->reader.feed(from->input));
+                from->body += from->reader.take_body();
+                if (from->reader.complete()) {
+                    serve(from);
+                }
+                if (from->socket.is_open()) {
+                    read(from);
+                }
+            });
+    }
+
+    void serve(const session_pointer& from)
+    {
+        received_request request{from->reader.head(), std::exchange(from->body, {})};
+        from->reader = message_reader{message_kind::request, {}};
+        answer_function answer;
+        {
+            const std::lock_guard lock{m_mutex};
+            m_requests.push_back(request);
+            answer = m_answer;
+        }
+        const auto reply = answer(request);
+        from->open = true;
+        from->timer.expires_after(reply.delay);
+        from->timer.async_wait([from, reply](boost::system::error_code) {
+            boost::system::error_code ignored;
+            boost::asio::write(from->socket, boost::asio::buffer(reply.bytes), ignored);
+            from->open = reply.bytes.empty();
+            if (reply.after == spoken::then::reset) {
+                from->socket.set_option(boost::asio::socket_base::linger{true, 0}, ignored);
+            }
+            if (reply.after != spoken::then::keep) {
+                from->socket.close(ignored);
+            }
+        });
+    }
+
+    boost::asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    mutable std::mutex m_mutex;
+    answer_function m_answer;
+    std::vector<received_request> m_requests;
+    std::atomic<int> m_abandoned{0};
+    std::thread m_thread;
+};
+
+// The platform's store: keyed topics of one partition.
+class standin_store {
+public:
+    standin_store() : m_server{[this](const received_request& each) { return answer(each); }} {}
+
+    http::address address() const { return m_server.address(); }
+
+    void put(const std::string& topic, const std::string& key, const std::string& value)
+    {
+        const std::lock_guard lock{m_mutex};
+        m_topics[topic].records.push_back({key, value});
+    }
+
+    // Records before the end can't be read any longer.
+    void forget_history(const std::string& topic)
+    {
+        const std::lock_guard lock{m_mutex};
+        m_topics[topic].first = m_topics[topic].records.size();
+    }
+
+    // All calls are answered with this status until it is 0 again.
+    void refuse(unsigned status) { m_refusal = status; }
+
+    // Appends are carried out and not answered.
+    void lose_append_answers(bool lost) { m_lose_appends = lost; }
+
+    std::size_t appended(const std::string& topic) const
+    {
+        const std::lock_guard lock{m_mutex};
+        const auto found = m_topics.find(topic);
+        return found == m_topics.end() ? 0 : found->second.records.size();
+    }
+
+private:
+    struct record {
+        std::string key;
+        std::string value;
+    };
+    struct topic_log {
+        std::vector<record> records;
+        std::size_t first = 0;
+    };
+
+    static std::string number(std::uint64_t value, int bytes)
+    {
+        std::string out;
+        for (int left = bytes; left-- > 0;) {
+            out += static_cast<char>((value >> (8 * left)) & 0xff);
+        }
+        return out;
+    }
+
+    static std::string base64(const std::string& bytes)
+    {
+        static constexpr char digits[] =
+            "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+        std::string out;
+        for (std::size_t at = 0; at < bytes.size(); at += 3) {
+            std::uint32_t group = 0;
+            for (std::size_t index = 0; index < 3; ++index) {
+                group = (group << 8) |
+                        (at + index < bytes.size() ? static_cast<unsigned char>(bytes[at + index])
+                                                   : 0U);
+            }
+            for (std::size_t index = 0; index < 4; ++index) {
+                out += at + index <= bytes.size() ? digits[(group >> (18 - 6 * index)) & 63] : '=';
+            }
+        }
+        return out;
+    }
+
+    spoken answer(const received_request& request)
+    {
+        if (m_refusal != 0) {
+            return say(m_refusal, "", "");
+        }
+        const std::lock_guard lock{m_mutex};
+        auto& topic = m_topics[request.parameter("topic")];
+        if (request.path() == "/-/log-newest") {
+            return newest(topic);
+        }
+        if (request.path() == "/-/log-read") {
+            return read(topic, request);
+        }
+        return append(topic, request);
+    }
+
+    static spoken newest(const topic_log& topic)
+    {
+        std::map<std::string, std::size_t> last;
+        for (std::size_t offset = 0; offset < topic.records.size(); ++offset) {
+            last[topic.records[offset].key] = offset;
+        }
+        auto items = nlohmann::json::array();
+        for (const auto& [key, offset] : last) {
+            if (!topic.records[offset].value.empty()) {
+                items.push_back({{"key", key},
+                                 {"value", base64(topic.records[offset].value)},
+                                 {"offset", offset}});
+            }
+        }
+        const nlohmann::json body{{"items", items}, {"more", false}, {"end", topic.records.size()}};
+        return say(200, "", body.dump());
+    }
+
+    static spoken read(const topic_log& topic, const received_request& request)
+    {
+        const auto from = std::stoull(request.parameter("from"));
+        if (from < topic.first) {
+            return say(410, "", "{}");
+        }
+        auto body = number(topic.records.size(), 8) + number(topic.first, 8);
+        for (auto offset = from; offset < topic.records.size(); ++offset) {
+            const auto& each = topic.records[offset];
+            body += number(1 + each.key.size() + each.value.size(), 4);
+            body += static_cast<char>(each.key.size());
+            body += each.key + each.value;
+        }
+        return say(200, "", body);
+    }
+
+    spoken append(topic_log& topic, const received_request& request)
+    {
+        const auto at = request.parameter("at");
+        if (!at.empty() && std::stoull(at) != topic.records.size()) {
+            return say(412, "", R"({"end":)" + std::to_string(topic.records.size()) + "}");
+        }
+        const auto offset = topic.records.size();
+        std::string_view rest{request.body};
+        while (rest.size() > 4) {
+            std::uint32_t length = 0;
+            for (const unsigned char each : rest.substr(0, 4)) {
+                length = (length << 8) | each;
+            }
+            const auto entry = rest.substr(4, length);
+            const auto key = static_cast<unsigned char>(entry[0]);
+            topic.records.push_back(
+                {std::string{entry.substr(1, key)}, std::string{entry.substr(1 + key)}});
+            rest.remove_prefix(4 + length);
+        }
+        if (m_lose_appends) {
+            return {"", spoken::then::reset};
+        }
+        return say(200, "",
+                   R"({"offset":)" + std::to_string(offset) + R"(,"end":)" +
+                       std::to_string(topic.records.size()) + "}");
+    }
+
+    mutable std::mutex m_mutex;
+    std::map<std::string, topic_log> m_topics;
+    std::atomic<unsigned> m_refusal{0};
+    std::atomic<bool> m_lose_appends{false};
+    scripted_server m_server;
+};
+
+} // namespace cicadaport::platform::testing
--- /dev/null
+++ b/test/platform/wire_test.cpp
@@ -0,0 +1,251 @@
+#include "platform/settings.h"
+#include "platform/wire.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+
+namespace cicadaport::platform {
+namespace {
+
+using ::testing::HasSubstr;
+using ::testing::Not;
+
+const wire speech{http::address{"10.0.0.1", 80}};
+
+transport::message_head head(std::initializer_list<http::field> fields)
+{
+    transport::message_head out;
+    out.method = "POST";
+    out.target = "/p/q?x=1";
+    out.fields = fields;
+    return out;
+}
+
+TEST(wire_test, reads_what_a_caller_says_of_its_request)
+{
+    const auto terms = speech.read_request(head({{"Host", "Shop.example:80"},
+                                                 {"Request-Id", "ab"},
+                                                 {"Deadline-Ms", "800"},
+                                                 {"Token-Count", "1460,80"},
+                                                 {"Prompt-Prefix", "5c1e07a2:800, 91bd3f06:660"}}));
+    EXPECT_EQ(terms.host, "shop.example");
+    EXPECT_EQ(terms.path, "/p/q");
+    EXPECT_EQ(terms.id, "ab");
+    EXPECT_EQ(terms.time_left, serving::milliseconds{800});
+    EXPECT_EQ(terms.prompt_tokens, 1'460U);
+    EXPECT_EQ(terms.most_output_tokens, 80U);
+    ASSERT_EQ(terms.prompt.size(), 2U);
+    EXPECT_EQ(terms.prompt[0].id, 0x5c1e07a2U);
+    EXPECT_EQ(terms.prompt[1].tokens, 660U);
+}
+
+TEST(wire_test, refuses_a_request_with_no_or_two_hosts)
+{
+    EXPECT_THROW(speech.read_request(head({})), serving::invalid_request);
+    EXPECT_THROW(speech.read_request(head({{"Host", "a"}, {"host", "b"}})),
+                 serving::invalid_request);
+}
+
+TEST(wire_test, passes_a_request_on_without_what_only_the_system_may_set)
+{
+    serving::run_terms terms;
+    terms.endpoint = "i-1";
+    terms.time_left = serving::milliseconds{500};
+    const auto sent = speech.run_request(head({{"Host", "a"},
+                                               {"Model", "m"},
+                                               {"X-Own", "1"},
+                                               {"Connection", "X-Hop, Model"},
+                                               {"X-Hop", "1"},
+                                               {"Kv-Source", "1.2.3.4:5/x"},
+                                               {"kv-hold", "h"},
+                                               {"Pin-Ms", "9"},
+                                               {"Serving-Stage", "prefill"},
+                                               {"Request-Priority", "0"},
+                                               {"Target-Instance", "i-9"},
+                                               {"Expected-Version", "7"},
+                                               {"Deadline-Ms", "99999"},
+                                               {"Transfer-Encoding", "chunked"}}),
+                                         "body", terms);
+    EXPECT_THAT(sent, HasSubstr("POST /p/q?x=1 HTTP/1.1\r\n"));
+    EXPECT_THAT(sent, HasSubstr("\r\nModel: m\r\n")) << "not dropped by a caller's Connection";
+    EXPECT_THAT(sent, HasSubstr("X-Own: 1"));
+    EXPECT_THAT(sent, HasSubstr("Deadline-Ms: 500\r\n"));
+    EXPECT_THAT(sent, HasSubstr("Target-Instance: i-1\r\n"));
+    EXPECT_THAT(sent, HasSubstr("Content-Length: 4\r\n"));
+    EXPECT_TRUE(sent.ends_with("\r\n\r\nbody"));
+    for (const auto* dropped :
+         {"X-Hop", "Kv-", "kv-hold", "Pin-Ms", "Serving-Stage", "Request-Priority", "i-9",
+          "Expected-Version", "99999", "Transfer-Encoding"}) {
+        EXPECT_THAT(sent, Not(HasSubstr(dropped)));
+    }
+}
+
+TEST(wire_test, says_where_a_prompts_memory_lies_and_after_which_event_to_go_on)
+{
+    serving::run_terms terms;
+    terms.endpoint = "i-1";
+    terms.urgency = 3;
+    terms.from = serving::read_prompt{{"1.2.3.4", 5}, "h"};
+    terms.after_event = "41";
+    const auto sent = speech.run_request(head({{"Host", "a"}, {"Last-Event-Id", "7"}}), "", terms);
+    EXPECT_THAT(sent, HasSubstr("Kv-Source: 1.2.3.4:5/h\r\n"));
+    EXPECT_THAT(sent, HasSubstr("Request-Priority: 3\r\n"));
+    EXPECT_THAT(sent, HasSubstr("Last-Event-Id: 41\r\n"));
+    EXPECT_THAT(sent, Not(HasSubstr("Last-Event-Id: 7")));
+}
+
+std::optional<serving::endpoint_report> read_endpoint(const std::string& value)
+{
+    return speech.read_endpoint({"i-1", value});
+}
+
+TEST(wire_test, reads_a_replicas_entry)
+{
+    const auto read = read_endpoint(
+        R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":"v1","slots":64,)"
+        R"("state":"ready","cold-left-ms":0,"stage":"decode","sequence":4,"born":17})");
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->id, "i-1");
+    EXPECT_EQ(read->address, (http::address{"10.1.2.3", 80}));
+    EXPECT_EQ(read->stage, serving::engine_stage::decode);
+    EXPECT_EQ(read->incarnation, 17);
+    EXPECT_EQ(read->sequence, 4);
+    EXPECT_FALSE(read->leaving);
+}
+
+TEST(wire_test, an_entry_of_another_writer_names_no_replica)
+{
+    for (const std::string value :
+         {"", "not json", "[]", "{}", R"({"service":1})",
+          R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":1,"state":"odd"})",
+          R"({"service":"s","address":"nowhere","zone":"z","slots":1,"state":"ready"})",
+          R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":"1","state":"ready"})",
+          R"({"service":"s","address":"10.1.2.3:80","zone":"z","state":"ready","born":1.5})",
+          R"({"service":"s","address":"10.1.2.3:80","zone":"z","state":"ready","stage":"x"})"}) {
+        EXPECT_FALSE(read_endpoint(value)) << value;
+    }
+}
+
+TEST(wire_test, reads_a_configuration)
+{
+    const auto read = speech.read_deployment(
+        {"config",
+         R"({"version":7,"routes":[)"
+         R"({"name":"r","host":"h","path-prefix":"/a/","kind":"streaming","timeout-ms":8000,)"
+         R"("target-latency-ms":250,"priority":1,"service":"s","max-attempts":2,"sticky":true,)"
+         R"("resumable":true,"target-gap-ms":150},)"
+         R"({"name":"t","host":"h","path-prefix":"/b/","kind":"unsafe","timeout-ms":600,)"
+         R"("traffic-split":[{"service":"s","weight":90},{"service":"u","weight":10}]}],)"
+         R"("services":[{"name":"s","health-path":"/health","max-conns":360,)"
+         R"("engine":{"slots":64,"token-kv-bytes":163840,"link-mbps":1200.5,"switch-s":3.0}}],)"
+         R"("limits":{"max-header-bytes":8192,"idle-timeout-ms":9000}})"});
+    ASSERT_NE(read, nullptr);
+    EXPECT_EQ(read->version(), 7U);
+    const auto* stream = read->find_route("h", "/a/x");
+    ASSERT_NE(stream, nullptr);
+    EXPECT_TRUE(stream->streamed);
+    EXPECT_EQ(stream->repeats, serving::repeat_rule::any) << "it may be resumed";
+    EXPECT_EQ(stream->caller_patience, serving::milliseconds{2'000});
+    const auto* once = read->find_route("h", "/b/x");
+    EXPECT_EQ(once->repeats, serving::repeat_rule::once);
+    EXPECT_EQ(once->shares.size(), 2U);
+    EXPECT_EQ(read->find_service("s")->engines->switch_time, serving::milliseconds{3'000});
+    EXPECT_EQ(read->limits().head_bytes, 8'192U);
+    EXPECT_EQ(read->limits().idle_time, serving::milliseconds{9'000});
+}
+
+TEST(wire_test, a_configuration_that_can_not_be_read_is_none)
+{
+    EXPECT_EQ(speech.read_deployment({"config", "{}"}), nullptr);
+    EXPECT_EQ(speech.read_deployment({"config", std::nullopt}), nullptr);
+    EXPECT_EQ(speech.read_deployment({"other", R"({"version":1,"routes":[],"services":[]})"}),
+              nullptr);
+}
+
+TEST(wire_test, tells_expired_records_from_a_refusal)
+{
+    const auto kind_of = [](unsigned status) {
+        try {
+            speech.read_records(status, "", 0);
+        }
+        catch (const serving::store_error& error) {
+            return std::optional{error.what_kind()};
+        }
+        return std::optional<serving::store_error::kind>{};
+    };
+    EXPECT_EQ(kind_of(410), serving::store_error::kind::expired);
+    EXPECT_EQ(kind_of(503), serving::store_error::kind::refused);
+    EXPECT_EQ(kind_of(200), serving::store_error::kind::refused) << "an answer without its head";
+}
+
+TEST(wire_test, a_record_that_is_cut_short_is_a_refusal)
+{
+    const std::string body = std::string(16, '\0') + std::string{"\0\0\0\5\1kv", 7};
+    EXPECT_THROW(speech.read_records(200, body, 0), serving::store_error);
+    EXPECT_EQ(speech.read_records(200, std::string(16, '\0') + std::string{"\0\0\0\3\1kv", 7}, 4)
+                  .next_offset,
+              5U);
+}
+
+TEST(wire_test, an_order_names_the_replica_the_token_and_what_it_expects)
+{
+    serving::stage_order order;
+    order.engine = "i-1";
+    order.to = serving::engine_stage::prefill;
+    order.holder = "host-1";
+    order.fencing_token = 41;
+    order.expected_orders = 2;
+    const auto sent = speech.order_request({"1.2.3.4", 5}, order);
+    EXPECT_THAT(sent, HasSubstr("Target-Instance: i-1\r\n"));
+    EXPECT_THAT(sent, HasSubstr(R"("fencing-token":41)"));
+    EXPECT_THAT(sent, HasSubstr(R"("expected":2)"));
+    EXPECT_THAT(sent, HasSubstr(R"("stage":"prefill")"));
+}
+
+class settings_test : public ::testing::Test {
+protected:
+    settings_test() : file{std::string{std::tmpnam(nullptr)} + ".toml"} {}
+    ~settings_test() override { std::remove(file.c_str()); }
+
+    void write(const std::string& text) const { std::ofstream{file} << text; }
+
+    std::string file;
+    const std::string whole = "node-name = \"n\"\nzone = \"z\"\nnew-field = 1\n"
+                              "internal-ports = [7380, 7395]\nseeds = [\"10.1.0.2:8144\"]\n"
+                              "[listen]\nfront = \"10.1.0.1:1\"\nready = \"10.1.0.1:2\"\n"
+                              "[platform]\naddress = \"10.9.0.1:3\"\n"
+                              "[bounds]\ngrace-s = 8\nretry-budget-ratio = 0.2\n";
+};
+
+TEST_F(settings_test, are_read_and_unknown_fields_passed_over)
+{
+    write(whole);
+    const auto read = read_settings(file);
+    EXPECT_EQ(read.name, "n");
+    EXPECT_EQ(read.caller_address, (http::address{"10.1.0.1", 1}));
+    EXPECT_EQ(read.store_address, (http::address{"10.9.0.1", 3}));
+    EXPECT_EQ(read.peers.own, (http::address{"10.1.0.1", 7380}));
+    EXPECT_EQ(read.peers.first_ips, std::vector<std::string>{"10.1.0.2"});
+    EXPECT_EQ(read.grace_time, serving::milliseconds{8'000});
+    EXPECT_DOUBLE_EQ(read.attempts.ratio, 0.2);
+}
+
+TEST_F(settings_test, name_what_is_missing)
+{
+    write("node-name = \"n\"\nzone = \"z\"\n");
+    try {
+        read_settings(file);
+        FAIL() << "no error";
+    }
+    catch (const std::runtime_error& error) {
+        EXPECT_THAT(error.what(), HasSubstr("listen.front"));
+    }
+    write("not toml at all");
+    EXPECT_THROW(read_settings(file), std::runtime_error);
+}
+
+} // namespace
+} // namespace cicadaport::platform
