--- a/cmake/cicadaport.cmake
+++ b/cmake/cicadaport.cmake
@@ -48,6 +48,7 @@
 # Libraries whose test programs run in parts, and in how many.
 set(cicadaport_parts_authority 3)
 set(cicadaport_parts_scenario 2)
+set(cicadaport_parts_platform 3)
 
 function(cicadaport_library name)
   file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/${name}/*.cpp)
@@ -128,7 +129,7 @@
     target_include_directories(platform_test PRIVATE ${CMAKE_SOURCE_DIR}/test)
     target_include_directories(platform_test PRIVATE ${CMAKE_SOURCE_DIR})
     target_link_libraries(platform_test PRIVATE platform GTest::gmock_main)
-    cicadaport_test(platform 1)
+    cicadaport_test(platform ${cicadaport_parts_platform})
   endif()
 endfunction()
 
--- a/include/cicadaport/serving/host_process.h
+++ b/include/cicadaport/serving/host_process.h
@@ -25,6 +25,11 @@
     peer_settings peers;
     // How long a planned stop may take.
     milliseconds grace_time{8'000};
+    // How long connections are taken after a stop began: the balancer asks once
+    // a second whether the host is ready and believes the second answer.
+    milliseconds accepting_after_stop{2'600};
+    // A replica that leaves may be sent requests for so long.
+    milliseconds leaving_time{2'000};
     // Attempts beyond the first of all hosts together, as a part of requests.
     attempt_budget::bounds attempts;
 };
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -12,20 +12,26 @@
 
 namespace {
 
-// The balancer asks once a second and needs two misses; connections that it
-// made before are still taken.
-constexpr milliseconds accepting_after_stop{2'600};
 // Kept free at the end of the grace time.
 constexpr milliseconds grace_margin{600};
 constexpr milliseconds housekeeping_interval{1'000};
 constexpr milliseconds stop_check_interval{50};
 constexpr milliseconds accept_pause{20};
 
-// An accepted version must be in force on every host within seconds: a broken
-// connection to the store must show well before.
-constexpr feed_follower::pace configuration_pace{milliseconds{1'500}, milliseconds{50}};
-// Replicas that leave are sent nothing after two seconds.
-constexpr feed_follower::pace endpoints_pace{milliseconds{1'000}, milliseconds{800}};
+// The store answers as soon as there is a new version; the wait only bounds
+// how late a connection that has gone silent is noticed.
+constexpr feed_follower::pace configuration_pace{milliseconds{3'000}, milliseconds{50}};
+// Replicas report about once a second, so the list always has something new:
+// it is read as seldom as the time allows in which a leaving replica must be
+// sent nothing, less a failed call.
+constexpr double leaving_time_part = 0.55;
+constexpr milliseconds endpoints_wait{1'000};
+
+feed_follower::pace endpoints_pace(milliseconds leaving_time)
+{
+    const auto part = leaving_time_part * static_cast<double>(leaving_time.count());
+    return {endpoints_wait, milliseconds{static_cast<std::int64_t>(part)}};
+}
 
 // Takes connections and gives them to `on_connection`.
 class listener {
@@ -140,8 +146,8 @@
           m_state{m_context, wire, m_settings.availability_zone, m_settings.attempts},
           m_configuration{m_state, m_settings.store_address, feed::configuration,
                           configuration_pace, configuration_callbacks()},
-          m_endpoints{m_state, m_settings.store_address, feed::endpoints, endpoints_pace,
-                      endpoint_callbacks()},
+          m_endpoints{m_state, m_settings.store_address, feed::endpoints,
+                      endpoints_pace(m_settings.leaving_time), endpoint_callbacks()},
           m_news{m_state, m_settings.peers}, m_director{m_state, m_settings.store_address,
                                                         m_settings.name},
           m_signals{m_context}, m_settings_signal{m_context, SIGHUP}
@@ -300,7 +306,7 @@
     void check_stop()
     {
         const auto since = m_state.timers.now() - m_stop_at;
-        if (since >= accepting_after_stop) {
+        if (since >= m_settings.accepting_after_stop) {
             m_callers->close();
             const auto all = m_connections;
             for (const auto& each : all) {
--- /dev/null
+++ b/test/platform/host_test.cpp
@@ -0,0 +1,554 @@
+// The whole host process before stand-ins of the platform.
+#include "stand_ins.h"
+
+#include "platform/wire.h"
+
+#include "cicadaport/serving/host_process.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+namespace cicadaport::platform {
+namespace {
+
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+using ::testing::HasSubstr;
+using ::testing::Not;
+using testing::received_request;
+using testing::say;
+using testing::scripted_server;
+using testing::spoken;
+using testing::standin_store;
+using transport::message_kind;
+using transport::message_reader;
+
+constexpr std::string_view configuration_topic = "keyed.op";
+constexpr std::string_view replicas_topic = "keyed.servers";
+constexpr auto longest_wait = 8s;
+
+// Waits until `done`, without dependence on how fast things go.
+template <typename Done>
+bool eventually(Done done)
+{
+    const auto limit = std::chrono::steady_clock::now() + longest_wait;
+    while (!done() && std::chrono::steady_clock::now() < limit) {
+        std::this_thread::sleep_for(2ms);
+    }
+    return done();
+}
+
+std::uint16_t free_port()
+{
+    boost::asio::io_context context;
+    const tcp::acceptor probe{context, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    return probe.local_endpoint().port();
+}
+
+// A caller's connection.
+class caller {
+public:
+    explicit caller(const http::address& to) : m_socket{m_context}
+    {
+        m_socket.connect({boost::asio::ip::make_address(to.ip), to.port});
+    }
+
+    void send(const std::string& bytes)
+    {
+        boost::asio::write(m_socket, boost::asio::buffer(bytes));
+    }
+
+    struct answer {
+        unsigned status = 0;
+        http::field_list fields;
+        std::string body;
+        // Whether it ended as HTTP demands.
+        bool complete = false;
+
+        std::string field(std::string_view name) const
+        {
+            return std::string{fields.find(name).value_or("")};
+        }
+    };
+
+    // Reads one answer, to its end or to that of the connection.
+    answer receive()
+    {
+        message_reader reader{message_kind::response, {}};
+        answer out;
+        boost::system::error_code error;
+        while (!reader.complete() && reader.problem() == transport::reading_problem::none) {
+            m_input.erase(0, reader.feed(m_input));
+            out.body += reader.take_body();
+            if (reader.complete()) {
+                break;
+            }
+            std::array<char, 4096> buffer{};
+            const auto count = m_socket.read_some(boost::asio::buffer(buffer), error);
+            if (error) {
+                if (error == boost::asio::error::eof) {
+                    reader.feed_end();
+                }
+                break;
+            }
+            m_input.append(buffer.data(), count);
+        }
+        out.status = reader.head().status;
+        out.fields = reader.head().fields;
+        out.complete = reader.complete();
+        return out;
+    }
+
+    answer ask(const std::string& bytes)
+    {
+        send(bytes);
+        return receive();
+    }
+
+    void leave() { m_socket.close(); }
+
+private:
+    boost::asio::io_context m_context;
+    tcp::socket m_socket;
+    std::string m_input;
+};
+
+std::string request(const std::string& method, const std::string& target, const std::string& id,
+                    const std::string& fields = "", const std::string& body = "")
+{
+    return method + " " + target + " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + id +
+           "\r\nDeadline-Ms: 5000\r\n" + fields +
+           (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+           "\r\n" + body;
+}
+
+spoken signed_answer(const received_request& to, const std::string& body)
+{
+    return say(200, "Request-Id: " + to.field("Request-Id") + "\r\nResponse-Seal: s\r\n", body);
+}
+
+spoken not_executed(const received_request& to)
+{
+    return say(503, "Request-Id: " + to.field("Request-Id") + "\r\nNot-Executed: 1\r\n", "");
+}
+
+class host_test : public ::testing::Test {
+protected:
+    void SetUp() override
+    {
+        publish(1);
+        settings.name = "host-1";
+        settings.availability_zone = "z";
+        settings.caller_address = {"127.0.0.1", free_port()};
+        settings.readiness_address = {"127.0.0.1", free_port()};
+        settings.store_address = store.address();
+        settings.peers.own = {"127.0.0.1", free_port()};
+        settings.attempts.ratio = 0.2;
+        settings.accepting_after_stop = 20ms;
+        speech = std::make_unique<wire>(settings.store_address);
+    }
+
+    void TearDown() override
+    {
+        if (process) {
+            process->stop();
+            thread.join();
+        }
+    }
+
+    void start_host()
+    {
+        process = std::make_unique<serving::host_process>([this] { return settings; }, *speech);
+        thread = std::thread{[this] { process->run(); }};
+    }
+
+    // Starts the host and waits until it is ready and knows its replicas.
+    void start()
+    {
+        start_host();
+        ASSERT_TRUE(eventually([this] { return ready() == 200; }));
+    }
+
+    unsigned ready()
+    {
+        try {
+            return caller{settings.readiness_address}.ask("GET /-/ready HTTP/1.1\r\n\r\n").status;
+        }
+        catch (const boost::system::system_error&) {
+            return 0;
+        }
+    }
+
+    void publish(int version, int most_attempts = 2)
+    {
+        const auto route = [&](const std::string& name, const std::string& kind,
+                               const std::string& more) {
+            return R"({"name":")" + name + R"(","host":"h.example","path-prefix":"/)" + name +
+                   R"(/","kind":")" + kind + R"(","timeout-ms":5000,"target-latency-ms":2000,)" +
+                   R"("max-attempts":)" + std::to_string(most_attempts) + more + "}";
+        };
+        const std::string routes =
+            route("safe", "safe", R"(,"service":"s")") + "," +
+            route("once", "unsafe", R"(,"service":"s")") + "," +
+            route("stream", "streaming", R"(,"service":"s")") + "," +
+            route("going", "streaming", R"(,"service":"s","resumable":true)") + "," +
+            route("prompt", "streaming", R"(,"service":"e","sticky":true)") + "," +
+            route("v" + std::to_string(version), "safe", R"(,"service":"s")");
+        store.put(std::string{configuration_topic}, "config",
+                  R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes +
+                      R"(],"services":[{"name":"s","max-conns":64},{"name":"e","max-conns":64,)"
+                      R"("engine":{"slots":64,"token-kv-bytes":1000,"link-mbps":1000}}],)"
+                      R"("limits":{"idle-timeout-ms":60000}})");
+    }
+
+    void list_replica(const std::string& id, const http::address& at,
+                      const std::string& service = "s", const std::string& more = "",
+                      const std::string& state = "ready", int sequence = 1)
+    {
+        store.put(std::string{replicas_topic}, id,
+                  R"({"service":")" + service + R"(","address":")" + http::to_string(at) +
+                      R"(","zone":"z","slots":4,"state":")" + state + R"(","sequence":)" +
+                      std::to_string(sequence) + R"(,"born":1)" + more + "}");
+    }
+
+    caller::answer ask(const std::string& bytes)
+    {
+        return caller{settings.caller_address}.ask(bytes);
+    }
+
+    standin_store store;
+    serving::host_settings settings;
+    std::unique_ptr<wire> speech;
+    std::unique_ptr<serving::host_process> process;
+    std::thread thread;
+};
+
+TEST_F(host_test, passes_a_request_to_a_replica_and_its_answer_back_unchanged)
+{
+    scripted_server replica{[](const received_request& each) {
+        return say(200,
+                   "Request-Id: " + each.field("Request-Id") +
+                       "\r\nResponse-Seal: 3e1b.07\r\nX-Own: yes\r\n",
+                   "the body");
+    }};
+    list_replica("i-1", replica.address());
+    start();
+    const auto answer = ask(request("POST", "/once/a?b=c", "r1", "X-Field: 1\r\n", "content"));
+    EXPECT_EQ(answer.status, 200U);
+    EXPECT_EQ(answer.body, "the body");
+    EXPECT_EQ(answer.field("Response-Seal"), "3e1b.07");
+    EXPECT_EQ(answer.field("X-Own"), "yes");
+    const auto seen = replica.requests();
+    ASSERT_EQ(seen.size(), 1U);
+    EXPECT_EQ(seen[0].head.method, "POST");
+    EXPECT_EQ(seen[0].head.target, "/once/a?b=c");
+    EXPECT_EQ(seen[0].body, "content");
+    EXPECT_EQ(seen[0].field("Target-Instance"), "i-1");
+    EXPECT_LE(std::stoi(seen[0].field("Deadline-Ms")), 5'000);
+}
+
+TEST_F(host_test, is_not_ready_and_refuses_truthfully_before_the_first_configuration)
+{
+    store.refuse(503);
+    start_host();
+    ASSERT_TRUE(eventually([this] { return ready() == 503; }));
+    const auto answer = ask(request("GET", "/safe/x", "r1"));
+    EXPECT_EQ(answer.status, 503U) << "an unknown route is no 404 yet";
+    EXPECT_NE(answer.field("Retry-After"), "");
+    store.refuse(0);
+    EXPECT_TRUE(eventually([this] { return ready() == 200; }));
+}
+
+TEST_F(host_test, knows_no_route_that_is_not_configured)
+{
+    start();
+    EXPECT_EQ(ask(request("GET", "/other/x", "r1")).status, 404U);
+}
+
+TEST_F(host_test, a_request_that_may_run_once_is_sent_once_when_its_answer_is_lost)
+{
+    scripted_server replica{[](const received_request&) {
+        return spoken{"", spoken::then::reset};
+    }};
+    scripted_server other{[](const received_request& each) { return signed_answer(each, "x"); }};
+    list_replica("i-1", replica.address());
+    start();
+    const auto answer = ask(request("POST", "/once/x", "r1", "", "order"));
+    EXPECT_EQ(answer.status, 502U) << "it may have run: 503 would promise that it has not";
+    EXPECT_EQ(replica.requests().size(), 1U);
+    EXPECT_EQ(other.requests().size(), 0U);
+}
+
+TEST_F(host_test, a_request_that_may_be_repeated_goes_to_another_replica_after_a_failure)
+{
+    std::atomic<int> count{0};
+    const auto first_fails = [&](const received_request& each) {
+        return ++count == 1 ? say(500, "Request-Id: " + each.field("Request-Id") + "\r\n", "no")
+                            : signed_answer(each, "yes");
+    };
+    scripted_server one{first_fails};
+    scripted_server two{first_fails};
+    list_replica("i-1", one.address());
+    list_replica("i-2", two.address());
+    start();
+    const auto answer = ask(request("GET", "/safe/x", "r1"));
+    EXPECT_EQ(answer.status, 200U);
+    EXPECT_EQ(answer.body, "yes");
+    EXPECT_EQ(one.requests().size(), 1U);
+    EXPECT_EQ(two.requests().size(), 1U);
+}
+
+TEST_F(host_test, a_refusal_by_the_only_replica_is_passed_on_as_not_run)
+{
+    scripted_server replica{[](const received_request& each) { return not_executed(each); }};
+    list_replica("i-1", replica.address());
+    start();
+    const auto answer = ask(request("POST", "/once/x", "r1", "", "order"));
+    EXPECT_EQ(answer.status, 503U);
+    EXPECT_NE(answer.field("Retry-After"), "");
+}
+
+TEST_F(host_test, a_503_that_does_not_say_not_executed_is_not_passed_on_as_a_promise)
+{
+    scripted_server replica{[](const received_request& each) {
+        return say(503, "Request-Id: " + each.field("Request-Id") + "\r\n", "");
+    }};
+    list_replica("i-1", replica.address());
+    start();
+    EXPECT_EQ(ask(request("POST", "/once/x", "r1", "", "order")).status, 502U);
+}
+
+TEST_F(host_test, an_unsigned_or_encoded_success_is_none)
+{
+    std::atomic<bool> encoded{false};
+    scripted_server replica{[&](const received_request& each) {
+        const auto id = "Request-Id: " + each.field("Request-Id") + "\r\n";
+        return encoded ? say(200, id + "Response-Seal: s\r\nContent-Encoding: gzip\r\n", "x")
+                       : say(200, id, "x");
+    }};
+    list_replica("i-1", replica.address());
+    start();
+    EXPECT_EQ(ask(request("POST", "/once/x", "r1", "", "order")).status, 502U);
+    encoded = true;
+    EXPECT_EQ(ask(request("POST", "/once/x", "r2", "", "order")).status, 502U);
+}
+
+TEST_F(host_test, an_extra_answer_on_a_kept_connection_reaches_nobody)
+{
+    scripted_server replica{[](const received_request& each) {
+        auto reply = signed_answer(each, "own " + each.field("Request-Id"));
+        reply.bytes += reply.bytes;
+        return reply;
+    }};
+    list_replica("i-1", replica.address());
+    start();
+    for (const std::string id : {"r1", "r2", "r3", "r4"}) {
+        EXPECT_EQ(ask(request("GET", "/safe/x", id)).body, "own " + id);
+    }
+}
+
+std::string events(int from, int to)
+{
+    std::string out;
+    for (int id = from; id <= to; ++id) {
+        out += "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+    }
+    return out;
+}
+
+spoken stream(const received_request& to, const std::string& signature, const std::string& bytes,
+              spoken::then after)
+{
+    char size[16];
+    std::snprintf(size, sizeof(size), "%zx", bytes.size());
+    return {"HTTP/1.1 200 OK\r\nRequest-Id: " + to.field("Request-Id") +
+                "\r\nResponse-Seal: " + signature + "\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                size + "\r\n" + bytes + "\r\n" + (after == spoken::then::keep ? "0\r\n\r\n" : ""),
+            after};
+}
+
+TEST_F(host_test, a_stream_that_breaks_off_does_not_look_complete_and_no_torn_event_is_passed_on)
+{
+    scripted_server replica{[](const received_request& each) {
+        return stream(each, "s", events(1, 2) + "id: 3\nda", spoken::then::close);
+    }};
+    list_replica("i-1", replica.address());
+    start();
+    const auto answer = ask(request("POST", "/stream/x", "r1", "", "q"));
+    EXPECT_FALSE(answer.complete);
+    EXPECT_THAT(answer.body, Not(HasSubstr("id: 3")));
+    EXPECT_EQ(replica.requests().size(), 1U) << "it may not run again";
+}
+
+TEST_F(host_test, a_resumable_stream_goes_on_at_another_replica_with_the_first_ones_head)
+{
+    std::atomic<int> count{0};
+    const auto serve = [&](const received_request& each) {
+        if (++count == 1) {
+            return stream(each, "first", events(1, 2) + "id: 3\nda", spoken::then::close);
+        }
+        return stream(each, "second", events(3, 4), spoken::then::keep);
+    };
+    scripted_server one{serve};
+    scripted_server two{serve};
+    list_replica("i-1", one.address());
+    list_replica("i-2", two.address());
+    start();
+    const auto answer = ask(request("POST", "/going/x", "r1", "", "q"));
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(answer.body, events(1, 4));
+    EXPECT_EQ(answer.field("Response-Seal"), "first");
+    auto seen = one.requests();
+    const auto more = two.requests();
+    seen.insert(seen.end(), more.begin(), more.end());
+    ASSERT_EQ(seen.size(), 2U);
+    EXPECT_EQ(seen[0].field("Last-Event-Id") + seen[1].field("Last-Event-Id"), "2");
+}
+
+TEST_F(host_test, a_caller_that_leaves_ends_the_work_at_the_replica)
+{
+    scripted_server replica{[](const received_request&) { return spoken{"", {}, 0ms}; }};
+    list_replica("i-1", replica.address());
+    start();
+    caller leaving{settings.caller_address};
+    leaving.send(request("POST", "/once/x", "r1", "", "order"));
+    ASSERT_TRUE(eventually([&] { return replica.requests().size() == 1; }));
+    leaving.leave();
+    EXPECT_TRUE(eventually([&] { return replica.abandoned() == 1; }));
+}
+
+TEST_F(host_test, a_replica_that_leaves_gets_no_more_requests_and_forged_entries_hide_nobody)
+{
+    scripted_server leaving{[](const received_request& each) { return signed_answer(each, "a"); }};
+    scripted_server staying{[](const received_request& each) { return signed_answer(each, "b"); }};
+    list_replica("i-1", leaving.address());
+    start();
+    ASSERT_EQ(ask(request("GET", "/safe/x", "r1")).body, "a");
+    store.put(std::string{replicas_topic}, "forged", R"({"service":7})");
+    store.put(std::string{replicas_topic}, "noise", "\xff\xfe");
+    list_replica("i-1", leaving.address(), "s", "", "draining", 2);
+    list_replica("i-2", staying.address());
+    // An old report of the one that leaves arrives late.
+    list_replica("i-1", leaving.address(), "s", "", "ready", 1);
+    EXPECT_TRUE(eventually([&] { return ask(request("GET", "/safe/x", "r2")).body == "b"; }));
+    const auto before = leaving.requests().size();
+    for (int index = 0; index < 10; ++index) {
+        EXPECT_EQ(ask(request("GET", "/safe/x", "r3")).body, "b");
+    }
+    EXPECT_EQ(leaving.requests().size(), before);
+}
+
+TEST_F(host_test, the_newest_configuration_comes_into_force_and_never_goes_back)
+{
+    scripted_server replica{[](const received_request& each) { return signed_answer(each, "x"); }};
+    list_replica("i-1", replica.address());
+    start();
+    publish(9);
+    EXPECT_TRUE(eventually([&] { return ask(request("GET", "/v9/x", "r1")).status == 200; }));
+    publish(8);
+    std::this_thread::sleep_for(2s);
+    EXPECT_EQ(ask(request("GET", "/v9/x", "r2")).status, 200U);
+    EXPECT_EQ(ask(request("GET", "/v8/x", "r3")).status, 404U);
+}
+
+TEST_F(host_test, follows_on_when_records_that_it_has_not_read_expire)
+{
+    start();
+    store.refuse(503);
+    std::this_thread::sleep_for(200ms);
+    publish(5);
+    publish(6);
+    store.forget_history(std::string{configuration_topic});
+    store.refuse(0);
+    EXPECT_TRUE(eventually([&] { return ask(request("GET", "/v6/x", "r1")).status != 404; }));
+}
+
+TEST_F(host_test, goes_on_serving_what_it_knows_while_the_store_is_down)
+{
+    scripted_server replica{[](const received_request& each) { return signed_answer(each, "x"); }};
+    list_replica("i-1", replica.address());
+    start();
+    ASSERT_EQ(ask(request("GET", "/safe/x", "r1")).status, 200U);
+    store.refuse(503);
+    std::this_thread::sleep_for(2s);
+    EXPECT_EQ(ready(), 200U);
+    EXPECT_EQ(ask(request("GET", "/safe/x", "r2")).status, 200U);
+}
+
+TEST_F(host_test, a_prompt_is_read_by_one_engine_and_answered_by_another)
+{
+    scripted_server prefill{[](const received_request& each) {
+        return say(200, "Request-Id: " + each.field("Request-Id") + "\r\n",
+                   R"({"kv-handle":"h1","tokens":9,"version":1})");
+    }};
+    scripted_server decode{[](const received_request& each) {
+        return stream(each, "s", events(1, 2), spoken::then::keep);
+    }};
+    list_replica("i-p", prefill.address(), "e", R"(,"stage":"prefill")");
+    list_replica("i-d", decode.address(), "e", R"(,"stage":"decode")");
+    start();
+    const auto answer = ask(request("POST", "/prompt/x", "r1",
+                                    "Token-Count: 900,80\r\nPrompt-Prefix: a:500,b:400\r\n", "q"));
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(answer.body, events(1, 2));
+    ASSERT_EQ(prefill.requests().size(), 1U);
+    EXPECT_EQ(prefill.requests()[0].field("Serving-Stage"), "prefill");
+    ASSERT_EQ(decode.requests().size(), 1U);
+    EXPECT_EQ(decode.requests()[0].field("Kv-Source"), http::to_string(prefill.address()) + "/h1");
+    EXPECT_EQ(decode.requests()[0].field("Serving-Stage"), "");
+}
+
+TEST_F(host_test,
+       a_prompt_that_an_engine_refused_to_read_is_not_sent_on_when_one_attempt_is_allowed)
+{
+    scripted_server prefill{[](const received_request& each) { return not_executed(each); }};
+    scripted_server decode{[](const received_request& each) {
+        return stream(each, "s", events(1, 2), spoken::then::keep);
+    }};
+    publish(2, 1);
+    list_replica("i-p", prefill.address(), "e", R"(,"stage":"prefill")");
+    list_replica("i-d", decode.address(), "e", R"(,"stage":"decode")");
+    start();
+    const auto answer = ask(request("POST", "/prompt/x", "r1",
+                                    "Token-Count: 900,80\r\nPrompt-Prefix: a:500,b:400\r\n", "q"));
+    EXPECT_EQ(answer.status, 503U);
+    EXPECT_TRUE(decode.requests().empty());
+}
+
+TEST_F(host_test, a_planned_stop_ends_readiness_first_and_answers_what_runs)
+{
+    scripted_server replica{[](const received_request& each) {
+        auto reply = signed_answer(each, "late");
+        reply.delay = 600ms;
+        return reply;
+    }};
+    list_replica("i-1", replica.address());
+    settings.grace_time = 6s;
+    settings.accepting_after_stop = 1s;
+    start();
+    caller waiting{settings.caller_address};
+    waiting.send(request("POST", "/once/x", "r1", "", "order"));
+    ASSERT_TRUE(eventually([&] { return replica.requests().size() == 1; }));
+    process->stop();
+    EXPECT_TRUE(eventually([this] { return ready() == 503; }));
+    const auto answer = waiting.receive();
+    EXPECT_EQ(answer.status, 200U);
+    EXPECT_EQ(answer.body, "late");
+    EXPECT_EQ(answer.field("Connection"), "close");
+    thread.join();
+    process.reset();
+}
+
+TEST_F(host_test, goes_on_after_the_signal_that_its_settings_have_changed)
+{
+    scripted_server replica{[](const received_request& each) { return signed_answer(each, "x"); }};
+    list_replica("i-1", replica.address());
+    start();
+    std::raise(SIGHUP);
+    EXPECT_EQ(ask(request("GET", "/safe/x", "r1")).status, 200U);
+}
+
+} // namespace
+} // namespace cicadaport::platform
--- a/test/platform/stand_ins.h
+++ b/test/platform/stand_ins.h
@@ -4,6 +4,7 @@
 // what they have seen may be used from the test's thread.
 #pragma once
 
+#include "cicadaport/http/address.h"
 #include "cicadaport/http/message.h"
 #include "cicadaport/transport/message_reader.h"
 
