--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -54,6 +54,8 @@
     // Doubts the endpoint if it shows nothing for so long.
     void be_patient(fine_milliseconds time);
     void out_of_patience();
+    // Goes on elsewhere if a resumable stream falls silent.
+    void watch_pauses();
     void deadline_passed();
 
     // Tries another endpoint if one more attempt is allowed; returns whether.
@@ -65,6 +67,7 @@
     void end_reading();
 
     void note_event();
+    void note_answer_wait();
     void log_end(std::string_view result, std::string_view reason) const;
     void refuse(milliseconds pause, std::string_view reason);
     void fail(unsigned status, std::string_view reason);
--- a/include/cicadaport/serving/placement.h
+++ b/include/cicadaport/serving/placement.h
@@ -49,6 +49,13 @@
     // pauses for as many times what the engine has to read.
     fine_milliseconds per_paused_answer{10};
     double pause_behind_reading = 3;
+    // An engine that also reads prompts, and one without a free slot, cost an
+    // answer so much.
+    fine_milliseconds reads_too{300};
+    fine_milliseconds no_slot{1'000};
+    // Pauses beyond this part of what is in time cost so many times themselves.
+    double pause_part = 0.7;
+    double pause_weight = 20;
     // Reading a beginning again that another engine keeps counts this many
     // times: it also drives another beginning out.
     double repeated_reading = 2;
@@ -71,6 +78,8 @@
     const std::set<std::string>* excluded = nullptr;
     // Whether another engine may read the prompt.
     bool may_hand_over = true;
+    // The longest pause between events that is in time.
+    fine_milliseconds pause_objective{150};
     // Whether its answer has several events, so that pauses matter.
     bool many_events = true;
 };
@@ -92,6 +101,27 @@
     std::uint32_t urgency = 0;
 };
 
+// An average of recent observations that is forgotten while nothing is
+// observed, so that an engine that was left alone is tried again.
+class recent_average {
+public:
+    static constexpr std::chrono::milliseconds forgotten{2'500};
+    static constexpr double new_part = 0.2;
+
+    void note(fine_milliseconds value, time_point now) noexcept
+    {
+        const auto before = at(now);
+        m_value = before + new_part * (value - before);
+        m_at = now;
+    }
+
+    fine_milliseconds at(time_point now) const noexcept;
+
+private:
+    fine_milliseconds m_value{0};
+    time_point m_at{};
+};
+
 // What this host knows of one engine.
 struct engine_state {
     endpoint_health health;
@@ -101,6 +131,10 @@
     std::unordered_map<std::uint64_t, time_point> beginnings;
     // Observed over predicted time, as a moving average.
     double slowness = 1;
+    // From when an answer whose prompt had been read was asked for to its first
+    // event, and between its events.
+    recent_average answer_wait;
+    recent_average pause;
 };
 
 class engine_placement {
--- a/include/cicadaport/serving/stage_policy.h
+++ b/include/cicadaport/serving/stage_policy.h
@@ -60,6 +60,11 @@
     // the work that the engine can't do meanwhile.
     static constexpr double price_of_return = 3;
 
+    // With so many of all slots taken, answers wait for others to end, and each
+    // second loses as much as so many engines.
+    static constexpr double full_part = 0.9;
+    static constexpr double loss_when_full = 3;
+
     // Returns the change to make now, usually none. Call it several times a
     // second.
     stage_change decide(const stage_view& view, time_point now);
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -23,6 +23,10 @@
 // Engines are given this many times what was predicted.
 constexpr double engine_patience = 4;
 constexpr milliseconds least_prompt_patience{900};
+// A stream that has shown nothing for so many of its objective's pauses goes on
+// elsewhere, if it may: callers leave after eight.
+constexpr int silent_pauses = 4;
+constexpr milliseconds least_silence{600};
 // The part of its time that a late request may be predicted to need.
 constexpr double usable_time = 0.9;
 // When callers may come back: after an empty service, and after a full one.
@@ -148,6 +152,7 @@
     question.availability_zone = m_host.availability_zone;
     question.now = now;
     question.excluded = &m_excluded;
+    question.pause_objective = m_route->pause_objective;
     question.many_events = m_host.events.are_many(m_route->name);
     question.may_hand_over = !m_hand_over_tried && !m_events.last_event();
     if (m_prompt && m_plan.reader) {
@@ -301,6 +306,9 @@
     }
     if (!events.empty()) {
         note_event();
+        if (m_route->resumable && !m_patience.is_set()) {
+            watch_pauses();
+        }
         m_caller->write(events);
     }
     if (m_caller != nullptr && m_caller->unsent() > most_unsent) {
@@ -311,15 +319,26 @@
 void exchange::note_event()
 {
     const auto now = m_host.timers.now();
+    auto& engine = m_host.engines.state(m_endpoint->report.id);
     if (m_first_event == time_point{}) {
         m_first_event = now;
+        note_answer_wait();
     }
     else {
         m_longest_pause = std::max(m_longest_pause, now - m_last_event);
+        engine.pause.note(now - m_last_event, now);
     }
     m_last_event = now;
 }
 
+void exchange::note_answer_wait()
+{
+    if (m_prompt && m_endpoint != nullptr) {
+        const auto now = m_host.timers.now();
+        m_host.engines.state(m_endpoint->report.id).answer_wait.note(now - m_sent, now);
+    }
+}
+
 void exchange::log_end(std::string_view result, std::string_view reason) const
 {
     if (!spdlog::should_log(spdlog::level::debug)) {
@@ -553,6 +572,25 @@
     });
 }
 
+void exchange::watch_pauses()
+{
+    const auto limit = std::max(silent_pauses * m_route->pause_objective, least_silence);
+    m_patience = m_host.timers.call_at(m_last_event + limit, [this, limit] {
+        const auto now = m_host.timers.now();
+        auto& health = m_host.engines.state(m_endpoint->report.id).health;
+        if (now - m_last_event < limit || health.has_answered_since(now - limit)) {
+            m_last_event = std::max(m_last_event, now - limit / 2);
+            watch_pauses();
+            return;
+        }
+        health.failed(now);
+        m_excluded.insert(m_endpoint->report.id);
+        if (!try_again()) {
+            spdlog::debug("stream_silent id={} endpoint={}", m_terms.id, m_endpoint->report.id);
+        }
+    });
+}
+
 void exchange::out_of_patience()
 {
     if (m_step == step::reading_prompt) {
@@ -605,6 +643,9 @@
     }
     ++m_host.counts.callers_left;
     log_end("caller_left", "");
+    if (m_step == step::running && m_first_event == time_point{}) {
+        note_answer_wait();
+    }
     m_caller = nullptr;
     finish();
 }
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -15,10 +15,7 @@
 constexpr double most_slowness = 8;
 constexpr double observation_part = 0.2;
 
-// Costs that no wait outweighs, the worst last: an engine that also reads
-// prompts, one without a free slot, streams that pause, an engine that fails.
-constexpr fine_milliseconds reads_too{std::chrono::seconds{5}};
-constexpr fine_milliseconds full{std::chrono::seconds{10}};
+// Costs that no wait outweighs: streams that pause, and an engine that fails.
 constexpr fine_milliseconds pauses{std::chrono::seconds{30}};
 constexpr fine_milliseconds last_resort{std::chrono::seconds{60}};
 constexpr fine_milliseconds never{std::numeric_limits<double>::max()};
@@ -204,16 +201,23 @@
         const auto answers = m_work.answering(engine_number(each->report.id));
         auto cost = static_cast<double>(answers) * m_costs.per_answer +
                     distance_to(question, *each) + distrust_of(question, *each);
+        if (const auto known = m_engines.find(each->report.id); known != m_engines.end()) {
+            const auto& state = known->second;
+            const auto pause = state.pause.at(question.now);
+            const auto in_time = m_costs.pause_part * question.pause_objective;
+            cost += state.answer_wait.at(question.now);
+            cost += m_costs.pause_weight * std::max(pause - in_time, fine_milliseconds{0});
+        }
         const bool near = each->report.availability_zone == reader.report.availability_zone;
         cost += near ? transfer : 2 * transfer;
         cost += m_costs.pause_behind_reading *
                 m_work.wait(engine_number(each->report.id), late_urgency, question.now);
         if (answers >= each->report.slots) {
             // What runs there would be put back.
-            cost += full;
+            cost += m_costs.no_slot;
         }
         if (!answering.contains(each.get())) {
-            cost += reads_too;
+            cost += m_costs.reads_too;
         }
         if (cost < out.cost) {
             out = {each, cost};
@@ -286,6 +290,13 @@
     return found != m_paused.end() && now < found->second;
 }
 
+fine_milliseconds recent_average::at(time_point now) const noexcept
+{
+    const fine_milliseconds passed = now - m_at;
+    const fine_milliseconds time = forgotten;
+    return m_value * std::exp(-std::max(passed / time, 0.0));
+}
+
 void engine_placement::note_prompt(const std::string& engine,
                                    const std::vector<prompt_part>& prompt, time_point now)
 {
--- a/src/serving/stage_policy.cpp
+++ b/src/serving/stage_policy.cpp
@@ -45,14 +45,17 @@
     const auto more_decode = wanted(view.decode, need_decode, view.prefill, need_prefill);
     m_lost_reading =
         m_lost_reading * kept + more_prefill * (1 - decode_reading_part) * step.count();
-    m_lost_answering = m_lost_answering * answers_kept + std::min(more_decode, 1.0) * step.count();
+    const bool full = view.answering >= full_part * view.slots * static_cast<double>(view.decode);
+    const auto answers_lost = std::min(more_decode, 1.0) * (full ? loss_when_full : 1);
+    m_lost_answering = m_lost_answering * answers_kept + answers_lost * step.count();
     const fine_seconds switching = view.switch_time;
     // An engine that changes is missing where it was.
     if (more_prefill > 0 && m_lost_reading >= switching.count() * decode_reading_part) {
         return {engine_stage::prefill, static_cast<std::size_t>(more_prefill)};
     }
     if (more_decode > 0 && m_lost_answering >= price_of_return * switching.count()) {
-        return {engine_stage::decode, static_cast<std::size_t>(more_decode)};
+        return {engine_stage::decode,
+                std::min(static_cast<std::size_t>(more_decode), view.decode / 3 + 1)};
     }
     return {};
 }
--- a/test/serving/stage_policy_test.cpp
+++ b/test/serving/stage_policy_test.cpp
@@ -75,8 +75,19 @@
 {
     stage_policy policy;
     auto now = start;
-    EXPECT_EQ(ask(policy, view(7, 2, 1, 200), now, 5s).engines, 0U);
-    EXPECT_EQ(ask(policy, view(7, 2, 1, 200), now, 30s).to, engine_stage::decode);
+    EXPECT_EQ(ask(policy, view(7, 2, 1, 100), now, 5s).engines, 0U);
+    EXPECT_EQ(ask(policy, view(7, 2, 1, 100), now, 30s).to, engine_stage::decode);
+}
+
+TEST(stage_policy_test, takes_an_engine_back_soon_when_all_slots_are_taken)
+{
+    // Two decode engines were left after others had crashed: answers waited for
+    // slots for 14 s (an incident that was played).
+    stage_policy policy;
+    auto now = start;
+    const auto change = ask(policy, view(6, 2, 2, 160), now, 5s);
+    EXPECT_EQ(change.to, engine_stage::decode);
+    EXPECT_EQ(change.engines, 1U);
 }
 
 TEST(stage_policy_test, a_mix_that_turns_after_each_change_costs_at_most_what_was_lost)
