--- a/src/serving/stage_policy.cpp
+++ b/src/serving/stage_policy.cpp
@@ -26,6 +26,20 @@
 
 } // namespace
 
+namespace {
+
+// Returns how loaded the more loaded stage is with these engines; 1 is all that
+// it can do.
+double greater_load(const stage_view& view, std::size_t prefill, std::size_t decode)
+{
+    const auto of = [](double load, double most) { return load / std::max(most, 1e-3); };
+    return std::max(
+        of(view.reading, static_cast<double>(prefill)),
+        of(view.answering, stage_policy::full_part * view.slots * static_cast<double>(decode)));
+}
+
+} // namespace
+
 stage_change stage_policy::decide(const stage_view& view, time_point now)
 {
     const auto step = std::min<fine_seconds>(now - m_at, longest_step);
@@ -42,10 +56,17 @@
         engines_needed(m_peak_answering / (view.slots * answering_fill)),
         engines_needed(least_decode_part * static_cast<double>(view.prefill + view.decode)));
     const auto more_prefill = wanted(view.prefill, need_prefill, view.decode, peak_decode);
-    const auto more_decode = wanted(view.decode, need_decode, view.prefill, need_prefill);
+    auto more_decode = wanted(view.decode, need_decode, view.prefill, need_prefill);
     m_lost_reading =
         m_lost_reading * kept + more_prefill * (1 - decode_reading_part) * step.count();
     const bool full = view.answering >= full_part * view.slots * static_cast<double>(view.decode);
+    // Where both stages lack engines, one that moves may still help.
+    constexpr double least_gain = 0.1;
+    if (full && more_decode == 0 && view.prefill > least_engines &&
+        greater_load(view, view.prefill - 1, view.decode + 1) + least_gain <
+            greater_load(view, view.prefill, view.decode)) {
+        more_decode = 1;
+    }
     const auto answers_lost = std::min(more_decode, 1.0) * (full ? loss_when_full : 1);
     m_lost_answering = m_lost_answering * answers_kept + answers_lost * step.count();
     const fine_seconds switching = view.switch_time;
--- a/test/serving/stage_policy_test.cpp
+++ b/test/serving/stage_policy_test.cpp
@@ -90,6 +90,16 @@
     EXPECT_EQ(change.engines, 1U);
 }
 
+TEST(stage_policy_test, moves_an_engine_to_full_answers_also_when_reading_lacks_engines)
+{
+    // The same incident: reading asked for six engines and had six.
+    stage_policy policy;
+    auto now = start;
+    EXPECT_EQ(ask(policy, view(6, 2, 4.2, 160), now, 6s).to, engine_stage::decode);
+    stage_policy other;
+    EXPECT_EQ(ask(other, view(6, 2, 9, 130), now, 6s).engines, 0U) << "reading lacks more";
+}
+
 TEST(stage_policy_test, a_mix_that_turns_after_each_change_costs_at_most_what_was_lost)
 {
     stage_policy policy;
