--- a/src/authority/lease_keeper.cpp
+++ b/src/authority/lease_keeper.cpp
@@ -38,8 +38,8 @@
         std::uniform_int_distribution<std::int64_t> pick{0, m_timing.claim_spread().count()};
         const auto rest = lease.released ? std::chrono::duration<double, std::milli>{0}
                                          : lease.duration * (1 + m_timing.clock_rate_bound);
-        m_claim_after =
-            now + std::chrono::ceil<base::boot_clock::duration>(rest) + milliseconds{pick(m_random)};
+        m_claim_after = now + std::chrono::ceil<base::boot_clock::duration>(rest) +
+                        milliseconds{pick(m_random)};
     }
     return now >= m_claim_after ? lease_action::claim : lease_action::none;
 }
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -219,6 +219,7 @@
     {
         return {[this](const std::vector<feed_entry>& entries) {
                     std::vector<std::string> ids;
+                    ids.reserve(entries.size());
                     for (const auto& each : entries) {
                         ids.push_back(each.key);
                     }
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -75,6 +75,7 @@
     }
     std::sort(ordered.begin(), ordered.end());
     std::vector<const endpoint*> out;
+    out.reserve(ordered.size());
     for (const auto& [weight, each] : ordered) {
         out.push_back(each);
     }
--- a/test/platform/host_test.cpp
+++ b/test/platform/host_test.cpp
@@ -407,6 +407,28 @@
     EXPECT_EQ(seen[0].field("Last-Event-Id") + seen[1].field("Last-Event-Id"), "2");
 }
 
+TEST_F(host_test, a_resumable_stream_goes_on_when_its_replica_falls_silent)
+{
+    std::atomic<int> count{0};
+    const auto serve = [&](const received_request& each) {
+        if (++count == 1) {
+            auto reply = stream(each, "first", events(1, 2), spoken::then::keep);
+            // Neither an end nor a further event.
+            reply.bytes.erase(reply.bytes.size() - std::string_view{"0\r\n\r\n"}.size());
+            return reply;
+        }
+        return stream(each, "second", events(3, 4), spoken::then::keep);
+    };
+    scripted_server one{serve};
+    scripted_server two{serve};
+    list_replica("i-1", one.address());
+    list_replica("i-2", two.address());
+    start();
+    const auto answer = ask(request("POST", "/going/x", "r1", "", "q"));
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(answer.body, events(1, 4));
+}
+
 TEST_F(host_test, a_caller_that_leaves_ends_the_work_at_the_replica)
 {
     scripted_server replica{[](const received_request&) { return spoken{"", {}, 0ms}; }};
