--- a/include/cicadaport/serving/placement.h
+++ b/include/cicadaport/serving/placement.h
@@ -58,7 +58,7 @@
     double pause_weight = 20;
     // Reading a beginning again that another engine keeps counts this many
     // times: it also drives another beginning out.
-    double repeated_reading = 2;
+    double repeated_reading = 4;
     // Part of the decode engines that only answer, at least.
     double answering_part = 0.34;
     // Part of their slots that answers may fill before more engines answer.
