--- a/include/cicadaport/serving/endpoint_table.h
+++ b/include/cicadaport/serving/endpoint_table.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace cicadaport::serving {
@@ -72,6 +73,9 @@
     // Returns the replica if it takes work, else null.
     endpoint_pointer find(const std::string& id) const;
 
+    // Returns the replicas that are no longer offered since the last call.
+    std::vector<endpoint_pointer> take_dropped() { return std::exchange(m_dropped, {}); }
+
     std::size_t size() const noexcept { return m_current.size(); }
 
 private:
@@ -89,6 +93,7 @@
     std::map<std::string, endpoint_pointer> m_current;
     std::map<std::string, std::vector<endpoint_pointer>> m_by_service;
     std::map<std::string, last_known> m_known;
+    std::vector<endpoint_pointer> m_dropped;
 };
 
 } // namespace cicadaport::serving
--- a/src/serving/endpoint_table.cpp
+++ b/src/serving/endpoint_table.cpp
@@ -74,6 +74,7 @@
         return;
     }
     found->second->gone = true;
+    m_dropped.push_back(found->second);
     std::erase(m_by_service[found->second->report.service], found->second);
     m_current.erase(found);
 }
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -15,6 +15,8 @@
 // Kept free at the end of the grace time.
 constexpr milliseconds grace_margin{600};
 constexpr milliseconds housekeeping_interval{1'000};
+// Counts are logged once in so many intervals.
+constexpr unsigned tell_every = 10;
 constexpr milliseconds stop_check_interval{50};
 constexpr milliseconds accept_pause{20};
 
@@ -258,6 +260,11 @@
                 m_state.endpoints.remove(each.key, now);
             }
         }
+        for (const auto& each : m_state.endpoints.take_dropped()) {
+            m_state.engines.forget(each->report.id);
+            m_state.replicas.forget(each->report.id);
+            m_state.connections.forget(each->report.address);
+        }
     }
 
     void await_new_settings()
@@ -293,10 +300,24 @@
     {
         m_state.connections.trim();
         m_state.fleet.forget_old(m_state.timers.now());
+        if (++m_houses_kept % tell_every == 0) {
+            tell_counts();
+        }
         m_housekeeping = m_state.timers.call_at(m_state.timers.now() + housekeeping_interval,
                                                 [this] { keep_house(); });
     }
 
+    void tell_counts() const
+    {
+        const auto& counts = m_state.counts;
+        spdlog::info(
+            "requests answered={} refused={} failed={} cut={} callers_left={} "
+            "further_attempts={} handed_over={} connections_opened={} peers={} replicas={}",
+            counts.answered, counts.refused, counts.failed, counts.cut, counts.callers_left,
+            counts.further_attempts, counts.handed_over, m_state.connections.opened(),
+            m_news.heard(), m_state.endpoints.size());
+    }
+
     std::size_t answering() const
     {
         return static_cast<std::size_t>(
@@ -324,6 +345,7 @@
 
     void end()
     {
+        tell_counts();
         spdlog::info("host_stopped cut={}", answering());
         const auto all = m_connections;
         for (const auto& each : all) {
@@ -348,6 +370,7 @@
     transport::timer_queue::handle m_housekeeping;
     transport::timer_queue::handle m_stop_check;
     time_point m_stop_at{};
+    unsigned m_houses_kept = 0;
 };
 
 host_process::host_process(settings_source source, const wire_format& wire)
--- a/test/serving/endpoint_table_test.cpp
+++ b/test/serving/endpoint_table_test.cpp
@@ -64,6 +64,17 @@
     EXPECT_EQ(table.serving("s").size(), 1U);
 }
 
+TEST(endpoint_table_test, tells_once_which_replicas_are_no_longer_offered)
+{
+    endpoint_table table;
+    table.apply(report("a", 1, 1), start);
+    table.remove("a", start);
+    const auto dropped = table.take_dropped();
+    ASSERT_EQ(dropped.size(), 1U);
+    EXPECT_EQ(dropped[0]->report.id, "a");
+    EXPECT_TRUE(table.take_dropped().empty());
+}
+
 TEST(endpoint_table_test, a_complete_list_removes_what_it_does_not_name)
 {
     endpoint_table table;
