--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -41,7 +41,8 @@
     bool find_route();
     void place();
     void place_prompt(const service& target);
-    void place_plain();
+    // `target` is null if the configuration does not describe the service.
+    void place_plain(const service* target);
     void send(step what, const endpoint_pointer& to, const run_terms& terms);
     void send_run(const endpoint_pointer& to, std::optional<read_prompt> from);
     void send_prompt(const prompt_plan& plan);
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -14,6 +14,8 @@
     virtual ~news_writer() = default;
     virtual void work_begun(std::uint64_t id, const engine_work& work) = 0;
     virtual void work_ended(std::uint64_t id) = 0;
+    // Returns how many other hosts have been heard of late.
+    virtual std::size_t hosts_heard() const noexcept = 0;
     // The engine takes no work for a time.
     virtual void engine_paused(std::uint32_t engine, milliseconds time) = 0;
 };
@@ -54,6 +56,10 @@
     std::uint64_t begin_work(const engine_work& work);
     void end_work(std::uint64_t id);
 
+    // Returns this host's part of the connections that one replica of a service
+    // takes from all hosts together.
+    std::uint32_t connection_share(const service& of) const noexcept;
+
     boost::asio::io_context& context;
     transport::timer_queue timers;
     const wire_format& wire;
--- a/include/cicadaport/serving/peer_news.h
+++ b/include/cicadaport/serving/peer_news.h
@@ -45,12 +45,10 @@
 
     void set_first_ips(std::vector<std::string> ips) { m_settings.first_ips = std::move(ips); }
 
-    // Returns how many other hosts have been heard of late.
-    std::size_t heard() const noexcept { return m_peers.size(); }
-
     void work_begun(std::uint64_t id, const engine_work& work) override;
     void work_ended(std::uint64_t id) override;
     void engine_paused(std::uint32_t engine, milliseconds time) override;
+    std::size_t hosts_heard() const noexcept override { return m_peers.size(); }
 
 private:
     using udp_address = boost::asio::ip::udp::endpoint;
--- a/include/cicadaport/serving/placement.h
+++ b/include/cicadaport/serving/placement.h
@@ -228,13 +228,14 @@
 };
 
 // Choosing among replicas of plain services: those of the own availability
-// zone first, as long as they have free slots; among them the least used.
+// zone first, as long as they have free slots; among them the least used. One
+// that has this host's part of its connections in use is a last resort.
 class replica_placement {
 public:
     endpoint_pointer choose(const std::vector<endpoint_pointer>& replicas,
                             std::string_view availability_zone,
-                            const std::set<std::string>& excluded, time_point now,
-                            std::mt19937_64& random);
+                            const std::set<std::string>& excluded, std::uint32_t most_in_flight,
+                            time_point now, std::mt19937_64& random);
 
     replica_state& state(const std::string& replica) { return m_replicas[replica]; }
     void forget(const std::string& replica) { m_replicas.erase(replica); }
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -122,16 +122,18 @@
         place_prompt(*target);
     }
     else {
-        place_plain();
+        place_plain(target);
     }
 }
 
-void exchange::place_plain()
+void exchange::place_plain(const service* target)
 {
     const auto now = m_host.timers.now();
     const auto& replicas = m_host.endpoints.serving(m_service);
-    const auto chosen =
-        m_host.replicas.choose(replicas, m_host.availability_zone, m_excluded, now, m_host.random);
+    const auto chosen = m_host.replicas.choose(replicas, m_host.availability_zone, m_excluded,
+                                               target != nullptr ? m_host.connection_share(*target)
+                                                                 : service{}.most_connections,
+                                               now, m_host.random);
     if (chosen == nullptr) {
         refuse(pause_without_endpoint, "no replica to use");
         return;
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -315,7 +315,7 @@
             "further_attempts={} handed_over={} connections_opened={} peers={} replicas={}",
             counts.answered, counts.refused, counts.failed, counts.cut, counts.callers_left,
             counts.further_attempts, counts.handed_over, m_state.connections.opened(),
-            m_news.heard(), m_state.endpoints.size());
+            m_news.hosts_heard(), m_state.endpoints.size());
     }
 
     std::size_t answering() const
--- a/src/serving/host_state.cpp
+++ b/src/serving/host_state.cpp
@@ -42,6 +42,14 @@
 {
 }
 
+std::uint32_t host_state::connection_share(const service& of) const noexcept
+{
+    // Two at least: a host that hears of many others still has to serve.
+    constexpr std::uint32_t least = 2;
+    const auto hosts = (news != nullptr ? news->hosts_heard() : 0) + 1;
+    return std::max(least, of.most_connections / static_cast<std::uint32_t>(hosts));
+}
+
 std::uint64_t host_state::begin_work(const engine_work& work)
 {
     const auto id = ++last_work;
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -22,6 +22,7 @@
 
 // A replica that fails all requests is as bad as one with so many for each slot.
 constexpr double failure_cost = 4;
+constexpr double last_resort_cost = 1'000;
 
 std::uint64_t mix(std::uint64_t value) noexcept
 {
@@ -320,7 +321,8 @@
 
 endpoint_pointer replica_placement::choose(const std::vector<endpoint_pointer>& replicas,
                                            std::string_view availability_zone,
-                                           const std::set<std::string>& excluded, time_point now,
+                                           const std::set<std::string>& excluded,
+                                           std::uint32_t most_in_flight, time_point now,
                                            std::mt19937_64& random)
 {
     endpoint_pointer best;
@@ -334,7 +336,8 @@
         // One request of this host for each slot is as bad as another zone.
         auto cost = static_cast<double>(known.in_flight) / slots;
         cost += each->report.availability_zone == availability_zone ? 0 : 1;
-        cost += known.health.is_avoided(now) ? 1'000 : failure_cost * known.health.failed_part();
+        const bool avoided = known.health.is_avoided(now) || known.in_flight >= most_in_flight;
+        cost += avoided ? last_resort_cost : failure_cost * known.health.failed_part();
         cost += std::uniform_real_distribution<double>{0, 0.05}(random);
         if (cost < best_cost) {
             best_cost = cost;
--- a/test/serving/placement_test.cpp
+++ b/test/serving/placement_test.cpp
@@ -169,9 +169,20 @@
     std::mt19937_64 random{1};
     const std::vector<endpoint_pointer> replicas{engine("near", engine_stage::none, "z"),
                                                  engine("far", engine_stage::none, "y")};
-    EXPECT_EQ(placement.choose(replicas, "z", {}, start, random)->report.id, "near");
+    EXPECT_EQ(placement.choose(replicas, "z", {}, 999, start, random)->report.id, "near");
     placement.state("near").in_flight = 2 * 64;
-    EXPECT_EQ(placement.choose(replicas, "z", {}, start, random)->report.id, "far");
+    EXPECT_EQ(placement.choose(replicas, "z", {}, 999, start, random)->report.id, "far");
+}
+
+TEST(replica_placement_test, leaves_a_replica_whose_connections_are_in_use)
+{
+    replica_placement placement;
+    std::mt19937_64 random{1};
+    const std::vector<endpoint_pointer> replicas{engine("near", engine_stage::none, "z"),
+                                                 engine("far", engine_stage::none, "y")};
+    placement.state("near").in_flight = 2;
+    EXPECT_EQ(placement.choose(replicas, "z", {}, 2, start, random)->report.id, "far");
+    EXPECT_EQ(placement.choose(replicas, "z", {"far"}, 2, start, random)->report.id, "near");
 }
 
 TEST(replica_placement_test, prefers_a_replica_that_fails_less)
@@ -182,8 +193,8 @@
                                                  engine("b", engine_stage::none)};
     placement.state("a").health.failed(start);
     placement.state("a").health.failed(start);
-    EXPECT_EQ(placement.choose(replicas, "z", {}, start, random)->report.id, "b");
-    EXPECT_EQ(placement.choose(replicas, "z", {"b"}, start, random)->report.id, "a");
+    EXPECT_EQ(placement.choose(replicas, "z", {}, 999, start, random)->report.id, "b");
+    EXPECT_EQ(placement.choose(replicas, "z", {"b"}, 999, start, random)->report.id, "a");
 }
 
 TEST(endpoint_health_test, an_endpoint_that_fails_in_a_row_is_avoided_and_comes_back)
