serving: a refusal after an attempt that may have run promises nothing

Cause, found on reading: a refusal by the second replica cleared what was known of the first, whose answer had been lost, and the caller was told 503. Only requests that may be repeated were concerned: others are sent once. The test failed first (503, 502 expected). Ruled out: other places that clear the mark; it is now kept at each send.

--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -74,7 +74,7 @@
     void fail(unsigned status, std::string_view reason);
     void finish();
     milliseconds left() const;
-    bool may_have_run() const noexcept { return m_unsettled; }
+    bool may_have_run() const noexcept { return m_unsettled || m_ran_before; }
 
     host_state& m_host;
     // Null once the answer has ended.
@@ -100,8 +100,10 @@
     // Replicas that the request was sent to for running.
     std::uint32_t m_attempts = 0;
     std::uint32_t m_connect_tries = 0;
-    // A replica may have run it and has not said otherwise.
+    // The replica that it was sent to last may have run it and has not said
+    // otherwise; and one before it may have.
     bool m_unsettled = false;
+    bool m_ran_before = false;
     bool m_hand_over_tried = false;
     bool m_served = false;
     size_class m_size = size_class::usual;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -251,6 +251,7 @@
                                                            : transport::reuse_rule::any);
     if (what == step::running) {
         ++m_attempts;
+        m_ran_before = m_ran_before || m_unsettled;
         m_unsettled = true;
     }
     m_connection->send(m_host.wire.run_request(m_head, m_body, complete), *this);
--- a/test/platform/host_test.cpp
+++ b/test/platform/host_test.cpp
@@ -334,6 +334,21 @@
     EXPECT_EQ(ask(request("POST", "/once/x", "r1", "", "order")).status, 502U);
 }
 
+TEST_F(host_test, a_refusal_after_an_attempt_that_may_have_run_promises_nothing)
+{
+    std::atomic<int> count{0};
+    const auto lost_then_refused = [&](const received_request& each) {
+        return ++count == 1 ? spoken{"", spoken::then::reset} : not_executed(each);
+    };
+    scripted_server one{lost_then_refused};
+    scripted_server two{lost_then_refused};
+    list_replica("i-1", one.address());
+    list_replica("i-2", two.address());
+    start();
+    EXPECT_EQ(ask(request("GET", "/safe/x", "r1")).status, 502U);
+    EXPECT_EQ(count, 2);
+}
+
 TEST_F(host_test, an_unsigned_or_encoded_success_is_none)
 {
     std::atomic<bool> encoded{false};
