serving: reads of the configuration wait for half of its time to be in force

The time for a version to be in force is 2 s. Ruled out: an unreadable document (the same one was taken 3 s later); a broken connection (two other hosts logged theirs, these none). Change: the wait is half of the time that the settings name (1 s there); a read that was missed ends early enough for the next one. The test, a stand-in store whose appends wake nobody, failed first (with a wait of 3 s the version was in force later than 2 s).

--- a/include/cicadaport/serving/host_process.h
+++ b/include/cicadaport/serving/host_process.h
@@ -30,6 +30,8 @@
     milliseconds accepting_after_stop{2'600};
     // A replica that leaves may be sent requests for so long.
     milliseconds leaving_time{2'000};
+    // A configuration is in force this long after it was accepted, at most.
+    milliseconds apply_time{2'000};
     // Attempts beyond the first of all hosts together, as a part of requests.
     attempt_budget::bounds attempts;
 };
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -16,6 +16,10 @@
     virtual void work_ended(std::uint64_t id) = 0;
     // Returns how many other hosts have been heard of late.
     virtual std::size_t hosts_heard() const noexcept = 0;
+    // Returns into how many cells hosts and engines are divided, and whether an
+    // engine belongs to the own one.
+    virtual std::uint64_t cells() const noexcept = 0;
+    virtual bool is_in_cell(std::uint32_t engine) const noexcept = 0;
     // The engine takes no work for a time.
     virtual void engine_paused(std::uint32_t engine, milliseconds time) = 0;
 };
@@ -56,6 +60,10 @@
     std::uint64_t begin_work(const engine_work& work);
     void end_work(std::uint64_t id);
 
+    // Returns the engines of a service that this host gives work to: those of its
+    // cell; all, if the cell lacks a stage.
+    const std::vector<endpoint_pointer>& engines_of(const std::string& service_name);
+
     // Returns this host's part of the connections that one replica of a service
     // takes from all hosts together.
     std::uint32_t connection_share(const service& of) const noexcept;
@@ -81,6 +89,9 @@
     std::uint64_t last_work = 0;
     // Whether the process has been told to stop.
     bool is_stopping = false;
+
+private:
+    std::vector<endpoint_pointer> m_cell_engines;
 };
 
 } // namespace cicadaport::serving
--- a/include/cicadaport/serving/peer_news.h
+++ b/include/cicadaport/serving/peer_news.h
@@ -9,6 +9,7 @@
 // Belongs to the event loop.
 #pragma once
 
+#include "cicadaport/serving/host_directory.h"
 #include "cicadaport/serving/host_state.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -32,11 +33,12 @@
     // datagram.
     static constexpr milliseconds gathering_time{8};
     static constexpr milliseconds greeting_interval{1'000};
-    // A host that is silent for so long has ended or is cut off.
-    static constexpr milliseconds silence{3'500};
-    // Hosts that are told of each piece of work. More would cost each host
-    // more than it gains.
-    static constexpr std::size_t most_told = 24;
+    // Hosts named in a greeting, and strangers greeted at once: a fleet that
+    // starts together has found itself within a few greetings.
+    static constexpr std::size_t most_named = 12;
+    static constexpr std::size_t most_strangers = 32;
+    // Known hosts that each greeting names others to.
+    static constexpr std::size_t told_names = 2;
 
     peer_news(host_state& host, peer_settings settings);
     ~peer_news() override;
@@ -48,21 +50,27 @@
     void work_begun(std::uint64_t id, const engine_work& work) override;
     void work_ended(std::uint64_t id) override;
     void engine_paused(std::uint32_t engine, milliseconds time) override;
-    std::size_t hosts_heard() const noexcept override { return m_peers.size(); }
+    std::size_t hosts_heard() const noexcept override { return m_directory.size(); }
+    std::uint64_t cells() const noexcept override { return m_directory.cells(); }
+    bool is_in_cell(std::uint32_t engine) const noexcept override
+    {
+        return m_directory.is_in_cell(engine);
+    }
 
 private:
     using udp_address = boost::asio::ip::udp::endpoint;
-    struct peer {
-        host_number number = 0;
-        time_point heard{};
-    };
-
     void gather();
     void flush();
     void greet();
+    // Returns what this host says of itself.
+    protocol::host_news own_greeting() const;
+    // Adds the addresses of other hosts.
+    void add_names(protocol::host_news& greeting);
     void receive();
     void take(const udp_address& from, std::string_view datagram);
-    void send(const protocol::host_news& news, const udp_address& to);
+    void pass_on(protocol::host_news& news, const udp_address& from);
+    void spread(protocol::host_news& news, const news_routes& routes);
+    void send(const std::string& bytes, const peer_address& to);
 
     host_state& m_host;
     peer_settings m_settings;
@@ -71,9 +79,8 @@
     std::unique_ptr<protocol::host_news> m_gathered;
     transport::timer_queue::handle m_flush;
     transport::timer_queue::handle m_greeting;
-    std::map<udp_address, peer> m_peers;
-    // Told of by others, not heard yet.
-    std::map<udp_address, time_point> m_told_of;
+    host_directory m_directory;
+    std::uint64_t m_greetings = 0;
     std::string m_buffer;
     udp_address m_sender;
 };
--- a/include/cicadaport/serving/stage_director.h
+++ b/include/cicadaport/serving/stage_director.h
@@ -46,7 +46,7 @@
     using change_pointer = std::shared_ptr<change>;
 
     void look();
-    stage_view view_of(const std::string& service) const;
+    stage_view view_of(const std::string& service);
     engine_stage stage_of(const endpoint& engine) const;
     stage_change decide(const std::string& service);
     std::vector<endpoint_pointer> engines_to_change(const std::string& service,
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -144,7 +144,7 @@
 void exchange::place_prompt(const service& target)
 {
     const auto now = m_host.timers.now();
-    const auto& engines = m_host.endpoints.serving(m_service);
+    const auto& engines = m_host.engines_of(m_service);
     prompt_question question;
     question.prompt = &m_terms.prompt;
     question.prompt_tokens = m_terms.prompt_tokens;
--- /dev/null
+++ b/src/serving/host_directory.cpp
@@ -0,0 +1,130 @@
+#include "cicadaport/serving/host_directory.h"
+
+#include "cicadaport/serving/digest.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace cicadaport::serving {
+
+host_number host_directory::note(const peer_address& at, host_number number, std::uint32_t zone,
+                                 time_point now)
+{
+    if (at == m_own || number == m_number) {
+        return 0;
+    }
+    m_named.erase(at);
+    auto& known = m_known[at];
+    const auto before = std::exchange(known.number, number);
+    known.zone = zone;
+    known.heard = now;
+    return before != number ? before : 0;
+}
+
+void host_directory::note_named(const peer_address& at, time_point now)
+{
+    if (at != m_own && !m_known.contains(at)) {
+        m_named[at] = now;
+    }
+}
+
+std::vector<host_number> host_directory::forget_silent(time_point now)
+{
+    std::vector<host_number> out;
+    std::erase_if(m_known, [&](const auto& each) {
+        const auto& [at, known] = each;
+        const bool gone = now - known.heard > (known.zone == m_zone ? silence : silence_elsewhere);
+        if (gone) {
+            out.push_back(known.number);
+        }
+        return gone;
+    });
+    std::erase_if(m_named, [&](const auto& each) { return now - each.second > silence; });
+    return out;
+}
+
+std::vector<peer_address> host_directory::strangers() const
+{
+    std::vector<peer_address> out;
+    out.reserve(m_named.size());
+    for (const auto& [at, since] : m_named) {
+        out.push_back(at);
+    }
+    return out;
+}
+
+std::vector<peer_address> host_directory::draw(std::size_t count, std::mt19937_64& random) const
+{
+    std::vector<peer_address> all;
+    all.reserve(m_known.size());
+    for (const auto& [at, known] : m_known) {
+        all.push_back(at);
+    }
+    std::vector<peer_address> out;
+    std::sample(all.begin(), all.end(), std::back_inserter(out), count, random);
+    return out;
+}
+
+news_routes host_directory::routes(std::uint64_t key, bool of_cell) const
+{
+    news_routes out;
+    std::map<std::uint32_t, std::vector<const std::pair<const peer_address, entry>*>> elsewhere;
+    for (const auto& each : m_known) {
+        if (of_cell && !shares_cell(each.second.number)) {
+            continue;
+        }
+        if (each.second.zone == m_zone) {
+            out.direct.push_back(each.first);
+        }
+        else {
+            elsewhere[each.second.zone].push_back(&each);
+        }
+    }
+    for (const auto& [zone, hosts] : elsewhere) {
+        if (hosts.size() < relayed_from) {
+            for (const auto* each : hosts) {
+                out.direct.push_back(each->first);
+            }
+            continue;
+        }
+        // The highest random weight: hosts choose different ones.
+        const auto chosen =
+            std::max_element(hosts.begin(), hosts.end(), [&](const auto* left, const auto* right) {
+                return mix(key ^ left->second.number) < mix(key ^ right->second.number);
+            });
+        out.relays.push_back((*chosen)->first);
+    }
+    return out;
+}
+
+std::vector<peer_address> host_directory::zone_mates(bool of_cell) const
+{
+    std::vector<peer_address> out;
+    for (const auto& [at, known] : m_known) {
+        if (known.zone == m_zone && (!of_cell || shares_cell(known.number))) {
+            out.push_back(at);
+        }
+    }
+    return out;
+}
+
+std::uint64_t host_directory::cells() const noexcept
+{
+    std::uint64_t count = 1;
+    while (count * cell_size < m_known.size() + 1) {
+        count *= 2;
+    }
+    return count;
+}
+
+bool host_directory::shares_cell(host_number other) const noexcept
+{
+    return (mix(other) ^ mix(m_number)) % cells() == 0;
+}
+
+bool host_directory::is_in_cell(std::uint32_t engine) const noexcept
+{
+    return (mix(engine) ^ mix(m_number)) % cells() == 0;
+}
+
+} // namespace cicadaport::serving
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -20,9 +20,17 @@
 constexpr milliseconds stop_check_interval{50};
 constexpr milliseconds accept_pause{20};
 
-// The store answers as soon as there is a new version; the wait only bounds
-// how late a connection that has gone silent is noticed.
-constexpr feed_follower::pace configuration_pace{milliseconds{3'000}, milliseconds{50}};
+// The store answers as soon as there is a new version, but an append that meets
+// the begin of a read has been seen not to wake it. A read that was missed ends
+// early enough for the next one to bring the version in time.
+constexpr int waits_in_apply_time = 2;
+constexpr milliseconds configuration_interval{50};
+
+feed_follower::pace configuration_pace(milliseconds apply_time)
+{
+    return {apply_time / waits_in_apply_time, configuration_interval};
+}
+
 // Replicas report about once a second, so the list always has something new:
 // it is read as seldom as the time allows in which a leaving replica must be
 // sent nothing, less a failed call.
@@ -147,7 +155,7 @@
         : m_source{std::move(source)}, m_settings{m_source()}, m_context{1},
           m_state{m_context, wire, m_settings.availability_zone, m_settings.attempts},
           m_configuration{m_state, m_settings.store_address, feed::configuration,
-                          configuration_pace, configuration_callbacks()},
+                          configuration_pace(m_settings.apply_time), configuration_callbacks()},
           m_endpoints{m_state, m_settings.store_address, feed::endpoints,
                       endpoints_pace(m_settings.leaving_time), endpoint_callbacks()},
           m_news{m_state, m_settings.peers}, m_director{m_state, m_settings.store_address,
--- a/src/serving/host_state.cpp
+++ b/src/serving/host_state.cpp
@@ -42,6 +42,24 @@
 {
 }
 
+const std::vector<endpoint_pointer>& host_state::engines_of(const std::string& service_name)
+{
+    const auto& all = endpoints.serving(service_name);
+    if (news == nullptr || news->cells() == 1) {
+        return all;
+    }
+    m_cell_engines.clear();
+    std::size_t readers = 0;
+    for (const auto& each : all) {
+        if (news->is_in_cell(engine_number(each->report.id))) {
+            m_cell_engines.push_back(each);
+            readers += each->report.stage == engine_stage::prefill ? 1 : 0;
+        }
+    }
+    const bool whole = readers > 0 && readers < m_cell_engines.size();
+    return whole ? m_cell_engines : all;
+}
+
 std::uint32_t host_state::connection_share(const service& of) const noexcept
 {
     // Two at least: a host that hears of many others still has to serve.
--- a/src/serving/peer_news.cpp
+++ b/src/serving/peer_news.cpp
@@ -4,6 +4,9 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+#include <cmath>
+
 namespace cicadaport::serving {
 namespace asio = boost::asio;
 using asio::ip::udp;
@@ -14,14 +17,35 @@
 constexpr std::size_t longest_datagram = 1'400;
 // Pieces of work that fit into a datagram.
 constexpr int most_pieces = 40;
-// Other hosts named in a greeting.
-constexpr int most_named = 24;
+// Reading times are told in so many parts of a millisecond.
+constexpr double parts_of_ms = 10;
+
+std::uint32_t to_parts(fine_milliseconds time)
+{
+    // Work that takes time is never told as work that takes none.
+    return time > fine_milliseconds{0}
+               ? static_cast<std::uint32_t>(std::max(1.0, std::round(time.count() * parts_of_ms)))
+               : 0;
+}
+
+fine_milliseconds from_parts(std::uint32_t parts)
+{
+    return fine_milliseconds{parts / parts_of_ms};
+}
+
+peer_address to_peer(const http::address& address)
+{
+    error_code error;
+    const auto ip = asio::ip::make_address_v4(address.ip, error);
+    return error ? peer_address{} : peer_address{ip.to_uint(), address.port};
+}
 
 } // namespace
 
 peer_news::peer_news(host_state& host, peer_settings settings)
     : m_host{host}, m_settings{std::move(settings)}, m_socket{host.context},
       m_own_number{host.random() | 1U}, m_gathered{std::make_unique<protocol::host_news>()},
+      m_directory{to_peer(m_settings.own), m_own_number, engine_number(host.availability_zone)},
       m_buffer(longest_datagram, '\0')
 {
 }
@@ -51,8 +75,10 @@
     begun.set_id(id);
     begun.set_engine(work.engine);
     begun.set_urgency(work.urgency);
-    begun.set_reading_ms(static_cast<float>(work.reading.count()));
-    begun.set_nominal_ms(static_cast<float>(work.nominal_reading.count()));
+    begun.set_reading(to_parts(work.reading));
+    if (work.nominal_reading != work.reading) {
+        begun.set_nominal(to_parts(work.nominal_reading));
+    }
     gather();
 }
 
@@ -84,69 +110,92 @@
 {
     m_flush.cancel();
     m_gathered->set_sender(m_own_number);
-    std::size_t told = 0;
-    for (const auto& [to, each] : m_peers) {
-        if (++told > most_told) {
-            break;
-        }
-        send(*m_gathered, to);
-    }
+    spread(*m_gathered, m_directory.routes_for_work());
     m_gathered->Clear();
 }
 
 void peer_news::greet()
 {
     const auto now = m_host.timers.now();
-    for (auto each = m_peers.begin(); each != m_peers.end();) {
-        if (now - each->second.heard > silence) {
-            m_host.fleet.forget(each->second.number, now);
-            each = m_peers.erase(each);
-        }
-        else {
-            ++each;
-        }
-    }
-    std::erase_if(m_told_of, [&](const auto& each) { return now - each.second > silence; });
-    protocol::host_news greeting;
-    greeting.set_sender(m_own_number);
-    for (const auto& [address, each] : m_peers) {
-        if (greeting.others_size() < most_named) {
-            auto& other = *greeting.add_others();
-            other.set_ip(address.address().to_v4().to_uint());
-            other.set_port(address.port());
-        }
+    for (const auto gone : m_directory.forget_silent(now)) {
+        m_host.fleet.forget(gone, now);
     }
-    std::set<udp_address> to;
+    auto greeting = own_greeting();
+    spread(greeting, m_directory.routes_for_greeting(++m_greetings));
+    // Hosts that may not know all others are told of some.
+    add_names(greeting);
+    const auto bytes = greeting.SerializeAsString();
+    auto to = m_directory.strangers();
+    to.resize(std::min(to.size(), most_strangers));
+    const auto known = m_directory.draw(told_names, m_host.random);
+    to.insert(to.end(), known.begin(), known.end());
     for (const auto& ip : m_settings.first_ips) {
-        error_code error;
-        const auto address = asio::ip::make_address(ip, error);
-        if (!error && ip != m_settings.own.ip) {
-            to.emplace(address, m_settings.own.port);
-        }
-    }
-    for (const auto& [address, each] : m_peers) {
-        if (to.size() < most_told) {
-            to.insert(address);
-        }
-    }
-    for (const auto& [address, since] : m_told_of) {
-        if (to.size() < 2 * most_told) {
-            to.insert(address);
+        if (ip != m_settings.own.ip) {
+            to.push_back(to_peer({ip, m_settings.own.port}));
         }
     }
     for (const auto& each : to) {
-        send(greeting, each);
+        send(bytes, each);
     }
     m_greeting = m_host.timers.call_at(now + greeting_interval, [this] { greet(); });
 }
 
-void peer_news::send(const protocol::host_news& news, const udp_address& to)
+protocol::host_news peer_news::own_greeting() const
+{
+    protocol::host_news out;
+    out.set_sender(m_own_number);
+    out.set_zone(engine_number(m_host.availability_zone));
+    const auto own = to_peer(m_settings.own);
+    out.mutable_own()->set_ip(own.ip);
+    out.mutable_own()->set_port(own.port);
+    return out;
+}
+
+void peer_news::add_names(protocol::host_news& greeting)
+{
+    for (const auto& each : m_directory.draw(most_named, m_host.random)) {
+        auto& other = *greeting.add_others();
+        other.set_ip(each.ip);
+        other.set_port(each.port);
+    }
+}
+
+void peer_news::spread(protocol::host_news& news, const news_routes& routes)
+{
+    const auto bytes = news.SerializeAsString();
+    for (const auto& each : routes.direct) {
+        send(bytes, each);
+    }
+    if (routes.relays.empty()) {
+        return;
+    }
+    news.set_pass_on(true);
+    const auto to_pass_on = news.SerializeAsString();
+    for (const auto& each : routes.relays) {
+        send(to_pass_on, each);
+    }
+    news.clear_pass_on();
+}
+
+void peer_news::pass_on(protocol::host_news& news, const udp_address& from)
 {
+    news.clear_pass_on();
     const auto bytes = news.SerializeAsString();
+    const peer_address source{from.address().to_v4().to_uint(), from.port()};
+    for (const auto& each : m_directory.zone_mates(!news.has_own())) {
+        if (each != source) {
+            send(bytes, each);
+        }
+    }
+}
+
+void peer_news::send(const std::string& bytes, const peer_address& to)
+{
+    const udp_address address{asio::ip::address_v4{to.ip}, to.port};
     error_code error;
-    m_socket.send_to(asio::buffer(bytes), to, 0, error);
+    m_socket.send_to(asio::buffer(bytes), address, 0, error);
     if (error && error != asio::error::would_block) {
-        spdlog::debug("peer_not_told peer={} error=\"{}\"", to.address().to_string(),
+        spdlog::debug("peer_not_told peer={} error=\"{}\"", address.address().to_string(),
                       error.message());
     }
 }
@@ -177,35 +226,39 @@
         return;
     }
     const auto now = m_host.timers.now();
-    auto& known = m_peers[from];
-    if (known.number != news.sender()) {
-        // A new process at the address.
-        m_host.fleet.forget(known.number, now);
-        known.number = news.sender();
-    }
-    known.heard = now;
-    m_told_of.erase(from);
+    const auto sender = news.sender();
+    if (news.has_own()) {
+        const peer_address at{news.own().ip(), static_cast<std::uint16_t>(news.own().port())};
+        const bool first = !m_directory.knows(at);
+        if (const auto replaced = m_directory.note(at, sender, news.zone(), now)) {
+            m_host.fleet.forget(replaced, now);
+        }
+        if (first) {
+            // A host that has just started finds the others within two answers.
+            auto answer = own_greeting();
+            add_names(answer);
+            send(answer.SerializeAsString(), at);
+        }
+    }
+    if (news.pass_on()) {
+        pass_on(news, from);
+    }
     for (const auto& each : news.begun()) {
         engine_work work;
         work.engine = each.engine();
         work.urgency = each.urgency();
-        work.reading = fine_milliseconds{each.reading_ms()};
-        work.nominal_reading = fine_milliseconds{each.nominal_ms()};
-        m_host.fleet.begin(known.number, each.id(), work, now);
+        work.reading = from_parts(each.reading());
+        work.nominal_reading = each.nominal() != 0 ? from_parts(each.nominal()) : work.reading;
+        m_host.fleet.begin(sender, each.id(), work, now);
     }
     for (const auto id : news.ended()) {
-        m_host.fleet.end(known.number, id, now);
+        m_host.fleet.end(sender, id, now);
     }
     for (const auto& each : news.paused()) {
         m_host.engines.pause(each.engine(), now + milliseconds{each.time_ms()});
     }
     for (const auto& each : news.others()) {
-        const udp_address other{asio::ip::address_v4{each.ip()},
-                                static_cast<std::uint16_t>(each.port())};
-        const bool is_own = other.address().to_string() == m_settings.own.ip;
-        if (!is_own && !m_peers.contains(other)) {
-            m_told_of.emplace(other, now);
-        }
+        m_directory.note_named({each.ip(), static_cast<std::uint16_t>(each.port())}, now);
     }
 }
 
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -1,5 +1,7 @@
 #include "cicadaport/serving/placement.h"
 
+#include "cicadaport/serving/digest.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -24,15 +26,6 @@
 constexpr double failure_cost = 4;
 constexpr double last_resort_cost = 1'000;
 
-std::uint64_t mix(std::uint64_t value) noexcept
-{
-    // The finalizer of splitmix64.
-    value += 0x9e3779b97f4a7c15ULL;
-    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
-    return value ^ (value >> 31U);
-}
-
 // Returns keys of the prompt's shared beginnings, the shortest first. The last
 // part belongs to the request itself.
 std::vector<std::uint64_t> beginnings_of(const std::vector<prompt_part>& prompt)
--- a/src/serving/stage_director.cpp
+++ b/src/serving/stage_director.cpp
@@ -57,11 +57,11 @@
         .value_or(engine.report.stage);
 }
 
-stage_view stage_director::view_of(const std::string& service) const
+stage_view stage_director::view_of(const std::string& service)
 {
     stage_view out;
     const auto now = m_host.timers.now();
-    for (const auto& each : m_host.endpoints.serving(service)) {
+    for (const auto& each : m_host.engines_of(service)) {
         const auto stage = stage_of(*each);
         out.prefill += stage == engine_stage::prefill ? 1 : 0;
         out.decode += stage == engine_stage::decode ? 1 : 0;
@@ -123,7 +123,7 @@
                                                                 const stage_change& wanted)
 {
     const auto now = m_host.timers.now();
-    const auto& engines = m_host.endpoints.serving(service);
+    const auto& engines = m_host.engines_of(service);
     const auto answering = m_host.engines.answering_engines(engines);
     std::vector<std::pair<double, endpoint_pointer>> out;
     for (const auto& each : engines) {
--- a/test/platform/host_test.cpp
+++ b/test/platform/host_test.cpp
@@ -504,6 +504,21 @@
     EXPECT_EQ(ask(request("GET", "/v8/x", "r3")).status, 404U);
 }
 
+TEST_F(host_test, a_configuration_that_did_not_wake_a_waiting_read_is_in_force_in_time)
+{
+    settings.apply_time = 2s;
+    start();
+    store.miss_wakeups(true);
+    const std::string topic{configuration_topic};
+    const auto before = store.reads(topic);
+    // One read was under way; the next one waits from its begin.
+    ASSERT_TRUE(eventually([&] { return store.reads(topic) >= before + 2; }));
+    publish(9);
+    const auto published = std::chrono::steady_clock::now();
+    EXPECT_TRUE(eventually([&] { return ask(request("GET", "/v9/x", "r1")).status != 404; }));
+    EXPECT_LT(std::chrono::steady_clock::now() - published, settings.apply_time);
+}
+
 TEST_F(host_test, follows_on_when_records_that_it_has_not_read_expire)
 {
     start();
--- a/test/platform/stand_ins.h
+++ b/test/platform/stand_ins.h
@@ -203,6 +203,20 @@
     // Appends are carried out and not answered.
     void lose_append_answers(bool lost) { m_lose_appends = lost; }
 
+    // Reads that find nothing new are answered at the end of their wait, with
+    // nothing, as if what was appended meanwhile had not woken them.
+    void miss_wakeups(bool missed) { m_miss_wakeups = missed; }
+
+    // Reads of a topic so far.
+    std::size_t reads(const std::string& topic) const
+    {
+        const auto all = m_server.requests();
+        return static_cast<std::size_t>(
+            std::count_if(all.begin(), all.end(), [&](const received_request& each) {
+                return each.path() == "/-/log-read" && each.parameter("topic") == topic;
+            }));
+    }
+
     std::size_t appended(const std::string& topic) const
     {
         const std::lock_guard lock{m_mutex};
@@ -282,7 +296,7 @@
         return say(200, "", body.dump());
     }
 
-    static spoken read(const topic_log& topic, const received_request& request)
+    spoken read(const topic_log& topic, const received_request& request) const
     {
         const auto from = std::stoull(request.parameter("from"));
         if (from < topic.first) {
@@ -295,7 +309,11 @@
             body += static_cast<char>(each.key.size());
             body += each.key + each.value;
         }
-        return say(200, "", body);
+        auto out = say(200, "", body);
+        if (m_miss_wakeups && from >= topic.records.size()) {
+            out.delay = std::chrono::milliseconds{std::stoll(request.parameter("wait-ms"))};
+        }
+        return out;
     }
 
     spoken append(topic_log& topic, const received_request& request)
@@ -329,6 +347,7 @@
     std::map<std::string, topic_log> m_topics;
     std::atomic<unsigned> m_refusal{0};
     std::atomic<bool> m_lose_appends{false};
+    std::atomic<bool> m_miss_wakeups{false};
     scripted_server m_server;
 };
 
--- /dev/null
+++ b/test/serving/host_directory_test.cpp
@@ -0,0 +1,133 @@
+#include "cicadaport/serving/host_directory.h"
+
+#include <gmock/gmock.h>
+
+#include <set>
+
+namespace cicadaport::serving {
+namespace {
+
+using namespace std::chrono_literals;
+using ::testing::ElementsAre;
+using ::testing::IsEmpty;
+using ::testing::SizeIs;
+using ::testing::UnorderedElementsAre;
+
+const time_point start{std::chrono::hours{1}};
+constexpr std::uint32_t own_zone = 1;
+constexpr std::uint32_t other_zone = 2;
+constexpr host_number own_number = 7;
+
+peer_address at(std::uint32_t ip)
+{
+    return {ip, 7380};
+}
+
+host_directory empty_directory()
+{
+    return {at(1), own_number, own_zone};
+}
+
+// Returns a directory of the first of `count` hosts, a quarter in each zone.
+host_directory directory_of(std::uint32_t count)
+{
+    auto out = empty_directory();
+    for (std::uint32_t each = 2; each <= count; ++each) {
+        out.note(at(each), 1'000 + each, 1 + each % 4, start);
+    }
+    return out;
+}
+
+TEST(host_directory_test, tells_hosts_of_small_zones_directly)
+{
+    auto directory = empty_directory();
+    directory.note(at(2), 12, own_zone, start);
+    directory.note(at(3), 13, other_zone, start);
+    directory.note(at(4), 14, other_zone, start);
+    const auto routes = directory.routes_for_work();
+    EXPECT_THAT(routes.direct, UnorderedElementsAre(at(2), at(3), at(4)));
+    EXPECT_THAT(routes.relays, IsEmpty());
+}
+
+TEST(host_directory_test, tells_one_host_of_each_other_zone_to_pass_news_on)
+{
+    const auto directory = directory_of(60);
+    const auto routes = directory.routes_for_work();
+    EXPECT_THAT(routes.direct, SizeIs(15)) << "all others of the own zone";
+    EXPECT_THAT(routes.relays, SizeIs(3));
+    EXPECT_EQ(directory.routes_for_work().relays, routes.relays)
+        << "news on two ways could overtake each other";
+}
+
+TEST(host_directory_test, greetings_are_passed_on_by_different_hosts_in_turn)
+{
+    const auto directory = directory_of(60);
+    std::set<std::vector<peer_address>> seen;
+    for (std::uint64_t turn = 0; turn < 20; ++turn) {
+        seen.insert(directory.routes_for_greeting(turn).relays);
+    }
+    EXPECT_GT(seen.size(), 10U);
+}
+
+TEST(host_directory_test, forgets_a_silent_host_and_tells_its_number)
+{
+    auto directory = empty_directory();
+    directory.note(at(2), 12, own_zone, start);
+    directory.note(at(3), 13, other_zone, start);
+    EXPECT_THAT(directory.forget_silent(start + host_directory::silence), IsEmpty());
+    EXPECT_THAT(directory.forget_silent(start + host_directory::silence + 1ms), ElementsAre(12));
+    EXPECT_THAT(directory.forget_silent(start + host_directory::silence_elsewhere + 1ms),
+                ElementsAre(13));
+    EXPECT_EQ(directory.size(), 0U);
+}
+
+TEST(host_directory_test, tells_which_process_was_replaced_at_an_address)
+{
+    auto directory = empty_directory();
+    EXPECT_EQ(directory.note(at(2), 12, own_zone, start), 0U);
+    EXPECT_EQ(directory.note(at(2), 12, own_zone, start), 0U);
+    EXPECT_EQ(directory.note(at(2), 13, own_zone, start), 12U);
+}
+
+TEST(host_directory_test, a_named_host_is_a_stranger_until_it_is_heard)
+{
+    auto directory = empty_directory();
+    directory.note_named(at(2), start);
+    EXPECT_THAT(directory.strangers(), ElementsAre(at(2)));
+    directory.note(at(2), 12, own_zone, start);
+    directory.note_named(at(2), start);
+    EXPECT_THAT(directory.strangers(), IsEmpty());
+}
+
+TEST(host_directory_test, is_no_peer_of_itself)
+{
+    auto directory = empty_directory();
+    directory.note_named(at(1), start);
+    directory.note(at(9), own_number, own_zone, start);
+    EXPECT_THAT(directory.strangers(), IsEmpty());
+    EXPECT_EQ(directory.size(), 0U);
+}
+
+TEST(host_directory_test, a_fleet_of_a_hundred_hosts_is_one_cell)
+{
+    const auto directory = directory_of(100);
+    EXPECT_EQ(directory.cells(), 1U);
+    EXPECT_TRUE(directory.is_in_cell(4'711));
+}
+
+TEST(host_directory_test, a_fleet_of_410_hosts_has_cells_of_at_most_a_hundred_on_average)
+{
+    const auto directory = directory_of(410);
+    EXPECT_EQ(directory.cells(), 8U);
+    const auto routes = directory.routes_for_work();
+    EXPECT_LT(routes.direct.size(), 30U) << "a cell's part of a zone has about 13 hosts";
+    EXPECT_GT(directory.routes_for_greeting(1).direct.size(), 90U);
+    std::size_t engines = 0;
+    for (std::uint32_t engine = 0; engine < 720; ++engine) {
+        engines += directory.is_in_cell(engine) ? 1 : 0;
+    }
+    EXPECT_NEAR(static_cast<double>(engines), 90, 35);
+}
+
+} // namespace
+} // namespace cicadaport::serving
