serving: an engine takes a prompt's beginning from one that keeps it

Change: hosts tell each other the digest of each long beginning with the work they give to an engine, so the engine that keeps it is known; it is asked where the engine with the least wait lacks it. Beginnings spread over engines that cost the same.

--- a/include/cicadaport/serving/fleet_work.h
+++ b/include/cicadaport/serving/fleet_work.h
@@ -24,6 +24,9 @@
     fine_milliseconds reading{0};
     // The same at an engine that does nothing but read.
     fine_milliseconds nominal_reading{0};
+    // A digest of the prompt's shared beginning, which the engine keeps for a
+    // while; 0 if it is too short to matter.
+    std::uint32_t beginning = 0;
 };
 
 // Returns the number under which hosts speak of an engine.
--- a/include/cicadaport/serving/placement.h
+++ b/include/cicadaport/serving/placement.h
@@ -59,6 +59,11 @@
     // Reading a beginning again that another engine keeps counts this many
     // times: it also drives another beginning out.
     double repeated_reading = 4;
+    // Engines that cost the same are told apart by the prompt's beginning, alike on
+    // all hosts, by up to this much: beginnings spread over engines.
+    fine_milliseconds spread{5};
+    // Setting up the transfer of a beginning from another engine.
+    fine_milliseconds transfer_set_up{4};
     // Part of the decode engines that only answer, at least.
     double answering_part = 0.34;
     // Part of their slots that answers may fill before more engines answer.
@@ -89,6 +94,9 @@
     // Reads the prompt for `runner`; null if `runner` does it.
     endpoint_pointer reader;
     endpoint_pointer runner;
+    // From which the engine that reads takes the prompt's beginning; null if it
+    // keeps it itself or nobody does.
+    endpoint_pointer beginning_at;
     // What the engine that reads the prompt needs for it alone, and when it will
     // be done with it, from now.
     fine_milliseconds reading{0};
@@ -127,8 +135,6 @@
     endpoint_health health;
     // Whether other engines get the memory of the prompts that it reads.
     endpoint_health memory_health;
-    // Prompts' beginnings that were sent there, and when last.
-    std::unordered_map<std::uint64_t, time_point> beginnings;
     // Observed over predicted time, as a moving average.
     double slowness = 1;
     // From when an answer whose prompt had been read was asked for to its first
@@ -141,7 +147,11 @@
 public:
     // A beginning is expected to be kept for this long after its last use.
     static constexpr std::chrono::seconds kept_beginning{20};
-    static constexpr std::size_t most_beginnings = 4'096;
+    // Beginnings that are remembered of one engine.
+    static constexpr std::size_t most_beginnings = 1'024;
+    // A beginning of fewer tokens is read again sooner than it is transferred; it
+    // is neither told to other hosts nor asked of other engines.
+    static constexpr double least_transfer = 256;
 
     // `work` must outlive the placement.
     explicit engine_placement(fleet_work& work, engine_costs costs = {})
@@ -169,6 +179,12 @@
     // Notes that an engine was sent this prompt.
     void note_prompt(const std::string& engine, const std::vector<prompt_part>& prompt,
                      time_point now);
+    // Notes that an engine was sent a prompt with this beginning, by another host.
+    void note_beginning(std::uint32_t engine, std::uint32_t beginning, time_point now);
+
+    // Returns the digest of a prompt's shared beginning that other hosts are told;
+    // 0 if it is too short.
+    static std::uint32_t beginning_of(const std::vector<prompt_part>& prompt);
 
     // Notes how long a prompt took against what was predicted.
     void note_time(const std::string& engine, fine_milliseconds predicted,
@@ -178,19 +194,29 @@
     void pause(std::uint32_t engine, time_point until) { m_paused[engine] = until; }
 
     engine_state& state(const std::string& engine) { return m_engines[engine]; }
-    void forget(const std::string& engine) { m_engines.erase(engine); }
+    void forget(const std::string& engine)
+    {
+        m_engines.erase(engine);
+        m_beginnings.erase(engine_number(engine));
+    }
 
 private:
-    // The keys of a prompt's shared beginnings, the shortest first, and the
-    // engines that hosts prefer for the longest one.
-    struct preferences {
-        std::vector<std::uint64_t> keys;
-        const endpoint* for_prefill = nullptr;
-        const endpoint* for_decode = nullptr;
+    // A prompt's shared beginnings, the shortest first: their keys and their tokens;
+    // and the engine that keeps the longest of them.
+    struct beginnings {
+        std::vector<std::uint32_t> keys;
+        std::vector<double> tokens;
+        endpoint_pointer keeper;
+        double kept_by_keeper = 0;
     };
 
-    preferences preferences_of(const prompt_question& question,
-                               const std::vector<endpoint_pointer>& engines) const;
+    static beginnings beginnings_of(const std::vector<prompt_part>& prompt);
+    // Returns a number from [0, 1) that all hosts draw alike.
+    static double weight_of(const beginnings& of, const endpoint& engine);
+    void find_keeper(beginnings& of, time_point now,
+                     const std::vector<endpoint_pointer>& engines) const;
+    // Returns how many tokens of the beginnings the engine is known to keep.
+    double known_to_keep(const beginnings& of, const endpoint& engine, time_point now) const;
 
     struct runner_choice {
         endpoint_pointer runner;
@@ -203,22 +229,27 @@
         fine_milliseconds nominal{0};
         // What is read there though another engine keeps it.
         fine_milliseconds repeated{0};
+        // Whether the beginning is taken from the engine that keeps most of it.
+        bool is_transferred = false;
     };
 
     runner_choice best_runner(const prompt_question& question, const endpoint& reader,
                               const std::vector<endpoint_pointer>& engines) const;
     // An engine in another availability zone costs so much more.
     fine_milliseconds distance_to(const prompt_question& question, const endpoint& engine) const;
-    fine_milliseconds transfer_time(const prompt_question& question) const;
+    // How long the memory of so many of the prompt's tokens is under way.
+    static fine_milliseconds transfer_time(const prompt_question& question, double tokens);
     // An engine that fails, or changes its stage, is a last resort.
     fine_milliseconds distrust_of(const prompt_question& question, const endpoint& engine) const;
     reading_cost cost_of_reading(const prompt_question& question, const endpoint& engine,
-                                 const preferences& preferred_engines);
+                                 const beginnings& shared);
 
     fleet_work& m_work;
     engine_costs m_costs;
     std::unordered_map<std::string, engine_state> m_engines;
     std::unordered_map<std::uint32_t, time_point> m_paused;
+    // Of each engine: the keys of beginnings that it was sent, and when last.
+    std::unordered_map<std::uint32_t, std::unordered_map<std::uint32_t, time_point>> m_beginnings;
 };
 
 // What this host knows of one replica of a plain service.
--- a/include/cicadaport/serving/wire.h
+++ b/include/cicadaport/serving/wire.h
@@ -46,6 +46,9 @@
     std::optional<std::uint32_t> urgency;
     // Only read the prompt and keep its memory for another engine.
     bool only_read_prompt = false;
+    // An engine that may keep the prompt's beginning, to take it from there instead
+    // of reading it again.
+    std::optional<http::address> beginning_at;
     // Begin with this memory instead of reading the prompt.
     std::optional<read_prompt> from;
     // Continue a stream after this event.
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -204,6 +204,9 @@
     run_terms terms;
     terms.only_read_prompt = true;
     terms.urgency = plan.urgency;
+    if (plan.beginning_at != nullptr) {
+        terms.beginning_at = plan.beginning_at->report.address;
+    }
     const auto patience =
         std::max<fine_milliseconds>(engine_patience * plan.read_after, least_prompt_patience);
     be_patient(patience);
@@ -215,6 +218,9 @@
     run_terms terms;
     if (m_route->has_prompt) {
         terms.urgency = m_plan.urgency;
+        if (!from && m_plan.beginning_at != nullptr) {
+            terms.beginning_at = m_plan.beginning_at->report.address;
+        }
     }
     terms.from = std::move(from);
     terms.after_event = m_events.last_event();
@@ -226,6 +232,7 @@
     if (m_route->has_prompt) {
         engine_work work;
         work.engine = engine_number(to->report.id);
+        work.beginning = engine_placement::beginning_of(m_terms.prompt);
         m_answering = m_host.begin_work(work);
     }
     else {
@@ -694,6 +701,7 @@
     work.urgency = m_plan.urgency;
     work.reading = m_plan.reading;
     work.nominal_reading = m_plan.nominal_reading;
+    work.beginning = engine_placement::beginning_of(m_terms.prompt);
     m_reading = m_host.begin_work(work);
 }
 
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -26,35 +26,6 @@
 constexpr double failure_cost = 4;
 constexpr double last_resort_cost = 1'000;
 
-// Returns keys of the prompt's shared beginnings, the shortest first. The last
-// part belongs to the request itself.
-std::vector<std::uint64_t> beginnings_of(const std::vector<prompt_part>& prompt)
-{
-    std::vector<std::uint64_t> keys;
-    std::uint64_t key = 0;
-    for (std::size_t index = 0; index + 1 < prompt.size(); ++index) {
-        key = mix(key ^ prompt[index].id);
-        keys.push_back(key);
-    }
-    return keys;
-}
-
-// Returns which of `among` all hosts send `key` to while they know nothing
-// better: the highest random weight.
-const endpoint* preferred(std::uint64_t key, const std::set<const endpoint*>& among)
-{
-    const endpoint* best = nullptr;
-    std::uint64_t best_weight = 0;
-    for (const auto* each : among) {
-        const auto weight = mix(key ^ engine_number(each->report.id));
-        if (best == nullptr || weight > best_weight) {
-            best = each;
-            best_weight = weight;
-        }
-    }
-    return best;
-}
-
 // Returns the engines for which `fits` in an order that is the same on all
 // hosts.
 template <typename Fits>
@@ -78,37 +49,93 @@
 
 } // namespace
 
-engine_placement::reading_cost
-engine_placement::cost_of_reading(const prompt_question& question, const endpoint& engine,
-                                  const preferences& preferred_engines)
+engine_placement::beginnings engine_placement::beginnings_of(const std::vector<prompt_part>& prompt)
+{
+    beginnings out;
+    std::uint64_t key = 0;
+    double tokens = 0;
+    // The last part belongs to the request itself.
+    for (std::size_t index = 0; index + 1 < prompt.size(); ++index) {
+        key = mix(key ^ prompt[index].id);
+        tokens += prompt[index].tokens;
+        out.keys.push_back(static_cast<std::uint32_t>(key));
+        out.tokens.push_back(tokens);
+    }
+    return out;
+}
+
+std::uint32_t engine_placement::beginning_of(const std::vector<prompt_part>& prompt)
+{
+    const auto all = beginnings_of(prompt);
+    return all.keys.empty() || all.tokens.back() < least_transfer ? 0 : all.keys.back();
+}
+
+double engine_placement::weight_of(const beginnings& of, const endpoint& engine)
+{
+    const auto key = of.keys.empty() ? 0U : of.keys.back();
+    constexpr double range = 0x1p64;
+    return static_cast<double>(mix(key ^ engine_number(engine.report.id))) / range;
+}
+
+double engine_placement::known_to_keep(const beginnings& of, const endpoint& engine,
+                                       time_point now) const
 {
-    const auto& keys = preferred_engines.keys;
-    const auto& known = m_engines[engine.report.id];
-    double kept = 0;
-    double rest = 0;
-    bool certain = true;
-    for (std::size_t index = 0; index < keys.size(); ++index) {
-        const auto found = known.beginnings.find(keys[index]);
-        certain = certain && found != known.beginnings.end() &&
-                  question.now - found->second < kept_beginning;
-        (certain ? kept : rest) += (*question.prompt)[index].tokens;
+    const auto known = m_beginnings.find(engine_number(engine.report.id));
+    if (known == m_beginnings.end()) {
+        return 0;
+    }
+    for (auto index = of.keys.size(); index-- > 0;) {
+        const auto found = known->second.find(of.keys[index]);
+        if (found != known->second.end() && now - found->second < kept_beginning) {
+            return of.tokens[index];
+        }
     }
-    const bool is_preferred =
-        &engine == preferred_engines.for_prefill || &engine == preferred_engines.for_decode;
-    if (is_preferred) {
-        kept += std::exchange(rest, 0);
+    return 0;
+}
+
+void engine_placement::find_keeper(beginnings& of, time_point now,
+                                   const std::vector<endpoint_pointer>& engines) const
+{
+    for (const auto& each : engines) {
+        const auto kept = known_to_keep(of, *each, now);
+        if (kept <= of.kept_by_keeper) {
+            continue;
+        }
+        const auto known = m_engines.find(each->report.id);
+        const bool avoided =
+            known != m_engines.end() &&
+            (known->second.health.is_avoided(now) || known->second.memory_health.is_avoided(now));
+        if (!avoided) {
+            of.keeper = each;
+            of.kept_by_keeper = kept;
+        }
     }
-    kept = std::min(kept, question.prompt_tokens);
+}
+
+engine_placement::reading_cost engine_placement::cost_of_reading(const prompt_question& question,
+                                                                 const endpoint& engine,
+                                                                 const beginnings& shared)
+{
+    const auto here = known_to_keep(shared, engine, question.now);
+    const auto there = std::max(here, shared.kept_by_keeper);
+    reading_cost out;
+    out.is_transferred = there - here >= least_transfer;
+    const auto kept = std::min(out.is_transferred ? there : here, question.prompt_tokens);
     const auto read = question.prompt_tokens - kept;
     const auto pairs = read * (kept + read / 2);
     const auto time =
         read / m_costs.tokens_per_ms + pairs / pairs_in_million * m_costs.pair_ms_per_million;
     const auto part =
         engine.report.stage == engine_stage::decode ? m_costs.decode_engine_part : 1.0;
-    reading_cost out;
     out.nominal = fine_milliseconds{time};
-    out.time = fine_milliseconds{time / part * known.slowness};
-    out.repeated = fine_milliseconds{m_costs.repeated_reading * rest / m_costs.tokens_per_ms};
+    out.time = fine_milliseconds{time / part * m_engines[engine.report.id].slowness};
+    if (out.is_transferred) {
+        out.time += m_costs.transfer_set_up + transfer_time(question, there - here);
+    }
+    else {
+        out.repeated =
+            fine_milliseconds{m_costs.repeated_reading * (there - here) / m_costs.tokens_per_ms};
+    }
     return out;
 }
 
@@ -129,25 +156,6 @@
     return {decoding.begin(), decoding.begin() + static_cast<std::ptrdiff_t>(count)};
 }
 
-engine_placement::preferences
-engine_placement::preferences_of(const prompt_question& question,
-                                 const std::vector<endpoint_pointer>& engines) const
-{
-    preferences out;
-    out.keys = beginnings_of(*question.prompt);
-    if (out.keys.empty()) {
-        return out;
-    }
-    std::set<const endpoint*> reading;
-    std::set<const endpoint*> decoding;
-    for (const auto& each : engines) {
-        (each->report.stage == engine_stage::prefill ? reading : decoding).insert(each.get());
-    }
-    out.for_prefill = preferred(out.keys.back(), reading);
-    out.for_decode = preferred(out.keys.back(), decoding);
-    return out;
-}
-
 fine_milliseconds engine_placement::distance_to(const prompt_question& question,
                                                 const endpoint& engine) const
 {
@@ -155,9 +163,9 @@
                                                                          : m_costs.other_zone;
 }
 
-fine_milliseconds engine_placement::transfer_time(const prompt_question& question) const
+fine_milliseconds engine_placement::transfer_time(const prompt_question& question, double tokens)
 {
-    const auto bits = question.prompt_tokens * question.bytes_per_token * bits_per_byte;
+    const auto bits = tokens * question.bytes_per_token * bits_per_byte;
     return question.link_mbps > 0
                ? fine_milliseconds{bits / question.link_mbps / bits_per_ms_per_mbps}
                : fine_milliseconds{0};
@@ -186,7 +194,7 @@
                               const std::vector<endpoint_pointer>& engines) const
 {
     const auto answering = answering_engines(engines);
-    const auto transfer = transfer_time(question);
+    const auto transfer = transfer_time(question, question.prompt_tokens);
     runner_choice out{nullptr, never};
     for (const auto& each : engines) {
         if (each->report.stage == engine_stage::prefill ||
@@ -231,7 +239,8 @@
 prompt_plan engine_placement::choose(const prompt_question& question,
                                      const std::vector<endpoint_pointer>& engines)
 {
-    const auto favoured = preferences_of(question, engines);
+    auto shared = beginnings_of(*question.prompt);
+    find_keeper(shared, question.now, engines);
     const auto answering = answering_engines(engines);
     prompt_plan alone;
     prompt_plan handed_over;
@@ -243,10 +252,11 @@
         }
         const auto wait =
             m_work.wait(engine_number(each->report.id), question.urgency, question.now);
-        const auto reading = cost_of_reading(question, *each, favoured);
+        const auto reading = cost_of_reading(question, *each, shared);
         const auto read_after = wait + reading.time;
         const auto distance = distance_to(question, *each);
-        auto cost = read_after + reading.repeated + distance + distrust_of(question, *each);
+        auto cost = read_after + reading.repeated + distance + distrust_of(question, *each) +
+                    m_costs.spread * weight_of(shared, *each);
         const bool is_reader = each->report.stage == engine_stage::prefill;
         if (!is_reader && (question.many_events || answering.contains(each.get()))) {
             // Its streams, or this one, would pause.
@@ -260,6 +270,7 @@
             auto& plan = is_reader ? handed_over : alone;
             (is_reader ? best_reader : best_alone) = cost;
             (is_reader ? plan.reader : plan.runner) = each;
+            plan.beginning_at = reading.is_transferred ? shared.keeper : nullptr;
             plan.reading = reading.time;
             plan.nominal_reading = reading.nominal;
             plan.read_after = read_after;
@@ -274,7 +285,7 @@
         return alone;
     }
     handed_over.runner = runner.runner;
-    handed_over.first_event += transfer_time(question) + m_costs.hand_over;
+    handed_over.first_event += transfer_time(question, question.prompt_tokens) + m_costs.hand_over;
     const auto cost_apart = best_reader + runner.cost + m_costs.hand_over;
     return alone.runner == nullptr || cost_apart < best_alone ? handed_over : alone;
 }
@@ -295,10 +306,15 @@
 void engine_placement::note_prompt(const std::string& engine,
                                    const std::vector<prompt_part>& prompt, time_point now)
 {
-    auto& known = m_engines[engine].beginnings;
-    for (const auto key : beginnings_of(prompt)) {
-        known[key] = now;
+    for (const auto key : beginnings_of(prompt).keys) {
+        note_beginning(engine_number(engine), key, now);
     }
+}
+
+void engine_placement::note_beginning(std::uint32_t engine, std::uint32_t beginning, time_point now)
+{
+    auto& known = m_beginnings[engine];
+    known[beginning] = now;
     if (known.size() > most_beginnings) {
         std::erase_if(known, [&](const auto& each) { return now - each.second > kept_beginning; });
     }
--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -49,6 +49,18 @@
                  serving::invalid_request);
 }
 
+TEST(wire_test, names_the_engine_that_keeps_the_beginning_instead_of_what_a_caller_wrote)
+{
+    serving::run_terms terms;
+    terms.only_read_prompt = true;
+    const auto caller = head({{"Host", "a"}, {"Kv-Fetch", "9.9.9.9:9"}});
+    EXPECT_THAT(speech.run_request(caller, "", terms), Not(HasSubstr("Kv-Fetch")));
+    terms.beginning_at = http::address{"10.1.0.2", 8'080};
+    const auto sent = speech.run_request(caller, "", terms);
+    EXPECT_THAT(sent, HasSubstr("Kv-Fetch: 10.1.0.2:8080\r\n"));
+    EXPECT_THAT(sent, Not(HasSubstr("9.9.9.9")));
+}
+
 TEST(wire_test, passes_a_request_on_without_what_only_the_system_may_set)
 {
     serving::run_terms terms;
--- a/test/serving/placement_test.cpp
+++ b/test/serving/placement_test.cpp
@@ -107,6 +107,57 @@
     EXPECT_EQ(readers.size(), 1U);
 }
 
+TEST_F(engine_placement_test, a_beginning_is_taken_from_the_engine_that_keeps_it)
+{
+    placement.note_prompt("p1", prompt, start);
+    load("p1", 500ms);
+    const auto plan = placement.choose(question, engines);
+    ASSERT_NE(plan.reader, nullptr);
+    EXPECT_NE(plan.reader->report.id, "p1") << "it is busy for longer than the transfer takes";
+    ASSERT_NE(plan.beginning_at, nullptr);
+    EXPECT_EQ(plan.beginning_at->report.id, "p1");
+    question.now += engine_placement::kept_beginning;
+    EXPECT_EQ(placement.choose(question, engines).beginning_at, nullptr) << "it has expired";
+}
+
+TEST_F(engine_placement_test, an_engine_that_keeps_the_beginning_itself_takes_it_from_nobody)
+{
+    placement.note_prompt("p1", prompt, start);
+    const auto plan = placement.choose(question, engines);
+    ASSERT_NE(plan.reader, nullptr);
+    EXPECT_EQ(plan.reader->report.id, "p1");
+    EXPECT_EQ(plan.beginning_at, nullptr);
+}
+
+TEST_F(engine_placement_test, a_beginning_of_which_another_host_told_is_known_alike)
+{
+    placement.note_beginning(engine_number("p2"), engine_placement::beginning_of(prompt), start);
+    EXPECT_EQ(placement.choose(question, engines).reader->report.id, "p2");
+    load("p2", 500ms);
+    const auto plan = placement.choose(question, engines);
+    ASSERT_NE(plan.beginning_at, nullptr);
+    EXPECT_EQ(plan.beginning_at->report.id, "p2");
+}
+
+TEST_F(engine_placement_test, nothing_is_taken_from_an_engine_that_fails)
+{
+    placement.note_prompt("p1", prompt, start);
+    placement.state("p1").health.unreachable(start);
+    const auto plan = placement.choose(question, engines);
+    ASSERT_NE(plan.reader, nullptr);
+    EXPECT_NE(plan.reader->report.id, "p1");
+    EXPECT_EQ(plan.beginning_at, nullptr);
+}
+
+TEST_F(engine_placement_test, a_short_beginning_is_neither_transferred_nor_told)
+{
+    prompt = {{1, 100}, {2, 1'900}};
+    placement.note_prompt("p1", prompt, start);
+    load("p1", 500ms);
+    EXPECT_EQ(placement.choose(question, engines).beginning_at, nullptr);
+    EXPECT_EQ(engine_placement::beginning_of(prompt), 0U);
+}
+
 TEST_F(engine_placement_test, different_beginnings_spread_over_engines)
 {
     std::set<std::string> readers;
