serving: one host reads the store's lists for all

A host that the store turns away learned nothing. Weighed: hints that a list has grown (each host must still read often enough to be right without them); chosen readers (somebody has to choose them, also in a partition). Change: a host reads once nobody has told for the interval what it read, after a random delay that grows with the number of hosts, and tells the others what is new. Reads no longer wait at the store, so no append can fail to wake them.

--- a/include/cicadaport/serving/endpoint_table.h
+++ b/include/cicadaport/serving/endpoint_table.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -37,6 +38,16 @@
     // this report in it.
     std::int64_t incarnation = 0;
     std::int64_t sequence = 0;
+
+    // Returns whether the other report says the same, at another time.
+    bool says_the_same(const endpoint_report& other) const
+    {
+        const auto parts = [](const endpoint_report& of) {
+            return std::tie(of.id, of.service, of.address, of.availability_zone, of.slots,
+                            of.leaving, of.stage, of.incarnation);
+        };
+        return parts(*this) == parts(other);
+    }
 };
 
 // One replica that may be given work. Shared, so that requests under way can
@@ -58,11 +69,13 @@
     static constexpr std::chrono::seconds remembered{120};
 
     // Takes a report. One that is older than what is known changes nothing:
-    // reports of one incarnation may arrive out of order.
-    void apply(const endpoint_report& report, time_point now);
+    // reports of one incarnation may arrive out of order. Returns whether it tells
+    // more than that the replica still reports.
+    bool apply(const endpoint_report& report, time_point now);
 
     // The platform no longer lists the replica, or what it lists names none.
-    void remove(const std::string& id, time_point now);
+    // Returns whether it was offered.
+    bool remove(const std::string& id, time_point now);
 
     // Removes all replicas that are not in `ids`, a complete list.
     void keep_only(const std::vector<std::string>& ids, time_point now);
@@ -87,7 +100,8 @@
         time_point at{};
     };
 
-    void drop(const std::string& id);
+    // Returns whether it was offered.
+    bool drop(const std::string& id);
     void forget_old(time_point now);
 
     std::map<std::string, endpoint_pointer> m_current;
--- a/include/cicadaport/serving/feed_follower.h
+++ b/include/cicadaport/serving/feed_follower.h
@@ -1,6 +1,13 @@
 // Follows one of the platform's lists: the newest of each key first, then what
 // is added.
 //
+// The load that this answers: hundreds of hosts that each read the same lists
+// several times a second, and hosts that the store turns away. A host reads once
+// `interval` has passed since the list was last read for it, by itself or by
+// another host that told what it read, and after a random delay besides. So the
+// first one reads for all; whoever hears nothing reads itself, and what is known
+// is never older than it would be if everybody did.
+//
 // The list lies in the platform's log. When records that were not read have
 // expired, the follower begins anew. Any trouble is met with another try, after
 // a pause that grows; what was read stays in force meanwhile.
@@ -16,26 +23,24 @@
 
 class feed_follower final : public transport::answer_observer {
 public:
-    struct pace {
-        // How long the store may hold back an answer while nothing is new.
-        milliseconds wait{2'000};
-        // From the begin of one call to that of the next, at least.
-        milliseconds interval{0};
-    };
-
     // What the owner is told.
     struct callbacks {
         // The whole list, as of its beginning or after records were lost.
         std::function<void(const std::vector<feed_entry>&)> on_whole;
-        std::function<void(const std::vector<feed_entry>&)> on_added;
+        // Returns those that tell something new.
+        std::function<std::vector<feed_entry>(const std::vector<feed_entry>&)> on_added;
     };
 
-    feed_follower(host_state& host, http::address store, feed which, pace timing,
+    // `interval` is the time from one read to the next.
+    feed_follower(host_state& host, http::address store, feed which, milliseconds interval,
                   callbacks actions);
     ~feed_follower() override;
 
     void start() { ask(); }
 
+    // Takes what another host has read.
+    void take(const shared_page& page);
+
     // Whether the whole list has been read once.
     bool has_read() const noexcept { return m_has_read; }
 
@@ -48,6 +53,11 @@
 
     void ask();
     void ask_again_after(milliseconds pause);
+    // Reads when nobody else has for the interval and a random delay.
+    void ask_in_turn();
+    // Returns a random delay: the more hosts there are, the longer, so that few
+    // read at the same time.
+    milliseconds random_delay() const;
     void take_newest();
     void take_records();
     void failed(std::string_view reason);
@@ -55,12 +65,17 @@
     host_state& m_host;
     http::address m_store;
     feed m_which;
-    pace m_pace;
+    milliseconds m_interval;
     callbacks m_actions;
     std::shared_ptr<transport::exchange_connection> m_connection;
     transport::timer_queue::handle m_limit;
     transport::timer_queue::handle m_next;
     time_point m_asked{};
+    bool m_is_asking = false;
+    // Where the records that were asked for begin.
+    std::uint64_t m_asked_from = 0;
+    // The list is known as it stood then.
+    time_point m_known_at{};
     unsigned m_status = 0;
     std::string m_body;
     // Whether it reads the newest of each key.
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -14,6 +14,8 @@
     virtual ~news_writer() = default;
     virtual void work_begun(std::uint64_t id, const engine_work& work) = 0;
     virtual void work_ended(std::uint64_t id) = 0;
+    // This host has read one of the store's lists.
+    virtual void list_read(const shared_page& page) = 0;
     // Returns how many other hosts have been heard of late.
     virtual std::size_t hosts_heard() const noexcept = 0;
     // Returns into how many cells hosts and engines are divided, and whether an
--- a/include/cicadaport/serving/peer_news.h
+++ b/include/cicadaport/serving/peer_news.h
@@ -1,10 +1,10 @@
-// Tells the other hosts in datagrams what work this host gives to engines, and
-// takes what they tell.
+// Tells the other hosts in datagrams what work this host gives to engines and
+// what it reads of the store's lists, and takes what they tell.
 //
 // The load that this answers: hosts that each see a sixth of the traffic and
 // choose engines by it would all send to the same one. Datagrams take half a
 // millisecond, reports of engines hundreds. Nothing that must be right rests
-// on them: a host that hears nobody serves with what it knows itself.
+// on their arrival: a host that hears nobody serves with what it knows itself.
 //
 // Belongs to the event loop.
 #pragma once
@@ -14,6 +14,8 @@
 
 #include <boost/asio/ip/udp.hpp>
 
+#include <functional>
+
 namespace cicadaport::protocol {
 class host_news;
 }
@@ -40,7 +42,10 @@
     // Known hosts that each greeting names others to.
     static constexpr std::size_t told_names = 2;
 
-    peer_news(host_state& host, peer_settings settings);
+    using page_function = std::function<void(const shared_page&)>;
+
+    // `on_page` is told what other hosts have read.
+    peer_news(host_state& host, peer_settings settings, page_function on_page);
     ~peer_news() override;
 
     void start();
@@ -49,6 +54,7 @@
 
     void work_begun(std::uint64_t id, const engine_work& work) override;
     void work_ended(std::uint64_t id) override;
+    void list_read(const shared_page& page) override;
     void engine_paused(std::uint32_t engine, milliseconds time) override;
     std::size_t hosts_heard() const noexcept override { return m_directory.size(); }
     std::uint64_t cells() const noexcept override { return m_directory.cells(); }
@@ -68,12 +74,14 @@
     void add_names(protocol::host_news& greeting);
     void receive();
     void take(const udp_address& from, std::string_view datagram);
+    void take_page(const protocol::host_news& news, time_point now);
     void pass_on(protocol::host_news& news, const udp_address& from);
     void spread(protocol::host_news& news, const news_routes& routes);
     void send(const std::string& bytes, const peer_address& to);
 
     host_state& m_host;
     peer_settings m_settings;
+    page_function m_on_page;
     boost::asio::ip::udp::socket m_socket;
     host_number m_own_number;
     std::unique_ptr<protocol::host_news> m_gathered;
--- a/include/cicadaport/serving/wire.h
+++ b/include/cicadaport/serving/wire.h
@@ -91,6 +91,18 @@
     bool more = false;
 };
 
+// What one host has read of a list, for the others: the records from one offset
+// up to another, less those that tell nothing new. Without any record both are the
+// end of the list: who has read less reads it from the store.
+struct shared_page {
+    feed of = feed::configuration;
+    std::uint64_t from = 0;
+    std::uint64_t to = 0;
+    std::vector<feed_entry> entries;
+    // When the read was begun.
+    time_point read_at{};
+};
+
 // What an engine says of orders.
 struct engine_status {
     // How many orders it has accepted since its start.
@@ -161,7 +173,7 @@
     // Requests to the store, as bytes, and its answers; the reading members
     // throw `store_error`.
     virtual std::string newest_request(feed of, const std::string& after_key) const = 0;
-    virtual std::string read_request(feed of, std::uint64_t from, milliseconds wait) const = 0;
+    virtual std::string read_request(feed of, std::uint64_t from) const = 0;
     virtual feed_page read_newest(unsigned status, std::string_view body) const = 0;
     virtual feed_page read_records(unsigned status, std::string_view body,
                                    std::uint64_t from) const = 0;
--- a/src/serving/endpoint_table.cpp
+++ b/src/serving/endpoint_table.cpp
@@ -4,15 +4,16 @@
 
 namespace cicadaport::serving {
 
-void endpoint_table::apply(const endpoint_report& report, time_point now)
+bool endpoint_table::apply(const endpoint_report& report, time_point now)
 {
     auto& known = m_known[report.id];
     const bool older =
         report.incarnation < known.incarnation ||
         (report.incarnation == known.incarnation && report.sequence < known.sequence);
     if (older) {
-        return;
+        return false;
     }
+    const bool had_left = known.left;
     const bool restarted = report.incarnation > known.incarnation;
     known.left = (known.left && !restarted) || report.leaving;
     known.incarnation = report.incarnation;
@@ -23,8 +24,9 @@
                       found->second->report.service == report.service &&
                       found->second->report.address == report.address;
     if (same && !known.left) {
+        const bool changed = !found->second->report.says_the_same(report);
         found->second->report = report;
-        return;
+        return changed;
     }
     drop(report.id);
     if (!known.left) {
@@ -33,12 +35,13 @@
         m_current.emplace(report.id, std::move(added));
     }
     forget_old(now);
+    return !(had_left && known.left) || restarted;
 }
 
-void endpoint_table::remove(const std::string& id, time_point now)
+bool endpoint_table::remove(const std::string& id, time_point now)
 {
     m_known[id].at = now;
-    drop(id);
+    return drop(id);
 }
 
 void endpoint_table::keep_only(const std::vector<std::string>& ids, time_point now)
@@ -67,16 +70,17 @@
     return found == m_current.end() ? nullptr : found->second;
 }
 
-void endpoint_table::drop(const std::string& id)
+bool endpoint_table::drop(const std::string& id)
 {
     const auto found = m_current.find(id);
     if (found == m_current.end()) {
-        return;
+        return false;
     }
     found->second->gone = true;
     m_dropped.push_back(found->second);
     std::erase(m_by_service[found->second->report.service], found->second);
     m_current.erase(found);
+    return true;
 }
 
 void endpoint_table::forget_old(time_point now)
--- a/src/serving/feed_follower.cpp
+++ b/src/serving/feed_follower.cpp
@@ -12,6 +12,10 @@
 constexpr milliseconds first_pause{100};
 constexpr milliseconds longest_pause{800};
 constexpr unsigned most_doublings = 3;
+// News from one host reach the others within some 20 ms; with this much more delay
+// for each host about three read where one would do.
+constexpr milliseconds delay_per_host{8};
+constexpr int intervals_in_delay = 4;
 
 std::string_view to_string(feed which)
 {
@@ -20,10 +24,10 @@
 
 } // namespace
 
-feed_follower::feed_follower(host_state& host, http::address store, feed which, pace timing,
-                             callbacks actions)
-    : m_host{host}, m_store{std::move(store)}, m_which{which}, m_pace{timing}, m_actions{std::move(
-                                                                                   actions)}
+feed_follower::feed_follower(host_state& host, http::address store, feed which,
+                             milliseconds interval, callbacks actions)
+    : m_host{host}, m_store{std::move(store)}, m_which{which},
+      m_interval{interval}, m_actions{std::move(actions)}
 {
 }
 
@@ -37,13 +41,14 @@
 void feed_follower::ask()
 {
     m_asked = m_host.timers.now();
+    m_is_asking = true;
+    m_asked_from = m_offset;
     m_body.clear();
     const auto request =
         m_beginning ? m_host.wire.newest_request(m_which, m_whole.empty() ? std::string{}
                                                                           : m_whole.back().key)
-                    : m_host.wire.read_request(m_which, m_offset, m_pace.wait);
-    const auto limit = answer_time + (m_beginning ? milliseconds{0} : m_pace.wait);
-    m_limit = m_host.timers.call_at(m_asked + limit, [this] {
+                    : m_host.wire.read_request(m_which, m_offset);
+    m_limit = m_host.timers.call_at(m_asked + answer_time, [this] {
         m_connection->abandon();
         failed("no answer in time");
     });
@@ -56,7 +61,7 @@
             std::make_shared<transport::exchange_connection>(m_host.context, m_host.timers, limits);
         transport::exchange_connection::times times;
         times.connect = answer_time;
-        times.socket.peer_silence = m_pace.wait + answer_time;
+        times.socket.peer_silence = answer_time;
         m_connection->connect(m_store, times);
     }
     m_connection->send(request, *this);
@@ -65,6 +70,7 @@
 void feed_follower::on_complete()
 {
     m_limit.cancel();
+    m_is_asking = false;
     try {
         if (m_beginning) {
             take_newest();
@@ -105,20 +111,69 @@
     m_offset = *std::exchange(m_follow_from, std::nullopt);
     m_beginning = false;
     m_has_read = true;
+    m_known_at = m_asked;
     m_actions.on_whole(std::exchange(m_whole, {}));
-    ask_again_after(m_pace.interval);
+    ask_in_turn();
 }
 
 void feed_follower::take_records()
 {
-    const auto page = m_host.wire.read_records(m_status, m_body, m_offset);
+    auto page = m_host.wire.read_records(m_status, m_body, m_asked_from);
     m_failures = 0;
-    m_offset = page.next_offset;
+    // Another host may have told of some of these records meanwhile.
+    std::erase_if(page.entries, [this](const feed_entry& each) { return each.offset < m_offset; });
+    shared_page shared;
+    shared.of = m_which;
+    shared.from = m_offset;
+    shared.to = std::max(m_offset, page.next_offset);
+    shared.read_at = m_asked;
+    m_offset = shared.to;
+    m_known_at = std::max(m_known_at, m_asked);
     if (!page.entries.empty()) {
+        shared.entries = m_actions.on_added(page.entries);
+    }
+    if (m_host.news != nullptr) {
+        m_host.news->list_read(shared);
+    }
+    ask_in_turn();
+}
+
+void feed_follower::take(const shared_page& page)
+{
+    if (m_beginning || page.of != m_which) {
+        return;
+    }
+    if (page.from > m_offset) {
+        // What lies between was told to others only.
+        if (!m_is_asking) {
+            ask_again_after(random_delay());
+        }
+        return;
+    }
+    if (page.to > m_offset) {
+        m_offset = page.to;
         m_actions.on_added(page.entries);
     }
-    const auto since = std::chrono::duration_cast<milliseconds>(m_host.timers.now() - m_asked);
-    ask_again_after(std::max(m_pace.interval - since, milliseconds{0}));
+    m_known_at = std::max(m_known_at, page.read_at);
+    if (!m_is_asking) {
+        ask_in_turn();
+    }
+}
+
+void feed_follower::ask_in_turn()
+{
+    const auto due = m_known_at + m_interval + random_delay();
+    ask_again_after(std::max(std::chrono::duration_cast<milliseconds>(due - m_host.timers.now()),
+                             milliseconds{0}));
+}
+
+milliseconds feed_follower::random_delay() const
+{
+    const auto hosts =
+        1 + (m_host.news != nullptr ? static_cast<int>(m_host.news->hosts_heard()) : 0);
+    const auto longest = std::min(delay_per_host * hosts, m_interval / intervals_in_delay);
+    return milliseconds{
+        std::uniform_int_distribution<std::int64_t>{0, longest.count()}(m_host.random)};
 }
 
 void feed_follower::ask_again_after(milliseconds pause)
@@ -134,6 +189,7 @@
 
 void feed_follower::failed(std::string_view reason)
 {
+    m_is_asking = false;
     if (m_failures == 0) {
         spdlog::warn("feed_interrupted feed={} reason=\"{}\"", to_string(m_which), reason);
     }
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -20,28 +20,12 @@
 constexpr milliseconds stop_check_interval{50};
 constexpr milliseconds accept_pause{20};
 
-// The store answers as soon as there is a new version, but an append that meets
-// the begin of a read has been seen not to wake it. A read that was missed ends
-// early enough for the next one to bring the version in time.
-constexpr int waits_in_apply_time = 2;
-constexpr milliseconds configuration_interval{50};
-
-feed_follower::pace configuration_pace(milliseconds apply_time)
-{
-    return {apply_time / waits_in_apply_time, configuration_interval};
-}
-
-// Replicas report about once a second, so the list always has something new:
-// it is read as seldom as the time allows in which a leaving replica must be
-// sent nothing, less a failed call.
-constexpr double leaving_time_part = 0.55;
-constexpr milliseconds endpoints_wait{1'000};
-
-feed_follower::pace endpoints_pace(milliseconds leaving_time)
-{
-    const auto part = leaving_time_part * static_cast<double>(leaving_time.count());
-    return {endpoints_wait, milliseconds{static_cast<std::int64_t>(part)}};
-}
+// Each list is read so often that a read that fails can be made good in the time
+// that is allowed: in which a version must be in force, and in which a leaving
+// replica must be sent nothing.
+constexpr int reads_in_apply_time = 4;
+constexpr int leaving_time_parts = 20;
+constexpr int leaving_time_used = 9;
 
 // Takes connections and gives them to `on_connection`.
 class listener {
@@ -155,12 +139,17 @@
         : m_source{std::move(source)}, m_settings{m_source()}, m_context{1},
           m_state{m_context, wire, m_settings.availability_zone, m_settings.attempts},
           m_configuration{m_state, m_settings.store_address, feed::configuration,
-                          configuration_pace(m_settings.apply_time), configuration_callbacks()},
+                          m_settings.apply_time / reads_in_apply_time, configuration_callbacks()},
           m_endpoints{m_state, m_settings.store_address, feed::endpoints,
-                      endpoints_pace(m_settings.leaving_time), endpoint_callbacks()},
-          m_news{m_state, m_settings.peers}, m_director{m_state, m_settings.store_address,
-                                                        m_settings.name},
-          m_signals{m_context}, m_settings_signal{m_context, SIGHUP}
+                      m_settings.leaving_time * leaving_time_used / leaving_time_parts,
+                      endpoint_callbacks()},
+          m_news{m_state, m_settings.peers,
+                 [this](const shared_page& page) {
+                     m_configuration.take(page);
+                     m_endpoints.take(page);
+                 }},
+          m_director{m_state, m_settings.store_address, m_settings.name}, m_signals{m_context},
+          m_settings_signal{m_context, SIGHUP}
     {
         std::signal(SIGPIPE, SIG_IGN);
         m_signals.add(SIGTERM);
@@ -221,6 +210,7 @@
     {
         const auto take = [this](const std::vector<feed_entry>& entries) {
             take_configuration(entries);
+            return entries;
         };
         return {take, take};
     }
@@ -236,7 +226,7 @@
                     m_state.endpoints.keep_only(ids, m_state.timers.now());
                     take_endpoints(entries);
                 },
-                [this](const std::vector<feed_entry>& entries) { take_endpoints(entries); }};
+                [this](const std::vector<feed_entry>& entries) { return take_endpoints(entries); }};
     }
 
     // Takes the newest of the versions; one that is older than the one in
@@ -256,16 +246,17 @@
         }
     }
 
-    void take_endpoints(const std::vector<feed_entry>& entries)
+    // Returns the entries that tell more than that a replica still reports.
+    std::vector<feed_entry> take_endpoints(const std::vector<feed_entry>& entries)
     {
         const auto now = m_state.timers.now();
+        std::vector<feed_entry> changes;
         for (const auto& each : entries) {
             const auto report = m_state.wire.read_endpoint(each);
-            if (report) {
-                m_state.endpoints.apply(*report, now);
-            }
-            else {
-                m_state.endpoints.remove(each.key, now);
+            const bool changed = report ? m_state.endpoints.apply(*report, now)
+                                        : m_state.endpoints.remove(each.key, now);
+            if (changed) {
+                changes.push_back(each);
             }
         }
         for (const auto& each : m_state.endpoints.take_dropped()) {
@@ -273,6 +264,7 @@
             m_state.replicas.forget(each->report.id);
             m_state.connections.forget(each->report.address);
         }
+        return changes;
     }
 
     void await_new_settings()
--- a/src/serving/peer_news.cpp
+++ b/src/serving/peer_news.cpp
@@ -17,6 +17,10 @@
 constexpr std::size_t longest_datagram = 1'400;
 // Pieces of work that fit into a datagram.
 constexpr int most_pieces = 40;
+// Of a list: bytes of records in one datagram, and datagrams; beyond that each
+// host reads the list itself.
+constexpr std::size_t most_record_bytes = 1'100;
+constexpr std::size_t most_parts = 8;
 // Reading times are told in so many parts of a millisecond.
 constexpr double parts_of_ms = 10;
 
@@ -42,8 +46,9 @@
 
 } // namespace
 
-peer_news::peer_news(host_state& host, peer_settings settings)
-    : m_host{host}, m_settings{std::move(settings)}, m_socket{host.context},
+peer_news::peer_news(host_state& host, peer_settings settings, page_function on_page)
+    : m_host{host},
+      m_settings{std::move(settings)}, m_on_page{std::move(on_page)}, m_socket{host.context},
       m_own_number{host.random() | 1U}, m_gathered{std::make_unique<protocol::host_news>()},
       m_directory{to_peer(m_settings.own), m_own_number, engine_number(host.availability_zone)},
       m_buffer(longest_datagram, '\0')
@@ -97,6 +102,61 @@
     gather();
 }
 
+void peer_news::list_read(const shared_page& page)
+{
+    // Parts of the page that fit into a datagram each.
+    std::vector<protocol::feed_news> parts(1);
+    std::size_t bytes = 0;
+    bool fits = true;
+    for (const auto& each : page.entries) {
+        const auto size = each.key.size() + each.value.value_or("").size();
+        if (bytes > 0 && bytes + size > most_record_bytes) {
+            parts.back().set_to(each.offset);
+            parts.emplace_back().set_from(each.offset);
+            bytes = 0;
+        }
+        bytes += size;
+        fits = fits && size <= most_record_bytes && parts.size() <= most_parts;
+        auto& record = *parts.back().add_records();
+        record.set_key(each.key);
+        record.set_value(each.value.value_or(""));
+        record.set_dropped(!each.value);
+        record.set_offset(each.offset);
+    }
+    parts.front().set_from(page.from);
+    parts.back().set_to(page.to);
+    if (!fits) {
+        parts.assign(1, {});
+        parts.front().set_from(page.to);
+        parts.front().set_to(page.to);
+    }
+    const auto age = std::chrono::duration_cast<milliseconds>(m_host.timers.now() - page.read_at);
+    const auto routes = m_directory.routes_for_greeting(++m_greetings);
+    for (auto& each : parts) {
+        protocol::host_news news;
+        news.set_sender(m_own_number);
+        each.set_feed(static_cast<std::uint32_t>(page.of));
+        each.set_age_ms(static_cast<std::uint32_t>(age.count()));
+        *news.mutable_feed() = std::move(each);
+        spread(news, routes);
+    }
+}
+
+void peer_news::take_page(const protocol::host_news& news, time_point now)
+{
+    const auto& told = news.feed();
+    shared_page page;
+    page.of = static_cast<feed>(told.feed());
+    page.from = told.from();
+    page.to = told.to();
+    page.read_at = now - milliseconds{told.age_ms()};
+    for (const auto& each : told.records()) {
+        page.entries.emplace_back(
+            each.key(), each.dropped() ? std::nullopt : std::optional{each.value()}, each.offset());
+    }
+    m_on_page(page);
+}
+
 void peer_news::gather()
 {
     if (m_gathered->begun_size() + m_gathered->ended_size() >= most_pieces) {
@@ -183,7 +243,8 @@
     news.clear_pass_on();
     const auto bytes = news.SerializeAsString();
     const peer_address source{from.address().to_v4().to_uint(), from.port()};
-    for (const auto& each : m_directory.zone_mates(!news.has_own())) {
+    const bool of_work = !news.has_own() && !news.has_feed();
+    for (const auto& each : m_directory.zone_mates(of_work)) {
         if (each != source) {
             send(bytes, each);
         }
@@ -244,6 +305,9 @@
     if (news.pass_on()) {
         pass_on(news, from);
     }
+    if (news.has_feed()) {
+        take_page(news, now);
+    }
     for (const auto& each : news.begun()) {
         engine_work work;
         work.engine = each.engine();
--- /dev/null
+++ b/test/platform/feed_follower_test.cpp
@@ -0,0 +1,158 @@
+// One of the store's lists, read in turn with other hosts.
+#include "stand_ins.h"
+
+#include "platform/wire.h"
+
+#include "cicadaport/serving/feed_follower.h"
+
+#include <gmock/gmock.h>
+
+namespace cicadaport::platform {
+namespace {
+
+using namespace std::chrono_literals;
+using serving::feed_entry;
+using serving::shared_page;
+using ::testing::ElementsAre;
+using ::testing::IsEmpty;
+
+constexpr auto longest_wait = 8s;
+const std::string topic = "keyed.servers";
+
+// Other hosts, which the test plays.
+class other_hosts final : public serving::news_writer {
+public:
+    void work_begun(std::uint64_t, const serving::engine_work&) override {}
+    void work_ended(std::uint64_t) override {}
+    void list_read(const shared_page& page) override { told.push_back(page); }
+    std::size_t hosts_heard() const noexcept override { return 5; }
+    std::uint64_t cells() const noexcept override { return 1; }
+    bool is_in_cell(std::uint32_t) const noexcept override { return true; }
+    void engine_paused(std::uint32_t, std::chrono::milliseconds) override {}
+
+    std::vector<shared_page> told;
+};
+
+class feed_follower_test : public ::testing::Test {
+protected:
+    feed_follower_test()
+    {
+        host.news = &others;
+        const auto take = [this](const std::vector<feed_entry>& entries) {
+            for (const auto& each : entries) {
+                taken.push_back(each.key);
+            }
+            return entries;
+        };
+        follower = std::make_unique<serving::feed_follower>(
+            host, store.address(), serving::feed::endpoints, interval,
+            serving::feed_follower::callbacks{take, take});
+    }
+
+    // Runs the event loop until `done`.
+    template <typename Done>
+    bool run_until(Done done)
+    {
+        const auto limit = std::chrono::steady_clock::now() + longest_wait;
+        while (!done() && std::chrono::steady_clock::now() < limit) {
+            context.run_for(2ms);
+        }
+        return done();
+    }
+
+    void start()
+    {
+        follower->start();
+        ASSERT_TRUE(run_until([this] { return follower->has_read(); }));
+    }
+
+    // What another host has read just now.
+    shared_page page(std::uint64_t from, std::uint64_t to, const std::vector<std::string>& keys)
+    {
+        shared_page out;
+        out.of = serving::feed::endpoints;
+        out.from = from;
+        out.to = to;
+        for (const auto& key : keys) {
+            out.entries.emplace_back(key, "x", from++);
+        }
+        out.read_at = host.timers.now();
+        return out;
+    }
+
+    static constexpr std::chrono::milliseconds interval{200};
+    testing::standin_store store;
+    boost::asio::io_context context;
+    wire speech{store.address()};
+    serving::host_state host{context, speech, "z", {}};
+    other_hosts others;
+    std::unique_ptr<serving::feed_follower> follower;
+    std::vector<std::string> taken;
+};
+
+TEST_F(feed_follower_test, tells_the_others_what_it_reads)
+{
+    start();
+    store.put(topic, "a", "x");
+    ASSERT_TRUE(run_until([this] { return !taken.empty(); }));
+    ASSERT_FALSE(others.told.empty());
+    EXPECT_EQ(others.told.back().to, 1U);
+    ASSERT_EQ(others.told.back().entries.size(), 1U);
+    EXPECT_EQ(others.told.back().entries[0].key, "a");
+}
+
+TEST_F(feed_follower_test, does_not_read_what_others_have_just_read)
+{
+    start();
+    const auto before = store.reads(topic);
+    for (const auto end = host.timers.now() + 3 * interval; host.timers.now() < end;) {
+        follower->take(page(0, 0, {}));
+        context.run_for(20ms);
+    }
+    EXPECT_EQ(store.reads(topic), before);
+    follower->take(page(0, 2, {"a", "b"}));
+    EXPECT_THAT(taken, ElementsAre("a", "b"));
+    EXPECT_TRUE(run_until([&] { return store.reads(topic) > before; }))
+        << "the others have fallen silent";
+}
+
+TEST_F(feed_follower_test, what_was_read_long_ago_does_not_count_as_fresh)
+{
+    start();
+    const auto before = store.reads(topic);
+    auto old = page(0, 0, {});
+    old.read_at -= 1h;
+    EXPECT_TRUE(run_until([&] {
+        follower->take(old);
+        return store.reads(topic) > before;
+    }));
+}
+
+TEST_F(feed_follower_test, reads_itself_when_it_has_missed_what_others_told)
+{
+    start();
+    store.put(topic, "a", "x");
+    store.put(topic, "b", "x");
+    follower->take(page(1, 2, {"b"}));
+    EXPECT_THAT(taken, IsEmpty());
+    EXPECT_TRUE(run_until([this] { return taken.size() == 2; }));
+    EXPECT_THAT(taken, ElementsAre("a", "b"));
+}
+
+TEST_F(feed_follower_test, takes_each_record_once_when_others_tell_of_it_during_a_read)
+{
+    start();
+    store.put(topic, "a", "x");
+    store.put(topic, "b", "x");
+    store.delay_reads(100ms);
+    const auto before = store.reads(topic);
+    ASSERT_TRUE(run_until([&] { return store.reads(topic) > before; }));
+    follower->take(page(0, 2, {"a", "b"}));
+    context.run_for(200ms);
+    store.put(topic, "c", "x");
+    EXPECT_TRUE(run_until([this] { return taken.size() >= 3; }));
+    EXPECT_THAT(taken, ElementsAre("a", "b", "c"));
+}
+
+} // namespace
+} // namespace cicadaport::platform
--- a/test/platform/stand_ins.h
+++ b/test/platform/stand_ins.h
@@ -207,6 +207,9 @@
     // nothing, as if what was appended meanwhile had not woken them.
     void miss_wakeups(bool missed) { m_miss_wakeups = missed; }
 
+    // Reads are answered this much later.
+    void delay_reads(std::chrono::milliseconds time) { m_read_delay = time; }
+
     // Reads of a topic so far.
     std::size_t reads(const std::string& topic) const
     {
@@ -310,8 +313,10 @@
             body += each.key + each.value;
         }
         auto out = say(200, "", body);
+        out.delay = m_read_delay;
         if (m_miss_wakeups && from >= topic.records.size()) {
-            out.delay = std::chrono::milliseconds{std::stoll(request.parameter("wait-ms"))};
+            const auto wait = request.parameter("wait-ms");
+            out.delay = std::chrono::milliseconds{wait.empty() ? 0 : std::stoll(wait)};
         }
         return out;
     }
@@ -348,6 +353,7 @@
     std::atomic<unsigned> m_refusal{0};
     std::atomic<bool> m_lose_appends{false};
     std::atomic<bool> m_miss_wakeups{false};
+    std::atomic<std::chrono::milliseconds> m_read_delay{};
     scripted_server m_server;
 };
 
--- a/test/serving/endpoint_table_test.cpp
+++ b/test/serving/endpoint_table_test.cpp
@@ -29,6 +29,26 @@
     EXPECT_TRUE(table.serving("other").empty());
 }
 
+TEST(endpoint_table_test, tells_changes_from_reports_that_a_replica_still_lives)
+{
+    endpoint_table table;
+    EXPECT_TRUE(table.apply(report("a", 1, 1), start)) << "it is new";
+    EXPECT_FALSE(table.apply(report("a", 1, 2), start));
+    EXPECT_FALSE(table.apply(report("a", 1, 1), start)) << "an old report";
+    auto other_stage = report("a", 1, 3);
+    other_stage.stage = engine_stage::prefill;
+    EXPECT_TRUE(table.apply(other_stage, start));
+    auto leaving = report("a", 1, 4);
+    leaving.leaving = true;
+    EXPECT_TRUE(table.apply(leaving, start));
+    leaving.sequence = 5;
+    EXPECT_FALSE(table.apply(leaving, start)) << "it still leaves";
+    EXPECT_TRUE(table.apply(report("a", 2, 1), start)) << "it has started again";
+    EXPECT_TRUE(table.remove("a", start));
+    EXPECT_FALSE(table.remove("a", start));
+    EXPECT_TRUE(table.apply(report("a", 2, 2), start)) << "it is offered again";
+}
+
 TEST(endpoint_table_test, an_old_report_does_not_bring_back_a_replica_that_leaves)
 {
     endpoint_table table;
