serving, transport: one place for an endpoint's health and for taking an attempt

Found on the last reading: the health of an endpoint was picked by the same expression four times, the budget asked by the same condition three times; a deadline that had fired still counted as set, so a silent stream that could not go on was not watched again; the longest pause in the log was understated for watched streams. Tests: deadlines are set until they pass (failed before); hosts on loopback find each other, tell work through one host a zone, and pages in parts.

--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -59,8 +59,13 @@
     void watch_pauses();
     void deadline_passed();
 
+    // Whether the request may be sent once more, by its route and by the budget,
+    // which then has paid for it.
+    bool take_attempt();
     // Tries another endpoint if one more attempt is allowed; returns whether.
     bool try_again();
+    // What is known of the endpoint that the request was sent to last.
+    endpoint_health& health_of_endpoint();
     void forward_events(bool at_end);
     void leave_endpoint();
     void drop_prompt();
@@ -112,6 +117,8 @@
     time_point m_first_event{};
     time_point m_last_event{};
     clock::duration m_longest_pause{0};
+    // The stream is watched for silence since then.
+    time_point m_watched_since{};
 
     prompt_plan m_plan;
     std::optional<read_prompt> m_prompt;
--- a/include/cicadaport/transport/timer_queue.h
+++ b/include/cicadaport/transport/timer_queue.h
@@ -47,7 +47,8 @@
         ~handle() { cancel(); }
 
         void cancel() noexcept;
-        bool is_set() const noexcept { return m_queue != nullptr; }
+        // Returns whether the deadline is still to come.
+        bool is_set() const noexcept;
 
     private:
         friend class timer_queue;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -418,8 +418,7 @@
     const auto status = m_answer->status;
     const bool genuine =
         !is_success(status) || (m_answer_terms.is_signed && !m_answer_terms.is_encoded);
-    auto& health = m_route->has_prompt ? m_host.engines.state(m_endpoint->report.id).health
-                                       : m_host.replicas.state(m_endpoint->report.id).health;
+    auto& health = health_of_endpoint();
     if (!is_success(status) && (m_answer_terms.states_not_run || status == status_misdirected)) {
         run_rejected();
         return;
@@ -506,20 +505,33 @@
     end_reading();
     drop_prompt();
     m_excluded.insert(m_endpoint->report.id);
-    const bool may_repeat = m_route->repeats == repeat_rule::any || m_route->resumable;
-    if (may_repeat && try_again()) {
+    if (m_route->repeats == repeat_rule::any && try_again()) {
         return;
     }
     fail(status_bad_gateway, "the replica gave no whole answer");
 }
 
-bool exchange::try_again()
+endpoint_health& exchange::health_of_endpoint()
+{
+    const auto& id = m_endpoint->report.id;
+    return m_route->has_prompt ? m_host.engines.state(id).health : m_host.replicas.state(id).health;
+}
+
+bool exchange::take_attempt()
 {
     if (m_attempts >= m_route->most_attempts || left() < least_useful_time ||
         !m_host.budget.take(m_service, m_host.timers.now())) {
         return false;
     }
     ++m_host.counts.further_attempts;
+    return true;
+}
+
+bool exchange::try_again()
+{
+    if (!take_attempt()) {
+        return false;
+    }
     leave_endpoint();
     place();
     return true;
@@ -530,8 +542,7 @@
     m_patience.cancel();
     m_connection.reset();
     const auto now = m_host.timers.now();
-    auto& health = m_route->has_prompt ? m_host.engines.state(m_endpoint->report.id).health
-                                       : m_host.replicas.state(m_endpoint->report.id).health;
+    auto& health = health_of_endpoint();
     if (failure == exchange_failure::not_sent) {
         health.unreachable(now);
         end_reading();
@@ -565,8 +576,7 @@
 {
     const auto limit = std::chrono::duration_cast<clock::duration>(time);
     m_patience = m_host.timers.call_at(m_host.timers.now() + limit, [this, limit] {
-        auto& health = m_route->has_prompt ? m_host.engines.state(m_endpoint->report.id).health
-                                           : m_host.replicas.state(m_endpoint->report.id).health;
+        auto& health = health_of_endpoint();
         const auto now = m_host.timers.now();
         if (m_route->has_prompt && health.has_answered_since(now - limit)) {
             // Others are served; this one's turn comes.
@@ -581,11 +591,12 @@
 void exchange::watch_pauses()
 {
     const auto limit = std::max(silent_pauses * m_route->pause_objective, least_silence);
-    m_patience = m_host.timers.call_at(m_last_event + limit, [this, limit] {
+    const auto silent_since = std::max(m_last_event, m_watched_since);
+    m_patience = m_host.timers.call_at(silent_since + limit, [this, limit] {
         const auto now = m_host.timers.now();
-        auto& health = m_host.engines.state(m_endpoint->report.id).health;
+        auto& health = health_of_endpoint();
         if (now - m_last_event < limit || health.has_answered_since(now - limit)) {
-            m_last_event = std::max(m_last_event, now - limit / 2);
+            m_watched_since = now - limit / 2;
             watch_pauses();
             return;
         }
@@ -601,25 +612,19 @@
 {
     if (m_step == step::reading_prompt) {
         // To leave an engine that has not begun would use up an attempt.
-        const auto slow = m_endpoint->report.id;
-        if (m_attempts + 1 < m_route->most_attempts &&
-            m_host.budget.take(m_service, m_host.timers.now())) {
-            ++m_host.counts.further_attempts;
+        if (m_attempts + 1 < m_route->most_attempts && take_attempt()) {
             ++m_attempts;
+            m_excluded.insert(m_endpoint->report.id);
             leave_endpoint();
             end_reading();
-            m_excluded.insert(slow);
             place();
         }
         return;
     }
-    const bool may_repeat = m_route->repeats == repeat_rule::any || m_route->resumable;
+    const bool may_repeat = m_route->repeats == repeat_rule::any;
     if (!m_begun && may_repeat && !m_answer) {
-        const auto slow = m_endpoint->report.id;
-        m_excluded.insert(slow);
-        if (m_attempts < m_route->most_attempts && left() >= least_useful_time &&
-            m_host.budget.take(m_service, m_host.timers.now())) {
-            ++m_host.counts.further_attempts;
+        m_excluded.insert(m_endpoint->report.id);
+        if (take_attempt()) {
             leave_endpoint();
             end_reading();
             drop_prompt();
@@ -631,10 +636,7 @@
 void exchange::deadline_passed()
 {
     leave_endpoint();
-    if (m_begun) {
-        fail(status_timeout, "out of time");
-    }
-    else if (may_have_run()) {
+    if (m_begun || may_have_run()) {
         fail(status_timeout, "out of time");
     }
     else {
--- a/src/transport/timer_queue.cpp
+++ b/src/transport/timer_queue.cpp
@@ -30,6 +30,11 @@
     }
 }
 
+bool timer_queue::handle::is_set() const noexcept
+{
+    return m_queue != nullptr && m_queue->m_by_id.contains(m_id);
+}
+
 timer_queue::handle timer_queue::call_at(time_point when, std::function<void()> action)
 {
     const auto id = ++m_last_id;
--- /dev/null
+++ b/test/platform/peer_news_test.cpp
@@ -0,0 +1,142 @@
+// Hosts that tell each other in datagrams, on addresses of loopback.
+#include "platform/wire.h"
+
+#include "cicadaport/serving/peer_news.h"
+
+#include <gmock/gmock.h>
+
+namespace cicadaport::platform {
+namespace {
+
+using namespace std::chrono_literals;
+using namespace cicadaport::serving;
+
+constexpr auto longest_wait = 8s;
+
+std::uint16_t free_port(boost::asio::io_context& context)
+{
+    const boost::asio::ip::udp::socket probe{context,
+                                             {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    return probe.local_endpoint().port();
+}
+
+// One host of the test's fleet, with what others told it.
+struct told_host {
+    told_host(boost::asio::io_context& context, const wire_format& format, int number,
+              const std::string& zone, std::uint16_t port)
+        : state{context, format, zone, {}}, news{state, settings_of(number, port),
+                                                 [this](const shared_page& page) {
+                                                     pages.push_back(page);
+                                                 }}
+    {
+    }
+
+    static peer_settings settings_of(int number, std::uint16_t port)
+    {
+        return {{"127.0.0." + std::to_string(number), port}, {"127.0.0.1"}};
+    }
+
+    host_state state;
+    std::vector<shared_page> pages;
+    peer_news news;
+};
+
+class peer_news_test : public ::testing::Test {
+protected:
+    // Starts hosts, half of them in each of two zones, and waits until they know
+    // each other.
+    void start(int count)
+    {
+        const auto port = free_port(context);
+        for (int number = 1; number <= count; ++number) {
+            hosts.push_back(std::make_unique<told_host>(context, speech, number,
+                                                        number % 2 == 0 ? "even" : "odd", port));
+            hosts.back()->news.start();
+        }
+        ASSERT_TRUE(run_until([&] {
+            return std::all_of(hosts.begin(), hosts.end(), [&](const auto& each) {
+                return each->news.hosts_heard() + 1 == hosts.size();
+            });
+        }));
+    }
+
+    template <typename Done>
+    bool run_until(Done done)
+    {
+        const auto limit = std::chrono::steady_clock::now() + longest_wait;
+        while (!done() && std::chrono::steady_clock::now() < limit) {
+            context.run_for(2ms);
+        }
+        return done();
+    }
+
+    boost::asio::io_context context;
+    platform::wire speech{http::address{"127.0.0.1", 1}};
+    std::vector<std::unique_ptr<told_host>> hosts;
+};
+
+TEST_F(peer_news_test, a_fleet_that_starts_with_one_known_host_finds_itself)
+{
+    start(12);
+}
+
+TEST_F(peer_news_test, work_is_told_to_all_hosts_also_where_one_passes_it_on)
+{
+    start(12);
+    engine_work work;
+    work.engine = 7;
+    work.reading = work.nominal_reading = 250ms;
+    const auto id = hosts[0]->state.begin_work(work);
+    const auto all_wait = [&](fine_milliseconds least) {
+        return std::all_of(hosts.begin(), hosts.end(), [&](const auto& each) {
+            return each->state.fleet.wait(7, 0, clock::now()) >= least;
+        });
+    };
+    EXPECT_TRUE(run_until([&] { return all_wait(50ms); }));
+    hosts[0]->state.end_work(id);
+    EXPECT_TRUE(run_until([&] {
+        return std::all_of(hosts.begin(), hosts.end(), [&](const auto& each) {
+            return each->state.fleet.wait(7, 0, clock::now()) == 0ms;
+        });
+    }));
+}
+
+TEST_F(peer_news_test, a_page_that_needs_several_datagrams_is_told_in_parts_that_join)
+{
+    start(2);
+    shared_page page;
+    page.of = feed::endpoints;
+    page.from = 10;
+    page.to = 20;
+    page.read_at = clock::now();
+    page.entries = {{"a", std::string(800, 'x'), 12},
+                    {"b", std::nullopt, 15},
+                    {"c", std::string(800, 'x'), 17}};
+    hosts[0]->news.list_read(page);
+    auto& told = hosts[1]->pages;
+    ASSERT_TRUE(run_until([&] { return told.size() == 2; }));
+    EXPECT_EQ(told[0].from, 10U);
+    EXPECT_EQ(told[0].to, 17U);
+    ASSERT_EQ(told[0].entries.size(), 2U);
+    EXPECT_EQ(told[0].entries[1].value, std::nullopt);
+    EXPECT_EQ(told[1].from, 17U);
+    EXPECT_EQ(told[1].to, 20U);
+}
+
+TEST_F(peer_news_test, a_record_too_large_for_a_datagram_is_left_to_be_read_from_the_store)
+{
+    start(2);
+    shared_page page;
+    page.from = 10;
+    page.to = 11;
+    page.read_at = clock::now();
+    page.entries = {{"config", std::string(30'000, 'x'), 10}};
+    hosts[0]->news.list_read(page);
+    auto& told = hosts[1]->pages;
+    ASSERT_TRUE(run_until([&] { return !told.empty(); }));
+    EXPECT_EQ(told[0].from, 11U) << "who stands at 10 has missed something";
+    EXPECT_TRUE(told[0].entries.empty());
+}
+
+} // namespace
+} // namespace cicadaport::platform
--- a/test/transport/exchange_connection_test.cpp
+++ b/test/transport/exchange_connection_test.cpp
@@ -196,6 +196,21 @@
     EXPECT_EQ(pool.take(server->address(), reuse_rule::any), first);
 }
 
+TEST(timer_queue_test, a_deadline_is_set_until_it_has_passed_or_is_cancelled)
+{
+    boost::asio::io_context context;
+    timer_queue timers{context};
+    timer_queue::handle none;
+    EXPECT_FALSE(none.is_set());
+    auto passing = timers.call_at(timer_queue::now(), [] {});
+    auto cancelled = timers.call_at(timer_queue::now() + std::chrono::hours{1}, [] {});
+    EXPECT_TRUE(passing.is_set());
+    cancelled.cancel();
+    EXPECT_FALSE(cancelled.is_set());
+    context.run();
+    EXPECT_FALSE(passing.is_set());
+}
+
 TEST(timer_queue_test, calls_in_the_order_of_time_and_not_what_was_cancelled)
 {
     boost::asio::io_context context;
