serving: a page of which a part is lost does not count as fresh; larger fleets change more engines at once

A host that took the first and lost a later one counted the list as known from the begin of that read, and read itself only after the next interval. Ruled out: the read of the list itself (1.35 s apart plus 0.34 s at most). Change: parts carry the end of the list; only who has all of it counts it as fresh, and what is missing is read within 0.1 s.

Also: hosts tell the others to which stage an engine changes, so a change that one host has begun is not begun again by 58 others; up to a twelfth of the engines change at once (three before) and the delays before a change grow with the hosts.

--- a/include/cicadaport/serving/feed_follower.h
+++ b/include/cicadaport/serving/feed_follower.h
@@ -55,9 +55,9 @@
     void ask_again_after(milliseconds pause);
     // Reads when nobody else has for the interval and a random delay.
     void ask_in_turn();
-    // Returns a random delay: the more hosts there are, the longer, so that few
-    // read at the same time.
-    milliseconds random_delay() const;
+    // Returns a random delay: the more hosts there are, the longer, up to `most`, so
+    // that few read at the same time.
+    milliseconds random_delay(milliseconds most) const;
     void take_newest();
     void take_records();
     void failed(std::string_view reason);
@@ -76,6 +76,10 @@
     std::uint64_t m_asked_from = 0;
     // The list is known as it stood then.
     time_point m_known_at{};
+    // The end of the list that another host has read, and since when what lies
+    // before it is missing here.
+    std::uint64_t m_told_end = 0;
+    std::optional<time_point> m_missed_since;
     unsigned m_status = 0;
     std::string m_body;
     // Whether it reads the newest of each key.
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -22,8 +22,8 @@
     // engine belongs to the own one.
     virtual std::uint64_t cells() const noexcept = 0;
     virtual bool is_in_cell(std::uint32_t engine) const noexcept = 0;
-    // The engine takes no work for a time.
-    virtual void engine_paused(std::uint32_t engine, milliseconds time) = 0;
+    // The engine changes its stage and takes no work for a time.
+    virtual void engine_changes(std::uint32_t engine, engine_stage to, milliseconds time) = 0;
 };
 
 // How requests ended, for logs and metrics.
--- a/include/cicadaport/serving/peer_news.h
+++ b/include/cicadaport/serving/peer_news.h
@@ -55,7 +55,7 @@
     void work_begun(std::uint64_t id, const engine_work& work) override;
     void work_ended(std::uint64_t id) override;
     void list_read(const shared_page& page) override;
-    void engine_paused(std::uint32_t engine, milliseconds time) override;
+    void engine_changes(std::uint32_t engine, engine_stage to, milliseconds time) override;
     std::size_t hosts_heard() const noexcept override { return m_directory.size(); }
     std::uint64_t cells() const noexcept override { return m_directory.cells(); }
     bool is_in_cell(std::uint32_t engine) const noexcept override
--- a/include/cicadaport/serving/placement.h
+++ b/include/cicadaport/serving/placement.h
@@ -20,6 +20,7 @@
 #include "cicadaport/serving/fleet_work.h"
 #include "cicadaport/serving/wire.h"
 
+#include <optional>
 #include <random>
 #include <set>
 
@@ -163,9 +164,6 @@
     // the same work.
     std::set<const endpoint*> answering_engines(const std::vector<endpoint_pointer>& engines) const;
 
-    // Whether an engine changes its stage and takes no work.
-    bool is_paused(const endpoint& engine, time_point now) const;
-
     // Returns the way with the earliest first event; without a runner if there
     // is no engine to use.
     prompt_plan choose(const prompt_question& question,
@@ -191,7 +189,13 @@
                    fine_milliseconds observed);
 
     // The engine takes no work until then: it changes its stage.
-    void pause(std::uint32_t engine, time_point until) { m_paused[engine] = until; }
+    void begin_change(std::uint32_t engine, engine_stage to, time_point until)
+    {
+        m_changing[engine] = {to, until};
+    }
+
+    // Returns the stage that an engine changes to just now.
+    std::optional<engine_stage> changing_to(const endpoint& engine, time_point now) const;
 
     engine_state& state(const std::string& engine) { return m_engines[engine]; }
     void forget(const std::string& engine)
@@ -247,7 +251,11 @@
     fleet_work& m_work;
     engine_costs m_costs;
     std::unordered_map<std::string, engine_state> m_engines;
-    std::unordered_map<std::uint32_t, time_point> m_paused;
+    struct stage_transition {
+        engine_stage to = engine_stage::none;
+        time_point until{};
+    };
+    std::unordered_map<std::uint32_t, stage_transition> m_changing;
     // Of each engine: the keys of beginnings that it was sent, and when last.
     std::unordered_map<std::uint32_t, std::unordered_map<std::uint32_t, time_point>> m_beginnings;
 };
--- a/include/cicadaport/serving/stage_director.h
+++ b/include/cicadaport/serving/stage_director.h
@@ -18,11 +18,14 @@
 class stage_director {
 public:
     static constexpr milliseconds look_interval{250};
-    // Hosts that want the same change begin at different times.
-    static constexpr milliseconds longest_start_delay{400};
-    // Engines that change at the same time, at most: an order that is carried
-    // out late takes its engine away when nobody expects it.
-    static constexpr std::size_t most_at_once = 3;
+    // Hosts that want the same change begin at different times, the more hosts the
+    // further apart: a change is announced and told within about this much.
+    static constexpr milliseconds least_start_delay{400};
+    static constexpr milliseconds start_delay_per_host{25};
+    // Engines that change at the same time, at most, and as a part of all: an order
+    // that is carried out late takes its engine away when nobody expects it.
+    static constexpr std::size_t few_at_once = 3;
+    static constexpr std::size_t parts_at_once = 12;
 
     stage_director(host_state& host, http::address store, std::string holder)
         : m_host{host}, m_store{std::move(store)}, m_holder{std::move(holder)}
@@ -47,7 +50,10 @@
 
     void look();
     stage_view view_of(const std::string& service);
+    // Returns the stage that the engine changes to, or else the one that it has.
     engine_stage stage_of(const endpoint& engine) const;
+    bool is_changing(const endpoint& engine) const;
+    milliseconds longest_start_delay() const;
     stage_change decide(const std::string& service);
     std::vector<endpoint_pointer> engines_to_change(const std::string& service,
                                                     const stage_change& wanted);
--- a/include/cicadaport/serving/wire.h
+++ b/include/cicadaport/serving/wire.h
@@ -91,13 +91,15 @@
     bool more = false;
 };
 
-// What one host has read of a list, for the others: the records from one offset
-// up to another, less those that tell nothing new. Without any record both are the
-// end of the list: who has read less reads it from the store.
+// What one host has read of a list, for the others, or a part of it: the records
+// from one offset up to another, less those that tell nothing new.
 struct shared_page {
     feed of = feed::configuration;
     std::uint64_t from = 0;
     std::uint64_t to = 0;
+    // The end of the list as it was read: what lies before it and is not told must
+    // be read from the store.
+    std::uint64_t list_end = 0;
     std::vector<feed_entry> entries;
     // When the read was begun.
     time_point read_at{};
--- a/src/serving/feed_follower.cpp
+++ b/src/serving/feed_follower.cpp
@@ -16,6 +16,8 @@
 // for each host about three read where one would do.
 constexpr milliseconds delay_per_host{8};
 constexpr int intervals_in_delay = 4;
+// The parts of one page arrive within some milliseconds.
+constexpr milliseconds longest_gap{100};
 
 std::string_view to_string(feed which)
 {
@@ -126,6 +128,7 @@
     shared.of = m_which;
     shared.from = m_offset;
     shared.to = std::max(m_offset, page.next_offset);
+    shared.list_end = shared.to;
     shared.read_at = m_asked;
     m_offset = shared.to;
     m_known_at = std::max(m_known_at, m_asked);
@@ -143,18 +146,16 @@
     if (m_beginning || page.of != m_which) {
         return;
     }
-    if (page.from > m_offset) {
-        // What lies between was told to others only.
-        if (!m_is_asking) {
-            ask_again_after(random_delay());
-        }
-        return;
-    }
-    if (page.to > m_offset) {
+    if (page.from <= m_offset && m_offset < page.to) {
         m_offset = page.to;
         m_actions.on_added(page.entries);
     }
-    m_known_at = std::max(m_known_at, page.read_at);
+    // A page older than another that was told may come from a host that was
+    // suspended in between.
+    if (m_offset >= page.list_end && page.list_end >= m_told_end) {
+        m_known_at = std::max(m_known_at, page.read_at);
+    }
+    m_told_end = std::max(m_told_end, page.list_end);
     if (!m_is_asking) {
         ask_in_turn();
     }
@@ -162,16 +163,28 @@
 
 void feed_follower::ask_in_turn()
 {
-    const auto due = m_known_at + m_interval + random_delay();
-    ask_again_after(std::max(std::chrono::duration_cast<milliseconds>(due - m_host.timers.now()),
-                             milliseconds{0}));
+    const auto now = m_host.timers.now();
+    if (m_offset < m_told_end) {
+        // The rest of what another host told may be under way; if it is lost, it
+        // is read from the store.
+        if (!m_missed_since) {
+            m_missed_since = now;
+        }
+        ask_again_after(std::max(std::chrono::duration_cast<milliseconds>(
+                                     *m_missed_since + random_delay(longest_gap) - now),
+                                 milliseconds{0}));
+        return;
+    }
+    m_missed_since.reset();
+    const auto due = m_known_at + m_interval + random_delay(m_interval / intervals_in_delay);
+    ask_again_after(std::max(std::chrono::duration_cast<milliseconds>(due - now), milliseconds{0}));
 }
 
-milliseconds feed_follower::random_delay() const
+milliseconds feed_follower::random_delay(milliseconds most) const
 {
     const auto hosts =
         1 + (m_host.news != nullptr ? static_cast<int>(m_host.news->hosts_heard()) : 0);
-    const auto longest = std::min(delay_per_host * hosts, m_interval / intervals_in_delay);
+    const auto longest = std::min(delay_per_host * hosts, most);
     return milliseconds{
         std::uniform_int_distribution<std::int64_t>{0, longest.count()}(m_host.random)};
 }
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -25,7 +25,7 @@
 // replica must be sent nothing.
 constexpr int reads_in_apply_time = 4;
 constexpr int leaving_time_parts = 20;
-constexpr int leaving_time_used = 9;
+constexpr int leaving_time_used = 8;
 
 // Takes connections and gives them to `on_connection`.
 class listener {
--- a/src/serving/peer_news.cpp
+++ b/src/serving/peer_news.cpp
@@ -94,10 +94,11 @@
     gather();
 }
 
-void peer_news::engine_paused(std::uint32_t engine, milliseconds time)
+void peer_news::engine_changes(std::uint32_t engine, engine_stage to, milliseconds time)
 {
     auto& paused = *m_gathered->add_paused();
     paused.set_engine(engine);
+    paused.set_to_prefill(to == engine_stage::prefill);
     paused.set_time_ms(static_cast<std::uint32_t>(time.count()));
     gather();
 }
@@ -127,8 +128,8 @@
     parts.back().set_to(page.to);
     if (!fits) {
         parts.assign(1, {});
-        parts.front().set_from(page.to);
-        parts.front().set_to(page.to);
+        parts.front().set_from(page.from);
+        parts.front().set_to(page.from);
     }
     const auto age = std::chrono::duration_cast<milliseconds>(m_host.timers.now() - page.read_at);
     const auto routes = m_directory.routes_for_greeting(++m_greetings);
@@ -136,6 +137,7 @@
         protocol::host_news news;
         news.set_sender(m_own_number);
         each.set_feed(static_cast<std::uint32_t>(page.of));
+        each.set_end(page.list_end);
         each.set_age_ms(static_cast<std::uint32_t>(age.count()));
         *news.mutable_feed() = std::move(each);
         spread(news, routes);
@@ -149,6 +151,7 @@
     page.of = static_cast<feed>(told.feed());
     page.from = told.from();
     page.to = told.to();
+    page.list_end = told.end();
     page.read_at = now - milliseconds{told.age_ms()};
     for (const auto& each : told.records()) {
         page.entries.emplace_back(
@@ -323,7 +326,9 @@
         m_host.fleet.end(sender, id, now);
     }
     for (const auto& each : news.paused()) {
-        m_host.engines.pause(each.engine(), now + milliseconds{each.time_ms()});
+        m_host.engines.begin_change(
+            each.engine(), each.to_prefill() ? engine_stage::prefill : engine_stage::decode,
+            now + milliseconds{each.time_ms()});
     }
     for (const auto& each : news.others()) {
         m_directory.note_named({each.ip(), static_cast<std::uint16_t>(each.port())}, now);
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -174,7 +174,7 @@
 fine_milliseconds engine_placement::distrust_of(const prompt_question& question,
                                                 const endpoint& engine) const
 {
-    if (is_paused(engine, question.now)) {
+    if (changing_to(engine, question.now)) {
         return last_resort;
     }
     const auto found = m_engines.find(engine.report.id);
@@ -290,10 +290,12 @@
     return alone.runner == nullptr || cost_apart < best_alone ? handed_over : alone;
 }
 
-bool engine_placement::is_paused(const endpoint& engine, time_point now) const
+std::optional<engine_stage> engine_placement::changing_to(const endpoint& engine,
+                                                          time_point now) const
 {
-    const auto found = m_paused.find(engine_number(engine.report.id));
-    return found != m_paused.end() && now < found->second;
+    const auto found = m_changing.find(engine_number(engine.report.id));
+    return found != m_changing.end() && now < found->second.until ? std::optional{found->second.to}
+                                                                  : std::nullopt;
 }
 
 fine_milliseconds recent_average::at(time_point now) const noexcept
--- a/src/serving/stage_director.cpp
+++ b/src/serving/stage_director.cpp
@@ -44,17 +44,31 @@
         }
         m_busy = true;
         const auto delay = milliseconds{std::uniform_int_distribution<std::int64_t>{
-            0, longest_start_delay.count()}(m_host.random)};
+            0, longest_start_delay().count()}(m_host.random)};
         m_start = m_host.timers.call_at(m_host.timers.now() + delay,
                                         [this, service = name] { begin(service); });
         return;
     }
 }
 
+milliseconds stage_director::longest_start_delay() const
+{
+    const auto hosts = m_host.news != nullptr ? static_cast<int>(m_host.news->hosts_heard()) : 0;
+    return std::max(least_start_delay, hosts * start_delay_per_host);
+}
+
 engine_stage stage_director::stage_of(const endpoint& engine) const
 {
-    return m_ledger.changing_to(engine.report.id, m_host.timers.now())
-        .value_or(engine.report.stage);
+    const auto now = m_host.timers.now();
+    const auto announced = m_ledger.changing_to(engine.report.id, now);
+    return announced ? *announced
+                     : m_host.engines.changing_to(engine, now).value_or(engine.report.stage);
+}
+
+bool stage_director::is_changing(const endpoint& engine) const
+{
+    const auto now = m_host.timers.now();
+    return m_ledger.changing_to(engine.report.id, now) || m_host.engines.changing_to(engine, now);
 }
 
 stage_view stage_director::view_of(const std::string& service)
@@ -83,6 +97,11 @@
 
 void stage_director::begin(const std::string& service)
 {
+    if (decide(service).engines == 0) {
+        // Another host has told of its change meanwhile.
+        m_busy = false;
+        return;
+    }
     auto current = std::make_shared<change>();
     current->service = service;
     read_announcements(current, {});
@@ -128,8 +147,7 @@
     std::vector<std::pair<double, endpoint_pointer>> out;
     for (const auto& each : engines) {
         const auto stage = each->report.stage;
-        const bool fits = stage != engine_stage::none && stage != wanted.to &&
-                          !m_ledger.changing_to(each->report.id, now);
+        const bool fits = stage != engine_stage::none && stage != wanted.to && !is_changing(*each);
         if (!fits || !m_ledger.is_free(each->report.id, now) ||
             m_host.engines.state(each->report.id).health.is_avoided(now)) {
             continue;
@@ -144,6 +162,7 @@
     }
     std::sort(out.begin(), out.end(),
               [](const auto& left, const auto& right) { return left.first < right.first; });
+    const auto most_at_once = std::max(few_at_once, engines.size() / parts_at_once);
     std::vector<endpoint_pointer> chosen;
     for (const auto& [cost, each] : out) {
         if (chosen.size() < std::min(wanted.engines, most_at_once)) {
@@ -228,9 +247,9 @@
                                                 ? configured->engines->switch_time
                                                 : milliseconds{0});
         const auto number = engine_number(each.engine);
-        m_host.engines.pause(number, now + pause);
+        m_host.engines.begin_change(number, each.to, now + pause);
         if (m_host.news != nullptr) {
-            m_host.news->engine_paused(number, pause);
+            m_host.news->engine_changes(number, each.to, pause);
         }
         call_once(
             m_host, engine->report.address, m_host.wire.order_request(engine->report.address, each),
