serving: an end of a list that the store does not reach is asked for twice; feed_regained in the log

Cause, found on reading: a host that was told of an end which the store's answer does not reach (an older answer, or a wrong peer) read again at once, without end. It is asked once more after 0.1 s, and then the store is believed. Test with a page that ends beyond the store's list.

--- a/include/cicadaport/serving/feed_follower.h
+++ b/include/cicadaport/serving/feed_follower.h
@@ -60,6 +60,8 @@
     milliseconds random_delay(milliseconds most) const;
     void take_newest();
     void take_records();
+    // The store has answered, or has not.
+    void succeeded();
     void failed(std::string_view reason);
 
     host_state& m_host;
--- a/src/serving/feed_follower.cpp
+++ b/src/serving/feed_follower.cpp
@@ -98,7 +98,7 @@
 void feed_follower::take_newest()
 {
     auto page = m_host.wire.read_newest(m_status, m_body);
-    m_failures = 0;
+    succeeded();
     // Pages are no snapshot: what changes between them is read from the offset
     // that the first one gave.
     if (!m_follow_from) {
@@ -121,7 +121,7 @@
 void feed_follower::take_records()
 {
     auto page = m_host.wire.read_records(m_status, m_body, m_asked_from);
-    m_failures = 0;
+    succeeded();
     // Another host may have told of some of these records meanwhile.
     std::erase_if(page.entries, [this](const feed_entry& each) { return each.offset < m_offset; });
     shared_page shared;
@@ -138,6 +138,12 @@
     if (m_host.news != nullptr) {
         m_host.news->list_read(shared);
     }
+    if (m_offset < std::exchange(m_told_end, m_offset)) {
+        // The store's answer is older than what another host has read, or that host
+        // is wrong. The store is asked once more, and then believed.
+        ask_again_after(first_pause);
+        return;
+    }
     ask_in_turn();
 }
 
@@ -200,6 +206,13 @@
     failed("the connection to the store broke");
 }
 
+void feed_follower::succeeded()
+{
+    if (std::exchange(m_failures, 0) > 0) {
+        spdlog::info("feed_regained feed={}", to_string(m_which));
+    }
+}
+
 void feed_follower::failed(std::string_view reason)
 {
     m_is_asking = false;
--- a/test/platform/feed_follower_test.cpp
+++ b/test/platform/feed_follower_test.cpp
@@ -173,6 +173,15 @@
     EXPECT_THAT(taken, ElementsAre("a", "b"));
 }
 
+TEST_F(feed_follower_test, an_end_that_the_store_does_not_reach_is_asked_for_twice)
+{
+    start();
+    const auto before = store.reads(topic);
+    follower->take(page(5, 9, {}));
+    context.run_for(interval - 200ms);
+    EXPECT_EQ(store.reads(topic), before + 2);
+}
+
 TEST_F(feed_follower_test, takes_each_record_once_when_others_tell_of_it_during_a_read)
 {
     start();
