serving: a replica that says that it leaves, or wants no requests, is believed at once

Cause: hosts took from an answer neither that its replica leaves nor how long a replica that turns a request away wants to be left alone. A replica that had said so in its answers went on getting requests until the list of replicas told, and for ever while the store could not be reached; one that asked for a pause was sent the next request at once. Change: the adapter reads both once. What a replica says of its leaving binds the host that heard it, whatever the list still says, until another incarnation under that id is listed. A replica that wants no requests leaves the candidates for that time, on the clock that goes on in a suspension, also for reading prompts, second attempts, hand-overs and orders; where all of a service want none, callers get a 503 at once with the earliest time. Ruled out: telling other hosts; each is bound by what it has passed on itself. Measured: on the code before, both new tests of host_test failed: the leaving replica got a second request while the store could not be reached, and the replica that wanted no requests for 1.5 s was sent the next one at once. With the change the tests of platform and serving pass.

--- a/include/cicadaport/serving/endpoint_health.h
+++ b/include/cicadaport/serving/endpoint_health.h
@@ -8,8 +8,11 @@
 // Pure: times are passed in. Not thread safe.
 #pragma once
 
+#include "cicadaport/serving/deployment.h"
 #include "cicadaport/serving/endpoint_table.h"
 
+#include <algorithm>
+
 namespace cicadaport::serving {
 
 class endpoint_health {
@@ -52,6 +55,16 @@
         avoid(now);
     }
 
+    // The endpoint wants no requests for so long.
+    void asked_to_be_left_alone(milliseconds time, time_point now) noexcept
+    {
+        m_left_alone_until = std::max(m_left_alone_until, now + time);
+    }
+
+    // An endpoint that is left alone is not used, not even where there is no other.
+    bool is_left_alone(time_point now) const noexcept { return now < m_left_alone_until; }
+    time_point left_alone_until() const noexcept { return m_left_alone_until; }
+
     // Part of the recent requests that failed, from 0 to 1.
     double failed_part() const noexcept { return m_failed_part; }
 
@@ -67,6 +80,7 @@
     double m_failed_part = 0;
     unsigned m_streak = 0;
     time_point m_avoid_until{};
+    time_point m_left_alone_until{};
     time_point m_last_success{};
 };
 
--- a/include/cicadaport/serving/endpoint_table.h
+++ b/include/cicadaport/serving/endpoint_table.h
@@ -77,6 +77,10 @@
     // Returns whether it was offered.
     bool remove(const std::string& id, time_point now);
 
+    // An incarnation has said to this host that it leaves, which binds whatever the
+    // platform still lists of it. Returns whether it was offered.
+    bool note_leaving(const std::string& id, std::int64_t incarnation, time_point now);
+
     // Removes all replicas that are not in `ids`, a complete list.
     void keep_only(const std::vector<std::string>& ids, time_point now);
 
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -68,6 +68,8 @@
     // Tries another endpoint if one more attempt is allowed; returns whether.
     bool try_again();
     // What is known of the endpoint that the request was sent to last.
+    // How long callers should stay away when no replica can be used.
+    milliseconds pause_until_return() const;
     endpoint_health& health_of_endpoint();
     void forward_events(bool at_end);
     void leave_endpoint();
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -73,6 +73,16 @@
     std::uint32_t connection_share(const service& of) const noexcept;
 
     boost::asio::io_context& context;
+    // The replica has said in an answer that it leaves.
+    void note_leaving(const endpoint& replica);
+    // Forgets what was known of replicas that are no longer offered.
+    void forget_dropped();
+    // Returns when the first replica of a service wants requests again; nothing if it
+    // has none that is left alone.
+    std::optional<time_point> first_return(const std::string& service_name);
+    // What is known of a replica, of one that reads prompts or of another.
+    endpoint_health& health_of(const endpoint& replica, bool is_engine);
+
     transport::timer_queue timers;
     const wire_format& wire;
     std::string availability_zone;
--- a/include/cicadaport/serving/placement.h
+++ b/include/cicadaport/serving/placement.h
@@ -184,7 +184,10 @@
     // 0 if it is too short.
     static std::uint32_t beginning_of(const std::vector<prompt_part>& prompt);
 
-    // Notes how long a prompt took against what was predicted.
+    // Notes how long the engine that reads a prompt took against what was predicted.
+    void note_reading(const std::string& engine, const prompt_plan& plan,
+                      fine_milliseconds observed);
+    // The same where the time is not that of a prefill engine alone.
     void note_time(const std::string& engine, fine_milliseconds predicted,
                    fine_milliseconds observed);
 
@@ -257,6 +260,8 @@
     };
     std::unordered_map<std::uint32_t, stage_transition> m_changing;
     // Of each engine: the keys of beginnings that it was sent, and when last.
+    // Whether the engine has not failed this request and wants requests.
+    bool may_use(const prompt_question& question, const endpoint& engine) const;
     std::unordered_map<std::uint32_t, std::unordered_map<std::uint32_t, time_point>> m_beginnings;
 };
 
--- a/include/cicadaport/serving/wire.h
+++ b/include/cicadaport/serving/wire.h
@@ -64,6 +64,10 @@
     bool is_signed = false;
     // The body is not the one that the endpoint made for the caller.
     bool is_encoded = false;
+    // The endpoint states that it leaves.
+    bool is_leaving = false;
+    // The endpoint wants no requests from this host for so long.
+    std::optional<milliseconds> leave_alone;
 };
 
 // Lists in the platform's store: two that hosts follow, and the announcements
--- a/src/serving/endpoint_table.cpp
+++ b/src/serving/endpoint_table.cpp
@@ -44,6 +44,18 @@
     return drop(id);
 }
 
+bool endpoint_table::note_leaving(const std::string& id, std::int64_t incarnation, time_point now)
+{
+    auto& known = m_known[id];
+    if (incarnation < known.incarnation) {
+        return false;
+    }
+    known.incarnation = incarnation;
+    known.left = true;
+    known.at = now;
+    return drop(id);
+}
+
 void endpoint_table::keep_only(const std::vector<std::string>& ids, time_point now)
 {
     std::vector<std::string> missing;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -155,7 +155,7 @@
                                                                  : service{}.most_connections,
                                                now, m_host.random);
     if (chosen == nullptr) {
-        refuse(pause_without_endpoint, "no replica to use");
+        refuse(pause_until_return(), "no replica to use");
         return;
     }
     send_run(chosen, std::nullopt);
@@ -180,7 +180,7 @@
     if (m_prompt && m_plan.reader) {
         m_plan.runner = m_host.engines.choose_runner(question, *m_plan.reader, engines);
         if (m_plan.runner == nullptr) {
-            refuse(pause_without_endpoint, "no engine to use");
+            refuse(pause_until_return(), "no engine to use");
             return;
         }
         send_run(m_plan.runner, m_prompt);
@@ -188,7 +188,7 @@
     }
     m_plan = m_host.engines.choose(question, engines);
     if (m_plan.runner == nullptr) {
-        refuse(pause_without_endpoint, "no engine to use");
+        refuse(pause_until_return(), "no engine to use");
         return;
     }
     const fine_milliseconds waited = now - m_arrived;
@@ -317,6 +317,15 @@
     }
     if (events.empty() && !at_end) {
         return;
+    if (m_answer_terms.leave_alone) {
+        spdlog::info("endpoint_left_alone id={} time_ms={} request={}", m_endpoint->report.id,
+                     m_answer_terms.leave_alone->count(), m_terms.id);
+        health_of_endpoint().asked_to_be_left_alone(*m_answer_terms.leave_alone,
+                                                    m_host.timers.now());
+    }
+    if (m_answer_terms.is_leaving) {
+        m_host.note_leaving(*m_endpoint);
+    }
     }
     if (!m_begun) {
         m_begun = true;
@@ -412,8 +421,8 @@
     state.health.succeeded(m_host.timers.now());
     m_host.engines.note_time(m_endpoint->report.id, m_plan.read_after, observed);
     m_prompt = read_prompt{m_address, std::move(*handle)};
-    m_host.engines.note_prompt(m_plan.runner->report.id, m_terms.prompt, m_host.timers.now());
-    if (m_plan.runner->gone) {
+    const auto& runner = *m_plan.runner;
+    if (runner.gone || m_host.health_of(runner, true).is_left_alone(m_host.timers.now())) {
         place();
         return;
     }
@@ -534,8 +543,15 @@
 
 endpoint_health& exchange::health_of_endpoint()
 {
-    const auto& id = m_endpoint->report.id;
-    return m_route->has_prompt ? m_host.engines.state(id).health : m_host.replicas.state(id).health;
+    return m_host.health_of(*m_endpoint, m_route->has_prompt);
+}
+
+milliseconds exchange::pause_until_return() const
+{
+    const auto first = m_host.first_return(m_service);
+    return first ? std::max(std::chrono::duration_cast<milliseconds>(*first - m_host.timers.now()),
+                            pause_without_endpoint)
+                 : pause_without_endpoint;
 }
 
 bool exchange::take_attempt()
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -285,11 +285,7 @@
                 out.of_use.push_back(each);
             }
         }
-        for (const auto& each : m_state.endpoints.take_dropped()) {
-            m_state.engines.forget(each->report.id);
-            m_state.replicas.forget(each->report.id);
-            m_state.connections.forget(each->report.address);
-        }
+        m_state.forget_dropped();
         return out;
     }
 
--- a/src/serving/host_state.cpp
+++ b/src/serving/host_state.cpp
@@ -1,5 +1,7 @@
 #include "cicadaport/serving/host_state.h"
 
+#include <spdlog/spdlog.h>
+
 namespace cicadaport::serving {
 namespace {
 
@@ -68,6 +70,44 @@
     return std::max(least, of.most_connections / static_cast<std::uint32_t>(hosts));
 }
 
+void host_state::note_leaving(const endpoint& replica)
+{
+    const auto& report = replica.report;
+    if (endpoints.note_leaving(report.id, report.incarnation, timers.now())) {
+        spdlog::info("endpoint_changed id={} offered=false source=own_answer", report.id);
+        forget_dropped();
+    }
+}
+
+void host_state::forget_dropped()
+{
+    for (const auto& each : endpoints.take_dropped()) {
+        engines.forget(each->report.id);
+        replicas.forget(each->report.id);
+        connections.forget(each->report.address);
+    }
+}
+
+endpoint_health& host_state::health_of(const endpoint& replica, bool is_engine)
+{
+    const auto& id = replica.report.id;
+    return is_engine ? engines.state(id).health : replicas.state(id).health;
+}
+
+std::optional<time_point> host_state::first_return(const std::string& service_name)
+{
+    const auto* target = deployed != nullptr ? deployed->find_service(service_name) : nullptr;
+    const bool has_engines = target != nullptr && target->engines;
+    std::optional<time_point> out;
+    for (const auto& each : endpoints.serving(service_name)) {
+        const auto& health = health_of(*each, has_engines);
+        if (health.is_left_alone(timers.now())) {
+            out = std::min(out.value_or(time_point::max()), health.left_alone_until());
+        }
+    }
+    return out;
+}
+
 std::uint64_t host_state::begin_work(const engine_work& work)
 {
     const auto id = ++last_work;
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -195,10 +195,17 @@
 {
     const auto answering = answering_engines(engines);
     const auto transfer = transfer_time(question, question.prompt_tokens);
+bool engine_placement::may_use(const prompt_question& question, const endpoint& engine) const
+{
+    const auto known = m_engines.find(engine.report.id);
+    const bool left_alone =
+        known != m_engines.end() && known->second.health.is_left_alone(question.now);
+    return !left_alone && !question.excluded->contains(engine.report.id);
+}
+
     runner_choice out{nullptr, never};
     for (const auto& each : engines) {
-        if (each->report.stage == engine_stage::prefill ||
-            question.excluded->contains(each->report.id)) {
+        if (each->report.stage == engine_stage::prefill || !may_use(question, *each)) {
             continue;
         }
         const auto answers = m_work.answering(engine_number(each->report.id));
@@ -247,7 +254,7 @@
     auto best_alone = never;
     auto best_reader = never;
     for (const auto& each : engines) {
-        if (question.excluded->contains(each->report.id)) {
+        if (!may_use(question, *each)) {
             continue;
         }
         const auto wait =
@@ -340,7 +347,7 @@
     double best_cost = std::numeric_limits<double>::max();
     for (const auto& each : replicas) {
         const auto& known = m_replicas[each->report.id];
-        if (excluded.contains(each->report.id)) {
+        if (excluded.contains(each->report.id) || known.health.is_left_alone(now)) {
             continue;
         }
         const auto slots = std::max(each->report.slots, 1U);
--- a/src/serving/stage_director.cpp
+++ b/src/serving/stage_director.cpp
@@ -149,7 +149,8 @@
         const auto stage = each->report.stage;
         const bool fits = stage != engine_stage::none && stage != wanted.to && !is_changing(*each);
         if (!fits || !m_ledger.is_free(each->report.id, now) ||
-            m_host.engines.state(each->report.id).health.is_avoided(now)) {
+            m_host.engines.state(each->report.id).health.is_avoided(now) ||
+            m_host.engines.state(each->report.id).health.is_left_alone(now)) {
             continue;
         }
         // Those with the least to lose first.
--- a/test/platform/host_test.cpp
+++ b/test/platform/host_test.cpp
@@ -317,6 +317,54 @@
     EXPECT_NE(answer.field("Retry-After"), "");
 }
 
+TEST_F(host_test, a_replica_that_says_in_an_answer_that_it_leaves_gets_no_more_requests)
+{
+    scripted_server leaving{[](const received_request& each) {
+        return say(200,
+                   "Request-Id: " + each.field("Request-Id") +
+                       "\r\nResponse-Seal: s\r\nServer-Leaving: 1\r\n",
+                   "last");
+    }};
+    scripted_server staying{[](const received_request& each) { return signed_answer(each, "x"); }};
+    list_replica("i-1", leaving.address());
+    start();
+    EXPECT_EQ(ask(request("POST", "/once/x", "r1", "", "order")).body, "last");
+    store.refuse(503);
+    EXPECT_EQ(ask(request("POST", "/once/x", "r2", "", "order")).status, 503U)
+        << "the store can't be reached, and lists it as ready";
+    EXPECT_EQ(leaving.requests().size(), 1U);
+    store.refuse(0);
+    list_replica("i-1", leaving.address(), "s", "", "ready", 2);
+    list_replica("i-2", staying.address());
+    ASSERT_TRUE(
+        eventually([&] { return ask(request("POST", "/once/x", "r3", "", "order")).body == "x"; }));
+    EXPECT_EQ(leaving.requests().size(), 1U);
+}
+
+TEST_F(host_test, a_replica_that_wants_no_requests_gets_none_for_that_time)
+{
+    std::atomic<bool> sheds{true};
+    scripted_server replica{[&](const received_request& each) {
+        return sheds ? say(503,
+                           "Request-Id: " + each.field("Request-Id") +
+                               "\r\nNot-Executed: 1\r\nRetry-After: 1.5\r\n",
+                           "")
+                     : signed_answer(each, "x");
+    }};
+    list_replica("i-1", replica.address());
+    start();
+    EXPECT_EQ(ask(request("POST", "/once/x", "r1", "", "order")).status, 503U);
+    const auto told = std::chrono::steady_clock::now();
+    sheds = false;
+    const auto refused = ask(request("POST", "/once/x", "r2", "", "order"));
+    EXPECT_EQ(refused.status, 503U);
+    EXPECT_GT(std::stod(refused.field("Retry-After")), 1.0) << "that is when it comes back";
+    EXPECT_EQ(replica.requests().size(), 1U);
+    ASSERT_TRUE(eventually(
+        [&] { return ask(request("POST", "/once/x", "r3", "", "order")).status == 200; }));
+    EXPECT_GE(std::chrono::steady_clock::now() - told, 1'400ms);
+}
+
 TEST_F(host_test, a_503_that_does_not_say_not_executed_is_not_passed_on_as_a_promise)
 {
     scripted_server replica{[](const received_request& each) {
--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -10,6 +10,7 @@
 namespace cicadaport::platform {
 namespace {
 
+using namespace std::chrono_literals;
 using ::testing::HasSubstr;
 using ::testing::Not;
 
@@ -95,6 +96,27 @@
     }
 }
 
+TEST(wire_test, reads_that_a_replica_leaves_or_wants_no_requests)
+{
+    const auto terms = [](unsigned status, const std::string& name, const std::string& value) {
+        transport::message_head answer;
+        answer.status = status;
+        answer.fields.add(name, value);
+        return speech.read_answer(answer);
+    };
+    EXPECT_TRUE(terms(200, "Server-Leaving", "1").is_leaving);
+    EXPECT_FALSE(terms(200, "Server-Leaving", "0").is_leaving);
+    EXPECT_FALSE(terms(200, "X-Other", "1").is_leaving);
+    EXPECT_EQ(terms(503, "Retry-After", "1.5").leave_alone, 1'500ms);
+    EXPECT_EQ(terms(503, "Retry-After", " 2 ").leave_alone, 2'000ms);
+    EXPECT_EQ(terms(503, "Retry-After", "86400").leave_alone, 60'000ms) << "a bound";
+    EXPECT_EQ(terms(503, "Retry-After", "1e300").leave_alone, 60'000ms);
+    for (const auto* nonsense : {"-1", "nan", "inf", "soon", "", "1 2"}) {
+        EXPECT_EQ(terms(503, "Retry-After", nonsense).leave_alone, std::nullopt) << nonsense;
+    }
+    EXPECT_EQ(terms(429, "Retry-After", "1").leave_alone, std::nullopt);
+}
+
 TEST(wire_test, says_where_a_prompts_memory_lies_and_after_which_event_to_go_on)
 {
     serving::run_terms terms;
--- a/test/serving/endpoint_table_test.cpp
+++ b/test/serving/endpoint_table_test.cpp
@@ -63,6 +63,21 @@
     EXPECT_TRUE(table.serving("s").empty()) << "the incarnation has said that it leaves";
 }
 
+TEST(endpoint_table_test, what_a_replica_says_of_its_leaving_binds_whatever_is_listed_of_it)
+{
+    endpoint_table table;
+    table.apply(report("a", 1, 1), start);
+    EXPECT_TRUE(table.note_leaving("a", 1, start));
+    EXPECT_FALSE(table.note_leaving("a", 1, start)) << "it is known";
+    EXPECT_TRUE(table.serving("s").empty());
+    table.apply(report("a", 1, 2), start + 1s);
+    EXPECT_TRUE(table.serving("s").empty()) << "the list still says that it takes work";
+    table.apply(report("a", 2, 1), start + 2s);
+    EXPECT_EQ(table.serving("s").size(), 1U) << "another incarnation is another replica";
+    EXPECT_FALSE(table.note_leaving("a", 1, start + 2s)) << "an answer of the one before";
+    EXPECT_EQ(table.serving("s").size(), 1U);
+}
+
 TEST(endpoint_table_test, a_restart_under_the_same_id_is_another_replica)
 {
     endpoint_table table;
