serving: how late prompts are refused does not depend on their size

Cause: prompts that will be late wait behind those that can be in time, and were admitted as long as they alone would be read while their caller was there. Change: all late prompts of a route face one bound on the wait, which leaves time for the prompts that take longer than 95 in 100 of the recent ones. The engines are never kept idle. Ruled out: the demotion itself (a size that is behind is not demoted, and starved all the same).

--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -88,6 +88,9 @@
 
     host_state& m_host;
     // Null once the answer has ended.
+    // Refuses a prompt that has been placed and can't or need not be read; returns
+    // whether.
+    bool refuse_late(const prompt_question& question);
     caller_port* m_caller;
     transport::message_head m_head;
     std::string m_body;
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "cicadaport/serving/attempt_budget.h"
+#include "cicadaport/serving/late_admission.h"
 #include "cicadaport/serving/line_budget.h"
 #include "cicadaport/serving/list_position.h"
 #include "cicadaport/serving/placement.h"
@@ -103,6 +104,7 @@
     replica_placement replicas;
     event_counts events;
     size_fairness sizes;
+    late_admission late;
     std::mt19937_64 random;
     request_counts counts;
     // Null while this host tells nobody.
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -27,8 +27,6 @@
 // elsewhere, if it may: callers leave after eight.
 constexpr int silent_pauses = 4;
 constexpr milliseconds least_silence{600};
-// The part of its time that a late request may be predicted to need.
-constexpr double usable_time = 0.9;
 // When callers may come back: after an empty service, and after a full one.
 constexpr milliseconds pause_without_endpoint{400};
 constexpr milliseconds pause_when_full{250};
@@ -198,10 +196,8 @@
         question.urgency = late_urgency;
         m_plan = m_host.engines.choose(question, engines);
     }
-    const auto patience =
-        std::min<fine_milliseconds>(left(), m_arrived + m_route->caller_patience - now);
-    if (m_attempts == 0 && m_plan.first_event > usable_time * patience) {
-        refuse(pause_when_full, "no engine in time");
+    m_plan.urgency = question.urgency;
+    if (m_attempts == 0 && refuse_late(question)) {
         return;
     }
     m_plan.urgency = question.urgency;
@@ -222,6 +218,24 @@
     m_host.engines.note_prompt(plan.reader->report.id, m_terms.prompt, m_host.timers.now());
     begin_reading(*plan.reader);
     run_terms terms;
+bool exchange::refuse_late(const prompt_question& question)
+{
+    late_prompt prompt;
+    prompt.wait = m_plan.read_after - m_plan.reading;
+    prompt.reading = m_plan.reading;
+    prompt.first_event = m_plan.first_event;
+    prompt.patience =
+        std::min<fine_milliseconds>(left(), m_arrived + m_route->caller_patience - question.now);
+    m_host.late.note(m_route->name, prompt.reading);
+    const bool admitted = question.urgency == late_urgency
+                              ? m_host.late.admits(m_route->name, prompt)
+                              : late_admission::can_be_served(prompt);
+    if (!admitted) {
+        refuse(pause_when_full, "no engine in time");
+    }
+    return !admitted;
+}
+
     terms.only_read_prompt = true;
     terms.urgency = plan.urgency;
     if (plan.beginning_at != nullptr) {
