serving: what engines keep and how long they read is learned, not assumed

Causes, two: - A beginning counted as kept for 20 s after its last use. Engines drop what was used least recently, and there each took in its whole memory within about 8 s (46 million tokens read or moved by 18 engines of 572,139 in 34 s). And a beginning that was only being read counted as kept already. - Engines there need about 70 ms for each prompt besides its length, and less for pairs of tokens (fit of 578 prompts on idle engines: 70.5 ms, 40.7 tokens a ms; first sites 5.7 ms, 55). Hosts knew only a factor for each engine: short prompts at three times their prediction made it large, and long ones were predicted at 1.4 to 2.4 times what they took. Change: engine_memory counts what each engine takes in, of all hosts (news tell the tokens), and expects a beginning for as long as 0.85 of its memory; a copy of a beginning has a price, so prompts stay where theirs is kept; nobody fetches what is not read yet. reading_model fits the time by prompt, token and pair from prompts that idle engines read.

--- a/include/cicadaport/serving/deployment.h
+++ b/include/cicadaport/serving/deployment.h
@@ -59,6 +59,8 @@
 struct engine_terms {
     double bytes_per_token = 0;
     double link_mbps = 0;
+    // Tokens that one engine's memory holds; 0 if unknown.
+    double memory_tokens = 0;
     milliseconds switch_time{0};
 };
 
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -43,6 +43,7 @@
     // says so.
     void tell_unrouted() const;
     void place();
+    prompt_question question_for(const service& target) const;
     void place_prompt(const service& target);
     // `target` is null if the configuration does not describe the service.
     void place_plain(const service* target);
@@ -67,14 +68,17 @@
     bool take_attempt();
     // Tries another endpoint if one more attempt is allowed; returns whether.
     bool try_again();
-    // What is known of the endpoint that the request was sent to last.
     // How long callers should stay away when no replica can be used.
     milliseconds pause_until_return() const;
+    // What is known of the endpoint that the request was sent to last.
     endpoint_health& health_of_endpoint();
     void forward_events(bool at_end);
     void leave_endpoint();
     void drop_prompt();
     void begin_reading(const endpoint& engine);
+    // Notes that an engine has the prompt in memory after `read_after`. Returns how many
+    // of its tokens the engine did not keep.
+    double note_prompt_at(const endpoint& engine, fine_milliseconds read_after);
     void end_reading();
 
     void note_event();
@@ -84,13 +88,13 @@
     void fail(unsigned status, std::string_view reason);
     void finish();
     milliseconds left() const;
+    // Refuses a prompt that has been placed and can't or need not be read; returns
+    // whether.
+    bool refuse_late(const prompt_question& question);
     bool may_have_run() const noexcept { return m_unsettled || m_ran_before; }
 
     host_state& m_host;
     // Null once the answer has ended.
-    // Refuses a prompt that has been placed and can't or need not be read; returns
-    // whether.
-    bool refuse_late(const prompt_question& question);
     caller_port* m_caller;
     transport::message_head m_head;
     std::string m_body;
--- a/include/cicadaport/serving/fleet_work.h
+++ b/include/cicadaport/serving/fleet_work.h
@@ -27,6 +27,8 @@
     // A digest of the prompt's shared beginning, which the engine keeps for a
     // while; 0 if it is too short to matter.
     std::uint32_t beginning = 0;
+    // Tokens that the engine takes into its memory for it.
+    double taken_in = 0;
 };
 
 // Returns the number under which hosts speak of an engine.
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -73,7 +73,6 @@
     // takes from all hosts together.
     std::uint32_t connection_share(const service& of) const noexcept;
 
-    boost::asio::io_context& context;
     // The replica has said in an answer that it leaves.
     void note_leaving(const endpoint& replica);
     // Forgets what was known of replicas that are no longer offered.
@@ -84,6 +83,7 @@
     // What is known of a replica, of one that reads prompts or of another.
     endpoint_health& health_of(const endpoint& replica, bool is_engine);
 
+    boost::asio::io_context& context;
     transport::timer_queue timers;
     const wire_format& wire;
     std::string availability_zone;
--- a/include/cicadaport/serving/placement.h
+++ b/include/cicadaport/serving/placement.h
@@ -17,7 +17,9 @@
 
 #include "cicadaport/serving/deployment.h"
 #include "cicadaport/serving/endpoint_health.h"
+#include "cicadaport/serving/engine_memory.h"
 #include "cicadaport/serving/fleet_work.h"
+#include "cicadaport/serving/reading_model.h"
 #include "cicadaport/serving/wire.h"
 
 #include <optional>
@@ -26,12 +28,10 @@
 
 namespace cicadaport::serving {
 
-// What an engine needs for prompts, from the sheets of the deployments.
+// What an engine needs for prompts.
 struct engine_costs {
-    // Prompt tokens that a prefill engine reads in a millisecond.
-    double tokens_per_ms = 64.2;
-    // Milliseconds for a million pairs of a token and one before it.
-    double pair_ms_per_million = 0.647;
+    // Until engines have shown what they need.
+    reading_model::terms reading;
     // A decode engine reads at this part of the speed, between the tokens of
     // other requests.
     double decode_engine_part = 0.4;
@@ -60,6 +60,9 @@
     // Reading a beginning again that another engine keeps counts this many
     // times: it also drives another beginning out.
     double repeated_reading = 4;
+    // A copy of a beginning that another engine keeps too counts as this part of
+    // reading it, for the same reason.
+    double copy_weight = 1;
     // Engines that cost the same are told apart by the prompt's beginning, alike on
     // all hosts, by up to this much: beginnings spread over engines.
     fine_milliseconds spread{5};
@@ -78,6 +81,8 @@
     std::uint32_t urgency = 0;
     double bytes_per_token = 0;
     double link_mbps = 0;
+    // Tokens that an engine's memory holds; 0 if unknown.
+    double memory_tokens = 0;
     std::string_view availability_zone;
     time_point now{};
     // Endpoints that have failed this request.
@@ -104,6 +109,11 @@
     fine_milliseconds read_after{0};
     // What an engine that does nothing but read would need.
     fine_milliseconds nominal_reading{0};
+    // Tokens that are read, and their pairs with tokens before them.
+    double read_tokens = 0;
+    double read_pairs = 0;
+    // Part of `reading` that fetches the beginning.
+    fine_milliseconds fetching{0};
     // From now to the first event.
     fine_milliseconds first_event{0};
     // Of the request at the engines.
@@ -146,17 +156,13 @@
 
 class engine_placement {
 public:
-    // A beginning is expected to be kept for this long after its last use.
-    static constexpr std::chrono::seconds kept_beginning{20};
-    // Beginnings that are remembered of one engine.
-    static constexpr std::size_t most_beginnings = 1'024;
     // A beginning of fewer tokens is read again sooner than it is transferred; it
     // is neither told to other hosts nor asked of other engines.
     static constexpr double least_transfer = 256;
 
     // `work` must outlive the placement.
     explicit engine_placement(fleet_work& work, engine_costs costs = {})
-        : m_work{work}, m_costs{costs}
+        : m_work{work}, m_costs{costs}, m_reading{costs.reading}
     {
     }
 
@@ -174,11 +180,12 @@
     endpoint_pointer choose_runner(const prompt_question& question, const endpoint& reader,
                                    const std::vector<endpoint_pointer>& engines);
 
-    // Notes that an engine was sent this prompt.
-    void note_prompt(const std::string& engine, const std::vector<prompt_part>& prompt,
-                     time_point now);
-    // Notes that an engine was sent a prompt with this beginning, by another host.
-    void note_beginning(std::uint32_t engine, std::uint32_t beginning, time_point now);
+    // Notes that an engine was sent a prompt which it will have in memory after
+    // `read_after`. Returns how many of its tokens the engine did not keep.
+    double note_prompt(const prompt_question& question, const endpoint& engine,
+                       fine_milliseconds read_after);
+    // Notes what another host has sent to an engine.
+    void note_work(const engine_work& work, time_point now);
 
     // Returns the digest of a prompt's shared beginning that other hosts are told;
     // 0 if it is too short.
@@ -191,6 +198,8 @@
     void note_time(const std::string& engine, fine_milliseconds predicted,
                    fine_milliseconds observed);
 
+    const reading_model& reading() const noexcept { return m_reading; }
+
     // The engine takes no work until then: it changes its stage.
     void begin_change(std::uint32_t engine, engine_stage to, time_point until)
     {
@@ -204,7 +213,7 @@
     void forget(const std::string& engine)
     {
         m_engines.erase(engine);
-        m_beginnings.erase(engine_number(engine));
+        m_memory.forget(engine_number(engine));
     }
 
 private:
@@ -220,10 +229,12 @@
     static beginnings beginnings_of(const std::vector<prompt_part>& prompt);
     // Returns a number from [0, 1) that all hosts draw alike.
     static double weight_of(const beginnings& of, const endpoint& engine);
-    void find_keeper(beginnings& of, time_point now,
+    void find_keeper(beginnings& of, const prompt_question& question,
                      const std::vector<endpoint_pointer>& engines) const;
-    // Returns how many tokens of the beginnings the engine is known to keep.
-    double known_to_keep(const beginnings& of, const endpoint& engine, time_point now) const;
+    // Returns how many tokens of the beginnings the engine is known to keep; with
+    // `ready_only` it has already read them.
+    double known_to_keep(const beginnings& of, const endpoint& engine,
+                         const prompt_question& question, bool ready_only) const;
 
     struct runner_choice {
         endpoint_pointer runner;
@@ -234,6 +245,9 @@
     struct reading_cost {
         fine_milliseconds time{0};
         fine_milliseconds nominal{0};
+        double tokens = 0;
+        double pairs = 0;
+        fine_milliseconds fetching{0};
         // What is read there though another engine keeps it.
         fine_milliseconds repeated{0};
         // Whether the beginning is taken from the engine that keeps most of it.
@@ -246,6 +260,8 @@
     fine_milliseconds distance_to(const prompt_question& question, const endpoint& engine) const;
     // How long the memory of so many of the prompt's tokens is under way.
     static fine_milliseconds transfer_time(const prompt_question& question, double tokens);
+    // Whether the engine has not failed this request and wants requests.
+    bool may_use(const prompt_question& question, const endpoint& engine) const;
     // An engine that fails, or changes its stage, is a last resort.
     fine_milliseconds distrust_of(const prompt_question& question, const endpoint& engine) const;
     reading_cost cost_of_reading(const prompt_question& question, const endpoint& engine,
@@ -253,16 +269,14 @@
 
     fleet_work& m_work;
     engine_costs m_costs;
+    reading_model m_reading;
     std::unordered_map<std::string, engine_state> m_engines;
     struct stage_transition {
         engine_stage to = engine_stage::none;
         time_point until{};
     };
     std::unordered_map<std::uint32_t, stage_transition> m_changing;
-    // Of each engine: the keys of beginnings that it was sent, and when last.
-    // Whether the engine has not failed this request and wants requests.
-    bool may_use(const prompt_question& question, const endpoint& engine) const;
-    std::unordered_map<std::uint32_t, std::unordered_map<std::uint32_t, time_point>> m_beginnings;
+    engine_memory m_memory;
 };
 
 // What this host knows of one replica of a plain service.
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -159,22 +159,31 @@
     send_run(chosen, std::nullopt);
 }
 
-void exchange::place_prompt(const service& target)
+prompt_question exchange::question_for(const service& target) const
 {
-    const auto now = m_host.timers.now();
-    const auto& engines = m_host.engines_of(m_service);
     prompt_question question;
     question.prompt = &m_terms.prompt;
     question.prompt_tokens = m_terms.prompt_tokens;
     question.urgency = std::min(m_route->priority * urgency_step, late_urgency - 1);
-    question.bytes_per_token = target.engines->bytes_per_token;
-    question.link_mbps = target.engines->link_mbps;
+    if (target.engines) {
+        question.bytes_per_token = target.engines->bytes_per_token;
+        question.link_mbps = target.engines->link_mbps;
+        question.memory_tokens = target.engines->memory_tokens;
+    }
     question.availability_zone = m_host.availability_zone;
-    question.now = now;
+    question.now = m_host.timers.now();
     question.excluded = &m_excluded;
     question.pause_objective = m_route->pause_objective;
     question.many_events = m_host.events.are_many(m_route->name);
     question.may_hand_over = !m_hand_over_tried && !m_events.last_event();
+    return question;
+}
+
+void exchange::place_prompt(const service& target)
+{
+    auto question = question_for(target);
+    const auto now = question.now;
+    const auto& engines = m_host.engines_of(m_service);
     if (m_prompt && m_plan.reader) {
         m_plan.runner = m_host.engines.choose_runner(question, *m_plan.reader, engines);
         if (m_plan.runner == nullptr) {
@@ -200,24 +209,15 @@
     if (m_attempts == 0 && refuse_late(question)) {
         return;
     }
-    m_plan.urgency = question.urgency;
     if (m_plan.reader != nullptr) {
         send_prompt(m_plan);
     }
     else {
-        m_host.engines.note_prompt(m_plan.runner->report.id, m_terms.prompt, now);
         begin_reading(*m_plan.runner);
         send_run(m_plan.runner, std::nullopt);
     }
 }
 
-void exchange::send_prompt(const prompt_plan& plan)
-{
-    m_hand_over_tried = true;
-    ++m_host.counts.handed_over;
-    m_host.engines.note_prompt(plan.reader->report.id, m_terms.prompt, m_host.timers.now());
-    begin_reading(*plan.reader);
-    run_terms terms;
 bool exchange::refuse_late(const prompt_question& question)
 {
     late_prompt prompt;
@@ -236,6 +236,12 @@
     return !admitted;
 }
 
+void exchange::send_prompt(const prompt_plan& plan)
+{
+    m_hand_over_tried = true;
+    ++m_host.counts.handed_over;
+    begin_reading(*plan.reader);
+    run_terms terms;
     terms.only_read_prompt = true;
     terms.urgency = plan.urgency;
     if (plan.beginning_at != nullptr) {
@@ -267,6 +273,9 @@
         engine_work work;
         work.engine = engine_number(to->report.id);
         work.beginning = engine_placement::beginning_of(m_terms.prompt);
+        if (terms.from) {
+            work.taken_in = note_prompt_at(*to, fine_milliseconds{0});
+        }
         m_answering = m_host.begin_work(work);
     }
     else {
@@ -308,6 +317,15 @@
 {
     m_answer_terms = m_host.wire.read_answer(head);
     m_answer = std::move(head);
+    if (m_answer_terms.leave_alone) {
+        spdlog::info("endpoint_left_alone id={} time_ms={} request={}", m_endpoint->report.id,
+                     m_answer_terms.leave_alone->count(), m_terms.id);
+        health_of_endpoint().asked_to_be_left_alone(*m_answer_terms.leave_alone,
+                                                    m_host.timers.now());
+    }
+    if (m_answer_terms.is_leaving) {
+        m_host.note_leaving(*m_endpoint);
+    }
 }
 
 void exchange::on_body(std::string_view piece)
@@ -331,15 +349,6 @@
     }
     if (events.empty() && !at_end) {
         return;
-    if (m_answer_terms.leave_alone) {
-        spdlog::info("endpoint_left_alone id={} time_ms={} request={}", m_endpoint->report.id,
-                     m_answer_terms.leave_alone->count(), m_terms.id);
-        health_of_endpoint().asked_to_be_left_alone(*m_answer_terms.leave_alone,
-                                                    m_host.timers.now());
-    }
-    if (m_answer_terms.is_leaving) {
-        m_host.note_leaving(*m_endpoint);
-    }
     }
     if (!m_begun) {
         m_begun = true;
@@ -398,12 +407,12 @@
     spdlog::debug(
         "request_ended id={} route={} version={} result={} reason=\"{}\" attempts={} "
         "endpoint={} reader={} tokens={} urgency={} predicted_ms={:.1f} first_event_ms={:.1f} "
-        "longest_pause_ms={:.1f} total_ms={:.1f}",
+        "longest_pause_ms={:.1f} total_ms={:.1f} events={}",
         m_terms.id, m_route != nullptr ? m_route->name : "",
         m_deployment != nullptr ? m_deployment->version() : 0, result, reason, m_attempts,
         m_endpoint ? m_endpoint->report.id : "", m_plan.reader ? m_plan.reader->report.id : "",
         m_terms.prompt_tokens, m_plan.urgency, m_plan.first_event.count(), ms(first - m_arrived),
-        ms(m_longest_pause), ms(m_host.timers.now() - m_arrived));
+        ms(m_longest_pause), ms(m_host.timers.now() - m_arrived), m_events.count());
 }
 
 void exchange::on_complete()
@@ -431,9 +440,15 @@
         prompt_failed();
         return;
     }
+    spdlog::debug(
+        "prompt_read id={} engine={} tokens={:.0f} pairs_millions={:.1f} fetching_ms={:.1f} "
+        "wait_ms={:.1f} predicted_ms={:.1f} observed_ms={:.1f}",
+        m_terms.id, m_endpoint->report.id, m_plan.read_tokens, m_plan.read_pairs / 1e6,
+        m_plan.fetching.count(), (m_plan.read_after - m_plan.reading).count(),
+        m_plan.read_after.count(), observed.count());
     auto& state = m_host.engines.state(m_endpoint->report.id);
     state.health.succeeded(m_host.timers.now());
-    m_host.engines.note_time(m_endpoint->report.id, m_plan.read_after, observed);
+    m_host.engines.note_reading(m_endpoint->report.id, m_plan, observed);
     m_prompt = read_prompt{m_address, std::move(*handle)};
     const auto& runner = *m_plan.runner;
     if (runner.gone || m_host.health_of(runner, true).is_left_alone(m_host.timers.now())) {
@@ -755,9 +770,17 @@
     work.reading = m_plan.reading;
     work.nominal_reading = m_plan.nominal_reading;
     work.beginning = engine_placement::beginning_of(m_terms.prompt);
+    work.taken_in = note_prompt_at(engine, m_plan.read_after);
     m_reading = m_host.begin_work(work);
 }
 
+double exchange::note_prompt_at(const endpoint& engine, fine_milliseconds read_after)
+{
+    const auto* target = m_deployment->find_service(m_service);
+    return target != nullptr ? m_host.engines.note_prompt(question_for(*target), engine, read_after)
+                             : 0;
+}
+
 void exchange::end_reading()
 {
     if (m_reading != 0) {
--- a/src/serving/peer_news.cpp
+++ b/src/serving/peer_news.cpp
@@ -81,6 +81,7 @@
     begun.set_engine(work.engine);
     begun.set_urgency(work.urgency);
     begun.set_beginning(work.beginning);
+    begun.set_taken_in(static_cast<std::uint32_t>(work.taken_in));
     begun.set_reading(to_parts(work.reading));
     if (work.nominal_reading != work.reading) {
         begun.set_nominal(to_parts(work.nominal_reading));
@@ -317,10 +318,10 @@
         work.urgency = each.urgency();
         work.reading = from_parts(each.reading());
         work.nominal_reading = each.nominal() != 0 ? from_parts(each.nominal()) : work.reading;
+        work.beginning = each.beginning();
+        work.taken_in = each.taken_in();
         m_host.fleet.begin(sender, each.id(), work, now);
-        if (each.beginning() != 0) {
-            m_host.engines.note_beginning(each.engine(), each.beginning(), now);
-        }
+        m_host.engines.note_work(work, now);
     }
     for (const auto id : news.ended()) {
         m_host.fleet.end(sender, id, now);
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -9,13 +9,14 @@
 namespace cicadaport::serving {
 namespace {
 
-constexpr double pairs_in_million = 1e6;
 constexpr double bits_per_byte = 8;
 constexpr double bits_per_ms_per_mbps = 1'000;
 // Slowness is believed within these bounds, and a new observation counts so much.
 constexpr double least_slowness = 0.7;
 constexpr double most_slowness = 8;
 constexpr double observation_part = 0.2;
+// An engine whose predicted wait is shorter does nothing else.
+constexpr fine_milliseconds idle_wait{1};
 
 // Costs that no wait outweighs: streams that pause, and an engine that fails.
 constexpr fine_milliseconds pauses{std::chrono::seconds{30}};
@@ -78,33 +79,31 @@
 }
 
 double engine_placement::known_to_keep(const beginnings& of, const endpoint& engine,
-                                       time_point now) const
+                                       const prompt_question& question, bool ready_only) const
 {
-    const auto known = m_beginnings.find(engine_number(engine.report.id));
-    if (known == m_beginnings.end()) {
-        return 0;
-    }
+    const auto number = engine_number(engine.report.id);
     for (auto index = of.keys.size(); index-- > 0;) {
-        const auto found = known->second.find(of.keys[index]);
-        if (found != known->second.end() && now - found->second < kept_beginning) {
+        const auto key = of.keys[index];
+        if (m_memory.keeps(number, key, question.memory_tokens, question.now) &&
+            (!ready_only || m_memory.is_ready(number, key, question.now))) {
             return of.tokens[index];
         }
     }
     return 0;
 }
 
-void engine_placement::find_keeper(beginnings& of, time_point now,
+void engine_placement::find_keeper(beginnings& of, const prompt_question& question,
                                    const std::vector<endpoint_pointer>& engines) const
 {
     for (const auto& each : engines) {
-        const auto kept = known_to_keep(of, *each, now);
+        const auto kept = known_to_keep(of, *each, question, true);
         if (kept <= of.kept_by_keeper) {
             continue;
         }
         const auto known = m_engines.find(each->report.id);
         const bool avoided =
-            known != m_engines.end() &&
-            (known->second.health.is_avoided(now) || known->second.memory_health.is_avoided(now));
+            known != m_engines.end() && (known->second.health.is_avoided(question.now) ||
+                                         known->second.memory_health.is_avoided(question.now));
         if (!avoided) {
             of.keeper = each;
             of.kept_by_keeper = kept;
@@ -116,25 +115,32 @@
                                                                  const endpoint& engine,
                                                                  const beginnings& shared)
 {
-    const auto here = known_to_keep(shared, engine, question.now);
+    const auto here = known_to_keep(shared, engine, question, false);
     const auto there = std::max(here, shared.kept_by_keeper);
+    const auto time_of = [this](double tokens) {
+        constexpr double thousand = 1e3;
+        return tokens / thousand * m_reading.current().each_thousand_tokens;
+    };
     reading_cost out;
     out.is_transferred = there - here >= least_transfer;
     const auto kept = std::min(out.is_transferred ? there : here, question.prompt_tokens);
     const auto read = question.prompt_tokens - kept;
     const auto pairs = read * (kept + read / 2);
-    const auto time =
-        read / m_costs.tokens_per_ms + pairs / pairs_in_million * m_costs.pair_ms_per_million;
+    const auto time = m_reading.time(read, pairs);
     const auto part =
         engine.report.stage == engine_stage::decode ? m_costs.decode_engine_part : 1.0;
-    out.nominal = fine_milliseconds{time};
-    out.time = fine_milliseconds{time / part * m_engines[engine.report.id].slowness};
+    out.nominal = time;
+    out.tokens = read;
+    out.pairs = pairs;
+    out.time = time / part * m_engines[engine.report.id].slowness;
     if (out.is_transferred) {
-        out.time += m_costs.transfer_set_up + transfer_time(question, there - here);
+        out.fetching = m_costs.transfer_set_up + transfer_time(question, there - here);
+        out.time += out.fetching;
+        // The copy drives other beginnings out.
+        out.repeated = m_costs.copy_weight * time_of(there - here);
     }
     else {
-        out.repeated =
-            fine_milliseconds{m_costs.repeated_reading * (there - here) / m_costs.tokens_per_ms};
+        out.repeated = m_costs.repeated_reading * time_of(there - here);
     }
     return out;
 }
@@ -189,12 +195,6 @@
     return std::max(health.failed_part(), memory_health.failed_part()) * m_costs.failure;
 }
 
-engine_placement::runner_choice
-engine_placement::best_runner(const prompt_question& question, const endpoint& reader,
-                              const std::vector<endpoint_pointer>& engines) const
-{
-    const auto answering = answering_engines(engines);
-    const auto transfer = transfer_time(question, question.prompt_tokens);
 bool engine_placement::may_use(const prompt_question& question, const endpoint& engine) const
 {
     const auto known = m_engines.find(engine.report.id);
@@ -203,6 +203,12 @@
     return !left_alone && !question.excluded->contains(engine.report.id);
 }
 
+engine_placement::runner_choice
+engine_placement::best_runner(const prompt_question& question, const endpoint& reader,
+                              const std::vector<endpoint_pointer>& engines) const
+{
+    const auto answering = answering_engines(engines);
+    const auto transfer = transfer_time(question, question.prompt_tokens);
     runner_choice out{nullptr, never};
     for (const auto& each : engines) {
         if (each->report.stage == engine_stage::prefill || !may_use(question, *each)) {
@@ -247,7 +253,7 @@
                                      const std::vector<endpoint_pointer>& engines)
 {
     auto shared = beginnings_of(*question.prompt);
-    find_keeper(shared, question.now, engines);
+    find_keeper(shared, question, engines);
     const auto answering = answering_engines(engines);
     prompt_plan alone;
     prompt_plan handed_over;
@@ -280,6 +286,9 @@
             plan.beginning_at = reading.is_transferred ? shared.keeper : nullptr;
             plan.reading = reading.time;
             plan.nominal_reading = reading.nominal;
+            plan.read_tokens = reading.tokens;
+            plan.read_pairs = reading.pairs;
+            plan.fetching = reading.fetching;
             plan.read_after = read_after;
             plan.first_event = read_after + distance + m_costs.first_event;
         }
@@ -312,21 +321,42 @@
     return m_value * std::exp(-std::max(passed / time, 0.0));
 }
 
-void engine_placement::note_prompt(const std::string& engine,
-                                   const std::vector<prompt_part>& prompt, time_point now)
+double engine_placement::note_prompt(const prompt_question& question, const endpoint& engine,
+                                     fine_milliseconds read_after)
+{
+    const auto number = engine_number(engine.report.id);
+    const auto all = beginnings_of(*question.prompt);
+    const auto taken_in =
+        std::max(question.prompt_tokens - known_to_keep(all, engine, question, false), 0.0);
+    m_memory.note_taken_in(number, taken_in);
+    const auto ready = question.now + std::chrono::duration_cast<clock::duration>(read_after);
+    for (const auto key : all.keys) {
+        m_memory.note_beginning(number, key, ready, question.now);
+    }
+    return taken_in;
+}
+
+void engine_placement::note_work(const engine_work& work, time_point now)
 {
-    for (const auto key : beginnings_of(prompt).keys) {
-        note_beginning(engine_number(engine), key, now);
+    m_memory.note_taken_in(work.engine, work.taken_in);
+    if (work.beginning != 0) {
+        // It waits behind what the engine has to read; its own part is among it.
+        const auto read_after = work.reading > fine_milliseconds{0}
+                                    ? m_work.wait(work.engine, work.urgency, now)
+                                    : fine_milliseconds{0};
+        m_memory.note_beginning(work.engine, work.beginning,
+                                now + std::chrono::duration_cast<clock::duration>(read_after), now);
     }
 }
 
-void engine_placement::note_beginning(std::uint32_t engine, std::uint32_t beginning, time_point now)
+void engine_placement::note_reading(const std::string& engine, const prompt_plan& plan,
+                                    fine_milliseconds observed)
 {
-    auto& known = m_beginnings[engine];
-    known[beginning] = now;
-    if (known.size() > most_beginnings) {
-        std::erase_if(known, [&](const auto& each) { return now - each.second > kept_beginning; });
+    const auto wait = plan.read_after - plan.reading;
+    if (wait < idle_wait) {
+        m_reading.learn(plan.read_tokens, plan.read_pairs, observed - plan.fetching);
     }
+    note_time(engine, plan.read_after, observed);
 }
 
 void engine_placement::note_time(const std::string& engine, fine_milliseconds predicted,
--- /dev/null
+++ b/src/serving/reading_model.cpp
@@ -0,0 +1,74 @@
+#include "cicadaport/serving/reading_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cicadaport::serving {
+namespace {
+
+constexpr double thousand = 1e3;
+constexpr double million = 1e6;
+// Times below this are too short for relative errors.
+constexpr fine_milliseconds least_time{10};
+
+} // namespace
+
+fine_milliseconds reading_model::time(double tokens, double pairs) const noexcept
+{
+    return m_current.each_prompt + tokens / thousand * m_current.each_thousand_tokens +
+           pairs / million * m_current.each_million_pairs;
+}
+
+void reading_model::learn(double tokens, double pairs, fine_milliseconds observed)
+{
+    const vector features{1, tokens / thousand, pairs / million};
+    const auto predicted = time(tokens, pairs);
+    const auto error = usual_error * std::max({predicted, observed, least_time});
+    const auto errors = std::abs((observed - predicted) / error);
+    const auto trust = errors > usual_errors ? usual_errors / errors : 1;
+    const auto weight = trust / (error.count() * error.count());
+    for (std::size_t row = 0; row < count; ++row) {
+        for (std::size_t column = 0; column < count; ++column) {
+            auto& product = m_products.at(row).at(column);
+            product = memory * product + weight * features.at(row) * features.at(column);
+        }
+        auto& result = m_results.at(row);
+        result = memory * result + weight * features.at(row) * observed.count();
+    }
+    solve();
+}
+
+void reading_model::solve()
+{
+    const vector first{m_first.each_prompt.count(), m_first.each_thousand_tokens.count(),
+                       m_first.each_million_pairs.count()};
+    const vector spread{uncertainty.each_prompt.count(), uncertainty.each_thousand_tokens.count(),
+                        uncertainty.each_million_pairs.count()};
+    auto left = m_products;
+    auto right = m_results;
+    for (std::size_t row = 0; row < count; ++row) {
+        const auto certainty = 1 / (spread.at(row) * spread.at(row));
+        left.at(row).at(row) += certainty;
+        right.at(row) += certainty * first.at(row);
+    }
+    // The matrix is positive definite: elimination needs no pivots.
+    for (std::size_t step = 0; step < count; ++step) {
+        for (std::size_t row = step + 1; row < count; ++row) {
+            const auto part = left.at(row).at(step) / left.at(step).at(step);
+            for (std::size_t column = step; column < count; ++column) {
+                left.at(row).at(column) -= part * left.at(step).at(column);
+            }
+            right.at(row) -= part * right.at(step);
+        }
+    }
+    for (auto row = count; row-- > 0;) {
+        for (auto column = row + 1; column < count; ++column) {
+            right.at(row) -= left.at(row).at(column) * right.at(column);
+        }
+        right.at(row) /= left.at(row).at(row);
+    }
+    const auto at_least_zero = [](double value) { return fine_milliseconds{std::max(value, 0.0)}; };
+    m_current = {at_least_zero(right[0]), at_least_zero(right[1]), at_least_zero(right[2])};
+}
+
+} // namespace cicadaport::serving
--- a/test/serving/placement_test.cpp
+++ b/test/serving/placement_test.cpp
@@ -37,6 +37,15 @@
         question.excluded = &excluded;
     }
 
+    // The engine has been sent the prompt and has read it.
+    void note_prompt(const std::string& id)
+    {
+        const auto found =
+            std::find_if(engines.begin(), engines.end(),
+                         [&](const endpoint_pointer& each) { return each->report.id == id; });
+        placement.note_prompt(question, **found, 0ms);
+    }
+
     void load(const std::string& id, fine_milliseconds time)
     {
         engine_work work;
@@ -109,20 +118,20 @@
 
 TEST_F(engine_placement_test, a_beginning_is_taken_from_the_engine_that_keeps_it)
 {
-    placement.note_prompt("p1", prompt, start);
+    note_prompt("p1");
     load("p1", 500ms);
     const auto plan = placement.choose(question, engines);
     ASSERT_NE(plan.reader, nullptr);
     EXPECT_NE(plan.reader->report.id, "p1") << "it is busy for longer than the transfer takes";
     ASSERT_NE(plan.beginning_at, nullptr);
     EXPECT_EQ(plan.beginning_at->report.id, "p1");
-    question.now += engine_placement::kept_beginning;
+    question.now += engine_memory::kept_time;
     EXPECT_EQ(placement.choose(question, engines).beginning_at, nullptr) << "it has expired";
 }
 
 TEST_F(engine_placement_test, an_engine_that_keeps_the_beginning_itself_takes_it_from_nobody)
 {
-    placement.note_prompt("p1", prompt, start);
+    note_prompt("p1");
     const auto plan = placement.choose(question, engines);
     ASSERT_NE(plan.reader, nullptr);
     EXPECT_EQ(plan.reader->report.id, "p1");
@@ -131,7 +140,10 @@
 
 TEST_F(engine_placement_test, a_beginning_of_which_another_host_told_is_known_alike)
 {
-    placement.note_beginning(engine_number("p2"), engine_placement::beginning_of(prompt), start);
+    engine_work told;
+    told.engine = engine_number("p2");
+    told.beginning = engine_placement::beginning_of(prompt);
+    placement.note_work(told, start);
     EXPECT_EQ(placement.choose(question, engines).reader->report.id, "p2");
     load("p2", 500ms);
     const auto plan = placement.choose(question, engines);
@@ -141,7 +153,7 @@
 
 TEST_F(engine_placement_test, nothing_is_taken_from_an_engine_that_fails)
 {
-    placement.note_prompt("p1", prompt, start);
+    note_prompt("p1");
     placement.state("p1").health.unreachable(start);
     const auto plan = placement.choose(question, engines);
     ASSERT_NE(plan.reader, nullptr);
@@ -152,12 +164,81 @@
 TEST_F(engine_placement_test, a_short_beginning_is_neither_transferred_nor_told)
 {
     prompt = {{1, 100}, {2, 1'900}};
-    placement.note_prompt("p1", prompt, start);
+    note_prompt("p1");
     load("p1", 500ms);
     EXPECT_EQ(placement.choose(question, engines).beginning_at, nullptr);
     EXPECT_EQ(engine_placement::beginning_of(prompt), 0U);
 }
 
+TEST_F(engine_placement_test, a_beginning_that_gave_way_to_other_prompts_is_not_counted_on)
+{
+    question.memory_tokens = 10'000;
+    note_prompt("p1");
+    load("p1", 500ms);
+    ASSERT_NE(placement.choose(question, engines).beginning_at, nullptr);
+    engine_work other;
+    other.engine = engine_number("p1");
+    other.taken_in = question.memory_tokens;
+    placement.note_work(other, start);
+    EXPECT_EQ(placement.choose(question, engines).beginning_at, nullptr);
+}
+
+TEST_F(engine_placement_test, a_beginning_that_is_not_read_yet_is_taken_from_nobody)
+{
+    const auto& first = *engines.front();
+    placement.note_prompt(question, first, 400ms);
+    load("p0", 400ms);
+    EXPECT_EQ(placement.choose(question, engines).beginning_at, nullptr);
+    question.now += 400ms;
+    load("p0", 400ms);
+    EXPECT_NE(placement.choose(question, engines).beginning_at, nullptr);
+}
+
+TEST_F(engine_placement_test,
+       a_prompt_stays_with_the_engine_that_keeps_its_beginning_for_a_short_wait)
+{
+    prompt = {{1, 13'000}, {2, 3'000}};
+    question.prompt_tokens = 16'000;
+    question.bytes_per_token = 18'432;
+    question.link_mbps = 200'000;
+    note_prompt("p1");
+    load("p1", 50ms);
+    EXPECT_EQ(placement.choose(question, engines).reader->report.id, "p1")
+        << "a copy would drive other beginnings out of another engine";
+}
+
+TEST_F(engine_placement_test, what_each_prompt_costs_is_not_taken_for_slowness_of_long_ones)
+{
+    // Engines that need 70 ms for each prompt, whatever its length.
+    const auto observed = [](const prompt_plan& plan) {
+        return fine_milliseconds{70 + plan.read_tokens / 54.6 + plan.read_pairs / 1e6 * 0.25};
+    };
+    for (std::uint64_t own = 100; own < 160; ++own) {
+        prompt = {{own, 200 * static_cast<std::uint32_t>(own - 97)}};
+        question.prompt_tokens = prompt.front().tokens;
+        const auto plan = placement.choose(question, engines);
+        ASSERT_NE(plan.reader, nullptr);
+        placement.note_reading(plan.reader->report.id, plan, observed(plan));
+    }
+    prompt = {{999, 30'000}};
+    question.prompt_tokens = 30'000;
+    const auto plan = placement.choose(question, engines);
+    EXPECT_LT(plan.reading, 1.35 * observed(plan));
+    EXPECT_GT(plan.reading, 0.65 * observed(plan));
+}
+
+TEST_F(engine_placement_test, an_engine_that_wants_no_requests_gets_none_even_where_it_is_the_last)
+{
+    for (const auto& each : engines) {
+        if (each->report.stage == engine_stage::decode) {
+            placement.state(each->report.id).health.asked_to_be_left_alone(2s, start);
+        }
+    }
+    EXPECT_EQ(placement.choose(question, engines).runner, nullptr);
+    question.now = start + 2s;
+    EXPECT_NE(placement.choose(question, engines).runner, nullptr);
+}
+
 TEST_F(engine_placement_test, different_beginnings_spread_over_engines)
 {
     std::set<std::string> readers;
@@ -244,6 +325,17 @@
     EXPECT_EQ(placement.choose(replicas, "z", {"far"}, 2, start, random)->report.id, "near");
 }
 
+TEST(replica_placement_test, a_replica_that_wants_no_requests_gets_none_even_where_it_is_the_last)
+{
+    replica_placement placement;
+    std::mt19937_64 random{1};
+    const std::vector<endpoint_pointer> replicas{engine("a", engine_stage::none)};
+    placement.state("a").health.asked_to_be_left_alone(1s, start);
+    placement.state("a").health.asked_to_be_left_alone(200ms, start);
+    EXPECT_EQ(placement.choose(replicas, "z", {}, 999, start + 999ms, random), nullptr);
+    EXPECT_NE(placement.choose(replicas, "z", {}, 999, start + 1s, random), nullptr);
+}
+
 TEST(replica_placement_test, prefers_a_replica_that_fails_less)
 {
     replica_placement placement;
--- /dev/null
+++ b/test/serving/reading_model_test.cpp
@@ -0,0 +1,103 @@
+#include "cicadaport/serving/reading_model.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace cicadaport::serving {
+namespace {
+
+// Engines of one kind, as the sheets of deployments describe them.
+struct engine_sheet {
+    double each_prompt_ms;
+    double tokens_per_ms;
+    double pair_ms_per_million;
+
+    fine_milliseconds time(double tokens, double pairs) const
+    {
+        return fine_milliseconds{each_prompt_ms + tokens / tokens_per_ms +
+                                 pairs / 1e6 * pair_ms_per_million};
+    }
+};
+
+double pairs_of(double tokens)
+{
+    return tokens * tokens / 2;
+}
+
+// Lets the model see prompts with a mean of 3,700 tokens and errors of a tenth.
+void observe(reading_model& model, const engine_sheet& engine, int prompts, std::uint64_t seed)
+{
+    std::mt19937_64 random{seed};
+    std::lognormal_distribution<double> size{7.6, 1.1};
+    std::normal_distribution<double> error{1, 0.1};
+    for (int prompt = 0; prompt < prompts; ++prompt) {
+        const auto tokens = size(random);
+        const auto pairs = pairs_of(tokens);
+        model.learn(tokens, pairs, engine.time(tokens, pairs) * error(random));
+    }
+}
+
+TEST(reading_model_test, predicts_what_it_was_given_before_anything_was_observed)
+{
+    const reading_model model{{}};
+    EXPECT_NEAR(model.time(10'000, 0).count(), 161, 1);
+}
+
+TEST(reading_model_test, learns_engines_that_differ_in_each_term)
+{
+    std::mt19937_64 random{1};
+    std::uniform_real_distribution<double> each_prompt{1, 100};
+    std::uniform_real_distribution<double> speed{30, 120};
+    std::uniform_real_distribution<double> pair{0.1, 0.9};
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        const engine_sheet engine{each_prompt(random), speed(random), pair(random)};
+        reading_model model{{}};
+        observe(model, engine, 100, seed);
+        for (const double tokens : {300.0, 2'000.0, 10'000.0, 30'000.0}) {
+            const auto expected = engine.time(tokens, pairs_of(tokens));
+            EXPECT_NEAR(model.time(tokens, pairs_of(tokens)) / expected, 1, 0.25)
+                << "seed " << seed << ", tokens " << tokens;
+        }
+    }
+}
+
+TEST(reading_model_test, a_few_engines_that_turn_slow_change_little)
+{
+    const engine_sheet engine{70, 54.6, 0.25};
+    reading_model model{{}};
+    std::mt19937_64 random{3};
+    std::lognormal_distribution<double> size{7.6, 1.1};
+    for (int prompt = 0; prompt < 400; ++prompt) {
+        const auto tokens = size(random);
+        const auto time = engine.time(tokens, pairs_of(tokens));
+        const bool slow = prompt % 8 == 0;
+        model.learn(tokens, pairs_of(tokens), slow ? 5 * time : time);
+    }
+    const auto expected = engine.time(10'000, pairs_of(10'000));
+    EXPECT_NEAR(model.time(10'000, pairs_of(10'000)) / expected, 1, 0.35);
+}
+
+TEST(reading_model_test, follows_engines_that_are_replaced_by_others)
+{
+    reading_model model{{}};
+    observe(model, {70, 54.6, 0.25}, 300, 1);
+    const engine_sheet faster{5, 109, 0.1};
+    observe(model, faster, 400, 2);
+    EXPECT_NEAR(model.time(5'000, pairs_of(5'000)) / faster.time(5'000, pairs_of(5'000)), 1, 0.25);
+}
+
+TEST(reading_model_test, no_term_turns_negative)
+{
+    reading_model model{{}};
+    for (int prompt = 0; prompt < 100; ++prompt) {
+        model.learn(10'000, pairs_of(10'000), fine_milliseconds{1});
+        model.learn(100, pairs_of(100), fine_milliseconds{500});
+    }
+    EXPECT_GE(model.current().each_prompt.count(), 0);
+    EXPECT_GE(model.current().each_thousand_tokens.count(), 0);
+    EXPECT_GE(model.current().each_million_pairs.count(), 0);
+}
+
+} // namespace
+} // namespace cicadaport::serving
