--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -40,6 +40,16 @@
     std::uint64_t handed_over = 0;
 };
 
+// Calls to the platform's store, for logs and metrics.
+struct store_counts {
+    // Whole lists, a page each; records from an offset on; both for orders; appends.
+    std::uint64_t pages = 0;
+    std::uint64_t configuration_reads = 0;
+    std::uint64_t endpoint_reads = 0;
+    std::uint64_t order_reads = 0;
+    std::uint64_t appends = 0;
+};
+
 // How many events the answers of a route have, as a moving average.
 class event_counts {
 public:
@@ -107,6 +117,7 @@
     late_admission late;
     std::mt19937_64 random;
     request_counts counts;
+    store_counts store_calls;
     // Null while this host tells nobody.
     news_writer* news = nullptr;
     std::uint64_t last_work = 0;
--- a/src/serving/feed_follower.cpp
+++ b/src/serving/feed_follower.cpp
@@ -45,6 +45,10 @@
     m_position.asking_since = m_asked;
     m_asked_from = m_position.offset;
     m_body.clear();
+    auto& calls = m_host.store_calls;
+    ++(m_beginning                      ? calls.pages
+       : m_which == feed::configuration ? calls.configuration_reads
+                                        : calls.endpoint_reads);
     const auto request =
         m_beginning ? m_host.wire.newest_request(m_which, m_whole.empty() ? std::string{}
                                                                           : m_whole.back().key)
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -344,12 +344,17 @@
         spdlog::info(
             "requests answered={} refused={} failed={} cut={} callers_left={} "
             "further_attempts={} handed_over={} connections_opened={} peers={} replicas={} "
-            "configuration={} configuration_age_ms={} endpoints_age_ms={}",
+            "configuration={} configuration_age_ms={} endpoints_age_ms={} store_pages={} "
+            "store_configuration_reads={} store_endpoint_reads={} store_order_reads={} "
+            "store_appends={}",
             counts.answered, counts.refused, counts.failed, counts.cut, counts.callers_left,
             counts.further_attempts, counts.handed_over, m_state.connections.opened(),
             m_news.hosts_heard(), m_state.endpoints.size(),
             m_state.deployed != nullptr ? m_state.deployed->version() : 0,
-            age_ms(m_state.configuration_position), age_ms(m_state.endpoints_position));
+            age_ms(m_state.configuration_position), age_ms(m_state.endpoints_position),
+            m_state.store_calls.pages, m_state.store_calls.configuration_reads,
+            m_state.store_calls.endpoint_reads, m_state.store_calls.order_reads,
+            m_state.store_calls.appends);
     }
 
     std::int64_t age_ms(const list_position& of) const
--- a/src/serving/stage_director.cpp
+++ b/src/serving/stage_director.cpp
@@ -109,6 +109,7 @@
 
 void stage_director::read_announcements(const change_pointer& current, const std::string& after)
 {
+    ++m_host.store_calls.order_reads;
     call_once(m_host, m_store, m_host.wire.newest_request(feed::orders, after), store_time,
               [this, current, first = after.empty()](const std::optional<call_answer>& answer) {
                   if (!answer) {
@@ -216,6 +217,7 @@
         entries.emplace_back(each.engine, std::string{to_string(each.to)});
     }
     current->announced = m_host.timers.now();
+    ++m_host.store_calls.appends;
     call_once(m_host, m_store, m_host.wire.append_request(feed::orders, entries, current->list_end),
               store_time, [this, current](const std::optional<call_answer>& answer) {
                   const auto offset =
--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -240,9 +240,11 @@
 }
 
 class settings_test : public ::testing::Test {
+public:
+    ~settings_test() override { std::remove(file.c_str()); }
+
 protected:
     settings_test() : file{std::string{std::tmpnam(nullptr)} + ".toml"} {}
-    ~settings_test() override { std::remove(file.c_str()); }
 
     void write(const std::string& text) const { std::ofstream{file} << text; }
 
