serving: the log tells which replica names a limit of requests and what it is sent

Cause: a replica in need names in its answers how many requests a second it takes. No decision uses it. An answer without a limit ends one only if its request was sent after the newest answer that named it: answers overtake each other. The test's whole host moved to a header, so that another file may use it.

--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -6,6 +6,7 @@
 #include "cicadaport/serving/line_budget.h"
 #include "cicadaport/serving/list_position.h"
 #include "cicadaport/serving/placement.h"
+#include "cicadaport/serving/request_limits.h"
 #include "cicadaport/serving/size_fairness.h"
 #include "cicadaport/transport/connection_pool.h"
 
@@ -85,6 +86,12 @@
 
     // The replica has said in an answer that it leaves.
     void note_leaving(const endpoint& replica);
+    // The replica has answered the request `request`, sent at `asked`, and names a
+    // limit or none.
+    void note_limit(const endpoint& replica, const answer_terms& terms, std::string_view request,
+                    time_point asked);
+    // Logs what was sent to replicas that name a limit.
+    void tell_limit_uses();
     // Forgets what was known of replicas that are no longer offered.
     void forget_dropped();
     // Returns when the first replica of a service wants requests again; nothing if it
@@ -108,6 +115,9 @@
     milliseconds apply_time{2'000};
     // For requests that no route takes.
     line_budget unrouted_lines;
+    // What replicas say of the requests that they take; and its lines in the log.
+    request_limits limits;
+    line_budget limit_lines;
     attempt_budget budget;
     fleet_work fleet;
     engine_placement engines;
--- a/include/cicadaport/serving/wire.h
+++ b/include/cicadaport/serving/wire.h
@@ -68,6 +68,10 @@
     bool is_leaving = false;
     // The endpoint wants no requests from this host for so long.
     std::optional<milliseconds> leave_alone;
+    // The endpoint names how many requests a second it takes from all hosts together;
+    // nothing if that can't be read.
+    bool names_limit = false;
+    std::optional<double> requests_per_second;
 };
 
 // Lists in the platform's store: two that hosts follow, and the announcements
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -304,6 +304,7 @@
         m_ran_before = m_ran_before || m_unsettled;
         m_unsettled = true;
     }
+    m_host.limits.count_sent(to->report.id, what == step::reading_prompt);
     m_connection->send(m_host.wire.run_request(m_head, m_body, complete), *this);
 }
 
@@ -323,6 +324,10 @@
         health_of_endpoint().asked_to_be_left_alone(*m_answer_terms.leave_alone,
                                                     m_host.timers.now());
     }
+    // A replica that has taken over the address answers so.
+    if (m_answer->status != status_misdirected) {
+        m_host.note_limit(*m_endpoint, m_answer_terms, m_terms.id, m_sent);
+    }
     if (m_answer_terms.is_leaving) {
         m_host.note_leaving(*m_endpoint);
     }
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -278,6 +278,9 @@
             const auto report = m_state.wire.read_endpoint(each);
             const bool changed = report ? m_state.endpoints.apply(*report, now)
                                         : m_state.endpoints.remove(each.key, now);
+            if (report) {
+                m_state.limits.forget_before(report->id, report->incarnation);
+            }
             if (changed) {
                 out.changed.push_back(each);
             }
@@ -330,6 +333,7 @@
     void housekeep()
     {
         m_state.connections.trim();
+        m_state.tell_limit_uses();
         m_state.fleet.forget_old(m_state.timers.now());
         if (++m_housekeepings % tell_every == 0) {
             tell_counts();
--- a/src/serving/host_state.cpp
+++ b/src/serving/host_state.cpp
@@ -79,6 +79,40 @@
     }
 }
 
+void host_state::note_limit(const endpoint& replica, const answer_terms& terms,
+                            std::string_view request, time_point asked)
+{
+    if (terms.names_limit && !terms.requests_per_second) {
+        return;
+    }
+    const auto now = timers.now();
+    const limit_statement said{replica.report.id, replica.report.incarnation,
+                               terms.requests_per_second, asked};
+    const auto change = limits.note(said, now);
+    if (change != limit_change::none && limit_lines.take(now)) {
+        spdlog::info("endpoint_limit id={} change={} per_second={} source=own_answer request={} "
+                     "asked_ms={} passed_over={}",
+                     said.endpoint, to_string(change), said.per_second.value_or(0), request,
+                     std::chrono::duration_cast<milliseconds>(now - asked).count(),
+                     limit_lines.take_passed_over());
+    }
+}
+
+void host_state::tell_limit_uses()
+{
+    const auto now = timers.now();
+    for (const auto& each : limits.take_uses(now)) {
+        if (limit_lines.take(now)) {
+            spdlog::info(
+                "endpoint_limit_use id={} per_second={} age_ms={} runs={} prompt_readings={} "
+                "passed_over={}",
+                each.endpoint, each.per_second,
+                std::chrono::duration_cast<milliseconds>(each.age).count(), each.runs,
+                each.prompt_readings, limit_lines.take_passed_over());
+        }
+    }
+}
+
 void host_state::forget_dropped()
 {
     for (const auto& each : endpoints.take_dropped()) {
--- /dev/null
+++ b/test/platform/host_fixture.h
@@ -0,0 +1,197 @@
+// A whole host process before stand-ins of the platform, for tests.
+#pragma once
+
+#include "caller.h"
+#include "stand_ins.h"
+
+#include "platform/wire.h"
+
+#include "cicadaport/serving/host_process.h"
+
+#include <gtest/gtest.h>
+#include <spdlog/sinks/ostream_sink.h>
+#include <spdlog/spdlog.h>
+
+#include <sstream>
+
+namespace cicadaport::platform::testing {
+
+using namespace std::chrono_literals;
+
+constexpr std::string_view configuration_topic = "keyed.op";
+constexpr std::string_view replicas_topic = "keyed.servers";
+constexpr auto longest_wait = 8s;
+
+// Waits until `done`, without dependence on how fast things go.
+template <typename Done>
+bool eventually(Done done)
+{
+    const auto limit = std::chrono::steady_clock::now() + longest_wait;
+    while (!done() && std::chrono::steady_clock::now() < limit) {
+        std::this_thread::sleep_for(2ms);
+    }
+    return done();
+}
+
+inline std::uint16_t free_port()
+{
+    boost::asio::io_context context;
+    const tcp::acceptor probe{context, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    return probe.local_endpoint().port();
+}
+
+inline std::string request(const std::string& method, const std::string& target,
+                           const std::string& id, const std::string& fields = "",
+                           const std::string& body = "")
+{
+    return method + " " + target + " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + id +
+           "\r\nDeadline-Ms: 5000\r\n" + fields +
+           (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+           "\r\n" + body;
+}
+
+// What the process logs, from here on.
+class captured_log {
+public:
+    captured_log() : m_before{spdlog::default_logger()}
+    {
+        auto sink = std::make_shared<spdlog::sinks::ostream_sink_mt>(m_text);
+        spdlog::set_default_logger(std::make_shared<spdlog::logger>("test", sink));
+    }
+    // The process must have ended.
+    ~captured_log() { spdlog::set_default_logger(m_before); }
+
+    std::string text() const { return m_text.str(); }
+
+private:
+    std::ostringstream m_text;
+    std::shared_ptr<spdlog::logger> m_before;
+};
+
+inline spoken signed_answer(const received_request& to, const std::string& body)
+{
+    return say(200, "Request-Id: " + to.field("Request-Id") + "\r\nResponse-Seal: s\r\n", body);
+}
+
+inline spoken not_executed(const received_request& to)
+{
+    return say(503, "Request-Id: " + to.field("Request-Id") + "\r\nNot-Executed: 1\r\n", "");
+}
+
+inline std::string events(int from, int to)
+{
+    std::string out;
+    for (int id = from; id <= to; ++id) {
+        out += "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+    }
+    return out;
+}
+
+inline spoken stream(const received_request& to, const std::string& signature,
+                     const std::string& bytes, spoken::then after)
+{
+    char size[16];
+    std::snprintf(size, sizeof(size), "%zx", bytes.size());
+    return {"HTTP/1.1 200 OK\r\nRequest-Id: " + to.field("Request-Id") +
+                "\r\nResponse-Seal: " + signature + "\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                size + "\r\n" + bytes + "\r\n" + (after == spoken::then::keep ? "0\r\n\r\n" : ""),
+            after};
+}
+
+class host_test : public ::testing::Test {
+protected:
+    void SetUp() override
+    {
+        publish(1);
+        settings.name = "host-1";
+        settings.availability_zone = "z";
+        settings.caller_address = {"127.0.0.1", free_port()};
+        settings.readiness_address = {"127.0.0.1", free_port()};
+        settings.store_address = store.address();
+        settings.peers.own = {"127.0.0.1", free_port()};
+        settings.attempts.ratio = 0.2;
+        settings.accepting_after_stop = 20ms;
+        speech = std::make_unique<wire>(settings.store_address);
+    }
+
+    void TearDown() override { stop_host(); }
+
+    void stop_host()
+    {
+        if (process) {
+            process->stop();
+            thread.join();
+            process.reset();
+        }
+    }
+
+    void start_host()
+    {
+        process = std::make_unique<serving::host_process>([this] { return settings; }, *speech);
+        thread = std::thread{[this] { process->run(); }};
+    }
+
+    // Starts the host and waits until it is ready and knows its replicas.
+    void start()
+    {
+        start_host();
+        ASSERT_TRUE(eventually([this] { return ready() == 200; }));
+    }
+
+    unsigned ready()
+    {
+        try {
+            return caller{settings.readiness_address}.ask("GET /-/ready HTTP/1.1\r\n\r\n").status;
+        }
+        catch (const boost::system::system_error&) {
+            return 0;
+        }
+    }
+
+    // `padding` is the size of a field that says nothing.
+    void publish(int version, int most_attempts = 2, std::size_t padding = 0)
+    {
+        const auto route = [&](const std::string& name, const std::string& kind,
+                               const std::string& more) {
+            return R"({"name":")" + name + R"(","host":"h.example","path-prefix":"/)" + name +
+                   R"(/","kind":")" + kind + R"(","timeout-ms":5000,"target-latency-ms":2000,)" +
+                   R"("max-attempts":)" + std::to_string(most_attempts) + more + "}";
+        };
+        const std::string routes =
+            route("safe", "safe", R"(,"service":"s")") + "," +
+            route("once", "unsafe", R"(,"service":"s")") + "," +
+            route("stream", "streaming", R"(,"service":"s")") + "," +
+            route("going", "streaming", R"(,"service":"s","resumable":true)") + "," +
+            route("prompt", "streaming", R"(,"service":"e","sticky":true)") + "," +
+            route("v" + std::to_string(version), "safe", R"(,"service":"s")");
+        store.put(std::string{configuration_topic}, "config",
+                  R"({"version":)" + std::to_string(version) + R"(,"padding":")" +
+                      std::string(padding, 'x') + R"(","routes":[)" + routes +
+                      R"(],"services":[{"name":"s","max-conns":64},{"name":"e","max-conns":64,)"
+                      R"("engine":{"slots":64,"token-kv-bytes":1000,"link-mbps":1000}}],)"
+                      R"("limits":{"idle-timeout-ms":60000}})");
+    }
+
+    void list_replica(const std::string& id, const http::address& at,
+                      const std::string& service = "s", const std::string& more = "",
+                      const std::string& state = "ready", int sequence = 1)
+    {
+        store.put(std::string{replicas_topic}, id,
+                  R"({"service":")" + service + R"(","address":")" + http::to_string(at) +
+                      R"(","zone":"z","slots":4,"state":")" + state + R"(","sequence":)" +
+                      std::to_string(sequence) + R"(,"born":1)" + more + "}");
+    }
+
+    caller::answer ask(const std::string& bytes)
+    {
+        return caller{settings.caller_address}.ask(bytes);
+    }
+
+    standin_store store;
+    serving::host_settings settings;
+    std::unique_ptr<wire> speech;
+    std::unique_ptr<serving::host_process> process;
+    std::thread thread;
+};
+
+} // namespace cicadaport::platform::testing
--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -117,6 +117,24 @@
     EXPECT_EQ(terms(429, "Retry-After", "1").leave_alone, std::nullopt);
 }
 
+TEST(wire_test, reads_how_many_requests_a_replica_takes)
+{
+    const auto terms = [](unsigned status, const std::string& value) {
+        transport::message_head answer;
+        answer.status = status;
+        answer.fields.add("Server-Limit", value);
+        return speech.read_answer(answer);
+    };
+    EXPECT_EQ(terms(200, "5.6").requests_per_second, 5.6);
+    EXPECT_EQ(terms(503, " 1 ").requests_per_second, 1.0);
+    EXPECT_EQ(terms(200, "0").requests_per_second, 0.0);
+    for (const auto* nonsense : {"-1", "nan", "inf", "few", "", "1 2"}) {
+        EXPECT_EQ(terms(200, nonsense).requests_per_second, std::nullopt) << nonsense;
+        EXPECT_TRUE(terms(200, nonsense).names_limit) << "no reason to take it for ended";
+    }
+    EXPECT_FALSE(speech.read_answer({}).names_limit);
+}
+
 TEST(wire_test, says_where_a_prompts_memory_lies_and_after_which_event_to_go_on)
 {
     serving::run_terms terms;
--- /dev/null
+++ b/test/serving/request_limits_test.cpp
@@ -0,0 +1,62 @@
+#include "cicadaport/serving/request_limits.h"
+
+#include <gmock/gmock.h>
+
+namespace cicadaport::serving {
+namespace {
+
+using namespace std::chrono_literals;
+
+const time_point start{std::chrono::hours{1}};
+
+limit_statement named(double per_second, time_point asked = start)
+{
+    return {"i-1", 1, per_second, asked};
+}
+
+limit_statement not_named(time_point asked)
+{
+    return {"i-1", 1, std::nullopt, asked};
+}
+
+TEST(request_limits_test, a_limit_lasts_until_a_later_request_is_answered_without_it)
+{
+    request_limits limits;
+    EXPECT_EQ(limits.note(named(5.6), start + 1s), limit_change::begun);
+    EXPECT_EQ(limits.note(named(5.6), start + 2s), limit_change::none);
+    EXPECT_EQ(limits.note(named(4), start + 2s), limit_change::changed);
+    EXPECT_EQ(limits.note(not_named(start + 1s), start + 3s), limit_change::none)
+        << "it may have been answered before the limit was named";
+    EXPECT_EQ(limits.note(not_named(start + 3s), start + 4s), limit_change::ended);
+    EXPECT_EQ(limits.note(not_named(start + 4s), start + 5s), limit_change::none);
+}
+
+TEST(request_limits_test, a_restarted_replica_has_named_nothing)
+{
+    request_limits limits;
+    limits.note(named(5), start);
+    limits.forget_before("i-1", 1);
+    EXPECT_EQ(limits.note(named(5), start), limit_change::none);
+    limits.forget_before("i-1", 2);
+    EXPECT_EQ(limits.note({"i-1", 2, 5.0, start}, start), limit_change::begun);
+    EXPECT_EQ(limits.note(named(9), start), limit_change::none) << "said before the restart";
+}
+
+TEST(request_limits_test, counts_what_is_sent_to_replicas_with_a_limit)
+{
+    request_limits limits;
+    limits.count_sent("i-1", false);
+    limits.note(named(5), start);
+    limits.count_sent("i-1", false);
+    limits.count_sent("i-1", true);
+    limits.count_sent("i-1", true);
+    const auto uses = limits.take_uses(start + 1s);
+    ASSERT_EQ(uses.size(), 1U);
+    EXPECT_EQ(uses[0].runs, 1U);
+    EXPECT_EQ(uses[0].prompt_readings, 2U);
+    EXPECT_EQ(uses[0].age, 1s);
+    EXPECT_TRUE(limits.take_uses(start + 2s).empty());
+}
+
+} // namespace
+} // namespace cicadaport::serving
