serving: all hosts together keep the limit that a replica in need names

What callers saw: nothing; the replica in need got 2 to 4 times what it had asked for (80 requests in 4 s where 45 were allowed). Cause: nothing read the limit; each host went on sending as before. Class: what a replica says of itself in an answer, for all hosts, reaches only code that looks for one statement after the other; a statement nobody looks for is passed on to the caller and lost. Change: request_limits, a decision without clocks or sockets. Hosts have no common count, so each takes a part that follows from the number of hosts; where the parts would be seldom and many, a few hosts share the limit, in an order on which all agree (host_directory::place_for). Runs, second attempts and prompts read for another engine count alike, at the moment of sending; a prompt that was read finds another runner if the one of its plan has taken what it can. Hosts tell each other of a limit and of its end, with the age of the request that showed it. A silent host keeps its part for 30 s. Ruled out: each host keeping the limit for itself (the fleet test), and a limit kept for runs alone (the engines' test).

--- a/include/cicadaport/serving/host_directory.h
+++ b/include/cicadaport/serving/host_directory.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include "cicadaport/serving/fleet_work.h"
+#include "cicadaport/serving/request_limits.h"
 
 #include <compare>
 #include <map>
@@ -48,6 +49,9 @@
     // Hosts that follow each other's work, at most, on average. At 100 hosts of 12
     // requests a second one takes in 0.03 of a core what the others tell.
     static constexpr std::size_t cell_size = 100;
+    // A host counts among those that share what replicas take for so long after it
+    // was last heard or named.
+    static constexpr std::chrono::seconds counted{30};
     // Zones of fewer known hosts than this are told directly.
     static constexpr std::size_t relayed_from = 3;
 
@@ -90,6 +94,10 @@
 
     std::size_t size() const noexcept { return m_known.size(); }
 
+    // Returns this host's place among all that may send requests to a replica, given by
+    // its number. A host counts for a while after it fell silent: it may go on sending.
+    fleet_place place_for(std::uint32_t endpoint, time_point now) const;
+
     // Returns into how many cells the fleet is divided, a power of two.
     std::uint64_t cells() const noexcept;
 
@@ -112,6 +120,8 @@
     std::map<peer_address, entry> m_known;
     // Named by others, not heard yet, and when last.
     std::map<peer_address, time_point> m_named;
+    // When each host was last heard or named.
+    std::map<peer_address, time_point> m_counted;
 };
 
 } // namespace cicadaport::serving
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -26,6 +26,10 @@
     // engine belongs to the own one.
     virtual std::uint64_t cells() const noexcept = 0;
     virtual bool is_in_cell(std::uint32_t engine) const noexcept = 0;
+    // Returns this host's place among all that may send requests to a replica.
+    virtual fleet_place place_for(std::uint32_t endpoint) const = 0;
+    // A replica names a limit, or none any longer.
+    virtual void limit_named(const limit_statement& said) = 0;
     // The engine changes its stage and takes no work for a time.
     virtual void engine_changes(std::uint32_t engine, engine_stage to, milliseconds time) = 0;
 };
@@ -90,12 +94,20 @@
     // limit or none.
     void note_limit(const endpoint& replica, const answer_terms& terms, std::string_view request,
                     time_point asked);
+    // Another host has told what a replica names.
+    void note_told_limit(const limit_statement& said);
+    // Returns the endpoints that a request must not be sent to: `failed`, which have
+    // failed it, and those of whose limit this host's part is used up. Valid until the
+    // next call.
+    const std::set<std::string>& closed_to(const std::set<std::string>& failed);
+    // Whether a replica wants a request now, one that reads prompts or another.
+    bool wants_request(const endpoint& replica, bool is_engine);
     // Logs what was sent to replicas that name a limit.
     void tell_limit_uses();
     // Forgets what was known of replicas that are no longer offered.
     void forget_dropped();
-    // Returns when the first replica of a service wants requests again; nothing if it
-    // has none that is left alone.
+    // Returns when the first replica of a service wants requests again, of those that
+    // want none now; nothing if there is none.
     std::optional<time_point> first_return(const std::string& service_name);
     // What is known of a replica, of one that reads prompts or of another.
     endpoint_health& health_of(const endpoint& replica, bool is_engine);
@@ -135,7 +147,12 @@
     bool is_stopping = false;
 
 private:
+    fleet_place place_for(const std::string& replica) const;
+    void tell_limit(const limit_statement& said, limit_change change, std::string_view source,
+                    std::string_view request);
+
     std::vector<endpoint_pointer> m_cell_engines;
+    std::set<std::string> m_closed;
 };
 
 } // namespace cicadaport::serving
--- a/include/cicadaport/serving/placement.h
+++ b/include/cicadaport/serving/placement.h
@@ -85,7 +85,7 @@
     double memory_tokens = 0;
     std::string_view availability_zone;
     time_point now{};
-    // Endpoints that have failed this request.
+    // Endpoints that must not be used for this request.
     const std::set<std::string>* excluded = nullptr;
     // Whether another engine may read the prompt.
     bool may_hand_over = true;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -148,10 +148,10 @@
 {
     const auto now = m_host.timers.now();
     const auto& replicas = m_host.endpoints.serving(m_service);
-    const auto chosen = m_host.replicas.choose(replicas, m_host.availability_zone, m_excluded,
-                                               target != nullptr ? m_host.connection_share(*target)
-                                                                 : service{}.most_connections,
-                                               now, m_host.random);
+    const auto chosen = m_host.replicas.choose(
+        replicas, m_host.availability_zone, m_host.closed_to(m_excluded),
+        target != nullptr ? m_host.connection_share(*target) : service{}.most_connections, now,
+        m_host.random);
     if (chosen == nullptr) {
         refuse(pause_until_return(), "no replica to use");
         return;
@@ -172,7 +172,7 @@
     }
     question.availability_zone = m_host.availability_zone;
     question.now = m_host.timers.now();
-    question.excluded = &m_excluded;
+    question.excluded = &m_host.closed_to(m_excluded);
     question.pause_objective = m_route->pause_objective;
     question.many_events = m_host.events.are_many(m_route->name);
     question.may_hand_over = !m_hand_over_tried && !m_events.last_event();
@@ -456,7 +456,7 @@
     m_host.engines.note_reading(m_endpoint->report.id, m_plan, observed);
     m_prompt = read_prompt{m_address, std::move(*handle)};
     const auto& runner = *m_plan.runner;
-    if (runner.gone || m_host.health_of(runner, true).is_left_alone(m_host.timers.now())) {
+    if (runner.gone || !m_host.wants_request(runner, true)) {
         place();
         return;
     }
--- a/src/serving/host_directory.cpp
+++ b/src/serving/host_directory.cpp
@@ -14,6 +14,7 @@
         return 0;
     }
     m_named.erase(at);
+    m_counted[at] = now;
     auto& known = m_known[at];
     const auto before = std::exchange(known.number, number);
     known.zone = zone;
@@ -25,6 +26,7 @@
 {
     if (at != m_own && !m_known.contains(at)) {
         m_named[at] = now;
+        m_counted[at] = now;
     }
 }
 
@@ -40,6 +42,7 @@
         return gone;
     });
     std::erase_if(m_named, [&](const auto& each) { return now - each.second > silence; });
+    std::erase_if(m_counted, [&](const auto& each) { return now - each.second > counted; });
     return out;
 }
 
@@ -108,6 +111,23 @@
     return out;
 }
 
+fleet_place host_directory::place_for(std::uint32_t endpoint, time_point now) const
+{
+    const auto weight_of = [endpoint](const peer_address& at) {
+        constexpr unsigned port_bits = 16;
+        return mix(mix(endpoint) ^ (std::uint64_t{at.ip} << port_bits | at.port));
+    };
+    const auto own = weight_of(m_own);
+    fleet_place out;
+    for (const auto& [at, last] : m_counted) {
+        if (now - last <= counted) {
+            ++out.hosts;
+            out.rank += weight_of(at) > own ? 1 : 0;
+        }
+    }
+    return out;
+}
+
 std::uint64_t host_directory::cells() const noexcept
 {
     std::uint64_t count = 1;
--- a/src/serving/host_state.cpp
+++ b/src/serving/host_state.cpp
@@ -89,15 +89,62 @@
     const limit_statement said{replica.report.id, replica.report.incarnation,
                                terms.requests_per_second, asked};
     const auto change = limits.note(said, now);
-    if (change != limit_change::none && limit_lines.take(now)) {
-        spdlog::info("endpoint_limit id={} change={} per_second={} source=own_answer request={} "
-                     "asked_ms={} passed_over={}",
-                     said.endpoint, to_string(change), said.per_second.value_or(0), request,
-                     std::chrono::duration_cast<milliseconds>(now - asked).count(),
-                     limit_lines.take_passed_over());
+    tell_limit(said, change, "own_answer", request);
+    const bool again = limits.take_telling(said.endpoint, now);
+    if (news != nullptr && (again || change != limit_change::none)) {
+        news->limit_named(said);
     }
 }
 
+void host_state::note_told_limit(const limit_statement& said)
+{
+    const auto now = timers.now();
+    tell_limit(said, limits.note(said, now), "other_host", "");
+    limits.note_told(said.endpoint, now);
+}
+
+void host_state::tell_limit(const limit_statement& said, limit_change change,
+                            std::string_view source, std::string_view request)
+{
+    const auto now = timers.now();
+    if (change == limit_change::none || !limit_lines.take(now)) {
+        return;
+    }
+    const auto place = place_for(said.endpoint);
+    spdlog::info("endpoint_limit id={} change={} per_second={} source={} request={} asked_ms={} "
+                 "hosts={} rank={} passed_over={}",
+                 said.endpoint, to_string(change), said.per_second.value_or(0), source, request,
+                 std::chrono::duration_cast<milliseconds>(now - said.asked).count(), place.hosts,
+                 place.rank, limit_lines.take_passed_over());
+}
+
+fleet_place host_state::place_for(const std::string& replica) const
+{
+    return news != nullptr ? news->place_for(engine_number(replica)) : fleet_place{};
+}
+
+const std::set<std::string>& host_state::closed_to(const std::set<std::string>& failed)
+{
+    const auto limited = limits.limited();
+    if (limited.empty()) {
+        return failed;
+    }
+    m_closed = failed;
+    for (const auto& each : limited) {
+        if (!limits.may_send(each, place_for(each), timers.now())) {
+            m_closed.insert(each);
+        }
+    }
+    return m_closed;
+}
+
+bool host_state::wants_request(const endpoint& replica, bool is_engine)
+{
+    const auto& id = replica.report.id;
+    return !health_of(replica, is_engine).is_left_alone(timers.now()) &&
+           limits.may_send(id, place_for(id), timers.now());
+}
+
 void host_state::tell_limit_uses()
 {
     const auto now = timers.now();
@@ -134,9 +181,15 @@
     const bool has_engines = target != nullptr && target->engines;
     std::optional<time_point> out;
     for (const auto& each : endpoints.serving(service_name)) {
-        const auto& health = health_of(*each, has_engines);
-        if (health.is_left_alone(timers.now())) {
-            out = std::min(out.value_or(time_point::max()), health.left_alone_until());
+        if (wants_request(*each, has_engines)) {
+            continue;
+        }
+        const auto& id = each->report.id;
+        const auto sending = limits.next_sending(id, place_for(id), timers.now());
+        if (sending) {
+            const auto wanted =
+                std::max(*sending, health_of(*each, has_engines).left_alone_until());
+            out = std::min(out.value_or(time_point::max()), wanted);
         }
     }
     return out;
--- a/src/serving/peer_news.cpp
+++ b/src/serving/peer_news.cpp
@@ -70,6 +70,7 @@
         return;
     }
     m_host.news = this;
+    m_started = m_host.timers.now();
     receive();
     greet();
 }
@@ -104,6 +105,27 @@
     gather();
 }
 
+void peer_news::limit_named(const limit_statement& said)
+{
+    protocol::host_news news;
+    news.set_sender(m_own_number);
+    auto& limit = *news.add_limits();
+    limit.set_endpoint(said.endpoint);
+    limit.set_incarnation(said.incarnation);
+    limit.set_is_named(said.per_second.has_value());
+    limit.set_per_second(said.per_second.value_or(0));
+    const auto age = std::chrono::duration_cast<milliseconds>(m_host.timers.now() - said.asked);
+    limit.set_asked_ms(static_cast<std::uint32_t>(age.count()));
+    spread(news, m_directory.routes_for_greeting(++m_greetings));
+}
+
+fleet_place peer_news::place_for(std::uint32_t endpoint) const
+{
+    const auto now = m_host.timers.now();
+    return now - m_started < settling_time ? fleet_place{most_hosts, most_hosts - 1}
+                                           : m_directory.place_for(endpoint, now);
+}
+
 void peer_news::list_read(const shared_page& page)
 {
     // Parts of the page that fit into a datagram each.
@@ -247,7 +269,7 @@
     news.clear_pass_on();
     const auto bytes = news.SerializeAsString();
     const peer_address source{from.address().to_v4().to_uint(), from.port()};
-    const bool of_work = !news.has_own() && !news.has_feed();
+    const bool of_work = !news.has_own() && !news.has_feed() && news.limits().empty();
     for (const auto& each : m_directory.zone_mates(of_work)) {
         if (each != source) {
             send(bytes, each);
@@ -331,6 +353,15 @@
             each.engine(), each.to_prefill() ? engine_stage::prefill : engine_stage::decode,
             now + milliseconds{each.time_ms()});
     }
+    for (const auto& each : news.limits()) {
+        if (!std::isfinite(each.per_second()) || each.per_second() < 0) {
+            spdlog::debug("peer_news_unreadable peer={}", from.address().to_string());
+            continue;
+        }
+        m_host.note_told_limit({each.endpoint(), each.incarnation(),
+                                each.is_named() ? std::optional{each.per_second()} : std::nullopt,
+                                now - milliseconds{each.asked_ms()}});
+    }
     for (const auto& each : news.others()) {
         m_directory.note_named({each.ip(), static_cast<std::uint16_t>(each.port())}, now);
     }
--- a/src/serving/request_limits.cpp
+++ b/src/serving/request_limits.cpp
@@ -1,6 +1,14 @@
 #include "cicadaport/serving/request_limits.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace cicadaport::serving {
+namespace {
+
+using fine_seconds = std::chrono::duration<double>;
+
+} // namespace
 
 std::string_view to_string(limit_change change)
 {
@@ -35,6 +43,9 @@
         m_records.erase(found);
     }
     auto& noted = m_records[said.endpoint];
+    if (!known) {
+        noted.permits_at = now;
+    }
     const auto before = std::exchange(noted.per_second, *said.per_second);
     noted.incarnation = said.incarnation;
     noted.named_at = now;
@@ -44,14 +55,103 @@
     return before != noted.per_second ? limit_change::changed : limit_change::none;
 }
 
+bool request_limits::take_telling(const std::string& endpoint, time_point now)
+{
+    const auto found = m_records.find(endpoint);
+    if (found == m_records.end() || now - found->second.told_at < telling_interval) {
+        return false;
+    }
+    found->second.told_at = now;
+    return true;
+}
+
+void request_limits::note_told(const std::string& endpoint, time_point now)
+{
+    const auto found = m_records.find(endpoint);
+    if (found != m_records.end()) {
+        found->second.told_at = now;
+    }
+}
+
+request_limits::share request_limits::share_of(const record& limit, const fleet_place& place,
+                                               time_point now)
+{
+    const auto total = std::max(limit.per_second * used_part, least_per_second);
+    const auto burst = shared_burst + limit.per_second * fine_seconds{burst_time}.count();
+    const auto hosts = static_cast<double>(place.hosts);
+    const auto sharing = std::clamp(std::floor(burst), 1.0, hosts);
+    if (static_cast<double>(place.rank) < sharing) {
+        return {total / sharing, burst / sharing};
+    }
+    const bool told = now - limit.named_at <= silence;
+    return {told ? 0 : total * trial_part / hosts, 1};
+}
+
+request_limits::share request_limits::refill(record& limit, const fleet_place& place,
+                                             time_point now)
+{
+    const auto part = share_of(limit, place, now);
+    const fine_seconds passed = now - std::exchange(limit.permits_at, now);
+    if (part.per_second > 0) {
+        limit.permits = std::min(limit.permits + part.per_second * passed.count(), part.burst);
+    }
+    else {
+        // Hosts that try the replica later do so one after the other.
+        limit.permits = static_cast<double>(place.rank) / static_cast<double>(place.hosts);
+    }
+    return part;
+}
+
+bool request_limits::may_send(const std::string& endpoint, const fleet_place& place, time_point now)
+{
+    const auto found = m_records.find(endpoint);
+    if (found == m_records.end()) {
+        return true;
+    }
+    refill(found->second, place, now);
+    return found->second.permits >= 1;
+}
+
+std::optional<time_point> request_limits::next_sending(const std::string& endpoint,
+                                                       const fleet_place& place, time_point now)
+{
+    const auto found = m_records.find(endpoint);
+    if (found == m_records.end()) {
+        return now;
+    }
+    const auto part = refill(found->second, place, now);
+    if (part.per_second <= 0) {
+        return std::nullopt;
+    }
+    const fine_seconds wait{std::max(1 - found->second.permits, 0.0) / part.per_second};
+    return now + std::chrono::duration_cast<clock::duration>(wait);
+}
+
 void request_limits::count_sent(const std::string& endpoint, bool only_reads_prompt)
 {
     const auto found = m_records.find(endpoint);
     if (found != m_records.end()) {
+        found->second.permits -= 1;
         ++(only_reads_prompt ? found->second.prompt_readings : found->second.runs);
     }
 }
 
+std::vector<std::string> request_limits::limited() const
+{
+    std::vector<std::string> out;
+    out.reserve(m_records.size());
+    for (const auto& [endpoint, each] : m_records) {
+        out.push_back(endpoint);
+    }
+    return out;
+}
+
+void request_limits::forget_old(time_point now)
+{
+    std::erase_if(m_records,
+                  [&](const auto& each) { return now - each.second.named_at > remembered; });
+}
+
 void request_limits::forget_before(const std::string& endpoint, std::int64_t incarnation)
 {
     const auto found = m_records.find(endpoint);
--- a/test/serving/host_directory_test.cpp
+++ b/test/serving/host_directory_test.cpp
@@ -129,5 +129,38 @@
     EXPECT_NEAR(static_cast<double>(engines), 90, 35);
 }
 
+TEST(host_directory_test, hosts_agree_on_an_order_that_differs_from_replica_to_replica)
+{
+    constexpr std::uint32_t hosts = 20;
+    std::set<std::size_t> first_ranks;
+    for (std::uint32_t replica = 1; replica <= 10; ++replica) {
+        std::set<std::size_t> ranks;
+        for (std::uint32_t own = 1; own <= hosts; ++own) {
+            host_directory directory{at(own), own, own_zone};
+            for (std::uint32_t other = 1; other <= hosts; ++other) {
+                directory.note(at(other), other, own_zone, start);
+            }
+            const auto place = directory.place_for(replica, start);
+            EXPECT_EQ(place.hosts, hosts);
+            ranks.insert(place.rank);
+            if (own == 1) {
+                first_ranks.insert(place.rank);
+            }
+        }
+        EXPECT_THAT(ranks, SizeIs(hosts)) << "each place is taken once";
+    }
+    EXPECT_GT(first_ranks.size(), 4U);
+}
+
+TEST(host_directory_test, a_host_that_falls_silent_keeps_its_place_for_a_while)
+{
+    auto directory = directory_of(6);
+    directory.forget_silent(start + 10s);
+    EXPECT_EQ(directory.size(), 0U);
+    EXPECT_EQ(directory.place_for(1, start + 10s).hosts, 6U);
+    directory.forget_silent(start + 31s);
+    EXPECT_EQ(directory.place_for(1, start + 31s).hosts, 1U);
+}
+
 } // namespace
 } // namespace cicadaport::serving
