serving: limits of replicas hold while hosts come, go and find each other

Change: note_answer takes what any answer says of its replica; orders and questions count and wait; engines are shared by the hosts of their cell; a host that has just started takes itself for the last of 410 for 4 s; the end is told again for 4 s. Of several limits in one answer the lowest counts; one that is no number changes nothing. A field of an answer that the adapter does not know is logged once by its name: a statement that nobody reads shows there first. Tested: shared_limit_test plays fleets of 1, 6, 87, 195 and 410 hosts with lost news, uneven traffic, restarts, freezes, divided fleets.

--- a/include/cicadaport/serving/host_directory.h
+++ b/include/cicadaport/serving/host_directory.h
@@ -55,9 +55,16 @@
     // Zones of fewer known hosts than this are told directly.
     static constexpr std::size_t relayed_from = 3;
 
-    // `zone` is a digest of the availability zone's name.
-    host_directory(peer_address own, host_number number, std::uint32_t zone)
-        : m_own{own}, m_number{number}, m_zone{zone}
+    // A host that started less than this ago may not know the others yet. It takes
+    // itself for the last of the largest fleet that is provided for.
+    static constexpr std::chrono::seconds settling_time{4};
+    static constexpr std::size_t most_hosts = 410;
+
+    // `zone` is a digest of the availability zone's name; `started` is when this host
+    // began to hear the others.
+    host_directory(peer_address own, host_number number, std::uint32_t zone,
+                   time_point started = {})
+        : m_own{own}, m_number{number}, m_zone{zone}, m_started{started}
     {
     }
 
@@ -95,14 +102,18 @@
     std::size_t size() const noexcept { return m_known.size(); }
 
     // Returns this host's place among all that may send requests to a replica, given by
-    // its number. A host counts for a while after it fell silent: it may go on sending.
-    fleet_place place_for(std::uint32_t endpoint, time_point now) const;
+    // its number; with `in_cell` those of the replica's cell alone may. A host counts for
+    // a while after it fell silent: it may go on sending.
+    fleet_place place_for(std::uint32_t endpoint, bool in_cell, time_point now) const;
 
     // Returns into how many cells the fleet is divided, a power of two.
     std::uint64_t cells() const noexcept;
 
     // Returns whether the engine belongs to the own cell.
-    bool is_in_cell(std::uint32_t engine) const noexcept;
+    bool is_in_cell(std::uint32_t engine) const noexcept
+    {
+        return are_in_same_cell(engine, m_number);
+    }
 
 private:
     struct entry {
@@ -112,7 +123,8 @@
     };
 
     news_routes routes(std::uint64_t key, bool of_cell) const;
-    bool shares_cell(host_number other) const noexcept;
+    // Hosts and engines are given by their numbers.
+    bool are_in_same_cell(std::uint64_t one, std::uint64_t other) const noexcept;
 
     peer_address m_own;
     host_number m_number;
@@ -120,8 +132,14 @@
     std::map<peer_address, entry> m_known;
     // Named by others, not heard yet, and when last.
     std::map<peer_address, time_point> m_named;
-    // When each host was last heard or named.
-    std::map<peer_address, time_point> m_counted;
+    // The hosts that count, with their number once they were heard, and when each was
+    // last heard or named.
+    struct counted_host {
+        host_number number = 0;
+        time_point last{};
+    };
+    std::map<peer_address, counted_host> m_counted;
+    time_point m_started;
 };
 
 } // namespace cicadaport::serving
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -26,8 +26,9 @@
     // engine belongs to the own one.
     virtual std::uint64_t cells() const noexcept = 0;
     virtual bool is_in_cell(std::uint32_t engine) const noexcept = 0;
-    // Returns this host's place among all that may send requests to a replica.
-    virtual fleet_place place_for(std::uint32_t endpoint) const = 0;
+    // Returns this host's place among all that may send requests to a replica; with
+    // `in_cell` those of its cell alone may.
+    virtual fleet_place place_for(std::uint32_t endpoint, bool in_cell) const = 0;
     // A replica names a limit, or none any longer.
     virtual void limit_named(const limit_statement& said) = 0;
     // The engine changes its stage and takes no work for a time.
@@ -88,12 +89,10 @@
     // takes from all hosts together.
     std::uint32_t connection_share(const service& of) const noexcept;
 
-    // The replica has said in an answer that it leaves.
-    void note_leaving(const endpoint& replica);
-    // The replica has answered the request `request`, sent at `asked`, and names a
-    // limit or none.
-    void note_limit(const endpoint& replica, const answer_terms& terms, std::string_view request,
-                    time_point asked);
+    // Takes what the head of a replica's answer says of the replica itself. `request` is
+    // the id of the request that was sent at `asked`; empty for a call of the host's own.
+    void note_answer(const endpoint& replica, bool is_engine, unsigned status,
+                     const answer_terms& terms, std::string_view request, time_point asked);
     // Another host has told what a replica names.
     void note_told_limit(const limit_statement& said);
     // Returns the endpoints that a request must not be sent to: `failed`, which have
@@ -147,12 +146,17 @@
     bool is_stopping = false;
 
 private:
+    void note_leaving(const endpoint& replica);
+    void note_limit(const endpoint& replica, const answer_terms& terms, std::string_view request,
+                    time_point asked);
     fleet_place place_for(const std::string& replica) const;
     void tell_limit(const limit_statement& said, limit_change change, std::string_view source,
                     std::string_view request);
 
     std::vector<endpoint_pointer> m_cell_engines;
     std::set<std::string> m_closed;
+    // Fields of answers that the log has named as unknown.
+    std::set<std::string> m_unknown_fields;
 };
 
 } // namespace cicadaport::serving
--- a/include/cicadaport/serving/peer_news.h
+++ b/include/cicadaport/serving/peer_news.h
@@ -39,10 +39,6 @@
     // starts together has found itself within a few greetings.
     static constexpr std::size_t most_named = 12;
     static constexpr std::size_t most_strangers = 32;
-    // A host that started less than this ago may not know the others yet. It takes
-    // itself for the last of the largest fleet that is provided for.
-    static constexpr std::chrono::seconds settling_time{4};
-    static constexpr std::size_t most_hosts = 410;
     // Known hosts that each greeting names others to.
     static constexpr std::size_t told_names = 2;
 
@@ -61,7 +57,7 @@
     void list_read(const shared_page& page) override;
     void engine_changes(std::uint32_t engine, engine_stage to, milliseconds time) override;
     void limit_named(const limit_statement& said) override;
-    fleet_place place_for(std::uint32_t endpoint) const override;
+    fleet_place place_for(std::uint32_t endpoint, bool in_cell) const override;
     std::size_t hosts_heard() const noexcept override { return m_directory.size(); }
     std::uint64_t cells() const noexcept override { return m_directory.cells(); }
     bool is_in_cell(std::uint32_t engine) const noexcept override
@@ -95,7 +91,6 @@
     transport::timer_queue::handle m_greeting;
     host_directory m_directory;
     std::uint64_t m_greetings = 0;
-    time_point m_started{};
     std::string m_buffer;
     udp_address m_sender;
 };
--- a/include/cicadaport/serving/request_limits.h
+++ b/include/cicadaport/serving/request_limits.h
@@ -51,6 +51,8 @@
     clock::duration age{0};
     unsigned runs = 0;
     unsigned prompt_readings = 0;
+    // Calls of this host's own.
+    unsigned calls = 0;
 };
 
 class request_limits {
@@ -70,6 +72,8 @@
     static constexpr double trial_part = 0.25;
     // A limit of which nothing is heard is told to other hosts again after this time.
     static constexpr std::chrono::seconds telling_interval{1};
+    // So is the end of a limit, for this long.
+    static constexpr std::chrono::seconds end_told_for{4};
     // One that nobody has named for so long is forgotten.
     static constexpr std::chrono::minutes remembered{10};
 
@@ -78,8 +82,8 @@
     // connections overtake each other.
     limit_change note(const limit_statement& said, time_point now);
 
-    // Returns whether other hosts are to be told of the replica's limit, which an
-    // answer has just named again, and counts it as told.
+    // Returns whether other hosts are to be told again of the replica's limit or of its
+    // end, which an answer has just shown, and counts it as told.
     bool take_telling(const std::string& endpoint, time_point now);
     // Another host has told of it.
     void note_told(const std::string& endpoint, time_point now);
@@ -94,6 +98,8 @@
 
     // A request, or the reading of a prompt for another replica, goes to the replica.
     void count_sent(const std::string& endpoint, bool only_reads_prompt);
+    // So does a call of this host's own: an order, or a question how it is.
+    void count_call(const std::string& endpoint);
 
     // Returns the replicas that name a limit.
     std::vector<std::string> limited() const;
@@ -113,11 +119,14 @@
         double per_second = 0;
         time_point named_at{};
         time_point told_at{};
+        // When it ended, if it has.
+        std::optional<time_point> ended_at;
         // Requests that this host may send, as of a time.
         double permits = 0;
         time_point permits_at{};
         unsigned runs = 0;
         unsigned prompt_readings = 0;
+        unsigned calls = 0;
     };
 
     // This host's part of a limit.
@@ -126,6 +135,8 @@
         double burst = 1;
     };
 
+    // Returns the limit of a replica; null if there is none.
+    record* find(const std::string& endpoint);
     static share share_of(const record& limit, const fleet_place& place, time_point now);
     // Adds the permits that have come since the last call. Returns this host's share.
     static share refill(record& limit, const fleet_place& place, time_point now);
--- a/include/cicadaport/serving/single_call.h
+++ b/include/cicadaport/serving/single_call.h
@@ -8,6 +8,7 @@
 // The answer to a call; nothing if there was no whole one in time.
 struct call_answer {
     unsigned status = 0;
+    answer_terms terms;
     std::string body;
 };
 
--- a/include/cicadaport/serving/wire.h
+++ b/include/cicadaport/serving/wire.h
@@ -72,6 +72,8 @@
     // nothing if that can't be read.
     bool names_limit = false;
     std::optional<double> requests_per_second;
+    // Fields that the adapter does not know, by their names.
+    std::vector<std::string> unknown_fields;
 };
 
 // Lists in the platform's store: two that hosts follow, and the announcements
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -318,19 +318,8 @@
 {
     m_answer_terms = m_host.wire.read_answer(head);
     m_answer = std::move(head);
-    if (m_answer_terms.leave_alone) {
-        spdlog::info("endpoint_left_alone id={} time_ms={} request={}", m_endpoint->report.id,
-                     m_answer_terms.leave_alone->count(), m_terms.id);
-        health_of_endpoint().asked_to_be_left_alone(*m_answer_terms.leave_alone,
-                                                    m_host.timers.now());
-    }
-    // A replica that has taken over the address answers so.
-    if (m_answer->status != status_misdirected) {
-        m_host.note_limit(*m_endpoint, m_answer_terms, m_terms.id, m_sent);
-    }
-    if (m_answer_terms.is_leaving) {
-        m_host.note_leaving(*m_endpoint);
-    }
+    m_host.note_answer(*m_endpoint, m_route->has_prompt, m_answer->status, m_answer_terms,
+                       m_terms.id, m_sent);
 }
 
 void exchange::on_body(std::string_view piece)
@@ -764,7 +753,17 @@
     if (!m_prompt) {
         return;
     }
-    release_prompt(m_host, *std::exchange(m_prompt, std::nullopt));
+    const auto prompt = *std::exchange(m_prompt, std::nullopt);
+    const auto& reader = m_plan.reader;
+    if (reader != nullptr && !m_host.wants_request(*reader, true)) {
+        spdlog::debug("prompt_not_released engine={} reason=\"it wants no requests\"",
+                      reader->report.id);
+        return;
+    }
+    if (reader != nullptr) {
+        m_host.limits.count_call(reader->report.id);
+    }
+    release_prompt(m_host, prompt);
 }
 
 void exchange::begin_reading(const endpoint& engine)
--- a/src/serving/host_directory.cpp
+++ b/src/serving/host_directory.cpp
@@ -14,7 +14,7 @@
         return 0;
     }
     m_named.erase(at);
-    m_counted[at] = now;
+    m_counted[at] = {number, now};
     auto& known = m_known[at];
     const auto before = std::exchange(known.number, number);
     known.zone = zone;
@@ -26,7 +26,7 @@
 {
     if (at != m_own && !m_known.contains(at)) {
         m_named[at] = now;
-        m_counted[at] = now;
+        m_counted[at].last = now;
     }
 }
 
@@ -42,7 +42,7 @@
         return gone;
     });
     std::erase_if(m_named, [&](const auto& each) { return now - each.second > silence; });
-    std::erase_if(m_counted, [&](const auto& each) { return now - each.second > counted; });
+    std::erase_if(m_counted, [&](const auto& each) { return now - each.second.last > counted; });
     return out;
 }
 
@@ -73,7 +73,7 @@
     news_routes out;
     std::map<std::uint32_t, std::vector<const std::pair<const peer_address, entry>*>> elsewhere;
     for (const auto& each : m_known) {
-        if (of_cell && !shares_cell(each.second.number)) {
+        if (of_cell && !are_in_same_cell(each.second.number, m_number)) {
             continue;
         }
         if (each.second.zone == m_zone) {
@@ -104,25 +104,33 @@
 {
     std::vector<peer_address> out;
     for (const auto& [at, known] : m_known) {
-        if (known.zone == m_zone && (!of_cell || shares_cell(known.number))) {
+        if (known.zone == m_zone && (!of_cell || are_in_same_cell(known.number, m_number))) {
             out.push_back(at);
         }
     }
     return out;
 }
 
-fleet_place host_directory::place_for(std::uint32_t endpoint, time_point now) const
+fleet_place host_directory::place_for(std::uint32_t endpoint, bool in_cell, time_point now) const
 {
+    if (now - m_started < settling_time) {
+        return {most_hosts, most_hosts - 1};
+    }
     const auto weight_of = [endpoint](const peer_address& at) {
         constexpr unsigned port_bits = 16;
         return mix(mix(endpoint) ^ (std::uint64_t{at.ip} << port_bits | at.port));
     };
+    const auto may_send = [&](host_number number) {
+        // The cell of a host that was only named is not known.
+        return !in_cell || number == 0 || are_in_same_cell(endpoint, number);
+    };
     const auto own = weight_of(m_own);
+    const bool own_may_send = may_send(m_number);
     fleet_place out;
-    for (const auto& [at, last] : m_counted) {
-        if (now - last <= counted) {
+    for (const auto& [at, each] : m_counted) {
+        if (may_send(each.number) && now - each.last <= counted) {
             ++out.hosts;
-            out.rank += weight_of(at) > own ? 1 : 0;
+            out.rank += !own_may_send || weight_of(at) > own ? 1 : 0;
         }
     }
     return out;
@@ -137,14 +145,9 @@
     return count;
 }
 
-bool host_directory::shares_cell(host_number other) const noexcept
-{
-    return (mix(other) ^ mix(m_number)) % cells() == 0;
-}
-
-bool host_directory::is_in_cell(std::uint32_t engine) const noexcept
+bool host_directory::are_in_same_cell(std::uint64_t one, std::uint64_t other) const noexcept
 {
-    return (mix(engine) ^ mix(m_number)) % cells() == 0;
+    return (mix(one) ^ mix(other)) % cells() == 0;
 }
 
 } // namespace cicadaport::serving
--- a/src/serving/host_state.cpp
+++ b/src/serving/host_state.cpp
@@ -11,6 +11,11 @@
 // A peer that does not acknowledge bytes for so long is cut off.
 constexpr std::chrono::milliseconds peer_silence{3'000};
 
+// Names of fields that replicas' answers have and the adapter does not know are
+// logged once each, so many at most.
+constexpr std::size_t most_unknown_fields = 32;
+constexpr std::size_t longest_logged_name = 60;
+
 transport::exchange_connection::times endpoint_times()
 {
     transport::exchange_connection::times out;
@@ -79,13 +84,42 @@
     }
 }
 
+void host_state::note_answer(const endpoint& replica, bool is_engine, unsigned status,
+                             const answer_terms& terms, std::string_view request, time_point asked)
+{
+    constexpr unsigned status_misdirected = 421;
+    if (terms.leave_alone) {
+        spdlog::info("endpoint_left_alone id={} time_ms={} request={}", replica.report.id,
+                     terms.leave_alone->count(), request);
+        health_of(replica, is_engine).asked_to_be_left_alone(*terms.leave_alone, timers.now());
+    }
+    // A replica that has taken over the address answers so.
+    if (status != status_misdirected) {
+        note_limit(replica, terms, request, asked);
+    }
+    for (const auto& each : terms.unknown_fields) {
+        if (m_unknown_fields.size() < most_unknown_fields && m_unknown_fields.insert(each).second) {
+            spdlog::info("answer_field_unknown name=\"{}\" id={} request={}",
+                         std::string_view{each}.substr(0, longest_logged_name), replica.report.id,
+                         request);
+        }
+    }
+    if (terms.is_leaving) {
+        note_leaving(replica);
+    }
+}
+
 void host_state::note_limit(const endpoint& replica, const answer_terms& terms,
                             std::string_view request, time_point asked)
 {
+    const auto now = timers.now();
     if (terms.names_limit && !terms.requests_per_second) {
+        if (limit_lines.take(now)) {
+            spdlog::warn("endpoint_limit_unreadable id={} request={} passed_over={}",
+                         replica.report.id, request, limit_lines.take_passed_over());
+        }
         return;
     }
-    const auto now = timers.now();
     const limit_statement said{replica.report.id, replica.report.incarnation,
                                terms.requests_per_second, asked};
     const auto change = limits.note(said, now);
@@ -120,7 +154,12 @@
 
 fleet_place host_state::place_for(const std::string& replica) const
 {
-    return news != nullptr ? news->place_for(engine_number(replica)) : fleet_place{};
+    if (news == nullptr) {
+        return {};
+    }
+    const auto known = endpoints.find(replica);
+    const bool is_engine = known != nullptr && known->report.stage != engine_stage::none;
+    return news->place_for(engine_number(replica), is_engine);
 }
 
 const std::set<std::string>& host_state::closed_to(const std::set<std::string>& failed)
@@ -152,10 +191,10 @@
         if (limit_lines.take(now)) {
             spdlog::info(
                 "endpoint_limit_use id={} per_second={} age_ms={} runs={} prompt_readings={} "
-                "passed_over={}",
+                "calls={} passed_over={}",
                 each.endpoint, each.per_second,
                 std::chrono::duration_cast<milliseconds>(each.age).count(), each.runs,
-                each.prompt_readings, limit_lines.take_passed_over());
+                each.prompt_readings, each.calls, limit_lines.take_passed_over());
         }
     }
 }
--- a/src/serving/peer_news.cpp
+++ b/src/serving/peer_news.cpp
@@ -50,7 +50,8 @@
     : m_host{host},
       m_settings{std::move(settings)}, m_on_page{std::move(on_page)}, m_socket{host.context},
       m_own_number{host.random() | 1U}, m_gathered{std::make_unique<protocol::host_news>()},
-      m_directory{to_peer(m_settings.own), m_own_number, engine_number(host.availability_zone)},
+      m_directory{to_peer(m_settings.own), m_own_number, engine_number(host.availability_zone),
+                  host.timers.now()},
       m_buffer(longest_datagram, '\0')
 {
 }
@@ -70,7 +71,6 @@
         return;
     }
     m_host.news = this;
-    m_started = m_host.timers.now();
     receive();
     greet();
 }
@@ -119,11 +119,9 @@
     spread(news, m_directory.routes_for_greeting(++m_greetings));
 }
 
-fleet_place peer_news::place_for(std::uint32_t endpoint) const
+fleet_place peer_news::place_for(std::uint32_t endpoint, bool in_cell) const
 {
-    const auto now = m_host.timers.now();
-    return now - m_started < settling_time ? fleet_place{most_hosts, most_hosts - 1}
-                                           : m_directory.place_for(endpoint, now);
+    return m_directory.place_for(endpoint, in_cell, m_host.timers.now());
 }
 
 void peer_news::list_read(const shared_page& page)
--- a/src/serving/request_limits.cpp
+++ b/src/serving/request_limits.cpp
@@ -27,29 +27,28 @@
 
 limit_change request_limits::note(const limit_statement& said, time_point now)
 {
+    forget_before(said.endpoint, said.incarnation);
     const auto found = m_records.find(said.endpoint);
     const bool known = found != m_records.end();
     if (known && said.incarnation < found->second.incarnation) {
         return limit_change::none;
     }
+    const bool in_force = known && !found->second.ended_at;
     if (!said.per_second) {
-        if (!known || said.asked <= found->second.named_at) {
+        if (!in_force || said.asked <= found->second.named_at) {
             return limit_change::none;
         }
-        m_records.erase(found);
+        found->second.ended_at = now;
         return limit_change::ended;
     }
-    if (known && said.incarnation > found->second.incarnation) {
-        m_records.erase(found);
-    }
     auto& noted = m_records[said.endpoint];
-    if (!known) {
-        noted.permits_at = now;
-    }
     const auto before = std::exchange(noted.per_second, *said.per_second);
     noted.incarnation = said.incarnation;
     noted.named_at = now;
-    if (!known) {
+    if (!in_force) {
+        noted.ended_at.reset();
+        noted.permits = 0;
+        noted.permits_at = now;
         return limit_change::begun;
     }
     return before != noted.per_second ? limit_change::changed : limit_change::none;
@@ -58,7 +57,8 @@
 bool request_limits::take_telling(const std::string& endpoint, time_point now)
 {
     const auto found = m_records.find(endpoint);
-    if (found == m_records.end() || now - found->second.told_at < telling_interval) {
+    if (found == m_records.end() || now - found->second.told_at < telling_interval ||
+        (found->second.ended_at && now - *found->second.ended_at > end_told_for)) {
         return false;
     }
     found->second.told_at = now;
@@ -102,54 +102,71 @@
     return part;
 }
 
-bool request_limits::may_send(const std::string& endpoint, const fleet_place& place, time_point now)
+request_limits::record* request_limits::find(const std::string& endpoint)
 {
     const auto found = m_records.find(endpoint);
-    if (found == m_records.end()) {
+    return found != m_records.end() && !found->second.ended_at ? &found->second : nullptr;
+}
+
+bool request_limits::may_send(const std::string& endpoint, const fleet_place& place, time_point now)
+{
+    auto* limit = find(endpoint);
+    if (limit == nullptr) {
         return true;
     }
-    refill(found->second, place, now);
-    return found->second.permits >= 1;
+    refill(*limit, place, now);
+    return limit->permits >= 1;
 }
 
 std::optional<time_point> request_limits::next_sending(const std::string& endpoint,
                                                        const fleet_place& place, time_point now)
 {
-    const auto found = m_records.find(endpoint);
-    if (found == m_records.end()) {
+    auto* limit = find(endpoint);
+    if (limit == nullptr) {
         return now;
     }
-    const auto part = refill(found->second, place, now);
+    const auto part = refill(*limit, place, now);
     if (part.per_second <= 0) {
         return std::nullopt;
     }
-    const fine_seconds wait{std::max(1 - found->second.permits, 0.0) / part.per_second};
+    const fine_seconds wait{std::max(1 - limit->permits, 0.0) / part.per_second};
     return now + std::chrono::duration_cast<clock::duration>(wait);
 }
 
 void request_limits::count_sent(const std::string& endpoint, bool only_reads_prompt)
 {
-    const auto found = m_records.find(endpoint);
-    if (found != m_records.end()) {
-        found->second.permits -= 1;
-        ++(only_reads_prompt ? found->second.prompt_readings : found->second.runs);
+    if (auto* limit = find(endpoint)) {
+        limit->permits -= 1;
+        ++(only_reads_prompt ? limit->prompt_readings : limit->runs);
+    }
+}
+
+void request_limits::count_call(const std::string& endpoint)
+{
+    if (auto* limit = find(endpoint)) {
+        limit->permits -= 1;
+        ++limit->calls;
     }
 }
 
 std::vector<std::string> request_limits::limited() const
 {
     std::vector<std::string> out;
-    out.reserve(m_records.size());
     for (const auto& [endpoint, each] : m_records) {
-        out.push_back(endpoint);
+        if (!each.ended_at) {
+            out.push_back(endpoint);
+        }
     }
     return out;
 }
 
 void request_limits::forget_old(time_point now)
 {
-    std::erase_if(m_records,
-                  [&](const auto& each) { return now - each.second.named_at > remembered; });
+    std::erase_if(m_records, [&](const auto& each) {
+        const auto& limit = each.second;
+        return limit.ended_at ? now - *limit.ended_at > end_told_for
+                              : now - limit.named_at > remembered;
+    });
 }
 
 void request_limits::forget_before(const std::string& endpoint, std::int64_t incarnation)
@@ -164,9 +181,10 @@
 {
     std::vector<limit_use> out;
     for (auto& [endpoint, each] : m_records) {
-        if (each.runs + each.prompt_readings > 0) {
+        if (!each.ended_at && each.runs + each.prompt_readings + each.calls > 0) {
             out.push_back({endpoint, each.per_second, now - each.named_at,
-                           std::exchange(each.runs, 0), std::exchange(each.prompt_readings, 0)});
+                           std::exchange(each.runs, 0), std::exchange(each.prompt_readings, 0),
+                           std::exchange(each.calls, 0)});
         }
     }
     return out;
--- a/src/serving/single_call.cpp
+++ b/src/serving/single_call.cpp
@@ -30,7 +30,11 @@
 
 private:
     bool owns(const transport::message_head&) override { return true; }
-    void on_head(transport::message_head head) override { m_answer.status = head.status; }
+    void on_head(transport::message_head head) override
+    {
+        m_answer.status = head.status;
+        m_answer.terms = m_host.wire.read_answer(head);
+    }
     void on_body(std::string_view piece) override { m_answer.body += piece; }
 
     void on_complete() override
--- a/src/serving/stage_director.cpp
+++ b/src/serving/stage_director.cpp
@@ -151,7 +151,7 @@
         const bool fits = stage != engine_stage::none && stage != wanted.to && !is_changing(*each);
         if (!fits || !m_ledger.is_free(each->report.id, now) ||
             m_host.engines.state(each->report.id).health.is_avoided(now) ||
-            m_host.engines.state(each->report.id).health.is_left_alone(now)) {
+            !m_host.wants_request(*each, true)) {
             continue;
         }
         // Those with the least to lose first.
@@ -185,24 +185,29 @@
         return;
     }
     current->asked = current->engines.size();
+    const auto asked = m_host.timers.now();
     for (const auto& each : current->engines) {
-        call_once(m_host, each->report.address, m_host.wire.status_request(each->report),
-                  engine_time, [this, current, each](const std::optional<call_answer>& answer) {
-                      const auto status =
-                          answer ? m_host.wire.read_status(answer->status, answer->body)
-                                 : std::nullopt;
-                      if (status && !status->is_changing && !each->gone) {
-                          stage_order order;
-                          order.engine = each->report.id;
-                          order.to = current->wanted.to;
-                          order.holder = m_holder;
-                          order.expected_orders = status->orders_accepted;
-                          current->orders.push_back(order);
-                      }
-                      if (--current->asked == 0) {
-                          announce(current);
-                      }
-                  });
+        m_host.limits.count_call(each->report.id);
+        call_once(
+            m_host, each->report.address, m_host.wire.status_request(each->report), engine_time,
+            [this, current, each, asked](const std::optional<call_answer>& answer) {
+                if (answer) {
+                    m_host.note_answer(*each, true, answer->status, answer->terms, "", asked);
+                }
+                const auto status =
+                    answer ? m_host.wire.read_status(answer->status, answer->body) : std::nullopt;
+                if (status && !status->is_changing && !each->gone) {
+                    stage_order order;
+                    order.engine = each->report.id;
+                    order.to = current->wanted.to;
+                    order.holder = m_holder;
+                    order.expected_orders = status->orders_accepted;
+                    current->orders.push_back(order);
+                }
+                if (--current->asked == 0) {
+                    announce(current);
+                }
+            });
     }
 }
 
@@ -254,11 +259,16 @@
         if (m_host.news != nullptr) {
             m_host.news->engine_changes(number, each.to, pause);
         }
-        call_once(
-            m_host, engine->report.address, m_host.wire.order_request(engine->report.address, each),
-            engine_time, [id = each.engine](const std::optional<call_answer>& answer) {
-                spdlog::info("order_answered engine={} status={}", id, answer ? answer->status : 0);
-            });
+        m_host.limits.count_call(each.engine);
+        call_once(m_host, engine->report.address,
+                  m_host.wire.order_request(engine->report.address, each), engine_time,
+                  [this, engine, now](const std::optional<call_answer>& answer) {
+                      spdlog::info("order_answered engine={} status={}", engine->report.id,
+                                   answer ? answer->status : 0);
+                      if (answer) {
+                          m_host.note_answer(*engine, true, answer->status, answer->terms, "", now);
+                      }
+                  });
     }
     m_policy.changed();
     m_busy = false;
--- a/test/platform/feed_follower_test.cpp
+++ b/test/platform/feed_follower_test.cpp
@@ -29,7 +29,7 @@
     std::uint64_t cells() const noexcept override { return 1; }
     bool is_in_cell(std::uint32_t) const noexcept override { return true; }
     void engine_changes(std::uint32_t, serving::engine_stage, std::chrono::milliseconds) override {}
-    serving::fleet_place place_for(std::uint32_t) const override { return {}; }
+    serving::fleet_place place_for(std::uint32_t, bool) const override { return {}; }
     void limit_named(const serving::limit_statement&) override {}
 
     std::vector<shared_page> told;
--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -133,6 +133,22 @@
         EXPECT_TRUE(terms(200, nonsense).names_limit) << "no reason to take it for ended";
     }
     EXPECT_FALSE(speech.read_answer({}).names_limit);
+    transport::message_head twice;
+    twice.fields.add("Server-Limit", "7");
+    twice.fields.add("server-limit", "few");
+    twice.fields.add("Server-Limit", "3");
+    EXPECT_EQ(speech.read_answer(twice).requests_per_second, 3.0) << "the lowest";
+}
+
+TEST(wire_test, names_the_fields_of_an_answer_that_it_does_not_know)
+{
+    transport::message_head answer;
+    for (const auto* known : {"Request-Id", "response-seal", "Server-Leaving", "Content-Type",
+                              "Connection", "Weight-Versions"}) {
+        answer.fields.add(known, "1");
+    }
+    answer.fields.add("Server-Mood", "1");
+    EXPECT_THAT(speech.read_answer(answer).unknown_fields, ::testing::ElementsAre("Server-Mood"));
 }
 
 TEST(wire_test, says_where_a_prompts_memory_lies_and_after_which_event_to_go_on)
--- a/test/serving/host_directory_test.cpp
+++ b/test/serving/host_directory_test.cpp
@@ -140,7 +140,7 @@
             for (std::uint32_t other = 1; other <= hosts; ++other) {
                 directory.note(at(other), other, own_zone, start);
             }
-            const auto place = directory.place_for(replica, start);
+            const auto place = directory.place_for(replica, false, start);
             EXPECT_EQ(place.hosts, hosts);
             ranks.insert(place.rank);
             if (own == 1) {
@@ -157,9 +157,9 @@
     auto directory = directory_of(6);
     directory.forget_silent(start + 10s);
     EXPECT_EQ(directory.size(), 0U);
-    EXPECT_EQ(directory.place_for(1, start + 10s).hosts, 6U);
+    EXPECT_EQ(directory.place_for(1, false, start + 10s).hosts, 6U);
     directory.forget_silent(start + 31s);
-    EXPECT_EQ(directory.place_for(1, start + 31s).hosts, 1U);
+    EXPECT_EQ(directory.place_for(1, false, start + 31s).hosts, 1U);
 }
 
 } // namespace
--- /dev/null
+++ b/test/serving/shared_limit_test.cpp
@@ -0,0 +1,328 @@
+// Fleets of hosts that share what a replica in need takes, with news that get lost
+// and hosts that come, go, restart and freeze.
+#include "cicadaport/serving/host_directory.h"
+#include "cicadaport/serving/request_limits.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+#include <tuple>
+
+namespace cicadaport::serving {
+namespace {
+
+using namespace std::chrono_literals;
+
+const time_point start{1h};
+constexpr auto step = 25ms;
+constexpr auto greeting = 1s;
+const std::string replica = "i-1";
+
+// The users' rule: from 3 s after a limit was first named, in any 4 s one and a half
+// times what it allows and 5 more, of hosts that have been told half a second before.
+constexpr auto judged_after = 3s;
+constexpr auto judged_time = 4s;
+constexpr auto told_before = 500ms;
+
+double allowed(double per_second)
+{
+    return 1.5 * per_second * 4 + 5;
+}
+
+struct simulated_host {
+    simulated_host(std::uint32_t ip, host_number with_number, time_point now)
+        : at{ip, 7'380}, number{with_number}, directory{at, with_number, 1, now}
+    {
+    }
+
+    peer_address at;
+    host_number number;
+    host_directory directory;
+    request_limits limits;
+    fleet_place place;
+    // Since when it knows the limit from an answer of its own.
+    std::optional<time_point> told;
+    time_point frozen_until{};
+    double demand = 1;
+};
+
+class limited_fleet {
+public:
+    limited_fleet(std::size_t hosts, double heard_part) : m_random{hosts}, m_heard{heard_part}
+    {
+        for (std::size_t host = 0; host < hosts; ++host) {
+            add();
+        }
+    }
+
+    void name(std::optional<double> per_second)
+    {
+        m_per_second = per_second;
+        m_first_named = m_first_named.value_or(m_now);
+    }
+
+    // All hosts restart at once and find each other slowly.
+    void restart_all(double heard_part)
+    {
+        m_heard = heard_part;
+        for (auto& each : m_hosts) {
+            restart(each);
+        }
+    }
+
+    // News between hosts with even and odd addresses are lost.
+    void divide(bool divided) { m_divided = divided; }
+
+    // Hosts have a request for the replica in so many of 100 steps, at most.
+    void make_demand_uneven()
+    {
+        std::uniform_real_distribution<double> part{0.05, 1};
+        for (auto& each : m_hosts) {
+            each.demand = part(m_random);
+        }
+    }
+
+    // With `troubled` a host in every second restarts, freezes, goes or comes.
+    void play(std::chrono::seconds time, bool troubled = false)
+    {
+        for (const auto end = m_now + time; m_now < end; m_now += step) {
+            if ((m_now - start) % greeting == 0ms) {
+                greet();
+                if (troubled) {
+                    trouble();
+                }
+            }
+            for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+                send_from(m_hosts[host]);
+            }
+        }
+    }
+
+    std::size_t sent_since(time_point then) const
+    {
+        return static_cast<std::size_t>(m_sent.end() -
+                                        std::lower_bound(m_sent.begin(), m_sent.end(), then));
+    }
+
+    std::size_t most_judged() const
+    {
+        std::size_t most = 0;
+        for (auto first = m_judged.begin(); first != m_judged.end(); ++first) {
+            const auto last = std::upper_bound(first, m_judged.end(), *first + judged_time);
+            most = std::max(most, static_cast<std::size_t>(last - first));
+        }
+        return most;
+    }
+
+    time_point now() const { return m_now; }
+
+private:
+    void add()
+    {
+        ++m_last_ip;
+        m_hosts.emplace_back(m_last_ip, m_random() | 1U, m_now);
+    }
+
+    void restart(simulated_host& host)
+    {
+        host = simulated_host{host.at.ip, m_random() | 1U, m_now};
+        host.place = host.directory.place_for(1, false, m_now);
+    }
+
+    bool hears(const simulated_host& host, const simulated_host& other)
+    {
+        const bool divided = m_divided && host.at.ip % 2 != other.at.ip % 2;
+        return &host != &other && !divided && !is_frozen(host) && !is_frozen(other) &&
+               std::bernoulli_distribution{m_heard}(m_random);
+    }
+
+    bool is_frozen(const simulated_host& host) const { return m_now < host.frozen_until; }
+
+    void greet()
+    {
+        for (auto& each : m_hosts) {
+            if (is_frozen(each)) {
+                continue;
+            }
+            for (const auto& other : m_hosts) {
+                if (hears(each, other)) {
+                    each.directory.note(other.at, other.number, 1, m_now);
+                }
+            }
+            each.directory.forget_silent(m_now);
+            each.place = each.directory.place_for(1, false, m_now);
+        }
+    }
+
+    void trouble()
+    {
+        auto& host =
+            m_hosts[std::uniform_int_distribution<std::size_t>{0, m_hosts.size() - 1}(m_random)];
+        switch (std::uniform_int_distribution<int>{0, 3}(m_random)) {
+        case 0:
+            restart(host);
+            break;
+        case 1:
+            host.frozen_until =
+                m_now + std::chrono::seconds{std::uniform_int_distribution<int>{1, 6}(m_random)};
+            break;
+        case 2:
+            if (m_hosts.size() > 1) {
+                std::swap(host, m_hosts.back());
+                m_hosts.pop_back();
+            }
+            break;
+        default:
+            add();
+        }
+    }
+
+    void send_from(simulated_host& host)
+    {
+        std::bernoulli_distribution has_request{host.demand};
+        if (is_frozen(host) || !has_request(m_random)) {
+            return;
+        }
+        // Enough for a host that is alone to use up what is allowed.
+        constexpr int most_requests = 20;
+        for (int number = 0; number < (m_per_second ? most_requests : 1); ++number) {
+            if (!host.limits.may_send(replica, host.place, m_now)) {
+                return;
+            }
+            host.limits.count_sent(replica, false);
+            m_sent.push_back(m_now);
+            if (host.told && m_now - *host.told >= told_before && m_first_named &&
+                m_now - *m_first_named >= judged_after) {
+                m_judged.push_back(m_now);
+            }
+            take_answer(host);
+        }
+    }
+
+    void take_answer(simulated_host& host)
+    {
+        const limit_statement said{replica, 1, m_per_second, m_now - 1ms};
+        const auto change = host.limits.note(said, m_now);
+        if (m_per_second) {
+            host.told = host.told.value_or(m_now);
+        }
+        else {
+            host.told.reset();
+        }
+        if (change == limit_change::none && !host.limits.take_telling(replica, m_now)) {
+            return;
+        }
+        for (auto& other : m_hosts) {
+            if (hears(other, host)) {
+                other.limits.note(said, m_now);
+                other.limits.note_told(replica, m_now);
+            }
+        }
+    }
+
+    std::mt19937_64 m_random;
+    double m_heard;
+    bool m_divided = false;
+    std::vector<simulated_host> m_hosts;
+    std::optional<double> m_per_second;
+    std::optional<time_point> m_first_named;
+    std::vector<time_point> m_sent;
+    std::vector<time_point> m_judged;
+    time_point m_now = start;
+    std::uint32_t m_last_ip = 0;
+};
+
+class shared_limit_test : public ::testing::TestWithParam<std::tuple<std::size_t, double>> {
+protected:
+    std::size_t hosts = std::get<0>(GetParam());
+    double per_second = std::get<1>(GetParam());
+    // Hosts know each other before they are judged.
+    static constexpr auto settled = 8s;
+};
+
+TEST_P(shared_limit_test, a_replica_gets_what_it_takes_and_no_more)
+{
+    limited_fleet fleet{hosts, 1};
+    fleet.play(settled);
+    fleet.name(per_second);
+    fleet.play(4s);
+    const auto steady = fleet.now();
+    constexpr auto time = 20s;
+    fleet.play(time);
+    EXPECT_LE(static_cast<double>(fleet.most_judged()), allowed(per_second));
+    const auto sent = static_cast<double>(fleet.sent_since(steady));
+    const auto taken = per_second * std::chrono::duration<double>(time).count();
+    EXPECT_LE(sent, std::max(taken, 4 * 5.0)) << "in steady state no more than the limit";
+    constexpr std::size_t few_hosts = 6;
+    EXPECT_GE(sent, (hosts <= few_hosts ? 0.8 : 0.6) * taken) << "obeying is not abandoning";
+    // Asked at least once in ten seconds.
+    EXPECT_GE(sent, 2) << "or nobody would notice that the need has ended";
+}
+
+TEST_P(shared_limit_test, hosts_keep_it_when_a_quarter_of_all_news_is_lost_and_traffic_is_uneven)
+{
+    limited_fleet fleet{hosts, 0.75};
+    fleet.make_demand_uneven();
+    fleet.play(settled);
+    fleet.name(per_second);
+    fleet.play(20s);
+    EXPECT_LE(static_cast<double>(fleet.most_judged()), allowed(per_second));
+}
+
+TEST_P(shared_limit_test, hosts_keep_it_while_they_restart_freeze_come_and_go)
+{
+    limited_fleet fleet{hosts, 0.9};
+    fleet.play(settled);
+    fleet.name(per_second);
+    fleet.play(40s, true);
+    EXPECT_LE(static_cast<double>(fleet.most_judged()), allowed(per_second));
+}
+
+TEST_P(shared_limit_test, hosts_that_restart_all_at_once_keep_it_while_they_find_each_other)
+{
+    limited_fleet fleet{hosts, 1};
+    fleet.play(settled);
+    fleet.name(per_second);
+    fleet.play(6s);
+    constexpr double slowly = 0.3;
+    fleet.restart_all(slowly);
+    fleet.play(15s);
+    EXPECT_LE(static_cast<double>(fleet.most_judged()), allowed(per_second));
+}
+
+TEST_P(shared_limit_test, hosts_that_do_not_hear_half_of_the_others_for_a_while_keep_it)
+{
+    limited_fleet fleet{hosts, 1};
+    fleet.play(settled);
+    fleet.name(per_second);
+    fleet.play(4s);
+    fleet.divide(true);
+    fleet.play(12s);
+    fleet.divide(false);
+    fleet.play(4s);
+    EXPECT_LE(static_cast<double>(fleet.most_judged()), allowed(per_second));
+}
+
+TEST_P(shared_limit_test, all_hosts_use_the_replica_again_soon_after_its_need)
+{
+    limited_fleet fleet{hosts, 0.9};
+    fleet.play(settled);
+    fleet.name(per_second);
+    fleet.play(20s);
+    fleet.name(std::nullopt);
+    // The least that is sent tells a host of the end within this time.
+    fleet.play(12s);
+    const auto before = fleet.now();
+    fleet.play(1s);
+    // All hosts have requests all the time and are not limited.
+    constexpr std::size_t steps_in_second = 40;
+    EXPECT_GE(fleet.sent_since(before), hosts * steps_in_second);
+}
+
+INSTANTIATE_TEST_SUITE_P(fleets, shared_limit_test,
+                         ::testing::Combine(::testing::Values<std::size_t>(1, 6, 87, 195, 410),
+                                            ::testing::Values(0.0, 1.1, 5.6, 40.0)));
+
+} // namespace
+} // namespace cicadaport::serving
