serving, transport: answers without end are broken off, interim ones passed over

Cause: heads were bounded, but a body or an event of a stream was gathered up to 64 MB, other requests' answers were passed over without a bound until the request's time was over (5.6 GB read in 5 s), and a status of 1xx was taken for the answer and given to the caller. Change: 8 MB a body, 1 MB an event that is not whole, 1 MB of others' answers; then the connection ends, a request that may run once gets 502, others go on elsewhere. Interim answers are passed over. Open: the bounds are for each request; many at once are not bounded together.

--- a/include/cicadaport/serving/event_buffer.h
+++ b/include/cicadaport/serving/event_buffer.h
@@ -20,6 +20,9 @@
     // Returns what is left of a stream that has ended.
     std::string take_rest();
 
+    // Returns how many bytes of an event have come that is not whole yet.
+    std::size_t held() const noexcept { return m_held.size(); }
+
     // A new stream begins that goes on after `last_event()`.
     void restart() { m_held.clear(); }
 
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -73,6 +73,9 @@
     // What is known of the endpoint that the request was sent to last.
     endpoint_health& health_of_endpoint();
     void forward_events(bool at_end);
+    // Ends the exchange with the endpoint if its answer, or one event of it, is larger
+    // than any that is waited for.
+    void bound_answer(std::size_t bytes, std::size_t most_bytes);
     void leave_endpoint();
     void drop_prompt();
     void begin_reading(const endpoint& engine);
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -129,6 +129,8 @@
     // What replicas say of the requests that they take; and its lines in the log.
     request_limits limits;
     line_budget limit_lines;
+    // For answers that are broken off.
+    line_budget answer_lines;
     attempt_budget budget;
     fleet_work fleet;
     engine_placement engines;
--- a/include/cicadaport/transport/exchange_connection.h
+++ b/include/cicadaport/transport/exchange_connection.h
@@ -40,6 +40,10 @@
 class exchange_connection final : public connection_observer,
                                   public std::enable_shared_from_this<exchange_connection> {
 public:
+    // Bytes of answers that are not the request's which are passed over before the
+    // exchange fails: a peer in trouble may send them without end.
+    static constexpr std::size_t most_passed_over = 1'024UL * 1'024;
+
     struct times {
         std::chrono::milliseconds connect{1'000};
         socket_times socket;
@@ -94,6 +98,7 @@
     answer_observer* m_observer = nullptr;
     std::optional<std::chrono::seconds> m_kept_idle;
     time_point m_idle_since{};
+    std::size_t m_passed_over = 0;
     bool m_open = false;
     bool m_connected = false;
     bool m_reusable = true;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -35,8 +35,13 @@
 // Bytes that wait for a slow caller before its endpoint is read no further.
 constexpr std::size_t most_unsent = 128 * 1024;
 
+// Larger answers, and larger events of a stream, are broken off.
+constexpr std::size_t most_answer_bytes = 8 * 1024 * 1024;
+constexpr std::size_t most_event_bytes = 1024 * 1024;
+
 constexpr std::size_t longest_logged_path = 120;
 
+constexpr unsigned first_final_status = 200;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_misdirected = 421;
@@ -310,6 +315,9 @@
 
 bool exchange::owns(const transport::message_head& head)
 {
+    if (head.status < first_final_status) {
+        return false;
+    }
     const auto terms = m_host.wire.read_answer(head);
     return terms.request_id ? *terms.request_id == m_terms.id : !is_success(head.status);
 }
@@ -324,15 +332,31 @@
 
 void exchange::on_body(std::string_view piece)
 {
+    const auto keep = shared_from_this();
     const bool forwarded = m_step == step::running && m_route->streamed &&
                            is_success(m_answer->status) && m_answer_terms.is_signed &&
                            !m_answer_terms.is_encoded;
     if (!forwarded) {
         m_answer_body += piece;
+        bound_answer(m_answer_body.size(), most_answer_bytes);
         return;
     }
     m_events.feed(piece);
     forward_events(false);
+    bound_answer(m_events.held(), most_event_bytes);
+}
+
+void exchange::bound_answer(std::size_t bytes, std::size_t most_bytes)
+{
+    if (m_connection == nullptr || bytes <= most_bytes) {
+        return;
+    }
+    if (m_host.answer_lines.take(m_host.timers.now())) {
+        spdlog::warn("answer_too_large id={} endpoint={} bytes={} passed_over={}", m_terms.id,
+                     m_endpoint->report.id, bytes, m_host.answer_lines.take_passed_over());
+    }
+    m_connection->abandon();
+    on_failure(exchange_failure::cut_short);
 }
 
 void exchange::forward_events(bool at_end)
--- a/src/transport/exchange_connection.cpp
+++ b/src/transport/exchange_connection.cpp
@@ -49,6 +49,7 @@
     m_reader = message_reader{message_kind::response, m_limits};
     m_head_taken = false;
     m_skipping = false;
+    m_passed_over = 0;
     m_connection->write(std::move(request));
 }
 
@@ -92,6 +93,13 @@
         if (m_reader.head_complete() && !m_head_taken && !take_head()) {
             return;
         }
+        if (m_skipping) {
+            m_passed_over += used;
+            if (m_passed_over > most_passed_over) {
+                fail(exchange_failure::unanswered);
+                return;
+            }
+        }
         auto piece = m_reader.take_body();
         if (!piece.empty() && !m_skipping) {
             m_observer->on_body(piece);
