serving: a pause that a replica asked for outlasts a lapse of its entry

Cause: what a host knows of a replica is forgotten when the platform no longer lists it, also what the replica had asked for itself. Evidence: host_test.a_replica_that_wants_no_requests_gets_none_though_its_ entry_lapsed_meanwhile fails on the code before. Ruled out: the limit of a replica and its own word that it leaves; both are kept by incarnation. Change: the pause is kept beside the list, for the same start of the replica.

--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -103,8 +103,11 @@
     bool wants_request(const endpoint& replica, bool is_engine);
     // Logs what was sent to replicas that name a limit.
     void tell_limit_uses();
-    // Forgets what was known of replicas that are no longer offered.
+    // Forgets what was known of replicas that are no longer offered, but for what
+    // binds this host if the same start of one is offered again.
     void forget_dropped();
+    // The platform lists the replica.
+    void note_listed(const endpoint_report& report);
     // Returns when the first replica of a service wants requests again, of those that
     // want none now; nothing if there is none.
     std::optional<time_point> first_return(const std::string& service_name);
@@ -157,6 +160,12 @@
 
     std::vector<endpoint_pointer> m_cell_engines;
     std::set<std::string> m_closed;
+    // Replicas that are not offered and want no requests.
+    struct left_alone {
+        std::int64_t incarnation = 0;
+        time_point until{};
+    };
+    std::unordered_map<std::string, left_alone> m_left_alone;
     // Fields of answers that the log has named as unknown.
     std::set<std::string> m_unknown_fields;
 };
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -274,12 +274,13 @@
     {
         const auto now = m_state.timers.now();
         taken_endpoints out;
+        std::vector<endpoint_report> listed;
         for (const auto& each : entries) {
             const auto report = m_state.wire.read_endpoint(each);
             const bool changed = report ? m_state.endpoints.apply(*report, now)
                                         : m_state.endpoints.remove(each.key, now);
             if (report) {
-                m_state.limits.forget_before(report->id, report->incarnation);
+                listed.push_back(*report);
             }
             if (changed) {
                 out.changed.push_back(each);
@@ -289,6 +290,9 @@
             }
         }
         m_state.forget_dropped();
+        for (const auto& each : listed) {
+            m_state.note_listed(each);
+        }
         return out;
     }
 
--- a/src/serving/host_state.cpp
+++ b/src/serving/host_state.cpp
@@ -201,11 +201,35 @@
 
 void host_state::forget_dropped()
 {
+    const auto now = timers.now();
     for (const auto& each : endpoints.take_dropped()) {
-        engines.forget(each->report.id);
-        replicas.forget(each->report.id);
+        const auto& id = each->report.id;
+        const auto until = std::max(engines.state(id).health.left_alone_until(),
+                                    replicas.state(id).health.left_alone_until());
+        if (now < until) {
+            m_left_alone[id] = {each->report.incarnation, until};
+        }
+        engines.forget(id);
+        replicas.forget(id);
         connections.forget(each->report.address);
     }
+    std::erase_if(m_left_alone, [&](const auto& each) { return each.second.until <= now; });
+}
+
+void host_state::note_listed(const endpoint_report& report)
+{
+    limits.forget_before(report.id, report.incarnation);
+    const auto found = m_left_alone.find(report.id);
+    if (found == m_left_alone.end() || endpoints.find(report.id) == nullptr) {
+        return;
+    }
+    const auto now = timers.now();
+    if (found->second.incarnation == report.incarnation && now < found->second.until) {
+        const auto time = std::chrono::ceil<milliseconds>(found->second.until - now);
+        engines.state(report.id).health.asked_to_be_left_alone(time, now);
+        replicas.state(report.id).health.asked_to_be_left_alone(time, now);
+    }
+    m_left_alone.erase(found);
 }
 
 endpoint_health& host_state::health_of(const endpoint& replica, bool is_engine)
--- a/test/platform/host_test.cpp
+++ b/test/platform/host_test.cpp
@@ -212,6 +212,32 @@
     EXPECT_GE(std::chrono::steady_clock::now() - told, 1'400ms);
 }
 
+TEST_F(host_test, a_replica_that_wants_no_requests_gets_none_though_its_entry_lapsed_meanwhile)
+{
+    std::atomic<bool> sheds{true};
+    scripted_server replica{[&](const received_request& each) {
+        return sheds ? say(503,
+                           "Request-Id: " + each.field("Request-Id") +
+                               "\r\nNot-Executed: 1\r\nRetry-After: 5\r\n",
+                           "")
+                     : signed_answer(each, "x");
+    }};
+    scripted_server other{[](const received_request& each) { return signed_answer(each, "y"); }};
+    list_replica("i-1", replica.address());
+    start();
+    EXPECT_EQ(ask(request("POST", "/once/x", "r1", "", "order")).status, 503U);
+    sheds = false;
+    store.put(std::string{replicas_topic}, "i-1", "");
+    list_replica("i-2", other.address());
+    ASSERT_TRUE(eventually([&] { return ask(request("GET", "/safe/x", "r2")).body == "y"; }));
+    list_replica("i-1", replica.address(), "s", "", "ready", 2);
+    store.put(std::string{replicas_topic}, "i-2", "");
+    ASSERT_TRUE(eventually([&] { return ask(request("GET", "/safe/x", "r3")).status == 503; }));
+    std::this_thread::sleep_for(500ms);
+    EXPECT_EQ(ask(request("POST", "/once/x", "r4", "", "order")).status, 503U);
+    EXPECT_EQ(replica.requests().size(), 1U);
+}
+
 TEST_F(host_test, a_503_that_does_not_say_not_executed_is_not_passed_on_as_a_promise)
 {
     scripted_server replica{[](const received_request& each) {
