serving: a refusal that names no request is no promise on a connection used before

What callers saw: a 503, which promises that a request has not run, for one that had run; a caller who trusts it orders twice. Cause: an answer without an id was taken for that of the request under way if it was no success. On a connection that was used before it may be the second copy of an earlier answer, as operators of similar systems have seen. Evidence: host_test.a_late_refusal_that_names_no_request_is_not_taken_for_that_ of_the_next: 503 on the code before, 502 now. Ruled out: copies that name their request, which were passed over already. Change: such an answer ends the exchange as one that may have run, and the connection is not used again.

--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -143,6 +143,9 @@
 
     std::optional<transport::message_head> m_answer;
     answer_terms m_answer_terms;
+    // Whether the answer is the request's beyond doubt: it names the request, or nothing
+    // else was ever asked on the connection.
+    bool m_answer_certain = true;
     std::string m_answer_body;
     event_buffer m_events;
     bool m_begun = false;
--- a/include/cicadaport/transport/exchange_connection.h
+++ b/include/cicadaport/transport/exchange_connection.h
@@ -67,6 +67,10 @@
     void pause_reading() noexcept { m_connection->pause_reading(); }
     void resume_reading() { m_connection->resume_reading(); }
 
+    // Whether the exchange under way, or the last one, is the connection's first. What
+    // comes on a later one may be left over from those before.
+    bool is_first_exchange() const noexcept { return m_exchanges == 1; }
+
     // Whether it is open with no exchange under way.
     bool is_idle() const noexcept { return m_open && m_observer == nullptr; }
     bool is_open() const noexcept { return m_open; }
@@ -99,6 +103,7 @@
     std::optional<std::chrono::seconds> m_kept_idle;
     time_point m_idle_since{};
     std::size_t m_passed_over = 0;
+    std::uint64_t m_exchanges = 0;
     bool m_open = false;
     bool m_connected = false;
     bool m_reusable = true;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -325,6 +325,7 @@
 void exchange::on_head(transport::message_head head)
 {
     m_answer_terms = m_host.wire.read_answer(head);
+    m_answer_certain = m_answer_terms.request_id || m_connection->is_first_exchange();
     m_answer = std::move(head);
     m_host.note_answer(*m_endpoint, m_route->has_prompt, m_answer->status, m_answer_terms,
                        m_terms.id, m_sent);
@@ -436,7 +437,13 @@
 void exchange::on_complete()
 {
     m_patience.cancel();
-    m_host.connections.give_back(m_address, std::exchange(m_connection, nullptr));
+    if (m_answer_certain) {
+        m_host.connections.give_back(m_address, std::exchange(m_connection, nullptr));
+    }
+    else {
+        // The request's own answer may still come.
+        std::exchange(m_connection, nullptr)->abandon();
+    }
     if (m_step == step::reading_prompt) {
         prompt_answered();
     }
@@ -496,6 +503,10 @@
     const bool genuine =
         !is_success(status) || (m_answer_terms.is_signed && !m_answer_terms.is_encoded);
     auto& health = health_of_endpoint();
+    if (!m_answer_certain) {
+        run_unanswered();
+        return;
+    }
     if (!is_success(status) && (m_answer_terms.states_not_run || status == status_misdirected)) {
         run_rejected();
         return;
--- a/src/transport/exchange_connection.cpp
+++ b/src/transport/exchange_connection.cpp
@@ -50,6 +50,7 @@
     m_head_taken = false;
     m_skipping = false;
     m_passed_over = 0;
+    ++m_exchanges;
     m_connection->write(std::move(request));
 }
 
--- a/test/platform/host_test.cpp
+++ b/test/platform/host_test.cpp
@@ -238,6 +238,29 @@
     EXPECT_EQ(replica.requests().size(), 1U);
 }
 
+TEST_F(host_test, a_late_refusal_that_names_no_request_is_not_taken_for_that_of_the_next)
+{
+    std::atomic<int> count{0};
+    scripted_server replica{[&](const received_request& each) {
+        auto reply = say(200,
+                         "Request-Id: " + each.field("Request-Id") +
+                             "\r\nResponse-Seal: s\r\nKeep-Alive: timeout=5\r\n",
+                         "own");
+        if (++count == 2) {
+            // The second copy of an earlier answer comes before this one's.
+            reply.bytes = say(503, "Not-Executed: 1\r\n", "").bytes + reply.bytes;
+        }
+        return reply;
+    }};
+    list_replica("i-1", replica.address());
+    start();
+    EXPECT_EQ(ask(request("POST", "/once/x", "r1", "", "order")).status, 200U);
+    EXPECT_EQ(ask(request("POST", "/once/x", "r2", "", "order")).status, 502U)
+        << "503 would promise that it has not run, and it has";
+    EXPECT_EQ(ask(request("POST", "/once/x", "r3", "", "order")).body, "own");
+    EXPECT_EQ(count, 3);
+}
+
 TEST_F(host_test, a_503_that_does_not_say_not_executed_is_not_passed_on_as_a_promise)
 {
     scripted_server replica{[](const received_request& each) {
