serving: a planned stop waits for connections that are on their way

What callers saw: at a planned stop under load 11 to 14 of 16 callers that had just connected lost their connection without an answer. Cause: the host stopped listening at a fixed time, which resets what the system has accepted and the host has not; and it closed each connection on which no byte of a request had arrived yet. Change: the host listens until no connection came for 150 ms, half of the grace time at most, then takes what the system has; a connection counts as idle only 200 ms after its last answer. The test's callers stop as a slow balancer's do. The tests' ports lie below those of outgoing connections: two runs beside each other had met one in use.

--- a/include/cicadaport/serving/caller_connection.h
+++ b/include/cicadaport/serving/caller_connection.h
@@ -24,7 +24,11 @@
 
     void start();
 
-    // Closes in order if no request is being read or answered.
+    // A connection on which nothing was asked or answered for so long is idle. On one
+    // that has just been accepted a request is on its way.
+    static constexpr milliseconds idle_after{200};
+
+    // Closes in order if no request is being read or answered, nor expected at once.
     void close_if_idle();
 
     bool is_answering() const noexcept { return m_exchange != nullptr; }
@@ -62,6 +66,8 @@
     std::shared_ptr<exchange> m_exchange;
     transport::timer_queue::handle m_limit;
     bool m_continue_sent = false;
+    // Since when a request is waited for.
+    time_point m_waiting_since{};
     bool m_closing = false;
     bool m_reading = false;
     bool m_head_limited = false;
--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -63,6 +63,7 @@
     m_continue_sent = false;
     m_reading = false;
     m_head_limited = false;
+    m_waiting_since = m_host.timers.now();
     const auto& limits = m_host.deployed ? m_host.deployed->limits() : default_limits;
     m_limit =
         m_host.timers.call_at(m_host.timers.now() + limits.idle_time, [this] { close_politely(); });
@@ -248,7 +249,8 @@
 
 void caller_connection::close_if_idle()
 {
-    if (m_exchange == nullptr && !m_reading && !m_closing) {
+    const bool waited = m_host.timers.now() - m_waiting_since >= idle_after;
+    if (m_exchange == nullptr && !m_reading && !m_closing && waited) {
         close_politely();
     }
 }
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -18,6 +18,10 @@
 // Counts are logged once in so many intervals.
 constexpr unsigned tell_every = 10;
 constexpr milliseconds stop_check_interval{50};
+// New connections are taken until none came for so long, at most for this part of the
+// grace time: the balancer may be slow to notice.
+constexpr milliseconds quiet_before_close{150};
+constexpr int accepting_part_of_grace = 2;
 constexpr milliseconds accept_pause{20};
 
 // Each list is read so often that a read that fails can be made good in the time
@@ -42,12 +46,26 @@
         accept();
     }
 
+    // Takes the connections that the system has accepted, and no more.
     void close()
     {
-        error_code ignored;
-        m_acceptor.close(ignored);
+        if (!m_acceptor.is_open()) {
+            return;
+        }
+        error_code error;
+        m_acceptor.non_blocking(true, error);
+        while (!error) {
+            tcp::socket socket{m_acceptor.get_executor()};
+            m_acceptor.accept(socket, error);
+            if (!error) {
+                m_on_connection(std::move(socket));
+            }
+        }
+        m_acceptor.close(error);
     }
 
+    time_point last_accepted() const noexcept { return m_last_accepted; }
+
     http::address address() const
     {
         const auto at = m_acceptor.local_endpoint();
@@ -58,11 +76,14 @@
     void accept()
     {
         m_acceptor.async_accept([this](error_code error, tcp::socket socket) {
+            if (!error) {
+                m_last_accepted = m_timers.now();
+                m_on_connection(std::move(socket));
+            }
             if (!m_acceptor.is_open()) {
                 return;
             }
             if (!error) {
-                m_on_connection(std::move(socket));
                 accept();
                 return;
             }
@@ -74,6 +95,7 @@
     transport::timer_queue& m_timers;
     tcp::acceptor m_acceptor;
     std::function<void(tcp::socket)> m_on_connection;
+    time_point m_last_accepted{};
     transport::timer_queue::handle m_pause;
 };
 
@@ -381,8 +403,11 @@
 
     void check_stop()
     {
-        const auto since = m_state.timers.now() - m_stop_at;
-        if (since >= m_settings.accepting_after_stop) {
+        const auto now = m_state.timers.now();
+        const auto since = now - m_stop_at;
+        const bool quiet = now - m_callers->last_accepted() >= quiet_before_close ||
+                           since >= m_settings.grace_time / accepting_part_of_grace;
+        if (since >= m_settings.accepting_after_stop && quiet) {
             m_callers->close();
             const auto all = m_connections;
             for (const auto& each : all) {
--- a/test/platform/host_fixture.h
+++ b/test/platform/host_fixture.h
@@ -12,7 +12,11 @@
 #include <spdlog/sinks/ostream_sink.h>
 #include <spdlog/spdlog.h>
 
+#include <atomic>
 #include <sstream>
+#include <stdexcept>
+
+#include <unistd.h>
 
 namespace cicadaport::platform::testing {
 
@@ -33,11 +37,25 @@
     return done();
 }
 
+// Returns a port below those that the system gives to outgoing connections.
 inline std::uint16_t free_port()
 {
+    constexpr unsigned first = 20'000;
+    constexpr unsigned count = 12'000;
+    constexpr unsigned stride = 97;
+    static std::atomic<unsigned> last{static_cast<unsigned>(::getpid()) * stride};
     boost::asio::io_context context;
-    const tcp::acceptor probe{context, {boost::asio::ip::make_address("127.0.0.1"), 0}};
-    return probe.local_endpoint().port();
+    for (unsigned tries = 0; tries < count; ++tries) {
+        const auto port = static_cast<std::uint16_t>(first + ++last % count);
+        boost::system::error_code error;
+        tcp::acceptor probe{context};
+        probe.open(tcp::v4());
+        probe.bind({boost::asio::ip::make_address("127.0.0.1"), port}, error);
+        if (!error) {
+            return port;
+        }
+    }
+    throw std::runtime_error{"no port is free"};
 }
 
 inline std::string request(const std::string& method, const std::string& target,
--- a/test/platform/host_test.cpp
+++ b/test/platform/host_test.cpp
@@ -629,6 +629,42 @@
     process.reset();
 }
 
+TEST_F(host_test, a_planned_stop_under_load_cuts_off_no_request_that_it_has_taken)
+{
+    scripted_server replica{[](const received_request& each) { return signed_answer(each, "x"); }};
+    list_replica("i-1", replica.address());
+    settings.grace_time = 5s;
+    start();
+    constexpr int callers = 16;
+    std::atomic<bool> balancer_has_noticed{false};
+    std::atomic<int> cut{0};
+    std::atomic<int> served{0};
+    std::vector<std::thread> threads;
+    for (int number = 0; number < callers; ++number) {
+        threads.emplace_back([&, number] {
+            for (int count = 0; !balancer_has_noticed; ++count) {
+                const auto id = std::to_string(number) + "-" + std::to_string(count);
+                try {
+                    const bool whole = ask(request("GET", "/safe/x", id)).status == 200;
+                    ++(whole ? served : cut);
+                }
+                catch (const boost::system::system_error&) {
+                    ++cut;
+                }
+            }
+        });
+    }
+    ASSERT_TRUE(eventually([&] { return served > 200; }));
+    process->stop();
+    // Longer than the time in which new connections are taken in any case.
+    std::this_thread::sleep_for(5 * settings.accepting_after_stop);
+    balancer_has_noticed = true;
+    for (auto& each : threads) {
+        each.join();
+    }
+    EXPECT_EQ(cut, 0);
+}
+
 TEST_F(host_test, goes_on_after_the_signal_that_its_settings_have_changed)
 {
     scripted_server replica{[](const received_request& each) { return signed_answer(each, "x"); }};
