--- a/test/platform/soak/fleet_soak.cpp
+++ b/test/platform/soak/fleet_soak.cpp
@@ -130,6 +130,12 @@
     }
     auto& first = m_replicas.front();
     if (first.id.empty()) {
+        {
+            // Nobody has been told anything by the one that begins.
+            const std::lock_guard lock{m_mutex};
+            first.limit->name(std::nullopt, now);
+            m_limited = m_limited == &first ? nullptr : m_limited;
+        }
         first.id = fmt::format("i-{}", ++m_last_replica);
         first.sequence = 0;
         report(first);
@@ -149,14 +155,56 @@
     m_next_leaving = now + draw(300ms, 3'000ms);
 }
 
-spoken fleet_soak::serve(const replica& at, const received_request& request)
+void fleet_soak::change_limits(soak_time now)
+{
+    if (now < m_next_limit) {
+        return;
+    }
+    const std::lock_guard lock{m_mutex};
+    if (m_limited != nullptr && std::bernoulli_distribution{0.5}(m_random)) {
+        m_limited->limit->name(std::nullopt, now);
+        m_limited = nullptr;
+        m_next_limit = now + draw(0ms, 3'000ms);
+        return;
+    }
+    if (m_limited == nullptr) {
+        const auto drawn =
+            std::uniform_int_distribution<std::size_t>{0, m_replicas.size() - 1}(m_random);
+        m_limited = &*std::next(m_replicas.begin(), static_cast<std::ptrdiff_t>(drawn));
+    }
+    constexpr double least = 0.3;
+    constexpr double most = 30;
+    m_limited->limit->name(std::uniform_real_distribution<double>{least, most}(m_random), now);
+    m_next_limit = now + draw(2'000ms, 12'000ms);
+}
+
+void fleet_soak::judge_limit(replica& at, std::size_t host, soak_time now)
+{
+    m_result.limited += at.limit->named() ? 1 : 0;
+    // Each process of a host is told anew; nothing else is excused.
+    constexpr std::size_t most_incarnations = 1'000;
+    const auto process =
+        host * most_incarnations + static_cast<std::size_t>(m_by_number.at(host)->incarnation());
+    if (const auto count = at.limit->arrived(process, now)) {
+        m_result.violations.push_back(fmt::format(
+            "{} {} named a limit of {:.1f} and got {} requests in 4 s; allowed {:.0f}",
+            since_begin(now), at.id, *at.limit->named(), *count, at.limit->allowed(now)));
+    }
+}
+
+spoken fleet_soak::serve(replica& at, const received_request& request)
 {
     const auto now = soak_clock::now();
     const auto id = request.field("Request-Id");
     const auto number = std::stoul(id.substr(0, id.find('-')));
     const auto target = request.field("Target-Instance");
+    std::string limit;
     {
         const std::lock_guard lock{m_mutex};
+        judge_limit(at, number, now);
+        if (const auto named = at.limit->named()) {
+            limit = fmt::format("Server-Limit: {:.2f}\r\n", *named);
+        }
         const auto left = m_left.find(target);
         const auto& host = *m_by_number.at(number);
         if (left != m_left.end() && now - left->second > m_options.bounds.leaving &&
@@ -166,7 +214,7 @@
                             host.name(), target, since_begin(left->second)));
         }
     }
-    return say(200, "Request-Id: " + id + "\r\nResponse-Seal: s\r\n", at.service);
+    return say(200, "Request-Id: " + id + "\r\nResponse-Seal: s\r\n" + limit, at.service);
 }
 
 // Versions come alone, and in quick succession.
@@ -186,6 +234,7 @@
         const auto now = soak_clock::now();
         report_replicas(now);
         change_replicas(now);
+        change_limits(now);
         publish_some(now);
         std::this_thread::sleep_for(1ms);
     }
@@ -473,6 +522,7 @@
         added.server.set_answer(
             [this, &added](const received_request& each) { return serve(added, each); });
         added.id = fmt::format("i-{}", ++m_last_replica);
+        added.limit.emplace(m_options.bounds.contact);
         report(added);
     }
     m_history.publish(m_store, m_options.padding);
--- a/test/platform/soak/fleet_soak.h
+++ b/test/platform/soak/fleet_soak.h
@@ -5,6 +5,7 @@
 
 #include "platform/soak/configuration_history.h"
 #include "platform/soak/host_fleet.h"
+#include "platform/soak/limit_judge.h"
 
 #include <functional>
 #include <list>
@@ -41,6 +42,8 @@
 
 struct soak_result {
     std::size_t checks = 0;
+    // Requests that came to a replica that named a limit.
+    std::size_t limited = 0;
     // One line each.
     std::vector<std::string> violations;
     // What was played, one line each.
@@ -67,6 +70,8 @@
         int sequence = 0;
         bool leaving = false;
         soak_time next_report{};
+        // Guarded by the soak's mutex.
+        std::optional<limit_judge> limit;
         scripted_server server;
     };
 
@@ -89,7 +94,10 @@
     void report_replicas(soak_time now);
     void report(replica& of);
     void change_replicas(soak_time now);
-    spoken serve(const replica& at, const received_request& request);
+    // One replica at a time names a limit, others for a while, and then none.
+    void change_limits(soak_time now);
+    void judge_limit(replica& at, std::size_t host, soak_time now);
+    spoken serve(replica& at, const received_request& request);
 
     // What is asked of one host.
     void ask_host(fleet_host& host);
@@ -136,6 +144,8 @@
     soak_time m_begin{};
     soak_time m_next_version{};
     soak_time m_next_leaving{};
+    soak_time m_next_limit{};
+    replica* m_limited = nullptr;
     std::mutex m_mutex;
     soak_result m_result;
 };
