serving: a stopping host takes connections for 0.3 s more than before, not for half of its grace time

Cause: the change of the planned stop let a host take connections until none came for 150 ms, for up to 4 of 8 s; what is asked so late may not be answered before the grace time ends. Change: 0.3 s at most beyond the time before.

--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -18,10 +18,10 @@
 // Counts are logged once in so many intervals.
 constexpr unsigned tell_every = 10;
 constexpr milliseconds stop_check_interval{50};
-// New connections are taken until none came for so long, at most for this part of the
-// grace time: the balancer may be slow to notice.
+// New connections are taken until none came for so long, as the balancer may be slow to
+// notice, but only so much longer: what comes late may not be answered in the grace time.
 constexpr milliseconds quiet_before_close{150};
-constexpr int accepting_part_of_grace = 2;
+constexpr milliseconds longest_wait_for_quiet{300};
 constexpr milliseconds accept_pause{20};
 
 // Each list is read so often that a read that fails can be made good in the time
@@ -406,7 +406,7 @@
         const auto now = m_state.timers.now();
         const auto since = now - m_stop_at;
         const bool quiet = now - m_callers->last_accepted() >= quiet_before_close ||
-                           since >= m_settings.grace_time / accepting_part_of_grace;
+                           since >= m_settings.accepting_after_stop + longest_wait_for_quiet;
         if (since >= m_settings.accepting_after_stop && quiet) {
             m_callers->close();
             const auto all = m_connections;
