serving: log runs that end with their connection, with the prompt's segments

A run whose replica ends left no line, so the logs could not tell whether the requests that ran there shared a part of their prompts, whether a request was sent to a second replica, or whether load alone explained the end.

--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -92,6 +92,8 @@
 
     void record_event();
     void record_decode_wait();
+    // Logs that the connection ended before the answer did, with the prompt's segments.
+    void log_interrupted_run() const;
     void log_end(std::string_view result, std::string_view reason) const;
     void reject(milliseconds pause, std::string_view reason);
     void fail(unsigned status, std::string_view reason);
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -40,6 +40,7 @@
 constexpr std::size_t max_event_bytes = 1024 * 1024;
 
 constexpr std::size_t max_logged_path_length = 120;
+constexpr std::size_t max_logged_segments = 16;
 
 constexpr unsigned first_final_status = 200;
 constexpr unsigned status_not_found = 404;
@@ -61,6 +62,16 @@
            status == status_unavailable;
 }
 
+// Returns the ids of the prompt's segments in hexadecimal, separated by commas.
+std::string to_text(const std::vector<prompt_segment>& prompt)
+{
+    std::string out;
+    for (std::size_t index = 0; index < prompt.size() && index < max_logged_segments; ++index) {
+        fmt::format_to(std::back_inserter(out), "{}{:x}", index > 0 ? "," : "", prompt[index].id);
+    }
+    return out;
+}
+
 } // namespace
 
 exchange::exchange(host_state& host, caller_port& caller, transport::message_head head,
@@ -617,6 +628,20 @@
                  : retry_after_no_endpoint;
 }
 
+void exchange::log_interrupted_run() const
+{
+    const auto now = m_host.timers.now();
+    if (!m_host.response_log_budget.try_acquire(now)) {
+        return;
+    }
+    spdlog::info("run_interrupted id={} route={} endpoint={} incarnation={} attempt={} "
+                 "running_ms={:.0f} events={} prompt={} passed_over={}",
+                 m_metadata.id, m_route->name, m_endpoint->report.id,
+                 m_endpoint->report.incarnation, m_attempts,
+                 fractional_milliseconds{now - m_sent}.count(), m_events.count(),
+                 to_text(m_metadata.prompt), m_host.response_log_budget.take_suppressed_count());
+}
+
 bool exchange::try_acquire_attempt()
 {
     if (m_attempts >= m_route->max_attempts || remaining_time() < min_useful_time ||
@@ -668,6 +693,7 @@
         handle_prefill_failure();
     }
     else {
+        log_interrupted_run();
         handle_run_failure();
     }
 }
