--- a/test/platform/host_fixture.h
+++ b/test/platform/host_fixture.h
@@ -218,4 +218,61 @@
     std::thread thread;
 };
 
+// Several hosts that exchange gossip, with the same store and replicas.
+class fleet_test : public host_test {
+protected:
+    static constexpr int hosts = 4;
+
+    struct running_host {
+        serving::host_settings settings;
+        std::unique_ptr<serving::host_process> process;
+        std::thread thread;
+
+        void start(const serving::wire_format& adapter)
+        {
+            process = std::make_unique<serving::host_process>([this] { return settings; }, adapter);
+            thread = std::thread{[this] { process->run(); }};
+        }
+
+        void stop()
+        {
+            process->stop();
+            thread.join();
+            process.reset();
+        }
+
+        bool is_ready() const { return ready(settings.readiness_address) == 200; }
+    };
+
+    void TearDown() override
+    {
+        for (auto& each : fleet) {
+            each.stop();
+        }
+    }
+
+    // The hosts differ in their loopback addresses and share port numbers.
+    void start_fleet()
+    {
+        fleet.resize(hosts);
+        for (int number = 0; number < hosts; ++number) {
+            auto& each = fleet[static_cast<std::size_t>(number)];
+            const auto ip = "127.0.0." + std::to_string(number + 1);
+            each.settings = settings;
+            each.settings.name = "host-" + std::to_string(number);
+            each.settings.caller_address.ip = ip;
+            each.settings.readiness_address.ip = ip;
+            each.settings.peers.own.ip = ip;
+            each.settings.peers.seed_ips = {"127.0.0.1"};
+            each.start(*wire_adapter);
+        }
+        ASSERT_TRUE(eventually([this] {
+            return std::all_of(fleet.begin(), fleet.end(),
+                               [](const auto& each) { return each.is_ready(); });
+        }));
+    }
+
+    std::vector<running_host> fleet;
+};
+
 } // namespace cicadaport::platform::testing
--- a/test/platform/request_limit_test.cpp
+++ b/test/platform/request_limit_test.cpp
@@ -181,51 +181,7 @@
     EXPECT_GE(decode_times.count(), 5U);
 }
 
-// Several hosts that exchange gossip, with the same store and replicas.
-class request_limit_fleet_test : public testing::host_test {
-protected:
-    static constexpr int hosts = 4;
-
-    struct running_host {
-        serving::host_settings settings;
-        std::unique_ptr<serving::host_process> process;
-        std::thread thread;
-    };
-
-    void TearDown() override
-    {
-        for (auto& each : fleet) {
-            each.process->stop();
-            each.thread.join();
-        }
-    }
-
-    // The hosts differ in their loopback addresses and share port numbers.
-    void start_fleet()
-    {
-        fleet.resize(hosts);
-        for (int number = 0; number < hosts; ++number) {
-            auto& each = fleet[static_cast<std::size_t>(number)];
-            const auto ip = "127.0.0." + std::to_string(number + 1);
-            each.settings = settings;
-            each.settings.name = "host-" + std::to_string(number);
-            each.settings.caller_address.ip = ip;
-            each.settings.readiness_address.ip = ip;
-            each.settings.peers.own.ip = ip;
-            each.settings.peers.seed_ips = {"127.0.0.1"};
-            each.process = std::make_unique<serving::host_process>(
-                [&each] { return each.settings; }, *wire_adapter);
-            each.thread = std::thread{[&each] { each.process->run(); }};
-        }
-        ASSERT_TRUE(testing::eventually([this] {
-            return std::all_of(fleet.begin(), fleet.end(), [](const auto& each) {
-                return ready(each.settings.readiness_address) == 200;
-            });
-        }));
-    }
-
-    std::vector<running_host> fleet;
-};
+using request_limit_fleet_test = testing::fleet_test;
 
 TEST_F(request_limit_fleet_test, all_hosts_together_keep_the_limit_of_a_replica)
 {
--- a/test/platform/stand_ins.h
+++ b/test/platform/stand_ins.h
@@ -112,6 +112,34 @@
     // Returns the number of connections that the peer closed while a request was open.
     int abandoned() const { return m_abandoned; }
 
+    // Resets all connections and refuses new ones for `time`, like a process that crashes and is
+    // started again. `on_restart` is called on the server's thread.
+    void crash(std::chrono::milliseconds time, std::function<void()> on_restart)
+    {
+        boost::asio::post(m_context, [this, time, on_restart = std::move(on_restart)] {
+            if (!m_acceptor.is_open()) {
+                return;
+            }
+            m_endpoint = m_acceptor.local_endpoint();
+            m_acceptor.close();
+            for (const auto& each : std::exchange(m_sessions, {})) {
+                if (const auto open = each.lock()) {
+                    boost::system::error_code ignored;
+                    open->socket.set_option(boost::asio::socket_base::linger{true, 0}, ignored);
+                    open->socket.close(ignored);
+                }
+            }
+            m_restart.expires_after(time);
+            m_restart.async_wait([this, on_restart](boost::system::error_code error) {
+                if (!error) {
+                    m_acceptor = tcp::acceptor{m_context, m_endpoint};
+                    accept();
+                    on_restart();
+                }
+            });
+        });
+    }
+
 private:
     struct session {
         explicit session(tcp::socket from, boost::asio::io_context& context)
@@ -132,7 +160,10 @@
     {
         m_acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
             if (!error) {
-                read(std::make_shared<session>(std::move(socket), m_context));
+                const auto accepted = std::make_shared<session>(std::move(socket), m_context);
+                std::erase_if(m_sessions, [](const auto& each) { return each.expired(); });
+                m_sessions.push_back(accepted);
+                read(accepted);
                 accept();
             }
         });
@@ -201,6 +232,9 @@
 
     boost::asio::io_context m_context;
     tcp::acceptor m_acceptor;
+    tcp::endpoint m_endpoint;
+    boost::asio::steady_timer m_restart{m_context};
+    std::vector<std::weak_ptr<session>> m_sessions;
     mutable std::mutex m_mutex;
     answer_function m_answer;
     std::vector<received_request> m_requests;
