serving: quarantine prompt segments on which engines crash

Cause: nothing related the end of an engine to what it was beginning to answer. Each new prompt with the segment was placed on the next sound engine, by every host; on routes with two attempts one prompt ended two of them. Class: a query of death in a system with many doors.

Evidence: run_interrupted on: one segment stands in prompts at 12 of 12, 27 of 28 and 11 of 14 engines that ended, never with an event; 31 requests had 42 runs on the route with two attempts. Ruled out: load (engines end while others are idle, and only with the segment); resends as the only cause (catalog-draft has one attempt).

Change: crash_monitor probes an engine whose answers are interrupted and tells the other hosts which segments were beginning there; prompt_quarantine weighs crashes against answers and rejects prompts with a convicted segment before the prefill. One answer on any host clears a segment. Segments that others explain are tried one at a time. A host that starts is told by those that greet it. Why it works: the deadly segment is the only one that is present at all these crashes and is never answered; sound ones are answered within moments.

--- /dev/null
+++ b/include/cicadaport/serving/crash_monitor.h
@@ -0,0 +1,105 @@
+// Observes engines that end while they answer prompts, exchanges these observations with the
+// other hosts, and tells which prompts must not be sent to an engine.
+//
+// An interrupted answer alone proves nothing, since connections end for many reasons. The
+// monitor probes the engine: one that accepts connections has not ended.
+//
+// Not thread safe: used only on the event loop of its host.
+#pragma once
+
+#include "cicadaport/serving/endpoint_table.h"
+#include "cicadaport/serving/line_budget.h"
+#include "cicadaport/serving/prompt_quarantine.h"
+#include "cicadaport/transport/timer_queue.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <random>
+#include <string>
+
+namespace cicadaport::serving {
+
+class gossip_sender;
+
+class crash_monitor {
+public:
+    // Other hosts contradict a suspicion after a random delay of up to this time, so that seldom
+    // more than one of them does.
+    static constexpr std::chrono::milliseconds max_contradiction_delay{50};
+
+    // All arguments must outlive the monitor.
+    crash_monitor(boost::asio::io_context& context, transport::timer_queue& timers,
+                  std::mt19937_64& random)
+        : m_context{context}, m_timers{timers}, m_random{random}
+    {
+    }
+
+    // `gossip` is not owned; null while this host sends no gossip.
+    void set_gossip(gossip_sender* gossip) noexcept { m_gossip = gossip; }
+
+    // Called when the connection to an engine ended while it was answering the request `id`.
+    // `segments` are the request's segments that others may share; empty if the answer had got past
+    // its beginning, so that the request can't have ended the engine.
+    void handle_interrupted_answer(const endpoint& engine, std::span<const segment_id> segments,
+                                   const std::string& id);
+    // Called when an engine has answered the request `id`.
+    void handle_answer(std::span<const segment_id> segments, const std::string& id);
+
+    // Apply what another host has announced.
+    void apply_announced_crash(const engine_crash& crash);
+    void apply_announced_survival(const segment_survival& survival);
+    void apply_announced_trial(segment_id segment);
+
+    // Returns why the request `id` with these segments must not be sent to an engine; empty if it
+    // may be sent.
+    std::optional<prompt_quarantine::rejection> check(std::span<const segment_id> segments,
+                                                      const std::string& id);
+    // Returns the largest evidence against one of the segments.
+    double max_evidence(std::span<const segment_id> segments) const
+    {
+        return m_quarantine.max_evidence(segments);
+    }
+    // Returns whether a request with these segments may be sent on to another engine after its
+    // engine has ended: not if other engines have ended before in the same way.
+    bool may_retry_after_crash(std::span<const segment_id> segments) const;
+
+    // Returns the crashes that a host which has just started should know.
+    std::vector<engine_crash> known_crashes() const { return m_quarantine.all_crashes(); }
+    std::size_t quarantined_count() const { return m_quarantine.quarantined_count(m_timers.now()); }
+    std::size_t suspect_count() const noexcept { return m_quarantine.suspect_count(); }
+
+    // To be called about once a second: repeats announcements and drops what has expired.
+    void run_housekeeping();
+
+private:
+    // Requests whose answers were interrupted, while their engine is being probed.
+    struct pending_probe {
+        engine_crash crash;
+        std::string request;
+        unsigned answers = 0;
+    };
+
+    void handle_probe(const std::string& engine, bool accepts_connections);
+    void record_crash(const engine_crash& crash, std::string_view source,
+                      const std::string& request);
+    void schedule_contradiction(const segment_survival& survival);
+    void contradict();
+    void log_rejection(const std::string& id, const segment_verdict& verdict);
+    void log_cleared(const std::vector<segment_verdict>& cleared, std::string_view source,
+                     const std::string& request);
+
+    boost::asio::io_context& m_context;
+    transport::timer_queue& m_timers;
+    std::mt19937_64& m_random;
+    gossip_sender* m_gossip = nullptr;
+    prompt_quarantine m_quarantine;
+    // By the engine's id.
+    std::map<std::string, pending_probe> m_probes;
+    std::map<segment_id, segment_survival> m_contradictions;
+    transport::timer_queue::handle m_contradiction;
+    line_budget m_log_budget;
+    line_budget m_admission_log_budget;
+};
+
+} // namespace cicadaport::serving
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -41,6 +41,12 @@
     void on_failure(transport::exchange_failure failure) override;
 
     bool find_route();
+    // Rejects the request if engines crash on its prompt. Returns whether it was rejected.
+    bool reject_if_quarantined();
+    // Records an answer that shows that the prompt does not crash its engine; once for each run.
+    void record_survival();
+    // Reports a run that ended with its connection.
+    void report_interrupted_answer();
     // Logs that no route matches the request, with the version of the configuration that
     // was searched.
     void log_unrouted() const;
@@ -124,6 +130,11 @@
     std::shared_ptr<transport::exchange_connection> m_connection;
     http::address m_address;
     time_point m_sent{};
+    // The prompt's segments that other requests may share.
+    std::vector<segment_id> m_shared_segments;
+    // The evidence against the segments when the request was admitted; empty if it was not admitted
+    // yet.
+    std::optional<double> m_admitted_evidence;
     std::set<std::string> m_excluded;
     // How often the request was sent to a replica to be run. A prefill that failed also
     // counts.
@@ -140,6 +151,10 @@
 
     // Arrival times of events, for the log and for the timeout of silent streams.
     time_point m_first_event{};
+    // The first event of the current run, and whether the run has shown that the prompt does not
+    // crash its engine.
+    time_point m_run_first_event{};
+    bool m_run_survived = false;
     time_point m_last_event{};
     clock::duration m_longest_pause{0};
     // Silence before this time does not count against the stream.
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "cicadaport/serving/attempt_budget.h"
+#include "cicadaport/serving/crash_monitor.h"
 #include "cicadaport/serving/late_admission.h"
 #include "cicadaport/serving/line_budget.h"
 #include "cicadaport/serving/list_position.h"
@@ -33,6 +34,11 @@
     virtual fleet_place place_for(std::uint32_t endpoint, bool in_cell) const = 0;
     // Announces the limit that a replica advertises, or that it advertises none any longer.
     virtual void announce_limit(const limit_statement& said) = 0;
+    // Announces engines that ended, and prompt segments with which requests were answered.
+    virtual void announce_crashes(std::span<const engine_crash> crashes) = 0;
+    virtual void announce_survivals(std::span<const segment_survival> survivals) = 0;
+    // Announces that a request is sent to find out whether quarantined segments are sound.
+    virtual void announce_trials(std::span<const segment_id> segments) = 0;
     // Announces that an engine changes its stage and takes no work for `time`.
     virtual void announce_stage_change(std::uint32_t engine, engine_stage to,
                                        milliseconds time) = 0;
@@ -42,6 +48,8 @@
 struct request_counts {
     std::uint64_t answered = 0;
     std::uint64_t refused = 0;
+    // Those of the refused ones whose prompts have a quarantined segment.
+    std::uint64_t quarantined = 0;
     std::uint64_t failed = 0;
     std::uint64_t cut = 0;
     std::uint64_t client_disconnects = 0;
@@ -151,6 +159,7 @@
     size_fairness sizes;
     late_admission late;
     std::mt19937_64 random;
+    crash_monitor crashes;
     request_counts counts;
     store_counts store_calls;
     // Not owned. Null while this host sends no gossip.
--- a/include/cicadaport/serving/peer_gossip.h
+++ b/include/cicadaport/serving/peer_gossip.h
@@ -57,6 +57,9 @@
     void announce_page(const shared_page& page) override;
     void announce_stage_change(std::uint32_t engine, engine_stage to, milliseconds time) override;
     void announce_limit(const limit_statement& said) override;
+    void announce_crashes(std::span<const engine_crash> crashes) override;
+    void announce_survivals(std::span<const segment_survival> survivals) override;
+    void announce_trials(std::span<const segment_id> segments) override;
     fleet_place place_for(std::uint32_t endpoint, bool in_cell) const override;
     std::size_t peer_count() const noexcept override { return m_directory.size(); }
     std::uint64_t cell_count() const noexcept override { return m_directory.cell_count(); }
@@ -76,6 +79,7 @@
     void add_known_hosts(protocol::host_news& greeting);
     void receive();
     void handle_datagram(const udp_address& from, std::string_view datagram);
+    void handle_crashes(const protocol::host_news& gossip, time_point now);
     void handle_page(const protocol::host_news& gossip, time_point now);
     void pass_on(protocol::host_news& gossip, const udp_address& from);
     void broadcast(protocol::host_news& gossip, const gossip_routes& routes);
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -35,6 +35,11 @@
 // Unsent bytes to a slow caller above which reading from the endpoint pauses.
 constexpr std::size_t max_unsent_bytes = 128 * 1024;
 
+// An engine that crashes on a prompt does so before its answer has lasted this long.
+constexpr milliseconds answer_beginning_time{50};
+// Callers of a quarantined prompt are asked to wait for at most this time.
+constexpr milliseconds max_quarantine_retry_after{60'000};
+
 // Larger answers, and larger events of a stream, are aborted.
 constexpr std::size_t max_answer_bytes = 8 * 1024 * 1024;
 constexpr std::size_t max_event_bytes = 1024 * 1024;
@@ -72,6 +77,20 @@
     return out;
 }
 
+// Returns the ids of the segments that other requests may share: all but the last one.
+std::vector<segment_id> shared_segments(const std::vector<prompt_segment>& prompt)
+{
+    std::vector<segment_id> out;
+    for (std::size_t index = 0; index + 1 < prompt.size(); ++index) {
+        if (out.size() == prompt_quarantine::max_segments_per_request) {
+            spdlog::warn("prompt_segments_not_considered count={}", prompt.size() - index - 1);
+            break;
+        }
+        out.push_back(prompt[index].id);
+    }
+    return out;
+}
+
 } // namespace
 
 exchange::exchange(host_state& host, caller_port& caller, transport::message_head head,
@@ -126,10 +145,50 @@
     m_host.budget.count_request(m_service, m_arrived);
     if (m_route->has_prompt) {
         m_size = m_host.sizes.classify(m_route->name, m_metadata.prompt_tokens);
+        m_shared_segments = shared_segments(m_metadata.prompt);
+    }
+    return true;
+}
+
+bool exchange::reject_if_quarantined()
+{
+    const auto evidence = m_host.crashes.max_evidence(m_shared_segments);
+    if (m_admitted_evidence && evidence <= *m_admitted_evidence) {
+        return false;
+    }
+    m_admitted_evidence = evidence;
+    const auto rejected = m_host.crashes.check(m_shared_segments, m_metadata.id);
+    if (!rejected) {
+        return false;
     }
+    ++m_host.counts.quarantined;
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(rejected->retry_at - m_host.timers.now());
+    reject(std::clamp(left, retry_after_no_endpoint, max_quarantine_retry_after),
+           "engines crash on this prompt");
     return true;
 }
 
+void exchange::record_survival()
+{
+    if (!m_run_survived && m_route->has_prompt) {
+        m_run_survived = true;
+        m_host.crashes.handle_answer(m_shared_segments, m_metadata.id);
+    }
+}
+
+void exchange::report_interrupted_answer()
+{
+    const bool is_beginning = m_run_first_event == time_point{} ||
+                              m_host.timers.now() - m_run_first_event < answer_beginning_time;
+    if (m_route->has_prompt) {
+        const std::span<const segment_id> suspected = m_shared_segments;
+        m_host.crashes.handle_interrupted_answer(
+            *m_endpoint, is_beginning && !m_run_survived ? suspected : suspected.first(0),
+            m_metadata.id);
+    }
+}
+
 void exchange::log_unrouted() const
 {
     if (m_host.unrouted_log_budget.try_acquire(m_arrived)) {
@@ -199,6 +258,9 @@
 {
     auto query = make_prompt_query(target);
     const auto now = query.now;
+    if (reject_if_quarantined()) {
+        return;
+    }
     const auto& engines = m_host.engines_of(m_service);
     if (m_kv_cache && m_plan.prefill_engine) {
         m_plan.decode_engine =
@@ -313,6 +375,8 @@
     m_answer.reset();
     m_answer_body.clear();
     m_events.restart();
+    m_run_first_event = time_point{};
+    m_run_survived = false;
     const bool once = m_route->repeats == repeat_rule::once && what == step::running;
     m_connection = m_host.connections.take(m_address, once ? transport::reuse_rule::certain
                                                            : transport::reuse_rule::any);
@@ -410,6 +474,12 @@
 {
     const auto now = m_host.timers.now();
     auto& engine = m_host.engines.state(m_endpoint->report.id);
+    if (m_run_first_event == time_point{}) {
+        m_run_first_event = now;
+    }
+    else if (now - m_run_first_event >= answer_beginning_time) {
+        record_survival();
+    }
     if (m_first_event == time_point{}) {
         m_first_event = now;
         record_decode_wait();
@@ -489,6 +559,9 @@
     state.health.record_success(m_host.timers.now());
     m_host.engines.record_prefill_time(m_endpoint->report.id, m_plan, observed);
     m_kv_cache = prompt_kv_cache{m_address, std::move(*handle)};
+    if (reject_if_quarantined()) {
+        return;
+    }
     const auto& decode_engine = *m_plan.decode_engine;
     if (decode_engine.gone || !m_host.accepts_request(decode_engine, true)) {
         place();
@@ -532,6 +605,7 @@
     }
     if (is_success(status)) {
         health.record_success(now);
+        record_survival();
         if (m_kv_cache && m_plan.prefill_engine) {
             m_host.engines.state(m_plan.prefill_engine->report.id)
                 .kv_transfer_health.record_success(now);
@@ -609,7 +683,8 @@
     end_prefill();
     release_held_kv_cache();
     m_excluded.insert(m_endpoint->report.id);
-    if (m_route->repeats == repeat_rule::any && retry_elsewhere()) {
+    if (m_route->repeats == repeat_rule::any &&
+        m_host.crashes.may_retry_after_crash(m_shared_segments) && retry_elsewhere()) {
         return;
     }
     fail(status_bad_gateway, "the replica gave no whole answer");
@@ -694,6 +769,7 @@
     }
     else {
         log_interrupted_run();
+        report_interrupted_answer();
         handle_run_failure();
     }
 }
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -365,6 +365,7 @@
         m_state.log_limit_usage();
         m_state.limits.forget_old(m_state.timers.now());
         m_state.fleet.remove_expired(m_state.timers.now());
+        m_state.crashes.run_housekeeping();
         if (++m_housekeeping_count % log_counts_every == 0) {
             log_counts();
         }
@@ -376,18 +377,20 @@
     {
         const auto& counts = m_state.counts;
         spdlog::info(
-            "requests answered={} refused={} failed={} cut={} callers_left={} "
+            "requests answered={} refused={} quarantined={} failed={} cut={} callers_left={} "
             "further_attempts={} handed_over={} connections_opened={} peers={} replicas={} "
             "configuration={} configuration_age_ms={} endpoints_age_ms={} store_pages={} "
             "store_configuration_reads={} store_endpoint_reads={} store_order_reads={} "
-            "store_appends={}",
-            counts.answered, counts.refused, counts.failed, counts.cut, counts.client_disconnects,
-            counts.retries, counts.handed_over, m_state.connections.opened(), m_gossip.peer_count(),
-            m_state.endpoints.size(), m_state.deployed != nullptr ? m_state.deployed->version() : 0,
+            "store_appends={} suspected_segments={} quarantined_segments={}",
+            counts.answered, counts.refused, counts.quarantined, counts.failed, counts.cut,
+            counts.client_disconnects, counts.retries, counts.handed_over,
+            m_state.connections.opened(), m_gossip.peer_count(), m_state.endpoints.size(),
+            m_state.deployed != nullptr ? m_state.deployed->version() : 0,
             age_ms(m_state.configuration_position), age_ms(m_state.endpoints_position),
             m_state.store_calls.pages, m_state.store_calls.configuration_reads,
             m_state.store_calls.endpoint_reads, m_state.store_calls.order_reads,
-            m_state.store_calls.appends);
+            m_state.store_calls.appends, m_state.crashes.suspect_count(),
+            m_state.crashes.quarantined_count());
     }
 
     std::int64_t age_ms(const list_position& of) const
--- a/src/serving/peer_gossip.cpp
+++ b/src/serving/peer_gossip.cpp
@@ -21,6 +21,8 @@
 // larger page are not sent; each host then reads them from the store itself.
 constexpr std::size_t max_record_bytes = 1'100;
 constexpr std::size_t max_part_count = 8;
+// Maximum number of prompt segments in a datagram.
+constexpr int max_segment_count = 100;
 // Prefill times are sent in units of 0.1 ms.
 constexpr double units_per_ms = 10;
 
@@ -37,6 +39,40 @@
     return fractional_milliseconds{parts / units_per_ms};
 }
 
+milliseconds age_of(time_point at, time_point now)
+{
+    return std::max(std::chrono::duration_cast<milliseconds>(now - at), milliseconds{0});
+}
+
+// Divides crashes into messages that each fit into a datagram.
+std::vector<protocol::host_news> to_messages(std::span<const engine_crash> crashes, time_point now)
+{
+    std::vector<protocol::host_news> out;
+    int count = max_segment_count;
+    const auto add = [&](const engine_crash& crash) {
+        if (count >= max_segment_count) {
+            out.emplace_back();
+            count = 0;
+        }
+        ++count;
+        auto* const added = out.back().add_crashes();
+        added->set_engine(crash.engine);
+        added->set_age_ms(static_cast<std::uint32_t>(age_of(crash.at, now).count()));
+        return added;
+    };
+    for (const auto& each : crashes) {
+        auto* added = add(each);
+        for (const auto segment : each.segments) {
+            if (count >= max_segment_count) {
+                added = add(each);
+            }
+            added->add_segments(segment);
+            ++count;
+        }
+    }
+    return out;
+}
+
 peer_address to_peer(const http::address& address)
 {
     error_code error;
@@ -71,6 +107,7 @@
         return;
     }
     m_host.gossip = this;
+    m_host.crashes.set_gossip(this);
     receive();
     greet();
 }
@@ -120,6 +157,42 @@
     broadcast(gossip, m_directory.routes_for_heartbeat(++m_greetings));
 }
 
+void peer_gossip::announce_crashes(std::span<const engine_crash> crashes)
+{
+    for (auto& each : to_messages(crashes, m_host.timers.now())) {
+        each.set_sender(m_own_number);
+        broadcast(each, m_directory.routes_for_heartbeat(++m_greetings));
+    }
+}
+
+void peer_gossip::announce_survivals(std::span<const segment_survival> survivals)
+{
+    const auto now = m_host.timers.now();
+    while (!survivals.empty()) {
+        const auto part = survivals.first(
+            std::min(survivals.size(), static_cast<std::size_t>(max_segment_count)));
+        survivals = survivals.subspan(part.size());
+        protocol::host_news gossip;
+        gossip.set_sender(m_own_number);
+        for (const auto& each : part) {
+            auto& added = *gossip.add_survivals();
+            added.set_segment(each.segment);
+            added.set_age_ms(static_cast<std::uint32_t>(age_of(each.at, now).count()));
+        }
+        broadcast(gossip, m_directory.routes_for_heartbeat(++m_greetings));
+    }
+}
+
+void peer_gossip::announce_trials(std::span<const segment_id> segments)
+{
+    protocol::host_news gossip;
+    gossip.set_sender(m_own_number);
+    for (const auto each : segments) {
+        gossip.add_tried_segments(each);
+    }
+    broadcast(gossip, m_directory.routes_for_heartbeat(++m_greetings));
+}
+
 fleet_place peer_gossip::place_for(std::uint32_t endpoint, bool in_cell) const
 {
     return m_directory.place_for(endpoint, in_cell, m_host.timers.now());
@@ -182,6 +255,22 @@
     m_on_page(page);
 }
 
+void peer_gossip::handle_crashes(const protocol::host_news& gossip, time_point now)
+{
+    for (const auto& each : gossip.crashes()) {
+        m_host.crashes.apply_announced_crash({each.engine(),
+                                              now - milliseconds{each.age_ms()},
+                                              {each.segments().begin(), each.segments().end()}});
+    }
+    for (const auto& each : gossip.survivals()) {
+        m_host.crashes.apply_announced_survival(
+            {each.segment(), now - milliseconds{each.age_ms()}});
+    }
+    for (const auto segment : gossip.tried_segments()) {
+        m_host.crashes.apply_announced_trial(segment);
+    }
+}
+
 void peer_gossip::schedule_flush()
 {
     if (m_batch->begun_size() + m_batch->ended_size() >= max_announcement_count) {
@@ -269,7 +358,9 @@
     gossip.clear_pass_on();
     const auto bytes = gossip.SerializeAsString();
     const peer_address source{from.address().to_v4().to_uint(), from.port()};
-    const bool of_work = !gossip.has_own() && !gossip.has_feed() && gossip.limits().empty();
+    const bool of_work = !gossip.has_own() && !gossip.has_feed() && gossip.limits().empty() &&
+                         gossip.crashes().empty() && gossip.survivals().empty() &&
+                         gossip.tried_segments().empty();
     for (const auto& each : m_directory.zone_peers(of_work)) {
         if (each != source) {
             send(bytes, each);
@@ -317,15 +408,20 @@
     const auto sender = gossip.sender();
     if (gossip.has_own()) {
         const peer_address at{gossip.own().ip(), static_cast<std::uint16_t>(gossip.own().port())};
-        const bool first = !m_directory.knows(at);
+        bool first = !m_directory.knows(at);
         if (const auto replaced = m_directory.record_message(at, sender, gossip.zone(), now)) {
             m_host.fleet.forget(replaced, now);
+            first = true;
         }
         if (first) {
             // The reply lets a host that has just started find all others within two replies.
             auto answer = make_greeting();
             add_known_hosts(answer);
             send(answer.SerializeAsString(), at);
+            for (auto& each : to_messages(m_host.crashes.known_crashes(), now)) {
+                each.set_sender(m_own_number);
+                send(each.SerializeAsString(), at);
+            }
         }
     }
     if (gossip.pass_on()) {
@@ -364,6 +460,7 @@
              each.is_named() ? std::optional{each.per_second()} : std::nullopt,
              now - milliseconds{each.asked_ms()}});
     }
+    handle_crashes(gossip, now);
     for (const auto& each : gossip.others()) {
         m_directory.record_mention({each.ip(), static_cast<std::uint16_t>(each.port())}, now);
     }
--- a/test/platform/feed_follower_test.cpp
+++ b/test/platform/feed_follower_test.cpp
@@ -34,6 +34,9 @@
     }
     serving::fleet_place place_for(std::uint32_t, bool) const override { return {}; }
     void announce_limit(const serving::limit_statement&) override {}
+    void announce_crashes(std::span<const serving::engine_crash>) override {}
+    void announce_survivals(std::span<const serving::segment_survival>) override {}
+    void announce_trials(std::span<const serving::segment_id>) override {}
 
     std::vector<shared_page> announced;
 };
