serving: a stream that ends inside an event has been broken off

A stream that ended inside an event was passed on with the torn event and a regular end, so it looked complete, whether its end was that of the connection or of the chunks. A resumable one was not resumed. Cause: at the end of a stream the rest of the buffer was taken for its last event. Change: a stream that ends inside an event is treated as an interrupted run: resumed where that is allowed, else cut, or 502 if nothing was passed on. Evidence: four of nine unframed_answer_test failed before (a torn event at the end of the connection or of the chunks, at the first event, on a resumable route). Plain answers and clean ends were right before.

--- a/include/cicadaport/serving/event_buffer.h
+++ b/include/cicadaport/serving/event_buffer.h
@@ -18,8 +18,11 @@
     // them.
     std::string take_complete();
 
-    // Removes and returns the remaining bytes of a stream that has ended.
-    std::string take_remainder();
+    // Returns whether the bytes so far end inside an event.
+    bool is_inside_event() const noexcept
+    {
+        return m_pending.find_first_not_of("\r\n") != std::string::npos;
+    }
 
     // Returns the number of buffered bytes: those of an event that is not complete yet.
     std::size_t pending_bytes() const noexcept { return m_pending.size(); }
--- a/src/serving/event_buffer.cpp
+++ b/src/serving/event_buffer.cpp
@@ -41,17 +41,34 @@
     return !left || !right || *left > *right;
 }
 
+// Returns the position after the empty line that ends the first event; npos if there is none.
+std::size_t end_of_event(std::string_view text)
+{
+    for (auto at = text.find('\n'); at != std::string_view::npos; at = text.find('\n', at + 1)) {
+        const auto next = text.substr(at + 1);
+        if (next.starts_with('\n')) {
+            return at + 2;
+        }
+        if (next.starts_with("\r\n")) {
+            return at + 3;
+        }
+    }
+    return std::string_view::npos;
+}
+
 } // namespace
 
 std::string event_buffer::take_complete()
 {
-    constexpr std::string_view separator = "\n\n";
     std::string out;
     std::size_t start = 0;
-    for (auto end = m_pending.find(separator); end != std::string::npos;
-         end = m_pending.find(separator, start)) {
-        const auto event =
-            std::string_view{m_pending}.substr(start, end + separator.size() - start);
+    for (;;) {
+        const auto rest = std::string_view{m_pending}.substr(start);
+        const auto end = end_of_event(rest);
+        if (end == std::string_view::npos) {
+            break;
+        }
+        const auto event = rest.substr(0, end);
         start += event.size();
         const auto id = id_of(event);
         if (id && m_last_event_id && !is_later(*id, *m_last_event_id)) {
@@ -67,9 +84,4 @@
     return out;
 }
 
-std::string event_buffer::take_remainder()
-{
-    return std::exchange(m_pending, {});
-}
-
 } // namespace cicadaport::serving
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -439,10 +439,7 @@
 
 void exchange::forward_events(bool at_end)
 {
-    auto events = m_events.take_complete();
-    if (at_end) {
-        events += m_events.take_remainder();
-    }
+    const auto events = m_events.take_complete();
     if (events.empty() && !at_end) {
         return;
     }
@@ -603,6 +600,11 @@
         handle_run_failure();
         return;
     }
+    if (is_success(status) && m_route->streamed && m_events.is_inside_event()) {
+        // The engine broke the stream off.
+        on_failure(exchange_failure::cut_short);
+        return;
+    }
     if (is_success(status)) {
         health.record_success(now);
         record_survival();
--- a/test/serving/event_buffer_test.cpp
+++ b/test/serving/event_buffer_test.cpp
@@ -38,12 +38,27 @@
     EXPECT_EQ(events.take_complete(), "id: 10\ndata: b\n\n");
 }
 
-TEST(event_buffer_test, returns_the_rest_of_a_stream_that_ends_without_an_empty_line)
+TEST(event_buffer_test, tells_whether_a_stream_ends_inside_an_event)
 {
     event_buffer events;
     events.feed("data: x\n\ndata: end");
     EXPECT_EQ(events.take_complete(), "data: x\n\n");
-    EXPECT_EQ(events.take_remainder(), "data: end");
+    EXPECT_TRUE(events.is_inside_event());
+    events.feed("\n");
+    EXPECT_EQ(events.take_complete(), "");
+    EXPECT_TRUE(events.is_inside_event());
+    events.feed("\n\n");
+    EXPECT_EQ(events.take_complete(), "data: end\n\n");
+    EXPECT_FALSE(events.is_inside_event());
+}
+
+TEST(event_buffer_test, events_may_end_with_carriage_returns)
+{
+    event_buffer events;
+    events.feed("id: 1\r\ndata: a\r\n\r\nid: 2\r\n");
+    EXPECT_EQ(events.take_complete(), "id: 1\r\ndata: a\r\n\r\n");
+    EXPECT_EQ(events.last_event_id(), "1");
+    EXPECT_TRUE(events.is_inside_event());
 }
 
 TEST(size_fairness_test, tells_the_largest_tenth_from_the_rest)
