serving: cancel prompts that wait at engines when their segment is quarantined

Cause: the quarantine was asked before a prompt was sent, not afterwards. Under load a prompt waits at its engine for up to 2.5 s before its first token. Change: an exchange whose engine has not begun its answer is registered with crash_monitor and is cancelled, by closing its connection, once nothing but one of its segments explains the crashes. It may have run, so the caller gets 502. crashing_prompt_test.waiting_prompts_are_cancelled_when_their_segment_is_quarantined failed before: five engines crashed, three are allowed.

--- a/include/cicadaport/serving/crash_monitor.h
+++ b/include/cicadaport/serving/crash_monitor.h
@@ -16,12 +16,23 @@
 
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 
 namespace cicadaport::serving {
 
 class gossip_sender;
 
+// A request that an engine has not begun to answer yet.
+class pending_prompt {
+public:
+    virtual ~pending_prompt() = default;
+    // The request's segments that others may share.
+    virtual std::span<const segment_id> shared_segments() const noexcept = 0;
+    // One of the segments is in quarantine now, so the request must be cancelled.
+    virtual void cancel(const segment_verdict& verdict) = 0;
+};
+
 class crash_monitor {
 public:
     // Other hosts contradict a suspicion after a random delay of up to this time, so that seldom
@@ -55,6 +66,10 @@
     // may be sent.
     std::optional<prompt_quarantine::rejection> check(std::span<const segment_id> segments,
                                                       const std::string& id);
+    // While a request is registered, it is cancelled when one of its segments is quarantined.
+    void add_pending(pending_prompt& prompt) { m_pending.insert(&prompt); }
+    void remove_pending(pending_prompt& prompt) { m_pending.erase(&prompt); }
+
     // Returns the largest evidence against one of the segments.
     double max_evidence(std::span<const segment_id> segments) const
     {
@@ -83,6 +98,7 @@
     void handle_probe(const std::string& engine, bool accepts_connections);
     void record_crash(const engine_crash& crash, std::string_view source,
                       const std::string& request);
+    void cancel_pending();
     void schedule_contradiction(const segment_survival& survival);
     void contradict();
     void log_rejection(const std::string& id, const segment_verdict& verdict);
@@ -96,6 +112,7 @@
     prompt_quarantine m_quarantine;
     // By the engine's id.
     std::map<std::string, pending_probe> m_probes;
+    std::set<pending_prompt*> m_pending;
     std::map<segment_id, segment_survival> m_contradictions;
     transport::timer_queue::handle m_contradiction;
     line_budget m_log_budget;
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -13,6 +13,7 @@
 namespace cicadaport::serving {
 
 class exchange final : public transport::answer_observer,
+                       public pending_prompt,
                        public std::enable_shared_from_this<exchange> {
 public:
     exchange(host_state& host, caller_port& caller, transport::message_head head, std::string body);
@@ -40,6 +41,13 @@
     void on_complete() override;
     void on_failure(transport::exchange_failure failure) override;
 
+    // pending_prompt
+    std::span<const segment_id> shared_segments() const noexcept override
+    {
+        return m_shared_segments;
+    }
+    void cancel(const segment_verdict& verdict) override;
+
     bool find_route();
     // Rejects the request if engines crash on its prompt. Returns whether it was rejected.
     bool reject_if_quarantined();
--- a/include/cicadaport/serving/prompt_quarantine.h
+++ b/include/cicadaport/serving/prompt_quarantine.h
@@ -121,6 +121,11 @@
     // begun.
     admission admit(std::span<const segment_id> segments, time_point now);
 
+    // Returns the verdict against a request with these segments that was sent already; empty unless
+    // a segment is in quarantine and nothing else explains its crashes.
+    std::optional<segment_verdict> find_convicted(std::span<const segment_id> segments,
+                                                  time_point now) const;
+
     // Records that another host has sent a trial request.
     void record_trial(segment_id segment, time_point now);
 
--- a/src/serving/crash_monitor.cpp
+++ b/src/serving/crash_monitor.cpp
@@ -74,8 +74,10 @@
     const auto result = m_quarantine.record_crash(crash, now);
     const bool is_own = !request.empty();
     engine_crash announced{crash.engine, crash.at, {}};
+    bool is_any_quarantined = false;
     for (const auto& each : result.suspected) {
         announced.segments.push_back(each.segment);
+        is_any_quarantined = is_any_quarantined || each.quarantined_until;
         if (each.quarantined_until || m_log_budget.try_acquire(now)) {
             spdlog::log(each.quarantined_until ? spdlog::level::warn : spdlog::level::info,
                         "prompt_segment_{} segment={:x} crashes={} engine={:x} age_ms={} for_ms={} "
@@ -89,6 +91,9 @@
     if (is_own && m_gossip != nullptr && (result.is_new || !announced.segments.empty())) {
         m_gossip->announce_crashes({&announced, 1});
     }
+    if (is_any_quarantined) {
+        cancel_pending();
+    }
     if (!is_own) {
         for (const auto& each : result.contradicted) {
             schedule_contradiction(each);
@@ -96,6 +101,21 @@
     }
 }
 
+void crash_monitor::cancel_pending()
+{
+    const auto now = m_timers.now();
+    const auto all = m_pending;
+    for (auto* const each : all) {
+        // Cancelling one request may end others.
+        if (!m_pending.contains(each)) {
+            continue;
+        }
+        if (const auto verdict = m_quarantine.find_convicted(each->shared_segments(), now)) {
+            each->cancel(*verdict);
+        }
+    }
+}
+
 void crash_monitor::schedule_contradiction(const segment_survival& survival)
 {
     m_contradictions.insert_or_assign(survival.segment, survival);
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -78,7 +78,7 @@
 }
 
 // Returns the ids of the segments that other requests may share: all but the last one.
-std::vector<segment_id> shared_segments(const std::vector<prompt_segment>& prompt)
+std::vector<segment_id> shared_segments_of(const std::vector<prompt_segment>& prompt)
 {
     std::vector<segment_id> out;
     for (std::size_t index = 0; index + 1 < prompt.size(); ++index) {
@@ -145,7 +145,7 @@
     m_host.budget.count_request(m_service, m_arrived);
     if (m_route->has_prompt) {
         m_size = m_host.sizes.classify(m_route->name, m_metadata.prompt_tokens);
-        m_shared_segments = shared_segments(m_metadata.prompt);
+        m_shared_segments = shared_segments_of(m_metadata.prompt);
     }
     return true;
 }
@@ -169,6 +169,16 @@
     return true;
 }
 
+void exchange::cancel(const segment_verdict& verdict)
+{
+    const auto keep = shared_from_this();
+    ++m_host.counts.quarantined;
+    spdlog::info("request_cancelled id={} endpoint={} segment={:x} crashes={} running_ms={:.0f}",
+                 m_metadata.id, m_endpoint->report.id, verdict.segment, verdict.crashes,
+                 fractional_milliseconds{m_host.timers.now() - m_sent}.count());
+    fail(status_bad_gateway, "engines crash on this prompt");
+}
+
 void exchange::record_survival()
 {
     if (!m_run_survived && m_route->has_prompt) {
@@ -386,6 +396,9 @@
         m_attempt_may_have_run = true;
     }
     m_host.limits.count_sent(to->report.id, what == step::prefilling);
+    if (what == step::running && m_route->has_prompt) {
+        m_host.crashes.add_pending(*this);
+    }
     m_connection->send(m_host.wire.run_request(m_head, m_body, complete), *this);
 }
 
@@ -473,6 +486,7 @@
     auto& engine = m_host.engines.state(m_endpoint->report.id);
     if (m_run_first_event == time_point{}) {
         m_run_first_event = now;
+        m_host.crashes.remove_pending(*this);
     }
     else if (now - m_run_first_event >= answer_beginning_time) {
         record_survival();
@@ -517,6 +531,7 @@
 
 void exchange::on_complete()
 {
+    m_host.crashes.remove_pending(*this);
     m_answer_timer.cancel();
     if (m_answer_confirmed) {
         m_host.connections.give_back(m_address, std::exchange(m_connection, nullptr));
@@ -742,6 +757,7 @@
 void exchange::on_failure(exchange_failure failure)
 {
     m_answer_timer.cancel();
+    m_host.crashes.remove_pending(*this);
     m_connection.reset();
     const auto now = m_host.timers.now();
     auto& health = health_of_endpoint();
@@ -890,6 +906,7 @@
         in_flight -= in_flight > 0 ? 1 : 0;
     }
     m_step = step::idle;
+    m_host.crashes.remove_pending(*this);
     if (m_connection != nullptr) {
         std::exchange(m_connection, nullptr)->abandon();
     }
--- a/src/serving/prompt_quarantine.cpp
+++ b/src/serving/prompt_quarantine.cpp
@@ -135,6 +135,19 @@
     return out;
 }
 
+std::optional<segment_verdict>
+prompt_quarantine::find_convicted(std::span<const segment_id> segments, time_point now) const
+{
+    for (const auto segment : segments) {
+        const auto found = m_suspects.find(segment);
+        if (found != m_suspects.end() && is_quarantined(found->second, now) &&
+            !has_other_explanation(found->second, segments)) {
+            return verdict_of(segment, found->second);
+        }
+    }
+    return std::nullopt;
+}
+
 void prompt_quarantine::record_trial(segment_id segment, time_point now)
 {
     const auto found = m_suspects.find(segment);
--- a/test/platform/crashing_prompt_test.cpp
+++ b/test/platform/crashing_prompt_test.cpp
@@ -1,6 +1,8 @@
 // Tests of hosts with prompts that contain a segment on which every engine crashes.
 #include "host_fixture.h"
 
+#include "cicadaport/serving/prompt_quarantine.h"
+
 #include <gmock/gmock.h>
 
 namespace cicadaport::platform {
@@ -43,7 +45,11 @@
                                                            [this, number] { list_engine(number); });
     }
 
-    std::size_t count() const { return m_engines.size(); }
+    // Sets how long a prompt with the deadly segment waits before the engine crashes on it.
+    void delay_deadly(std::chrono::milliseconds time) { m_deadly_delay = time; }
+
+    // Number of crashes by the deadly segment.
+    std::size_t crash_count() const { return m_crash_count; }
     // Number of requests with the deadly segment that reached an engine.
     std::size_t deadly_count() const { return m_deadly_count; }
 
@@ -62,8 +68,19 @@
     {
         if (each.field("Prompt-Prefix").find(deadly_segment) != std::string::npos) {
             ++m_deadly_count;
-            crash(number);
-            return {};
+            // The response is polled only while the caller's connection is open.
+            scripted_response waiting;
+            waiting.later = [this, number,
+                             due = std::chrono::steady_clock::now() +
+                                   m_deadly_delay.load()]() -> std::optional<scripted_response> {
+                if (std::chrono::steady_clock::now() < due) {
+                    return std::nullopt;
+                }
+                ++m_crash_count;
+                crash(number);
+                return scripted_response{};
+            };
+            return waiting;
         }
         return stream(each, "s", events(1, 2), scripted_response::then::keep);
     }
@@ -73,6 +90,8 @@
     std::mutex m_mutex;
     std::map<int, std::string> m_ids;
     std::atomic<std::size_t> m_deadly_count{0};
+    std::atomic<std::size_t> m_crash_count{0};
+    std::atomic<std::chrono::milliseconds> m_deadly_delay{};
     std::atomic<int> m_incarnations{0};
 };
 
@@ -146,6 +165,34 @@
     EXPECT_NE(refused.field("Retry-After"), "");
 }
 
+// Prompts that wait at an engine when their segment is quarantined must not crash it.
+TEST_F(crashing_prompt_test, waiting_prompts_are_cancelled_when_their_segment_is_quarantined)
+{
+    const auto engine_fleet = make_engines();
+    engine_fleet->delay_deadly(4s);
+    start_fleet();
+    std::vector<std::thread> callers;
+    std::atomic<int> answered{0};
+    constexpr int waiting = 4;
+    for (int number = 0; number < waiting; ++number) {
+        callers.emplace_back([&, number] {
+            answered += testing::caller{host(number)}.ask(deadly_request(number)).status == 502U;
+        });
+    }
+    ASSERT_TRUE(testing::eventually([&] { return engine_fleet->deadly_count() == waiting; }));
+    engine_fleet->delay_deadly(0s);
+    for (int number = 0; number < 3; ++number) {
+        testing::caller{host(number)}.ask(deadly_request(waiting + number));
+        // A host may still know a restarted engine as the one that crashed before.
+        std::this_thread::sleep_for(serving::prompt_quarantine::same_crash_time + 100ms);
+    }
+    for (auto& each : callers) {
+        each.join();
+    }
+    EXPECT_EQ(answered, waiting);
+    EXPECT_LE(engine_fleet->crash_count(), 3U);
+}
+
 TEST_F(crashing_prompt_test, crashes_without_a_common_segment_refuse_no_prompt)
 {
     const auto engine_fleet = make_engines();
--- a/test/serving/prompt_quarantine_test.cpp
+++ b/test/serving/prompt_quarantine_test.cpp
@@ -136,6 +136,15 @@
     EXPECT_FALSE(is_admitted(quarantine, {deadly}, now + 10s)) << "nothing else explains it";
 }
 
+TEST(prompt_quarantine_test, only_a_request_whose_segments_nothing_else_explains_is_convicted)
+{
+    prompt_quarantine quarantine;
+    record_crashes(quarantine, 3, {companion, deadly});
+    EXPECT_TRUE(quarantine.find_convicted({{companion, deadly}}, start + 3s));
+    EXPECT_FALSE(quarantine.find_convicted({{companion}}, start + 3s));
+    EXPECT_FALSE(quarantine.find_convicted({{common}}, start + 3s));
+}
+
 TEST(prompt_quarantine_test, a_trial_of_another_host_counts)
 {
     prompt_quarantine quarantine;
