soak: engines crash on a prompt segment, and without a cause

Real host processes now serve prompts too. The stand-in engines, shared with crashing_prompt_test, crash on one segment; others end at random. The judge counts prompts with the segment that reach engines later than contact after the fifth crash, from hosts without a fault, and the sound prompts served meanwhile.

--- a/test/platform/crashing_prompt_test.cpp
+++ b/test/platform/crashing_prompt_test.cpp
@@ -1,4 +1,5 @@
 // Tests of hosts with prompts that contain a segment on which every engine crashes.
+#include "crashing_engines.h"
 #include "host_fixture.h"
 
 #include "cicadaport/serving/prompt_quarantine.h"
@@ -9,103 +10,24 @@
 namespace {
 
 using namespace std::chrono_literals;
-using testing::events;
-using testing::received_request;
+using testing::crashing_engines;
+using testing::prompt_fields;
 using testing::request;
-using testing::scripted_response;
-using testing::scripted_server;
-using testing::stream;
 
 // Crashes after which all hosts must know the segment, and how many further requests with it
 // may reach an engine.
 constexpr std::size_t tolerated_crashes = 5;
 constexpr std::size_t allowed_extra_count = 3;
-constexpr std::string_view deadly_segment = "dead1";
-
-// Decode engines that crash on `deadly_segment` and are listed again after a restart.
-class crashing_engines {
-public:
-    // Lists an engine under a new id instead of its previous one, which may be empty.
-    using list_function = std::function<void(const std::string& previous_id, const std::string& id,
-                                             const http::address& at)>;
-
-    crashing_engines(int count, list_function list) : m_list{std::move(list)}
-    {
-        for (int number = 0; number < count; ++number) {
-            m_engines.push_back(std::make_unique<scripted_server>(
-                [this, number](const received_request& each) { return answer(number, each); }));
-            list_engine(number);
-        }
-    }
-
-    // Crashes an engine whatever it runs.
-    void crash(int number)
-    {
-        m_engines[static_cast<std::size_t>(number)]->crash(restart_time,
-                                                           [this, number] { list_engine(number); });
-    }
-
-    // Sets how long a prompt with the deadly segment waits before the engine crashes on it.
-    void delay_deadly(std::chrono::milliseconds time) { m_deadly_delay = time; }
-
-    // Number of crashes by the deadly segment.
-    std::size_t crash_count() const { return m_crash_count; }
-    // Number of requests with the deadly segment that reached an engine.
-    std::size_t deadly_count() const { return m_deadly_count; }
-
-private:
-    static constexpr auto restart_time = 300ms;
-
-    void list_engine(int number)
-    {
-        const std::lock_guard lock{m_mutex};
-        const auto id = "i-" + std::to_string(++m_incarnations);
-        m_list(std::exchange(m_ids[number], id), id,
-               m_engines[static_cast<std::size_t>(number)]->address());
-    }
-
-    scripted_response answer(int number, const received_request& each)
-    {
-        if (each.field("Prompt-Prefix").find(deadly_segment) != std::string::npos) {
-            ++m_deadly_count;
-            // The response is polled only while the caller's connection is open.
-            scripted_response waiting;
-            waiting.later = [this, number,
-                             due = std::chrono::steady_clock::now() +
-                                   m_deadly_delay.load()]() -> std::optional<scripted_response> {
-                if (std::chrono::steady_clock::now() < due) {
-                    return std::nullopt;
-                }
-                ++m_crash_count;
-                crash(number);
-                return scripted_response{};
-            };
-            return waiting;
-        }
-        return stream(each, "s", events(1, 2), scripted_response::then::keep);
-    }
-
-    list_function m_list;
-    std::vector<std::unique_ptr<scripted_server>> m_engines;
-    std::mutex m_mutex;
-    std::map<int, std::string> m_ids;
-    std::atomic<std::size_t> m_deadly_count{0};
-    std::atomic<std::size_t> m_crash_count{0};
-    std::atomic<std::chrono::milliseconds> m_deadly_delay{};
-    std::atomic<int> m_incarnations{0};
-};
 
 std::string prompt_request(const std::string& id, const std::string& shared_segments)
 {
-    return request("POST", "/prompt/x", id,
-                   "Token-Count: 900,80\r\nPrompt-Prefix: a:300," + shared_segments + ":200," + id +
-                       ":400\r\n",
-                   "q");
+    return request("POST", "/prompt/x", id, prompt_fields(id, shared_segments), "q");
 }
 
 std::string deadly_request(int number)
 {
-    return prompt_request("d" + std::to_string(number), "b1:100," + std::string{deadly_segment});
+    return prompt_request("d" + std::to_string(number),
+                          "b1:100," + std::string{testing::deadly_segment});
 }
 
 class crashing_prompt_test : public testing::fleet_test {
--- a/test/platform/soak/configuration_history.h
+++ b/test/platform/soak/configuration_history.h
@@ -74,9 +74,14 @@
             add(fmt::format("a{}", each), "s");
         }
         add("moved", service_of(version));
+        routes += R"(,{"name":"prompt","host":"h.example","path-prefix":"/prompt/",)"
+                  R"("kind":"streaming","timeout-ms":2000,"target-latency-ms":500,)"
+                  R"("max-attempts":2,"resumable":true,"sticky":true,"service":"e"})";
         return fmt::format(
             R"({{"version":{},"padding":"{}","routes":[{}],)"
-            R"("services":[{{"name":"s","max-conns":64}},{{"name":"t","max-conns":64}}],)"
+            R"("services":[{{"name":"s","max-conns":64}},{{"name":"t","max-conns":64}},)"
+            R"({{"name":"e","max-conns":640,"engine":{{"slots":64,"token-kv-bytes":1000,)"
+            R"("link-mbps":1000}}}}],)"
             R"("limits":{{"idle-timeout-ms":60000}}}})",
             version, std::string(padding, 'x'), routes);
     }
--- a/test/platform/soak/fleet_soak.cpp
+++ b/test/platform/soak/fleet_soak.cpp
@@ -12,6 +12,10 @@
 constexpr auto report_interval = 1'200ms;
 constexpr auto longest_start = 10s;
 constexpr std::size_t plain_replicas = 3;
+constexpr int engine_count = 8;
+constexpr auto prompt_interval = 15ms;
+// Fraction of the prompts that have the segment on which engines crash.
+constexpr double deadly_share = 0.03;
 // A host that has shown a version's effect must still show it after this time.
 constexpr auto rollback_slack = 250ms;
 
@@ -178,6 +182,112 @@
     m_next_limit = now + draw(2'000ms, 12'000ms);
 }
 
+// Prompts and engines
+
+void fleet_soak::list_engine(const std::string& previous_id, const std::string& id,
+                             const http::address& at)
+{
+    const std::lock_guard lock{m_mutex};
+    m_listed_engines.erase(previous_id);
+    m_listed_engines[id] = at;
+    m_next_engine_report = {};
+    if (!previous_id.empty()) {
+        m_store.put("keyed.servers", previous_id, "");
+    }
+}
+
+void fleet_soak::report_engines(soak_time now)
+{
+    const std::lock_guard lock{m_mutex};
+    if (now < m_next_engine_report) {
+        return;
+    }
+    ++m_engine_reports;
+    for (const auto& [id, at] : m_listed_engines) {
+        m_store.put("keyed.servers", id,
+                    fmt::format(R"({{"service":"e","address":"{}","zone":"z1","slots":64,)"
+                                R"("state":"ready","stage":"decode","sequence":{},"born":1}})",
+                                http::to_string(at), m_engine_reports));
+    }
+    m_next_engine_report = now + report_interval;
+}
+
+void fleet_soak::crash_engines(soak_time now)
+{
+    if (now < m_next_crash) {
+        return;
+    }
+    m_engines->crash(std::uniform_int_distribution<int>{0, engine_count - 1}(m_random));
+    m_next_crash = now + draw(1'000ms, 8'000ms);
+}
+
+void fleet_soak::judge_deadly_prompt(const received_request& request)
+{
+    const auto now = soak_clock::now();
+    const auto id = request.field("Request-Id");
+    const auto number = std::stoul(id.substr(0, id.find('-')));
+    const std::lock_guard lock{m_mutex};
+    const auto& host = *m_by_number.at(number);
+    ++m_result.crashes;
+    if (const auto count =
+            m_crashes->arrived(now, host.is_fault_free(now, m_options.bounds.contact))) {
+        m_result.violations.push_back(fmt::format("{} {} sent the {}th prompt that crashes engines "
+                                                  "later than {} ms after the fifth crash",
+                                                  since_begin(now), host.name(), *count,
+                                                  m_options.bounds.contact.count()));
+    }
+}
+
+void fleet_soak::send_prompts()
+{
+    std::mt19937_64 random{m_options.seed};
+    for (std::size_t number = 0; !m_done; ++number) {
+        std::this_thread::sleep_for(prompt_interval);
+        fleet_host* host = nullptr;
+        {
+            const std::lock_guard lock{m_mutex};
+            host = m_by_number[std::uniform_int_distribution<std::size_t>{0, m_by_number.size() -
+                                                                                 1}(random)];
+        }
+        const auto sent = soak_clock::now();
+        const bool is_deadly = std::bernoulli_distribution{deadly_share}(random);
+        // A suspended host would block this thread.
+        if (!host->is_fault_free(sent, 0ms)) {
+            continue;
+        }
+        const auto own = fmt::format("{:x}", number);
+        const auto second = fmt::format("b{}", number % 3);
+        const auto fields = prompt_fields(
+            own, is_deadly ? fmt::format("{}:100,{}", second, deadly_segment) : second);
+        bool served = false;
+        try {
+            served = caller{host->callers()}
+                         .ask(fmt::format("GET /prompt/x HTTP/1.1\r\nHost: h.example\r\n"
+                                          "Request-Id: {}-p{}\r\nDeadline-Ms: 1500\r\n{}\r\n",
+                                          host->number(), number, fields))
+                         .status == 200;
+        }
+        catch (const boost::system::system_error&) {
+            // The host was stopped meanwhile, which excuses it.
+            served = false;
+        }
+        if (!is_deadly && host->is_fault_free(soak_clock::now(), m_options.bounds.contact)) {
+            const std::lock_guard lock{m_mutex};
+            m_crashes->record_sound(sent, served);
+        }
+    }
+}
+
+void fleet_soak::judge_sound_prompts()
+{
+    const auto counts = m_crashes->judged_sound();
+    m_result.checks += counts.sent;
+    if (counts.is_violated()) {
+        violated(fmt::format("{} of {} sound prompts were served beside one that crashes engines",
+                             counts.served, counts.sent));
+    }
+}
+
 void fleet_soak::judge_limit(replica& at, std::size_t host, soak_time now)
 {
     m_result.limited += at.limit->named() ? 1 : 0;
@@ -235,6 +345,8 @@
         report_replicas(now);
         change_replicas(now);
         change_limits(now);
+        report_engines(now);
+        crash_engines(now);
         publish_some(now);
         std::this_thread::sleep_for(1ms);
     }
@@ -528,6 +640,14 @@
         added.limit.emplace(m_options.bounds.contact);
         report(added);
     }
+    m_crashes.emplace(m_options.bounds.contact);
+    m_engines = std::make_unique<crashing_engines>(
+        engine_count,
+        [this](const std::string& previous_id, const std::string& id, const http::address& at) {
+            list_engine(previous_id, id, at);
+        },
+        [this](const received_request& request) { judge_deadly_prompt(request); });
+    report_engines(soak_clock::now());
     m_history.publish(m_store, m_options.padding);
     for (std::size_t index = 0; index < m_options.hosts; ++index) {
         const auto zone = fmt::format("z{}", index / 2 + 1);
@@ -552,6 +672,7 @@
         plan_random_faults();
     }
     m_threads.emplace_back([this] { operate(); });
+    m_threads.emplace_back([this] { send_prompts(); });
     for (auto& each : m_hosts) {
         m_threads.emplace_back([this, &each] { send_requests(each); });
     }
@@ -565,6 +686,8 @@
         each.join();
     }
     m_threads.clear();
+    m_engines.reset();
+    judge_sound_prompts();
     return m_result;
 }
 
--- a/test/platform/soak/fleet_soak.h
+++ b/test/platform/soak/fleet_soak.h
@@ -3,7 +3,9 @@
 // acknowledgement the responses and requests of every host without a fault.
 #pragma once
 
+#include "platform/crashing_engines.h"
 #include "platform/soak/configuration_history.h"
+#include "platform/soak/crash_judge.h"
 #include "platform/soak/host_fleet.h"
 #include "platform/soak/limit_judge.h"
 
@@ -44,6 +46,8 @@
     std::size_t checks = 0;
     // The number of requests that arrived at a rate-limited replica.
     std::size_t limited = 0;
+    // Engines that a prompt has crashed.
+    std::size_t crashes = 0;
     // One line each.
     std::vector<std::string> violations;
     // The faults that were injected, one line each.
@@ -99,6 +103,18 @@
     void judge_limit(replica& at, std::size_t host, soak_time now);
     scripted_response serve(replica& at, const received_request& request);
 
+    // Lists an engine under a new id instead of its previous one.
+    void list_engine(const std::string& previous_id, const std::string& id,
+                     const http::address& at);
+    void report_engines(soak_time now);
+    // Ends an engine from time to time, whatever it does.
+    void crash_engines(soak_time now);
+    void judge_deadly_prompt(const received_request& request);
+    // Sends prompts to one host after the other until the run ends; a few have the segment on
+    // which engines crash.
+    void send_prompts();
+    void judge_sound_prompts();
+
     // Sends requests to one host until the run ends.
     void send_requests(fleet_host& host);
     // Sends one request and checks the response. Returns whether the connection can be reused.
@@ -146,6 +162,13 @@
     soak_time m_next_version{};
     soak_time m_next_leaving{};
     soak_time m_next_limit{};
+    soak_time m_next_crash{};
+    soak_time m_next_engine_report{};
+    // By id, with their addresses. Guarded by the soak's mutex.
+    std::map<std::string, http::address> m_listed_engines;
+    int m_engine_reports = 0;
+    std::optional<crash_judge> m_crashes;
+    std::unique_ptr<crashing_engines> m_engines;
     replica* m_limited = nullptr;
     std::mutex m_mutex;
     soak_result m_result;
--- a/test/platform/soak/main.cpp
+++ b/test/platform/soak/main.cpp
@@ -42,8 +42,8 @@
         for (const auto& each : result.violations) {
             fmt::print("seed {} {}\n", options.seed, each);
         }
-        fmt::print("seed={} checks={} limited={} violations={}\n", options.seed, result.checks,
-                   result.limited, result.violations.size());
+        fmt::print("seed={} checks={} limited={} crashes={} violations={}\n", options.seed,
+                   result.checks, result.limited, result.crashes, result.violations.size());
         std::fflush(stdout);
         passed += result.violations.empty() ? 1 : 0;
     }
