--- /dev/null
+++ b/src/serving/internal/exchange_constants.h
@@ -0,0 +1,19 @@
+// Constants that the parts of `exchange` share.
+#pragma once
+
+#include "cicadaport/serving/deployment.h"
+
+namespace cicadaport::serving {
+
+// With less time left than this, a further attempt can't succeed.
+constexpr milliseconds min_useful_time{15};
+// An engine that crashes on a prompt does so before its answer has lasted this long.
+constexpr milliseconds answer_beginning_time{50};
+// Retry-After times: when a service has no usable endpoint, and when it is overloaded.
+constexpr milliseconds retry_after_no_endpoint{400};
+constexpr milliseconds retry_after_overload{250};
+
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_timeout = 504;
+
+} // namespace cicadaport::serving
