--- a/include/cicadaport/serving/endpoint_table.h
+++ b/include/cicadaport/serving/endpoint_table.h
@@ -31,6 +31,8 @@
     std::string service;
     http::address address;
     std::string availability_zone;
+    // The version of the replica's software, not that of its weights.
+    std::string version;
     std::uint32_t slots = 1;
     bool leaving = false;
     engine_stage stage = engine_stage::none;
@@ -43,8 +45,8 @@
     bool equals_ignoring_sequence(const endpoint_report& other) const
     {
         const auto parts = [](const endpoint_report& of) {
-            return std::tie(of.id, of.service, of.address, of.availability_zone, of.slots,
-                            of.leaving, of.stage, of.incarnation);
+            return std::tie(of.id, of.service, of.address, of.availability_zone, of.version,
+                            of.slots, of.leaving, of.stage, of.incarnation);
         };
         return parts(*this) == parts(other);
     }
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -7,6 +7,7 @@
 #include "cicadaport/serving/caller_port.h"
 #include "cicadaport/serving/event_buffer.h"
 #include "cicadaport/serving/host_state.h"
+#include "cicadaport/serving/stream_origins.h"
 
 #include <set>
 
@@ -106,6 +107,8 @@
 
     void record_event();
     void record_decode_wait();
+    // Logs that a stream is sent to a replica to be continued, with where it began.
+    void log_continuation(const endpoint& to) const;
     // Logs that the connection ended before the answer did, with the prompt's segments.
     void log_interrupted_run() const;
     void log_end(std::string_view result, std::string_view reason) const;
@@ -157,6 +160,8 @@
     bool m_served = false;
     size_class m_size = size_class::usual;
 
+    // Where the stream began; set with its first event.
+    std::optional<origin_id> m_origin;
     // Arrival times of events, for the log and for the timeout of silent streams.
     time_point m_first_event{};
     // The first event of the current run, and whether the run has shown that the prompt does not
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -149,8 +149,9 @@
     // Limits that replicas advertise, and the budget for log lines about them.
     request_limits limits;
     line_budget limit_log_budget;
-    // For log lines about responses that ended early.
+    // For log lines about responses that ended early, and about streams that are continued.
     line_budget response_log_budget;
+    line_budget resumption_log_budget;
     attempt_budget budget;
     fleet_work fleet;
     engine_placement engines;
--- a/include/cicadaport/serving/wire.h
+++ b/include/cicadaport/serving/wire.h
@@ -29,6 +29,10 @@
     std::vector<prompt_segment> prompt;
     std::uint32_t prompt_tokens = 0;
     std::uint32_t max_output_tokens = 0;
+    // Set if the caller continues a stream that was interrupted: the last event that it has, and
+    // the id of its request in whose answer the stream began; empty if the caller names none.
+    std::optional<std::string> last_event_id;
+    std::string resumed_request;
 };
 
 // The KV cache entries of a prompt that one engine has prefilled for another.
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -246,6 +246,7 @@
     }
     if (m_first_event == time_point{}) {
         m_first_event = now;
+        m_origin = m_origin.value_or(origin_of(m_endpoint->report));
         record_decode_wait();
     }
     else {
--- a/src/serving/exchange_placement.cpp
+++ b/src/serving/exchange_placement.cpp
@@ -201,6 +201,9 @@
     if (what == step::running && m_route->has_prompt) {
         m_host.crashes.add_pending(*this);
     }
+    if (what == step::running) {
+        log_continuation(*to);
+    }
     m_connection->send(m_host.wire.run_request(m_head, m_body, complete), *this);
 }
 
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -324,9 +324,10 @@
     void log_changes(const std::vector<feed_entry>& changes) const
     {
         for (const auto& each : changes) {
-            spdlog::info("endpoint_changed id={} offered={} record={} {}", each.key,
-                         m_state.endpoints.find(each.key) != nullptr, each.offset,
-                         to_fields(m_state.endpoints_position, m_state.timers.now()));
+            const auto listed = m_state.endpoints.find(each.key);
+            spdlog::info("endpoint_changed id={} offered={} version={} record={} {}", each.key,
+                         listed != nullptr, listed != nullptr ? listed->report.version : "",
+                         each.offset, to_fields(m_state.endpoints_position, m_state.timers.now()));
         }
     }
 
