--- a/test/platform/stand_ins.h
+++ b/test/platform/stand_ins.h
@@ -370,7 +370,7 @@
     {
         const auto from = std::stoull(request.parameter("from"));
         if (from < topic.first) {
-            return make_response(410, "", "{}");
+            return expired(topic);
         }
         auto out = make_response(200, "", records(topic, from));
         out.delay = m_read_delay;
@@ -393,7 +393,7 @@
                     return each.put_at - began >= m_missed_wakeup_time.load();
                 });
             if (from < topic.first) {
-                return make_response(410, "", "{}");
+                return expired(topic);
             }
             if (!woken && std::chrono::steady_clock::now() - began < wait) {
                 return std::nullopt;
@@ -403,6 +403,11 @@
         return out;
     }
 
+    static scripted_response expired(const topic_log& topic)
+    {
+        return make_response(410, "", R"({"first":)" + std::to_string(topic.first) + "}");
+    }
+
     // Returns the body of a read's response, with as many records as fit.
     static std::string records(const topic_log& topic, std::uint64_t from)
     {
