serving: continue a stream only on the software version that began it

What callers saw: streams that began on one software version and went on on another, answered 200 to the end, within one answer or after they had taken the stream up again.

Cause: no host read the versions of replicas. A host that continued a stream, for itself or for a caller, chose among all replicas of the service, and a host that took a stream up knew nothing of where it had begun.

Change: a stream's origin, the version of its service that began it, is fixed with its first event. It binds the replica that decodes; engines of other versions may still prefill, as for new streams. While several versions may have begun streams, hosts announce origins by gossip, and two of them append the origins and the versions that are listed to a topic of the platform's log, which outlasts all hosts. A host that doesn't know an origin reads that topic. Without a record, the origin is known only if one version was listed for as long as a stream may last and the list is current; otherwise the request is refused, truthfully, since it has not run. A version begins resumable streams once it has been listed for 2 s, so that no host that is in touch can still take it for absent.

Ruled out: binding by the list alone. After all hosts were killed beside a release the list shows the new version only (rejoined), and while a list lags it shows the old one only.

Two tests of unknown streams now wait until the store holds which versions serve: before that a host can't know whether there were others.

--- a/include/cicadaport/serving/deployment.h
+++ b/include/cicadaport/serving/deployment.h
@@ -93,6 +93,9 @@
     // Returns the service of this name, or null.
     const service* find_service(const std::string& name) const;
 
+    // Returns the longest time limit of a route.
+    milliseconds longest_time_limit() const;
+
     const std::unordered_map<std::string, service>& services() const noexcept { return m_services; }
 
     // Returns the service for a request on the route `of`; `point`, a random number from [0, 1),
--- a/include/cicadaport/serving/endpoint_table.h
+++ b/include/cicadaport/serving/endpoint_table.h
@@ -90,6 +90,12 @@
     // Returns the replicas of a service that accept work.
     const std::vector<endpoint_pointer>& serving(const std::string& service) const;
 
+    // Returns the replicas that accept work, by service.
+    const std::map<std::string, std::vector<endpoint_pointer>>& by_service() const noexcept
+    {
+        return m_by_service;
+    }
+
     // Returns the replica if it accepts work, else null.
     endpoint_pointer find(const std::string& id) const;
 
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -59,6 +59,15 @@
     // Logs that no route matches the request, with the version of the configuration that
     // was searched.
     void log_unrouted() const;
+    // Continues a stream that a caller has taken up, on the version that began it.
+    void resume_for_caller();
+    void resume_at(std::optional<origin_id> origin);
+    // Finds the replicas that must not continue the stream, or not begin it yet.
+    void exclude_other_versions();
+    // Returns whether another replica could continue the stream.
+    bool can_continue_elsewhere() const;
+    // Records on which version the stream began.
+    void record_origin();
     // Chooses an endpoint and sends the request to it, or rejects the request.
     void place();
     prompt_query make_prompt_query(const service& target) const;
@@ -146,7 +155,9 @@
     // The evidence against the segments when the request was admitted; empty if it was not admitted
     // yet.
     std::optional<double> m_admitted_evidence;
+    // Replicas that have failed the request, and those of other versions than may run it.
     std::set<std::string> m_excluded;
+    std::set<std::string> m_other_versions;
     // How often the request was sent to a replica to be run. A prefill that failed also
     // counts.
     std::uint32_t m_attempts = 0;
--- a/include/cicadaport/serving/host_directory.h
+++ b/include/cicadaport/serving/host_directory.h
@@ -108,6 +108,11 @@
     // while after it fell silent, since it may still send requests.
     fleet_place place_for(std::uint32_t endpoint, bool in_cell, time_point now) const;
 
+    // Returns this host's rank among the hosts from which it receives messages; the last rank in a
+    // fleet of the largest supported size until it has settled. All hosts that know each other
+    // compute the same order.
+    std::size_t rank_among_known(time_point now) const;
+
     // Returns the number of cells into which the fleet is divided, a power of two.
     std::uint64_t cell_count() const noexcept;
 
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -11,6 +11,7 @@
 #include "cicadaport/serving/placement.h"
 #include "cicadaport/serving/request_limits.h"
 #include "cicadaport/serving/size_fairness.h"
+#include "cicadaport/serving/stream_origin_tracker.h"
 #include "cicadaport/transport/connection_pool.h"
 
 namespace cicadaport::serving {
@@ -39,6 +40,13 @@
     virtual void announce_survivals(std::span<const segment_survival> survivals) = 0;
     // Announces that a request is sent to find out whether quarantined segments are sound.
     virtual void announce_trials(std::span<const segment_id> segments) = 0;
+    // Announces on which versions streams began.
+    virtual void announce_streams(std::span<const begun_stream> streams) = 0;
+    // Returns this host's rank in an order of the hosts that it knows; the last possible rank
+    // while it may not know all of them yet.
+    virtual std::size_t rank_among_known_hosts() const = 0;
+    // Returns how long ago the last message of another host arrived; empty if there was none.
+    virtual std::optional<milliseconds> time_since_last_message() const = 0;
     // Announces that an engine changes its stage and takes no work for `time`.
     virtual void announce_stage_change(std::uint32_t engine, engine_stage to,
                                        milliseconds time) = 0;
@@ -66,6 +74,7 @@
     std::uint64_t endpoint_reads = 0;
     // Reads of both kinds, for orders.
     std::uint64_t order_reads = 0;
+    std::uint64_t origin_reads = 0;
     std::uint64_t appends = 0;
 };
 
@@ -161,6 +170,7 @@
     late_admission late;
     std::mt19937_64 random;
     crash_monitor crashes;
+    stream_origin_tracker origins;
     request_counts counts;
     store_counts store_calls;
     // Not owned. Null while this host sends no gossip.
--- a/include/cicadaport/serving/peer_gossip.h
+++ b/include/cicadaport/serving/peer_gossip.h
@@ -60,6 +60,9 @@
     void announce_crashes(std::span<const engine_crash> crashes) override;
     void announce_survivals(std::span<const segment_survival> survivals) override;
     void announce_trials(std::span<const segment_id> segments) override;
+    void announce_streams(std::span<const begun_stream> streams) override;
+    std::size_t rank_among_known_hosts() const override;
+    std::optional<milliseconds> time_since_last_message() const override;
     fleet_place place_for(std::uint32_t endpoint, bool in_cell) const override;
     std::size_t peer_count() const noexcept override { return m_directory.size(); }
     std::uint64_t cell_count() const noexcept override { return m_directory.cell_count(); }
@@ -95,6 +98,7 @@
     transport::timer_queue::handle m_greeting;
     host_directory m_directory;
     std::uint64_t m_greetings = 0;
+    std::optional<time_point> m_last_message;
     std::string m_buffer;
     udp_address m_sender;
 };
--- a/include/cicadaport/serving/placement.h
+++ b/include/cicadaport/serving/placement.h
@@ -88,6 +88,8 @@
     time_point now{};
     // Endpoints that must not be used for this request.
     const std::set<std::string>* excluded = nullptr;
+    // Engines that must not generate the response, but may prefill the prompt for another one.
+    const std::set<std::string>* excluded_from_decode = nullptr;
     // Whether a separate engine may prefill the prompt.
     bool can_use_prefill_engine = true;
     // The longest pause between events that meets the objective.
@@ -267,6 +269,8 @@
     static fractional_milliseconds transfer_time(const prompt_query& query, double tokens);
     // Whether the engine has not failed this request and has not asked for backoff.
     bool may_use(const prompt_query& query, const endpoint& engine) const;
+    // Whether the engine may also generate the response.
+    bool may_decode(const prompt_query& query, const endpoint& engine) const;
     // Penalty for an engine that fails or changes its stage, which is used only as a last
     // resort.
     fractional_milliseconds penalty_of(const prompt_query& query, const endpoint& engine) const;
--- a/include/cicadaport/serving/wire.h
+++ b/include/cicadaport/serving/wire.h
@@ -83,8 +83,9 @@
 };
 
 // Lists in the platform's store. Hosts follow the configuration and the endpoints, and
-// write announcements of orders.
-enum class feed { configuration, endpoints, orders };
+// write announcements of orders and the origins of streams. Records of stream origins expire;
+// of the other lists the newest entry of each key stays.
+enum class feed { configuration, endpoints, orders, stream_origins };
 
 // One entry of a list. An entry without a value removes its key.
 struct feed_entry {
@@ -201,10 +202,15 @@
     virtual feed_page read_records(unsigned status, std::string_view body,
                                    std::uint64_t from) const = 0;
 
-    // Returns a request that appends all entries if the list ends at `at`, and otherwise
-    // none.
+    // Returns the first offset that the store still has, if the answer to a read tells that older
+    // records were requested; else nothing.
+    virtual std::optional<std::uint64_t> read_first_offset(unsigned status,
+                                                           std::string_view body) const = 0;
+
+    // Returns a request that appends all entries if the list ends at `at` or `at` is empty, and
+    // otherwise none.
     virtual std::string append_request(feed to, const std::vector<feed_entry>& entries,
-                                       std::uint64_t at) const = 0;
+                                       std::optional<std::uint64_t> at) const = 0;
     // Returns the offset of the first entry; empty if none was appended.
     virtual std::optional<std::uint64_t> read_append(unsigned status,
                                                      std::string_view body) const = 0;
--- a/src/serving/deployment.cpp
+++ b/src/serving/deployment.cpp
@@ -57,4 +57,13 @@
     return of.shares.back().service;
 }
 
+milliseconds deployment::longest_time_limit() const
+{
+    milliseconds longest{0};
+    for (const auto& each : m_routes) {
+        longest = std::max(longest, each.time_limit);
+    }
+    return longest;
+}
+
 } // namespace cicadaport::serving
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -74,7 +74,12 @@
     if (find_route()) {
         m_deadline_timer =
             m_host.timers.call_at(m_deadline + deadline_grace, [this] { handle_deadline(); });
-        place();
+        if (m_route->resumable && m_metadata.last_event_id) {
+            resume_for_caller();
+        }
+        else {
+            place();
+        }
     }
 }
 
@@ -246,7 +251,7 @@
     }
     if (m_first_event == time_point{}) {
         m_first_event = now;
-        m_origin = m_origin.value_or(origin_of(m_endpoint->report));
+        record_origin();
         record_decode_wait();
     }
     else {
--- a/src/serving/exchange_failures.cpp
+++ b/src/serving/exchange_failures.cpp
@@ -208,7 +208,8 @@
     m_answer_timer = m_host.timers.call_at(silent_since + limit, [this, limit] {
         const auto now = m_host.timers.now();
         auto& health = health_of_endpoint();
-        if (now - m_last_event < limit || health.has_answered_since(now - limit)) {
+        if (now - m_last_event < limit || health.has_answered_since(now - limit) ||
+            !can_continue_elsewhere()) {
             m_silence_start = now - limit / 2;
             start_silence_timeout();
             return;
--- a/src/serving/exchange_placement.cpp
+++ b/src/serving/exchange_placement.cpp
@@ -20,6 +20,7 @@
 void exchange::place()
 {
     const auto* target = m_deployment->find_service(m_service);
+    exclude_other_versions();
     if (remaining_time() < min_useful_time) {
         handle_deadline();
     }
@@ -35,8 +36,10 @@
 {
     const auto now = m_host.timers.now();
     const auto& replicas = m_host.endpoints.serving(m_service);
+    auto excluded = m_excluded;
+    excluded.insert(m_other_versions.begin(), m_other_versions.end());
     const auto chosen = m_host.replicas.choose(
-        replicas, m_host.availability_zone, m_host.excluded_endpoints(m_excluded),
+        replicas, m_host.availability_zone, m_host.excluded_endpoints(excluded),
         target != nullptr ? m_host.connection_share(*target) : service{}.max_connections, now,
         m_host.random);
     if (chosen == nullptr) {
@@ -60,6 +63,7 @@
     query.availability_zone = m_host.availability_zone;
     query.now = m_host.timers.now();
     query.excluded = &m_host.excluded_endpoints(m_excluded);
+    query.excluded_from_decode = &m_other_versions;
     query.pause_objective = m_route->pause_objective;
     query.has_many_events = m_host.events.has_many(m_route->name);
     query.can_use_prefill_engine = !m_kv_transfer_attempted && !m_events.last_event_id();
@@ -73,7 +77,8 @@
     if (reject_if_quarantined()) {
         return;
     }
-    const auto& engines = m_host.engines_of(m_service);
+    const auto& engines =
+        m_origin ? m_host.endpoints.serving(m_service) : m_host.engines_of(m_service);
     if (m_kv_cache && m_plan.prefill_engine) {
         m_plan.decode_engine =
             m_host.engines.choose_decode_engine(query, *m_plan.prefill_engine, engines);
--- a/src/serving/exchange_resumption.cpp
+++ b/src/serving/exchange_resumption.cpp
@@ -1,10 +1,92 @@
 // Continues interrupted streams.
 #include "cicadaport/serving/exchange.h"
 
+#include "internal/exchange_constants.h"
+
 #include <spdlog/spdlog.h>
 
 namespace cicadaport::serving {
 
+void exchange::resume_for_caller()
+{
+    m_host.origins.find(m_route->shares, m_metadata.resumed_request,
+                        [weak = weak_from_this()](std::optional<origin_id> origin) {
+                            const auto self = weak.lock();
+                            if (self != nullptr && self->m_caller != nullptr) {
+                                self->resume_at(origin);
+                            }
+                        });
+}
+
+void exchange::resume_at(std::optional<origin_id> origin)
+{
+    if (!origin) {
+        reject(retry_after_no_endpoint, "the version that began the stream is not known");
+        return;
+    }
+    m_origin = origin;
+    for (const auto& share : m_route->shares) {
+        const auto& replicas = m_host.endpoints.serving(share.service);
+        if (std::any_of(replicas.begin(), replicas.end(), [&](const endpoint_pointer& each) {
+                return origin_of(each->report) == *origin;
+            })) {
+            m_service = share.service;
+            place();
+            return;
+        }
+    }
+    reject(retry_after_no_endpoint, "no replica of the version that began the stream");
+}
+
+void exchange::exclude_other_versions()
+{
+    m_other_versions.clear();
+    if (!m_route->resumable) {
+        return;
+    }
+    const auto unsettled =
+        m_origin ? std::vector<origin_id>{} : m_host.origins.unsettled_origins(m_service);
+    if (!m_origin && unsettled.empty()) {
+        return;
+    }
+    const auto& replicas = m_host.endpoints.serving(m_service);
+    for (const auto& each : replicas) {
+        const auto origin = origin_of(each->report);
+        const bool is_other =
+            m_origin ? origin != *m_origin
+                     : std::find(unsettled.begin(), unsettled.end(), origin) != unsettled.end();
+        if (is_other) {
+            m_other_versions.insert(each->report.id);
+        }
+    }
+    // Versions that all hosts know must be able to carry the load of new streams.
+    if (!m_origin && 2 * m_other_versions.size() > replicas.size()) {
+        m_other_versions.clear();
+    }
+}
+
+bool exchange::can_continue_elsewhere() const
+{
+    const auto& replicas = m_host.endpoints.serving(m_service);
+    return std::any_of(replicas.begin(), replicas.end(), [this](const endpoint_pointer& each) {
+        return each->report.id != m_endpoint->report.id && !m_excluded.contains(each->report.id) &&
+               (!m_origin || origin_of(each->report) == *m_origin) &&
+               m_host.accepts_request(*each, m_route->has_prompt);
+    });
+}
+
+void exchange::record_origin()
+{
+    if (!m_origin) {
+        m_origin = origin_of(m_endpoint->report);
+    }
+    if (m_route->resumable) {
+        m_host.origins.record_begin(
+            m_route->shares, m_metadata.last_event_id ? m_metadata.resumed_request : m_metadata.id,
+            m_endpoint->report);
+    }
+}
+
 void exchange::log_continuation(const endpoint& to) const
 {
     const auto now = m_host.timers.now();
--- a/src/serving/host_directory.cpp
+++ b/src/serving/host_directory.cpp
@@ -141,6 +141,16 @@
     return out;
 }
 
+std::size_t host_directory::rank_among_known(time_point now) const
+{
+    if (now - m_started < settling_time) {
+        return max_hosts - 1;
+    }
+    return static_cast<std::size_t>(
+        std::count_if(m_known.begin(), m_known.end(),
+                      [this](const auto& each) { return each.second.number < m_number; }));
+}
+
 std::uint64_t host_directory::cell_count() const noexcept
 {
     std::uint64_t count = 1;
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -182,6 +182,7 @@
           m_settings_signal{m_context, SIGHUP}
     {
         m_state.max_apply_delay = m_settings.max_apply_delay;
+        m_state.origins.set_store(m_settings.store_address);
         std::signal(SIGPIPE, SIG_IGN);
         m_signals.add(SIGTERM);
         m_signals.add(SIGINT);
@@ -255,6 +256,7 @@
                         ids.push_back(each.key);
                     }
                     m_state.endpoints.keep_only(ids, m_state.timers.now());
+                    m_state.origins.handle_whole_list();
                     apply_endpoints(entries);
                     spdlog::info("endpoints_read count={} {}", m_state.endpoints.size(),
                                  to_fields(m_state.endpoints_position, m_state.timers.now()));
@@ -282,6 +284,7 @@
                          to_fields(m_state.configuration_position, m_state.timers.now()));
             if (newer) {
                 m_state.deployed = std::move(read);
+                m_state.origins.set_longest_request(m_state.deployed->longest_time_limit());
             }
             return;
         }
@@ -306,6 +309,7 @@
                                         : m_state.endpoints.remove(each.key, now);
             if (report) {
                 listed.push_back(*report);
+                m_state.origins.note_report(*report);
             }
             if (changed) {
                 out.changed.push_back(each);
@@ -315,6 +319,7 @@
             }
         }
         m_state.forget_removed_replicas();
+        m_state.origins.handle_changed_list();
         for (const auto& each : listed) {
             m_state.handle_listed_replica(each);
         }
@@ -367,6 +372,7 @@
         m_state.limits.forget_old(m_state.timers.now());
         m_state.fleet.remove_expired(m_state.timers.now());
         m_state.crashes.run_housekeeping();
+        m_state.origins.run_housekeeping();
         if (++m_housekeeping_count % log_counts_every == 0) {
             log_counts();
         }
@@ -382,7 +388,8 @@
             "further_attempts={} handed_over={} connections_opened={} peers={} replicas={} "
             "configuration={} configuration_age_ms={} endpoints_age_ms={} store_pages={} "
             "store_configuration_reads={} store_endpoint_reads={} store_order_reads={} "
-            "store_appends={} suspected_segments={} quarantined_segments={}",
+            "store_origin_reads={} store_appends={} known_streams={} suspected_segments={} "
+            "quarantined_segments={}",
             counts.answered, counts.refused, counts.quarantined, counts.failed, counts.cut,
             counts.client_disconnects, counts.retries, counts.handed_over,
             m_state.connections.opened(), m_gossip.peer_count(), m_state.endpoints.size(),
@@ -390,7 +397,8 @@
             age_ms(m_state.configuration_position), age_ms(m_state.endpoints_position),
             m_state.store_calls.pages, m_state.store_calls.configuration_reads,
             m_state.store_calls.endpoint_reads, m_state.store_calls.order_reads,
-            m_state.store_calls.appends, m_state.crashes.suspect_count(),
+            m_state.store_calls.origin_reads, m_state.store_calls.appends,
+            m_state.origins.known_count(), m_state.crashes.suspect_count(),
             m_state.crashes.quarantined_count());
     }
 
--- a/src/serving/host_state.cpp
+++ b/src/serving/host_state.cpp
@@ -45,8 +45,8 @@
     : context{with_context}, timers{with_context}, wire{with_wire}, availability_zone{std::move(
                                                                         zone)},
       connections{with_context, timers, transport::message_limits{}, endpoint_times()},
-      budget{budget_bounds}, engines{fleet}, random{std::random_device{}()}, crashes{with_context,
-                                                                                     timers, random}
+      budget{budget_bounds}, engines{fleet}, random{std::random_device{}()},
+      crashes{with_context, timers, random}, origins{*this}
 {
 }
 
--- a/src/serving/peer_gossip.cpp
+++ b/src/serving/peer_gossip.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t max_part_count = 8;
 // Maximum number of prompt segments in a datagram.
 constexpr int max_segment_count = 100;
+// Maximum number of stream origins in a datagram.
+constexpr std::size_t max_stream_count = 64;
 // Prefill times are sent in units of 0.1 ms.
 constexpr double units_per_ms = 10;
 
@@ -108,6 +110,7 @@
     }
     m_host.gossip = this;
     m_host.crashes.set_gossip(this);
+    m_host.origins.set_gossip(this);
     receive();
     greet();
 }
@@ -193,6 +196,33 @@
     broadcast(gossip, m_directory.routes_for_heartbeat(++m_greetings));
 }
 
+void peer_gossip::announce_streams(std::span<const begun_stream> streams)
+{
+    while (!streams.empty()) {
+        const auto part = streams.first(std::min(streams.size(), max_stream_count));
+        streams = streams.subspan(part.size());
+        protocol::host_news gossip;
+        gossip.set_sender(m_own_number);
+        for (const auto& each : part) {
+            auto& added = *gossip.add_streams();
+            added.set_stream(each.stream);
+            added.set_origin(each.origin);
+        }
+        broadcast(gossip, m_directory.routes_for_heartbeat(++m_greetings));
+    }
+}
+
+std::size_t peer_gossip::rank_among_known_hosts() const
+{
+    return m_directory.rank_among_known(m_host.timers.now());
+}
+
+std::optional<milliseconds> peer_gossip::time_since_last_message() const
+{
+    return m_last_message ? std::optional{age_of(*m_last_message, m_host.timers.now())}
+                          : std::nullopt;
+}
+
 fleet_place peer_gossip::place_for(std::uint32_t endpoint, bool in_cell) const
 {
     return m_directory.place_for(endpoint, in_cell, m_host.timers.now());
@@ -360,7 +390,7 @@
     const peer_address source{from.address().to_v4().to_uint(), from.port()};
     const bool of_work = !gossip.has_own() && !gossip.has_feed() && gossip.limits().empty() &&
                          gossip.crashes().empty() && gossip.survivals().empty() &&
-                         gossip.tried_segments().empty();
+                         gossip.tried_segments().empty() && gossip.streams().empty();
     for (const auto& each : m_directory.zone_peers(of_work)) {
         if (each != source) {
             send(bytes, each);
@@ -405,6 +435,7 @@
         return;
     }
     const auto now = m_host.timers.now();
+    m_last_message = now;
     const auto sender = gossip.sender();
     if (gossip.has_own()) {
         const peer_address at{gossip.own().ip(), static_cast<std::uint16_t>(gossip.own().port())};
@@ -461,6 +492,9 @@
              now - milliseconds{each.asked_ms()}});
     }
     handle_crashes(gossip, now);
+    for (const auto& each : gossip.streams()) {
+        m_host.origins.apply_announced({each.stream(), each.origin()});
+    }
     for (const auto& each : gossip.others()) {
         m_directory.record_mention({each.ip(), static_cast<std::uint16_t>(each.port())}, now);
     }
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -208,6 +208,13 @@
     return !left_alone && !query.excluded->contains(engine.report.id);
 }
 
+bool engine_placement::may_decode(const prompt_query& query, const endpoint& engine) const
+{
+    return engine.report.stage != engine_stage::prefill && may_use(query, engine) &&
+           (query.excluded_from_decode == nullptr ||
+            !query.excluded_from_decode->contains(engine.report.id));
+}
+
 engine_placement::decode_engine_choice
 engine_placement::best_decode_engine(const prompt_query& query, const endpoint& prefill_engine,
                                      const std::vector<endpoint_pointer>& engines) const
@@ -216,7 +223,7 @@
     const auto transfer = transfer_time(query, query.prompt_tokens);
     decode_engine_choice out{nullptr, unusable_cost};
     for (const auto& each : engines) {
-        if (each->report.stage == engine_stage::prefill || !may_use(query, *each)) {
+        if (!may_decode(query, *each)) {
             continue;
         }
         const auto streams = m_work.active_streams(engine_number(each->report.id));
@@ -265,7 +272,8 @@
     auto best_single_cost = unusable_cost;
     auto best_split_cost = unusable_cost;
     for (const auto& each : engines) {
-        if (!may_use(query, *each)) {
+        const bool is_prefill_engine = each->report.stage == engine_stage::prefill;
+        if (is_prefill_engine ? !may_use(query, *each) : !may_decode(query, *each)) {
             continue;
         }
         const auto wait = m_work.wait(engine_number(each->report.id), query.urgency, query.now);
@@ -274,7 +282,6 @@
         const auto distance = zone_cost(query, *each);
         auto cost = prefill_latency + prefill.repeated_cost + distance + penalty_of(query, *each) +
                     m_costs.spread * rendezvous_weight(shared, *each);
-        const bool is_prefill_engine = each->report.stage == engine_stage::prefill;
         if (!is_prefill_engine && (query.has_many_events || decode_only.contains(each.get()))) {
             // Prefill would stall the streams of the engine, or this one.
             cost += stall_cost;
--- a/test/platform/stream_origin_test.cpp
+++ b/test/platform/stream_origin_test.cpp
@@ -60,6 +60,12 @@
         this->store.put(std::string{testing::replicas_topic}, id, "");
     }
 
+    // Waits until the store holds which versions serve.
+    void wait_for_record()
+    {
+        ASSERT_TRUE(eventually([this] { return this->store.appended("stream-origins") > 0; }));
+    }
+
     // Returns the version on whose replica the stream `id` began; empty if on none.
     std::string begun_on(const std::string& id) const
     {
@@ -142,6 +148,7 @@
     list("i-1", old_one, "v1");
     list("i-2", old_two, "v1");
     start();
+    wait_for_record();
     const auto answer = ask(resumption("r2", "r1"));
     EXPECT_EQ(answer.status, 200U);
     EXPECT_EQ(answer.body, events(first_events + 1, last_event));
@@ -254,6 +261,7 @@
     list("i-1", old_one, "v1");
     list("i-2", old_two, "v1");
     start_fleet();
+    wait_for_record();
     const auto streams = begin_streams(1);
     restart_all();
     expect_continued(streams);
--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -42,6 +42,15 @@
     ASSERT_EQ(terms.prompt.size(), 2U);
     EXPECT_EQ(terms.prompt[0].id, 0x5c1e07a2U);
     EXPECT_EQ(terms.prompt[1].tokens, 660U);
+    EXPECT_FALSE(terms.last_event_id);
+}
+
+TEST(wire_test, parses_the_head_of_a_request_that_continues_a_stream)
+{
+    const auto terms = adapter.read_request(
+        head({{"Host", "h"}, {"Request-Id", "ab"}, {"Last-Event-Id", "7"}, {"Resumes", "cd"}}));
+    EXPECT_EQ(terms.last_event_id, "7");
+    EXPECT_EQ(terms.resumed_request, "cd");
 }
 
 TEST(wire_test, rejects_a_request_with_no_or_two_hosts)
@@ -179,6 +188,7 @@
         R"("state":"ready","cold-left-ms":0,"stage":"decode","sequence":4,"born":17})");
     ASSERT_TRUE(read);
     EXPECT_EQ(read->id, "i-1");
+    EXPECT_EQ(read->version, "v1");
     EXPECT_EQ(read->address, (http::address{"10.1.2.3", 80}));
     EXPECT_EQ(read->stage, serving::engine_stage::decode);
     EXPECT_EQ(read->incarnation, 17);
@@ -251,6 +261,23 @@
     EXPECT_EQ(kind_of(200), serving::store_error::kind::refused) << "shorter than its header";
 }
 
+TEST(wire_test, reads_the_first_offset_that_is_left_of_expired_records)
+{
+    EXPECT_EQ(adapter.read_first_offset(410, R"({"first":812})"), 812U);
+    EXPECT_EQ(adapter.read_first_offset(200, R"({"first":812})"), std::nullopt);
+    for (const std::string_view body : {"", "[]", "{}", R"({"first":"812"})", R"({"first":-1})"}) {
+        EXPECT_EQ(adapter.read_first_offset(410, body), std::nullopt) << body;
+    }
+}
+
+TEST(wire_test, an_append_has_a_condition_only_if_an_offset_is_given)
+{
+    const std::vector<serving::feed_entry> entries{{"", "value"}};
+    EXPECT_THAT(adapter.append_request(serving::feed::stream_origins, entries, std::nullopt),
+                Not(HasSubstr("&at=")));
+    EXPECT_THAT(adapter.append_request(serving::feed::orders, entries, 0), HasSubstr("&at=0 "));
+}
+
 TEST(wire_test, a_truncated_record_is_an_error)
 {
     const std::string body = std::string(16, '\0') + std::string{"\0\0\0\5\1kv", 7};
--- a/test/serving/host_directory_test.cpp
+++ b/test/serving/host_directory_test.cpp
@@ -49,6 +49,25 @@
     EXPECT_THAT(routes.relays, IsEmpty());
 }
 
+TEST(host_directory_test, hosts_that_know_each_other_have_different_ranks)
+{
+    constexpr std::uint32_t count = 6;
+    const auto later = start + host_directory::settling_time;
+    std::set<std::size_t> ranks;
+    for (std::uint32_t own = 1; own <= count; ++own) {
+        host_directory directory{at(own), 1'000 + own, own_zone, start};
+        for (std::uint32_t other = 1; other <= count; ++other) {
+            if (other != own) {
+                directory.record_message(at(other), 1'000 + other, own_zone, start);
+            }
+        }
+        ranks.insert(directory.rank_among_known(later));
+        EXPECT_EQ(directory.rank_among_known(later - 1ms), host_directory::max_hosts - 1)
+            << "it may not know the others yet";
+    }
+    EXPECT_THAT(ranks, ElementsAre(0, 1, 2, 3, 4, 5));
+}
+
 TEST(host_directory_test, uses_one_relay_in_each_other_zone)
 {
     const auto directory = directory_of(60);
--- a/test/serving/placement_test.cpp
+++ b/test/serving/placement_test.cpp
@@ -255,6 +255,17 @@
     EXPECT_EQ(placement.choose(query, engines).prefill_engine->report.id, "p2");
 }
 
+TEST_F(engine_placement_test, engines_that_must_not_decode_still_prefill_for_others)
+{
+    const std::set<std::string> other_version{"p0", "p1", "p2", "d0", "d1", "d2", "d3", "d4"};
+    query.excluded_from_decode = &other_version;
+    const auto plan = placement.choose(query, engines);
+    ASSERT_NE(plan.prefill_engine, nullptr);
+    EXPECT_EQ(plan.decode_engine->report.id, "d5");
+    query.can_use_prefill_engine = false;
+    EXPECT_EQ(placement.choose(query, engines).decode_engine->report.id, "d5");
+}
+
 TEST_F(engine_placement_test, reports_the_target_stage_until_the_change_ends)
 {
     placement.begin_stage_change(engine_number("d1"), engine_stage::prefill, start + 4s);
