--- a/src/serving/stage_director.cpp
+++ b/src/serving/stage_director.cpp
@@ -1,6 +1,7 @@
 #include "cicadaport/serving/stage_director.h"
 
 #include "cicadaport/serving/single_call.h"
+#include "cicadaport/serving/stage_candidates.h"
 
 #include <spdlog/spdlog.h>
 
@@ -147,7 +148,7 @@
     const auto now = m_host.timers.now();
     const auto& engines = m_host.engines_of(service);
     const auto decode_only = m_host.engines.decode_only_engines(engines);
-    std::vector<std::pair<double, endpoint_pointer>> out;
+    std::vector<stage_candidate> candidates;
     for (const auto& each : engines) {
         const auto stage = each->report.stage;
         const bool fits = stage != engine_stage::none && stage != wanted.to && !is_changing(*each);
@@ -156,25 +157,17 @@
             !m_host.accepts_request(*each, true)) {
             continue;
         }
-        // The engines with the least running work first.
         const auto number = engine_number(each->report.id);
         auto cost = static_cast<double>(m_host.fleet.active_streams(number)) +
                     m_host.fleet.wait(number, late_urgency, now).count();
         constexpr double decode_only_cost = 1e6;
         cost += decode_only.contains(each.get()) ? decode_only_cost : 0;
-        out.emplace_back(cost, each);
+        candidates.push_back({each, cost});
     }
-    std::sort(out.begin(), out.end(),
-              [](const auto& left, const auto& right) { return left.first < right.first; });
     const auto max_concurrent_changes =
         std::max(base_concurrent_changes, engines.size() / engines_per_concurrent_change);
-    std::vector<endpoint_pointer> chosen;
-    for (const auto& [cost, each] : out) {
-        if (chosen.size() < std::min(wanted.engines, max_concurrent_changes)) {
-            chosen.push_back(each);
-        }
-    }
-    return chosen;
+    return choose_engines_to_change(std::move(candidates),
+                                    std::min(wanted.engines, max_concurrent_changes));
 }
 
 void stage_director::query_engines(const change_pointer& current)
