serving: stage orders leave each version engines that decode

Cause: orders to change the stage chose engines by their work alone. During a release they turned engines of the old version into prefill engines until one or none was left that decodes, and a stream can continue nowhere else.

--- a/src/serving/stage_director.cpp
+++ b/src/serving/stage_director.cpp
@@ -149,7 +149,11 @@
     const auto& engines = m_host.engines_of(service);
     const auto decode_only = m_host.engines.decode_only_engines(engines);
     std::vector<stage_candidate> candidates;
+    std::vector<endpoint_pointer> decoding;
     for (const auto& each : engines) {
+        if (stage_of(*each) == engine_stage::decode) {
+            decoding.push_back(each);
+        }
         const auto stage = each->report.stage;
         const bool fits = stage != engine_stage::none && stage != wanted.to && !is_changing(*each);
         if (!fits || !m_ledger.can_announce(each->report.id, now) ||
@@ -166,7 +170,7 @@
     }
     const auto max_concurrent_changes =
         std::max(base_concurrent_changes, engines.size() / engines_per_concurrent_change);
-    return choose_engines_to_change(std::move(candidates),
+    return choose_engines_to_change(std::move(candidates), decoding, wanted.to,
                                     std::min(wanted.engines, max_concurrent_changes));
 }
 
