serving: begin resumable streams only where a second replica could continue them

Cause: a version whose replicas are being replaced still began streams on the last engine that decodes. When that engine ended, all of its streams were lost, since they continue on no other version.

Change: of several versions, one with fewer than two replicas that generate responses begins no resumable stream, unless the others could not carry the load. Two unit tests are named after it; they fail without the condition.

--- a/include/cicadaport/serving/stream_origin_tracker.h
+++ b/include/cicadaport/serving/stream_origin_tracker.h
@@ -17,6 +17,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace cicadaport::serving {
 
@@ -65,8 +66,11 @@
     void find(std::span<const service_share> services, const std::string& begun_as,
               found_function on_found);
 
-    // Returns the versions of a service on which no new streams should begin.
-    std::vector<origin_id> unsettled_origins(std::string_view service) const;
+    // Returns the ids of those replicas of a service on which no resumable stream should begin:
+    // the other hosts may not know their version yet, or no second replica of it could continue
+    // the stream. Empty if the rest could not carry the load.
+    std::set<std::string>
+    replicas_that_begin_no_streams(std::span<const endpoint_pointer> replicas) const;
 
     // To be called about once a second.
     void run_housekeeping();
--- a/include/cicadaport/serving/stream_origins.h
+++ b/include/cicadaport/serving/stream_origins.h
@@ -14,6 +14,7 @@
 #include "cicadaport/serving/endpoint_table.h"
 
 #include <deque>
+#include <set>
 #include <span>
 #include <string_view>
 #include <unordered_map>
@@ -55,6 +56,10 @@
     // of it by then.
     static constexpr std::chrono::milliseconds settling_time{2'000};
 
+    // A version begins resumable streams only with at least this many replicas that generate
+    // responses, so that they can continue when one of these ends.
+    static constexpr std::size_t min_replicas_to_begin = 2;
+
     // Keeps streams for at least as long as a request on one of the routes may take.
     void set_longest_request(milliseconds time);
 
@@ -79,8 +84,11 @@
                                          time_point now) const;
     // Returns the versions that were listed within the retention.
     std::vector<listed_version> versions(time_point now) const;
-    // Returns the versions of a service that were listed too recently to begin streams.
-    std::vector<origin_id> unsettled_origins(std::string_view service, time_point now) const;
+    // Returns the ids of those replicas of a service on which no resumable stream should begin:
+    // their version was listed too recently, or no second replica of it could continue the stream.
+    // Empty if the rest were less than half of the replicas that generate responses.
+    std::set<std::string> unfit_to_begin(std::span<const endpoint_pointer> replicas,
+                                         time_point now) const;
 
     // Returns whether the stream was not known yet.
     bool record(const begun_stream& begun, time_point now);
--- a/src/serving/exchange_resumption.cpp
+++ b/src/serving/exchange_resumption.cpp
@@ -44,25 +44,16 @@
     if (!m_route->resumable) {
         return;
     }
-    const auto unsettled =
-        m_origin ? std::vector<origin_id>{} : m_host.origins.unsettled_origins(m_service);
-    if (!m_origin && unsettled.empty()) {
+    const auto& replicas = m_host.endpoints.serving(m_service);
+    if (!m_origin) {
+        m_other_versions = m_host.origins.replicas_that_begin_no_streams(replicas);
         return;
     }
-    const auto& replicas = m_host.endpoints.serving(m_service);
     for (const auto& each : replicas) {
-        const auto origin = origin_of(each->report);
-        const bool is_other =
-            m_origin ? origin != *m_origin
-                     : std::find(unsettled.begin(), unsettled.end(), origin) != unsettled.end();
-        if (is_other) {
+        if (origin_of(each->report) != *m_origin) {
             m_other_versions.insert(each->report.id);
         }
     }
-    // Versions that all hosts know must be able to carry the load of new streams.
-    if (!m_origin && 2 * m_other_versions.size() > replicas.size()) {
-        m_other_versions.clear();
-    }
 }
 
 bool exchange::can_continue_elsewhere() const
--- a/src/serving/stream_origin_tracker.cpp
+++ b/src/serving/stream_origin_tracker.cpp
@@ -269,9 +269,10 @@
     }
 }
 
-std::vector<origin_id> stream_origin_tracker::unsettled_origins(std::string_view service) const
+std::set<std::string> stream_origin_tracker::replicas_that_begin_no_streams(
+    std::span<const endpoint_pointer> replicas) const
 {
-    return m_origins.unsettled_origins(service, m_host.timers.now());
+    return m_origins.unfit_to_begin(replicas, m_host.timers.now());
 }
 
 void stream_origin_tracker::log_search(const std::string& begun_as, std::optional<origin_id> origin,
--- a/src/serving/stream_origins.cpp
+++ b/src/serving/stream_origins.cpp
@@ -3,7 +3,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <set>
 
 namespace cicadaport::serving {
 namespace {
@@ -113,19 +112,43 @@
     return out;
 }
 
-std::vector<origin_id> stream_origins::unsettled_origins(std::string_view service,
-                                                         time_point now) const
+std::set<std::string> stream_origins::unfit_to_begin(std::span<const endpoint_pointer> replicas,
+                                                     time_point now) const
 {
-    std::vector<origin_id> out;
-    const auto found = m_versions.find(number_of_service(service));
-    if (found != m_versions.end()) {
-        for (const auto& each : found->second) {
-            if (!each.removed && now - each.first < settling_time) {
-                out.push_back(each.origin);
+    struct version {
+        std::size_t count = 0;
+        bool is_settled = true;
+    };
+    std::unordered_map<origin_id, version> versions;
+    std::size_t count = 0;
+    for (const auto& each : replicas) {
+        const bool generates = each->report.stage != engine_stage::prefill;
+        versions[origin_of(each->report)].count += generates ? 1 : 0;
+        count += generates ? 1 : 0;
+    }
+    std::set<std::string> out;
+    if (versions.size() < 2) {
+        return out;
+    }
+    const auto known = m_versions.find(number_of_service(replicas.front()->report.service));
+    if (known != m_versions.end()) {
+        for (const auto& each : known->second) {
+            if (const auto found = versions.find(each.origin); found != versions.end()) {
+                found->second.is_settled = now - each.first >= settling_time;
             }
         }
     }
-    return out;
+    std::size_t fit_count = 0;
+    for (const auto& each : replicas) {
+        const auto& of = versions.at(origin_of(each->report));
+        if (!of.is_settled || of.count < min_replicas_to_begin) {
+            out.insert(each->report.id);
+        }
+        else {
+            fit_count += each->report.stage != engine_stage::prefill ? 1 : 0;
+        }
+    }
+    return 2 * fit_count >= count ? out : std::set<std::string>{};
 }
 
 bool stream_origins::record(const begun_stream& begun, time_point now)
--- a/test/serving/stream_origins_test.cpp
+++ b/test/serving/stream_origins_test.cpp
@@ -129,14 +129,43 @@
     EXPECT_EQ(origins.find(0), std::nullopt);
 }
 
-TEST_F(stream_origins_test, a_version_is_unsettled_until_all_hosts_can_know_it)
+TEST_F(stream_origins_test, a_version_begins_streams_when_all_hosts_can_know_it)
 {
-    list(replica("a", "v1"), start);
-    list(replica("b", "v2"), start + 10s);
-    const std::vector<origin_id> recent{origin_of(replica("b", "v2"))};
-    EXPECT_EQ(origins.unsettled_origins("s", start + 10s), recent);
+    for (const auto* id : {"a", "b"}) {
+        list(replica(id, "v1"), start);
+    }
+    for (const auto* id : {"c", "d"}) {
+        list(replica(id, "v2"), start + 10s);
+    }
+    const std::set<std::string> recent{"c", "d"};
+    EXPECT_EQ(origins.unfit_to_begin(table.serving("s"), start + 10s), recent);
     EXPECT_TRUE(
-        origins.unsettled_origins("s", start + 10s + stream_origins::settling_time).empty());
+        origins.unfit_to_begin(table.serving("s"), start + 10s + stream_origins::settling_time)
+            .empty());
+}
+
+// The only engine that could continue the streams of a version crashed.
+TEST_F(stream_origins_test, a_version_begins_no_streams_if_no_second_replica_could_continue_them)
+{
+    for (const auto* id : {"a", "b", "c"}) {
+        list(replica(id, "v1"), start);
+    }
+    auto prefilling = replica("d", "v2");
+    prefilling.stage = engine_stage::prefill;
+    list(prefilling, start);
+    list(replica("e", "v2"), start);
+    const std::set<std::string> single{"d", "e"};
+    EXPECT_EQ(origins.unfit_to_begin(table.serving("s"), start + 1min), single);
+    list(replica("f", "v2"), start);
+    EXPECT_TRUE(origins.unfit_to_begin(table.serving("s"), start + 1min).empty());
+}
+
+TEST_F(stream_origins_test, all_versions_begin_streams_if_the_fit_ones_could_not_carry_the_load)
+{
+    list(replica("a", "v1"), start);
+    EXPECT_TRUE(origins.unfit_to_begin(table.serving("s"), start + 1min).empty());
+    list(replica("b", "v2"), start);
+    EXPECT_TRUE(origins.unfit_to_begin(table.serving("s"), start + 1min).empty());
 }
 
 } // namespace
