--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -118,6 +118,8 @@
     void record_decode_wait();
     // Logs that a stream is sent to a replica to be continued, with where it began.
     void log_continuation(const endpoint& to) const;
+    // Logs that no connection to the endpoint could be established.
+    void log_unreached(time_point now) const;
     // Logs that the connection ended before the answer did, with the prompt's segments.
     void log_interrupted_run() const;
     void log_end(std::string_view result, std::string_view reason) const;
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -161,6 +161,8 @@
     // For log lines about responses that ended early, and about streams that are continued.
     line_budget response_log_budget;
     line_budget resumption_log_budget;
+    // For log lines about endpoints to which no connection could be established.
+    line_budget reachability_log_budget;
     attempt_budget budget;
     fleet_work fleet;
     engine_placement engines;
--- a/src/serving/exchange_failures.cpp
+++ b/src/serving/exchange_failures.cpp
@@ -125,6 +125,17 @@
                  to_text(m_metadata.prompt), m_host.response_log_budget.take_suppressed_count());
 }
 
+void exchange::log_unreached(time_point now) const
+{
+    if (m_host.reachability_log_budget.try_acquire(now)) {
+        spdlog::info("endpoint_unreached id={} request={} waited_ms={:.0f} connect_attempts={} "
+                     "passed_over={}",
+                     m_endpoint->report.id, m_metadata.id,
+                     fractional_milliseconds{now - m_sent}.count(), m_connect_attempts + 1,
+                     m_host.reachability_log_budget.take_suppressed_count());
+    }
+}
+
 bool exchange::try_acquire_attempt()
 {
     if (m_attempts >= m_route->max_attempts || remaining_time() < min_useful_time ||
@@ -153,6 +164,7 @@
     const auto now = m_host.timers.now();
     auto& health = health_of_endpoint();
     if (failure == exchange_failure::not_sent) {
+        log_unreached(now);
         health.record_unreachable(now);
         end_prefill();
         m_excluded.insert(m_endpoint->report.id);
