--- a/test/platform/stand_ins.h
+++ b/test/platform/stand_ins.h
@@ -286,6 +286,20 @@
         return m_server.count([&](const received_request& each) { return each.reads(topic); });
     }
 
+    // Returns the newest value of a key; empty if there is none.
+    std::string newest(const std::string& topic, const std::string& key) const
+    {
+        const std::lock_guard lock{m_mutex};
+        const auto found = m_topics.find(topic);
+        std::string out;
+        if (found != m_topics.end()) {
+            for (const auto& each : found->second.records) {
+                out = each.key == key ? each.value : out;
+            }
+        }
+        return out;
+    }
+
     std::size_t appended(const std::string& topic) const
     {
         const std::lock_guard lock{m_mutex};
