serving: relay requests to other hosts while no replica can be reached

Cause: a host had no notion of its own paths. Each request tried replica after replica, 0.3 s each, and was refused or ran out of time, while the other hosts reached the same replicas.

Change: after a failed connection or a missing answer a host probes three replicas. If none accepts a connection it counts as cut off, tells the others, and relays its requests to a host that has a path, first in its own zone, over TCP on the port of the gossip. That host treats them as a caller's, within the attempts that are left, and never relays them again. Truthful rejections stay rejections. Streams that fall silent go on there. The host probes on every 0.5 s, and stays ready: leaving the rotation would not help connections that are open, or a zone all of whose hosts are cut off.

--- a/include/cicadaport/serving/caller_connection.h
+++ b/include/cicadaport/serving/caller_connection.h
@@ -18,8 +18,12 @@
                                 public caller_port,
                                 public std::enable_shared_from_this<caller_connection> {
 public:
+    // Who sends the requests: callers, or other hosts that relay theirs.
+    enum class peer { caller, host };
+
     // The connection is a member of `all`, which owns it, from start() until it is closed.
-    caller_connection(host_state& host, caller_set& all, boost::asio::ip::tcp::socket socket);
+    caller_connection(host_state& host, caller_set& all, boost::asio::ip::tcp::socket socket,
+                      peer from = peer::caller);
     ~caller_connection() override;
 
     void start();
@@ -64,6 +68,7 @@
     caller_set& m_all;
     std::shared_ptr<transport::tcp_connection> m_connection;
     transport::message_reader m_reader;
+    peer m_from;
     std::string m_body;
     std::shared_ptr<exchange> m_exchange;
     transport::timer_queue::handle m_timeout;
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -17,7 +17,10 @@
                        public pending_prompt,
                        public std::enable_shared_from_this<exchange> {
 public:
-    exchange(host_state& host, caller_port& caller, transport::message_head head, std::string body);
+    // `is_relayed` tells that another host has relayed the request, so that it is not relayed
+    // again.
+    exchange(host_state& host, caller_port& caller, transport::message_head head, std::string body,
+             bool is_relayed = false);
     ~exchange() override;
 
     // Finds the route and sends the request to an endpoint, or answers at once if that
@@ -33,7 +36,7 @@
     void on_caller_drained();
 
 private:
-    enum class step { idle, prefilling, running };
+    enum class step { idle, prefilling, running, relaying };
 
     // answer_observer
     bool owns(const transport::message_head& head) override;
@@ -59,8 +62,32 @@
     // Logs that no route matches the request, with the version of the configuration that
     // was searched.
     void log_unrouted() const;
-    // Continues a stream that a caller has taken up, on the version that began it.
-    void resume_for_caller();
+    // Relays the request to another host. Returns whether there is one that may have a path to
+    // replicas.
+    bool relay();
+    void relay_to(const http::address& host);
+    void handle_relay_answer();
+    void handle_relay_failure(transport::exchange_failure failure);
+    // Returns the id of the request in whose answer the stream began; empty if it isn't known.
+    const std::string& begun_as() const noexcept
+    {
+        return m_metadata.last_event_id ? m_metadata.resumed_request : m_metadata.id;
+    }
+    // Returns how many replicas the request may be sent to.
+    std::uint32_t max_attempts() const noexcept
+    {
+        return std::min(m_route->max_attempts, m_is_relayed ? m_metadata.attempts_left.value_or(1)
+                                                            : m_route->max_attempts);
+    }
+
+    // Returns whether the request continues a stream whose origin was not determined yet.
+    bool lacks_origin() const noexcept
+    {
+        return m_route->resumable && !m_origin &&
+               (m_metadata.last_event_id || m_events.last_event_id());
+    }
+    // Determines the origin of the stream and continues it there.
+    void find_origin();
     void resume_at(std::optional<origin_id> origin);
     // Finds the replicas that must not continue the stream, or not begin it yet.
     void exclude_other_versions();
@@ -164,6 +191,8 @@
     // counts.
     std::uint32_t m_attempts = 0;
     std::uint32_t m_connect_attempts = 0;
+    std::uint32_t m_relay_attempts = 0;
+    bool m_is_relayed;
     // Whether the replica of the current attempt may have run the request, and whether
     // the replica of an earlier attempt may have. A replica may have run it unless it
     // states that it has not.
--- a/include/cicadaport/serving/host_directory.h
+++ b/include/cicadaport/serving/host_directory.h
@@ -108,6 +108,17 @@
     // while after it fell silent, since it may still send requests.
     fleet_place place_for(std::uint32_t endpoint, bool in_cell, time_point now) const;
 
+    // Records whether a known host has told that it has a path to replicas.
+    void record_reachability(const peer_address& at, bool has_path);
+
+    // Returns the hosts that have a path to replicas and were heard from within their last two
+    // heartbeats.
+    struct hosts_by_zone {
+        std::vector<peer_address> own_zone;
+        std::vector<peer_address> other_zones;
+    };
+    hosts_by_zone hosts_with_paths(time_point now) const;
+
     // Returns this host's rank among the hosts from which it receives messages; the last rank in a
     // fleet of the largest supported size until it has settled. All hosts that know each other
     // compute the same order.
@@ -127,6 +138,7 @@
         host_number number = 0;
         std::uint32_t zone = 0;
         time_point last_message{};
+        bool has_path = true;
     };
 
     gossip_routes routes(std::uint64_t key, bool own_cell_only) const;
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -9,6 +9,7 @@
 #include "cicadaport/serving/line_budget.h"
 #include "cicadaport/serving/list_position.h"
 #include "cicadaport/serving/placement.h"
+#include "cicadaport/serving/replica_paths.h"
 #include "cicadaport/serving/request_limits.h"
 #include "cicadaport/serving/size_fairness.h"
 #include "cicadaport/serving/stream_origin_tracker.h"
@@ -40,6 +41,11 @@
     virtual void announce_survivals(std::span<const segment_survival> survivals) = 0;
     // Announces that a request is sent to find out whether quarantined segments are sound.
     virtual void announce_trials(std::span<const segment_id> segments) = 0;
+    // Announces whether this host has a path to replicas.
+    virtual void announce_reachability() = 0;
+    // Returns the hosts to which requests may be relayed, the nearest first: those that were heard
+    // from lately and have a path to replicas.
+    virtual std::vector<http::address> relay_hosts() const = 0;
     // Announces on which versions streams began.
     virtual void announce_streams(std::span<const begun_stream> streams) = 0;
     // Returns this host's rank in an order of the hosts that it knows; the last possible rank
@@ -63,6 +69,7 @@
     std::uint64_t client_disconnects = 0;
     std::uint64_t retries = 0;
     std::uint64_t handed_over = 0;
+    std::uint64_t relayed = 0;
 };
 
 // Calls to the platform's store, for logs and metrics.
@@ -173,6 +180,7 @@
     std::mt19937_64 random;
     crash_monitor crashes;
     stream_origin_tracker origins;
+    replica_paths paths;
     request_counts counts;
     store_counts store_calls;
     // Not owned. Null while this host sends no gossip.
--- a/include/cicadaport/serving/peer_gossip.h
+++ b/include/cicadaport/serving/peer_gossip.h
@@ -60,6 +60,8 @@
     void announce_crashes(std::span<const engine_crash> crashes) override;
     void announce_survivals(std::span<const segment_survival> survivals) override;
     void announce_trials(std::span<const segment_id> segments) override;
+    void announce_reachability() override;
+    std::vector<http::address> relay_hosts() const override;
     void announce_streams(std::span<const begun_stream> streams) override;
     std::size_t rank_among_known_hosts() const override;
     std::optional<milliseconds> time_since_last_message() const override;
--- a/include/cicadaport/serving/wire.h
+++ b/include/cicadaport/serving/wire.h
@@ -33,6 +33,8 @@
     // the id of its request in whose answer the stream began; empty if the caller names none.
     std::optional<std::string> last_event_id;
     std::string resumed_request;
+    // Set by a host that relays the request: how many replicas it may still be sent to.
+    std::optional<std::uint32_t> attempts_left;
 };
 
 // The KV cache entries of a prompt that one engine has prefilled for another.
@@ -43,7 +45,7 @@
 
 // The options with which a host sends a request to one endpoint.
 struct run_parameters {
-    // The id of the only replica that may run the request.
+    // The id of the only replica that may run the request; empty if another host chooses it.
     std::string endpoint;
     milliseconds time_left{0};
     // Engines process lower values first. Empty for plain services.
@@ -58,6 +60,10 @@
     std::optional<prompt_kv_cache> from;
     // The id of the event after which the stream continues.
     std::optional<std::string> after_event;
+    // For another host: the request in whose answer the stream began, and how many replicas the
+    // request may still be sent to.
+    std::optional<std::string> resumed_request;
+    std::optional<std::uint32_t> attempts_left;
 };
 
 // What an answer's head states in the platform's own fields.
--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -32,10 +32,10 @@
 } // namespace
 
 caller_connection::caller_connection(host_state& host, caller_set& all,
-                                     boost::asio::ip::tcp::socket socket)
+                                     boost::asio::ip::tcp::socket socket, peer from)
     : m_host{host}, m_all{all}, m_connection{std::make_shared<transport::tcp_connection>(
                                     std::move(socket))},
-      m_reader{transport::message_kind::request, message_limits()}
+      m_reader{transport::message_kind::request, message_limits()}, m_from{from}
 {
 }
 
@@ -125,7 +125,7 @@
             m_closing = true;
         }
         m_exchange = std::make_shared<exchange>(m_host, *this, std::move(m_reader.head()),
-                                                std::move(m_body));
+                                                std::move(m_body), m_from == peer::host);
         // This copy keeps the exchange alive: start() may end it and reset m_exchange.
         const auto current = m_exchange;
         current->start();
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -28,20 +28,6 @@
 constexpr unsigned first_final_status = 200;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_bad_request = 400;
-constexpr unsigned status_misdirected = 421;
-constexpr unsigned status_unavailable = 503;
-
-bool is_success(unsigned status)
-{
-    return status >= 200 && status < 300;
-}
-
-// Returns whether the status tells callers that the request has not run.
-bool promises_not_run(unsigned status)
-{
-    return status == 408 || status == status_misdirected || status == 429 ||
-           status == status_unavailable;
-}
 
 // Returns the ids of the segments that other requests may share: all but the last one.
 std::vector<segment_id> shared_segments_of(const std::vector<prompt_segment>& prompt)
@@ -60,9 +46,9 @@
 } // namespace
 
 exchange::exchange(host_state& host, caller_port& caller, transport::message_head head,
-                   std::string body)
+                   std::string body, bool is_relayed)
     : m_host{host}, m_caller{&caller}, m_head{std::move(head)}, m_body{std::move(body)},
-      m_arrived{host.timers.now()}
+      m_arrived{host.timers.now()}, m_is_relayed{is_relayed}
 {
 }
 
@@ -74,12 +60,7 @@
     if (find_route()) {
         m_deadline_timer =
             m_host.timers.call_at(m_deadline + deadline_grace, [this] { handle_deadline(); });
-        if (m_route->resumable && m_metadata.last_event_id) {
-            resume_for_caller();
-        }
-        else {
-            place();
-        }
+        place();
     }
 }
 
@@ -188,6 +169,10 @@
     m_answer_metadata = m_host.wire.read_answer(head);
     m_answer_confirmed = m_answer_metadata.request_id || m_connection->is_first_exchange();
     m_answer = std::move(head);
+    if (m_step == step::relaying) {
+        return;
+    }
+    m_host.paths.note_answer();
     m_host.apply_response_terms(*m_endpoint, m_route->has_prompt, m_answer->status,
                                 m_answer_metadata, m_metadata.id, m_sent);
 }
@@ -195,7 +180,7 @@
 void exchange::on_body(std::string_view piece)
 {
     const auto keep = shared_from_this();
-    const bool forwarded = m_step == step::running && m_route->streamed &&
+    const bool forwarded = m_step != step::prefilling && m_route->streamed &&
                            is_success(m_answer->status) && m_answer_metadata.is_signed &&
                            !m_answer_metadata.is_encoded;
     if (!forwarded) {
@@ -302,6 +287,9 @@
     if (m_step == step::prefilling) {
         handle_prefill_answer();
     }
+    else if (m_step == step::relaying) {
+        handle_relay_answer();
+    }
     else {
         handle_run_answer();
     }
--- a/src/serving/exchange_failures.cpp
+++ b/src/serving/exchange_failures.cpp
@@ -138,7 +138,7 @@
 
 bool exchange::try_acquire_attempt()
 {
-    if (m_attempts >= m_route->max_attempts || remaining_time() < min_useful_time ||
+    if (m_attempts >= max_attempts() || remaining_time() < min_useful_time ||
         !m_host.budget.try_acquire(m_service, m_host.timers.now())) {
         return false;
     }
@@ -161,10 +161,15 @@
     m_answer_timer.cancel();
     m_host.crashes.remove_pending(*this);
     m_connection.reset();
+    if (m_step == step::relaying) {
+        handle_relay_failure(failure);
+        return;
+    }
     const auto now = m_host.timers.now();
     auto& health = health_of_endpoint();
     if (failure == exchange_failure::not_sent) {
         log_unreached(now);
+        m_host.paths.note_unreached();
         health.record_unreachable(now);
         end_prefill();
         m_excluded.insert(m_endpoint->report.id);
@@ -208,6 +213,7 @@
             return;
         }
         health.record_failure(now);
+        m_host.paths.note_silence();
         handle_answer_timeout();
     });
 }
@@ -227,6 +233,7 @@
             return;
         }
         health.record_failure(now);
+        m_host.paths.note_silence();
         m_excluded.insert(m_endpoint->report.id);
         if (!retry_elsewhere()) {
             spdlog::debug("stream_silent id={} endpoint={}", m_metadata.id, m_endpoint->report.id);
@@ -239,7 +246,7 @@
     if (m_step == step::prefilling) {
         // Giving up an engine that has not answered counts as an attempt, so a second one
         // must be left for the run itself.
-        if (m_attempts + 1 < m_route->max_attempts && try_acquire_attempt()) {
+        if (m_attempts + 1 < max_attempts() && try_acquire_attempt()) {
             ++m_attempts;
             m_excluded.insert(m_endpoint->report.id);
             release_endpoint();
--- a/src/serving/exchange_placement.cpp
+++ b/src/serving/exchange_placement.cpp
@@ -24,6 +24,12 @@
     if (remaining_time() < min_useful_time) {
         handle_deadline();
     }
+    else if (m_host.paths.is_cut_off() && relay()) {
+        return;
+    }
+    else if (lacks_origin()) {
+        find_origin();
+    }
     else if (m_route->has_prompt && target != nullptr && target->engines) {
         place_prompt(*target);
     }
--- a/src/serving/exchange_resumption.cpp
+++ b/src/serving/exchange_resumption.cpp
@@ -7,9 +7,9 @@
 
 namespace cicadaport::serving {
 
-void exchange::resume_for_caller()
+void exchange::find_origin()
 {
-    m_host.origins.find(m_route->shares, m_metadata.resumed_request,
+    m_host.origins.find(m_route->shares, begun_as(),
                         [weak = weak_from_this()](std::optional<origin_id> origin) {
                             const auto self = weak.lock();
                             if (self != nullptr && self->m_caller != nullptr) {
@@ -68,6 +68,10 @@
 
 void exchange::record_origin()
 {
+    if (m_step == step::relaying) {
+        // The other host records it.
+        return;
+    }
     if (!m_origin) {
         m_origin = origin_of(m_endpoint->report);
     }
@@ -89,8 +93,7 @@
     spdlog::info("stream_continued id={} route={} requested_by={} begun_as={} begun_origin={:x} "
                  "after_event={} endpoint={} incarnation={} version={} origin={:x} passed_over={} "
                  "{}",
-                 m_metadata.id, m_route->name, by_caller ? "caller" : "this_host",
-                 m_metadata.last_event_id ? m_metadata.resumed_request : m_metadata.id,
+                 m_metadata.id, m_route->name, by_caller ? "caller" : "this_host", begun_as(),
                  m_origin.value_or(0), after ? *after : *m_metadata.last_event_id, to.report.id,
                  to.report.incarnation, to.report.version, origin_of(to.report),
                  m_host.resumption_log_budget.take_suppressed_count(),
--- a/src/serving/host_directory.cpp
+++ b/src/serving/host_directory.cpp
@@ -141,6 +141,25 @@
     return out;
 }
 
+void host_directory::record_reachability(const peer_address& at, bool has_path)
+{
+    if (const auto found = m_known.find(at); found != m_known.end()) {
+        found->second.has_path = has_path;
+    }
+}
+
+host_directory::hosts_by_zone host_directory::hosts_with_paths(time_point now) const
+{
+    constexpr std::chrono::milliseconds max_silence{2'300};
+    hosts_by_zone out;
+    for (const auto& [at, known] : m_known) {
+        if (known.has_path && now - known.last_message <= max_silence) {
+            (known.zone == m_zone ? out.own_zone : out.other_zones).push_back(at);
+        }
+    }
+    return out;
+}
+
 std::size_t host_directory::rank_among_known(time_point now) const
 {
     if (now - m_started < settling_time) {
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -207,6 +207,7 @@
                 std::make_shared<caller_connection>(m_state, m_connections, std::move(socket))
                     ->start();
             });
+        listen_for_relayed_requests();
         m_configuration.start();
         m_endpoints.start();
         m_gossip.start();
@@ -216,6 +217,22 @@
         m_context.run();
     }
 
+    // Other hosts relay requests to the port at which this host receives gossip.
+    void listen_for_relayed_requests()
+    {
+        try {
+            m_relays.emplace(
+                m_context, m_state.timers, m_settings.peers.own, [this](tcp::socket socket) {
+                    std::make_shared<caller_connection>(m_state, m_connections, std::move(socket),
+                                                        caller_connection::peer::host)
+                        ->start();
+                });
+        }
+        catch (const boost::system::system_error& error) {
+            spdlog::warn("relayed_requests_not_accepted error=\"{}\"", error.what());
+        }
+    }
+
     void post_stop()
     {
         asio::post(m_context, [this] { stop(); });
@@ -385,13 +402,14 @@
         const auto& counts = m_state.counts;
         spdlog::info(
             "requests answered={} refused={} quarantined={} failed={} cut={} callers_left={} "
-            "further_attempts={} handed_over={} connections_opened={} peers={} replicas={} "
+            "further_attempts={} handed_over={} relayed={} connections_opened={} peers={} "
+            "replicas={} "
             "configuration={} configuration_age_ms={} endpoints_age_ms={} store_pages={} "
             "store_configuration_reads={} store_endpoint_reads={} store_order_reads={} "
             "store_origin_reads={} store_appends={} known_streams={} suspected_segments={} "
             "quarantined_segments={}",
             counts.answered, counts.refused, counts.quarantined, counts.failed, counts.cut,
-            counts.client_disconnects, counts.retries, counts.handed_over,
+            counts.client_disconnects, counts.retries, counts.handed_over, counts.relayed,
             m_state.connections.opened(), m_gossip.peer_count(), m_state.endpoints.size(),
             m_state.deployed != nullptr ? m_state.deployed->version() : 0,
             age_ms(m_state.configuration_position), age_ms(m_state.endpoints_position),
@@ -423,6 +441,9 @@
                            since >= m_settings.accept_time_after_stop + max_quiet_wait;
         if (since >= m_settings.accept_time_after_stop && quiet) {
             m_callers->close();
+            if (m_relays) {
+                m_relays->close();
+            }
             const auto all = m_connections;
             for (const auto& each : all) {
                 each->close_if_idle();
@@ -460,6 +481,7 @@
     asio::signal_set m_settings_signal;
     std::optional<listener> m_readiness;
     std::optional<listener> m_callers;
+    std::optional<listener> m_relays;
     transport::timer_queue::handle m_housekeeping;
     transport::timer_queue::handle m_stop_check;
     time_point m_stop_requested_at{};
--- a/src/serving/internal/exchange_constants.h
+++ b/src/serving/internal/exchange_constants.h
@@ -13,7 +13,21 @@
 constexpr milliseconds retry_after_no_endpoint{400};
 constexpr milliseconds retry_after_overload{250};
 
+constexpr unsigned status_misdirected = 421;
 constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_timeout = 504;
 
+constexpr bool is_success(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
+// Returns whether the status tells callers that the request has not run.
+constexpr bool promises_not_run(unsigned status)
+{
+    return status == 408 || status == status_misdirected || status == 429 ||
+           status == status_unavailable;
+}
+
 } // namespace cicadaport::serving
--- a/src/serving/peer_gossip.cpp
+++ b/src/serving/peer_gossip.cpp
@@ -196,6 +196,26 @@
     broadcast(gossip, m_directory.routes_for_heartbeat(++m_greetings));
 }
 
+void peer_gossip::announce_reachability()
+{
+    auto greeting = make_greeting();
+    broadcast(greeting, m_directory.routes_for_heartbeat(++m_greetings));
+}
+
+std::vector<http::address> peer_gossip::relay_hosts() const
+{
+    auto hosts = m_directory.hosts_with_paths(m_host.timers.now());
+    // Hosts of one zone share the load.
+    std::vector<http::address> out;
+    for (auto* group : {&hosts.own_zone, &hosts.other_zones}) {
+        std::shuffle(group->begin(), group->end(), m_host.random);
+        for (const auto& each : *group) {
+            out.push_back({asio::ip::address_v4{each.ip}.to_string(), each.port});
+        }
+    }
+    return out;
+}
+
 void peer_gossip::announce_streams(std::span<const begun_stream> streams)
 {
     while (!streams.empty()) {
@@ -354,6 +374,7 @@
     const auto own = to_peer(m_settings.own);
     out.mutable_own()->set_ip(own.ip);
     out.mutable_own()->set_port(own.port);
+    out.set_cut_off(m_host.paths.is_cut_off());
     return out;
 }
 
@@ -444,6 +465,7 @@
             m_host.fleet.forget(replaced, now);
             first = true;
         }
+        m_directory.record_reachability(at, !gossip.cut_off());
         if (first) {
             // The reply lets a host that has just started find all others within two replies.
             auto answer = make_greeting();
--- a/test/platform/feed_follower_test.cpp
+++ b/test/platform/feed_follower_test.cpp
@@ -37,6 +37,8 @@
     void announce_crashes(std::span<const serving::engine_crash>) override {}
     void announce_survivals(std::span<const serving::segment_survival>) override {}
     void announce_trials(std::span<const serving::segment_id>) override {}
+    void announce_reachability() override {}
+    std::vector<http::address> relay_hosts() const override { return {}; }
     void announce_streams(std::span<const serving::begun_stream>) override {}
     std::size_t rank_among_known_hosts() const override { return 0; }
     std::optional<std::chrono::milliseconds> time_since_last_message() const override { return {}; }
--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -106,6 +106,23 @@
     }
 }
 
+TEST(wire_test, a_relayed_request_names_the_stream_and_the_attempts_left_but_no_replica)
+{
+    serving::run_parameters terms;
+    terms.after_event = "7";
+    terms.resumed_request = "cd";
+    terms.attempts_left = 1;
+    const auto caller = head({{"Host", "a"}, {"Resumes", "x"}, {"Attempts-Left", "9"}});
+    const auto sent = adapter.run_request(caller, "", terms);
+    EXPECT_THAT(sent, HasSubstr("Resumes: cd\r\n"));
+    EXPECT_THAT(sent, HasSubstr("Last-Event-Id: 7\r\n"));
+    EXPECT_THAT(sent, HasSubstr("Attempts-Left: 1\r\n"));
+    EXPECT_THAT(sent, Not(HasSubstr("Attempts-Left: 9")));
+    EXPECT_THAT(sent, Not(HasSubstr("Target-Instance")));
+    EXPECT_EQ(adapter.read_request(head({{"Host", "a"}, {"Attempts-Left", "2"}})).attempts_left,
+              2U);
+}
+
 TEST(wire_test, parses_the_leaving_and_retry_after_fields_of_a_response)
 {
     const auto terms = [](unsigned status, const std::string& name, const std::string& value) {
--- a/test/serving/host_directory_test.cpp
+++ b/test/serving/host_directory_test.cpp
@@ -68,6 +68,21 @@
     EXPECT_THAT(ranks, ElementsAre(0, 1, 2, 3, 4, 5));
 }
 
+TEST(host_directory_test, requests_are_relayed_to_hosts_with_a_path_that_were_heard_lately)
+{
+    auto directory = empty_directory();
+    directory.record_message(at(2), 12, own_zone, start);
+    directory.record_message(at(3), 13, own_zone, start);
+    directory.record_message(at(4), 14, other_zone, start);
+    directory.record_reachability(at(2), false);
+    const auto hosts = directory.hosts_with_paths(start + 1s);
+    EXPECT_THAT(hosts.own_zone, ElementsAre(at(3)));
+    EXPECT_THAT(hosts.other_zones, ElementsAre(at(4)));
+    directory.record_reachability(at(2), true);
+    EXPECT_THAT(directory.hosts_with_paths(start + 1s).own_zone, ElementsAre(at(2), at(3)));
+    EXPECT_THAT(directory.hosts_with_paths(start + 3s).own_zone, IsEmpty());
+}
+
 TEST(host_directory_test, uses_one_relay_in_each_other_zone)
 {
     const auto directory = directory_of(60);
