platform: an entry without a software version names no replica

The fixtures' entries have a version, and the other invalid entries too, so that each is invalid for one reason.

--- a/test/platform/malformed_input_test.cpp
+++ b/test/platform/malformed_input_test.cpp
@@ -154,7 +154,7 @@
 {
     start_with_replica();
     const std::string entry =
-        R"({"service":"s","address":"127.0.0.1:1","zone":"z","slots":4,"state":"ready",)"
+        R"({"service":"s","address":"127.0.0.1:1","zone":"z","version":"v1","slots":4,"state":"ready",)"
         R"("sequence":1,"born":1,"stage":"decode"})";
     const std::string configuration =
         R"({"version":1,"routes":[{"name":"a","host":"h.example","path-prefix":"/a/",)"
--- a/test/platform/soak/fleet_soak.cpp
+++ b/test/platform/soak/fleet_soak.cpp
@@ -109,11 +109,12 @@
 
 void fleet_soak::report(replica& of)
 {
-    m_store.put("keyed.servers", of.id,
-                fmt::format(R"({{"service":"{}","address":"{}","zone":"z1","slots":64,)"
-                            R"("state":"{}","sequence":{},"born":1}})",
-                            of.service, http::to_string(of.server.address()),
-                            of.leaving ? "draining" : "ready", ++of.sequence));
+    m_store.put(
+        "keyed.servers", of.id,
+        fmt::format(R"({{"service":"{}","address":"{}","zone":"z1","version":"v1","slots":64,)"
+                    R"("state":"{}","sequence":{},"born":1}})",
+                    of.service, http::to_string(of.server.address()),
+                    of.leaving ? "draining" : "ready", ++of.sequence));
     of.next_report = soak_clock::now() + report_interval;
 }
 
@@ -204,10 +205,11 @@
     }
     ++m_engine_reports;
     for (const auto& [id, at] : m_listed_engines) {
-        m_store.put("keyed.servers", id,
-                    fmt::format(R"({{"service":"e","address":"{}","zone":"z1","slots":64,)"
-                                R"("state":"ready","stage":"decode","sequence":{},"born":1}})",
-                                http::to_string(at), m_engine_reports));
+        m_store.put(
+            "keyed.servers", id,
+            fmt::format(R"({{"service":"e","address":"{}","zone":"z1","version":"v1","slots":64,)"
+                        R"("state":"ready","stage":"decode","sequence":{},"born":1}})",
+                        http::to_string(at), m_engine_reports));
     }
     m_next_engine_report = now + report_interval;
 }
--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -215,13 +215,16 @@
 
 TEST(wire_test, an_invalid_endpoint_entry_yields_no_endpoint)
 {
-    for (const std::string value :
-         {"", "not json", "[]", "{}", R"({"service":1})",
-          R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":1,"state":"odd"})",
-          R"({"service":"s","address":"nowhere","zone":"z","slots":1,"state":"ready"})",
-          R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":"1","state":"ready"})",
-          R"({"service":"s","address":"10.1.2.3:80","zone":"z","state":"ready","born":1.5})",
-          R"({"service":"s","address":"10.1.2.3:80","zone":"z","state":"ready","stage":"x"})"}) {
+    for (
+        const std::string value :
+        {"", "not json", "[]", "{}", R"({"service":1})",
+         R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":"v","slots":1,"state":"odd"})",
+         R"({"service":"s","address":"nowhere","zone":"z","version":"v","slots":1,"state":"ready"})",
+         R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":"v","slots":"1","state":"ready"})",
+         R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":"v","state":"ready","born":1.5})",
+         R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":"v","state":"ready","stage":"x"})",
+         R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":1,"state":"ready"})",
+         R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":7,"state":"ready"})"}) {
         EXPECT_FALSE(read_endpoint(value)) << value;
     }
 }
