serving: one start of an attempt for replicas and relays; simpler conditions

exchange::send and relay_to reset the same state and took the connection by the same rule; both call begin_attempt now. record_origin uses begun_as, max_attempts takes no minimum of a value with itself, and a service with one known version is not searched for versions that may not begin streams at each request.

--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -76,8 +76,8 @@
     // Returns how many replicas the request may be sent to.
     std::uint32_t max_attempts() const noexcept
     {
-        return std::min(m_route->max_attempts, m_is_relayed ? m_metadata.attempts_left.value_or(1)
-                                                            : m_route->max_attempts);
+        return m_is_relayed ? std::min(m_route->max_attempts, m_metadata.attempts_left.value_or(1))
+                            : m_route->max_attempts;
     }
 
     // Returns whether the request continues a stream whose origin was not determined yet.
@@ -102,6 +102,8 @@
     // `target` is null if the configuration does not describe the service.
     void place_plain(const service* target);
     void send(step what, const endpoint_pointer& to, const run_parameters& parameters);
+    // Takes a connection for a new attempt, and drops what the last one received.
+    void begin_attempt(step what, const endpoint_pointer& to);
     void send_run(const endpoint_pointer& to, std::optional<prompt_kv_cache> from);
     void send_prefill(const prompt_plan& plan);
 
--- a/src/serving/exchange_placement.cpp
+++ b/src/serving/exchange_placement.cpp
@@ -186,11 +186,8 @@
     send(step::running, to, parameters);
 }
 
-void exchange::send(step what, const endpoint_pointer& to, const run_parameters& parameters)
+void exchange::begin_attempt(step what, const endpoint_pointer& to)
 {
-    auto complete = parameters;
-    complete.endpoint = to->report.id;
-    complete.time_left = std::max(remaining_time(), milliseconds{1});
     m_step = what;
     m_endpoint = to;
     m_address = to->report.address;
@@ -200,9 +197,17 @@
     m_events.restart();
     m_run_first_event = time_point{};
     m_run_survived = false;
-    const bool once = m_route->repeats == repeat_rule::once && what == step::running;
+    const bool once = m_route->repeats == repeat_rule::once && what != step::prefilling;
     m_connection = m_host.connections.take(m_address, once ? transport::reuse_rule::certain
                                                            : transport::reuse_rule::any);
+}
+
+void exchange::send(step what, const endpoint_pointer& to, const run_parameters& parameters)
+{
+    auto complete = parameters;
+    complete.endpoint = to->report.id;
+    complete.time_left = std::max(remaining_time(), milliseconds{1});
+    begin_attempt(what, to);
     if (what == step::running) {
         ++m_attempts;
         m_earlier_may_have_run = m_earlier_may_have_run || m_attempt_may_have_run;
--- a/src/serving/exchange_relay.cpp
+++ b/src/serving/exchange_relay.cpp
@@ -37,15 +37,7 @@
     endpoint_report other;
     other.id = http::to_string(host);
     other.address = host;
-    m_endpoint = std::make_shared<endpoint>(std::move(other));
-    m_address = host;
-    m_sent = m_host.timers.now();
-    m_answer.reset();
-    m_answer_body.clear();
-    m_events.restart();
-    m_run_first_event = time_point{};
-    m_run_survived = false;
-    m_step = step::relaying;
+    begin_attempt(step::relaying, std::make_shared<endpoint>(std::move(other)));
     ++m_relay_attempts;
     ++m_host.counts.relayed;
     m_earlier_may_have_run = m_earlier_may_have_run || m_attempt_may_have_run;
@@ -63,9 +55,6 @@
             m_metadata.id, m_endpoint->report.id, m_relay_attempts, *parameters.attempts_left,
             m_host.reachability_log_budget.take_suppressed_count());
     }
-    const bool once = m_route->repeats == repeat_rule::once;
-    m_connection = m_host.connections.take(m_address, once ? transport::reuse_rule::certain
-                                                           : transport::reuse_rule::any);
     m_connection->send(m_host.wire.run_request(m_head, m_body, parameters), *this);
 }
 
--- a/src/serving/exchange_resumption.cpp
+++ b/src/serving/exchange_resumption.cpp
@@ -76,9 +76,7 @@
         m_origin = origin_of(m_endpoint->report);
     }
     if (m_route->resumable) {
-        m_host.origins.record_begin(
-            m_route->shares, m_metadata.last_event_id ? m_metadata.resumed_request : m_metadata.id,
-            m_endpoint->report);
+        m_host.origins.record_begin(m_route->shares, begun_as(), m_endpoint->report);
     }
 }
 
--- a/src/serving/stream_origin_tracker.cpp
+++ b/src/serving/stream_origin_tracker.cpp
@@ -152,7 +152,7 @@
 {
     const auto age = m_host.endpoints_position.age(m_host.timers.now());
     const auto heard = m_gossip != nullptr ? m_gossip->time_since_last_message() : std::nullopt;
-    return (age && *age <= max_view_age) || (age && heard && *heard <= max_view_age);
+    return age && (*age <= max_view_age || (heard && *heard <= max_view_age));
 }
 
 std::optional<origin_id> stream_origin_tracker::find_known(std::span<const service_share> services,
--- a/src/serving/stream_origins.cpp
+++ b/src/serving/stream_origins.cpp
@@ -115,6 +115,12 @@
 std::set<std::string> stream_origins::unfit_to_begin(std::span<const endpoint_pointer> replicas,
                                                      time_point now) const
 {
+    const auto known = replicas.empty()
+                           ? m_versions.end()
+                           : m_versions.find(number_of_service(replicas.front()->report.service));
+    if (known == m_versions.end() || known->second.size() < 2) {
+        return {};
+    }
     struct version {
         std::size_t count = 0;
         bool is_settled = true;
@@ -130,12 +136,9 @@
     if (versions.size() < 2) {
         return out;
     }
-    const auto known = m_versions.find(number_of_service(replicas.front()->report.service));
-    if (known != m_versions.end()) {
-        for (const auto& each : known->second) {
-            if (const auto found = versions.find(each.origin); found != versions.end()) {
-                found->second.is_settled = now - each.first >= settling_time;
-            }
+    for (const auto& each : known->second) {
+        if (const auto found = versions.find(each.origin); found != versions.end()) {
+            found->second.is_settled = now - each.first >= settling_time;
         }
     }
     std::size_t fit_count = 0;
