serving: a prefill engine can't take over a silent stream

Cause: the check for another replica counted prefill engines, which generate no response. Found on reading the change again; can_continue_elsewhere was meant to leave them out.

stream_origin_test.a_silent_stream_is_kept_if_only_a_prefill_engine_is_left failed before. The fake replicas can pause within a stream, and the fixture has a resumable route to engines.

--- a/src/serving/exchange_resumption.cpp
+++ b/src/serving/exchange_resumption.cpp
@@ -61,6 +61,7 @@
     const auto& replicas = m_host.endpoints.serving(m_service);
     return std::any_of(replicas.begin(), replicas.end(), [this](const endpoint_pointer& each) {
         return each->report.id != m_endpoint->report.id && !m_excluded.contains(each->report.id) &&
+               each->report.stage != engine_stage::prefill &&
                (!m_origin || origin_of(each->report) == *m_origin) &&
                m_host.accepts_request(*each, m_route->has_prompt);
     });
--- a/test/platform/host_fixture.h
+++ b/test/platform/host_fixture.h
@@ -118,6 +118,19 @@
             after};
 }
 
+// A stream of events up to `last` that pauses after the event `from` of them.
+inline scripted_response pausing_stream(const received_request& to, int from, int last,
+                                        std::chrono::milliseconds pause)
+{
+    auto out = stream(to, "s", events(1, from), scripted_response::then::keep);
+    constexpr std::string_view end_of_chunks = "0\r\n\r\n";
+    out.bytes.erase(out.bytes.size() - end_of_chunks.size());
+    const auto whole = stream(to, "s", events(from + 1, last), scripted_response::then::keep).bytes;
+    out.rest = whole.substr(whole.find("\r\n\r\n") + end_of_chunks.size() - 1);
+    out.pause = pause;
+    return out;
+}
+
 class host_test : public ::testing::Test {
 protected:
     void SetUp() override
@@ -187,7 +200,8 @@
             route("stream", "streaming", R"(,"service":"s")") + "," +
             route("going", "streaming", R"(,"service":"s","resumable":true)") + "," +
             route("prompt", "streaming", R"(,"service":"e","sticky":true)") + "," +
-            route("v" + std::to_string(version), "safe", R"(,"service":"s")");
+            route("prompt-going", "streaming", R"(,"service":"e","sticky":true,"resumable":true)") +
+            "," + route("v" + std::to_string(version), "safe", R"(,"service":"s")");
         store.put(std::string{configuration_topic}, "config",
                   R"({"version":)" + std::to_string(version) + R"(,"padding":")" +
                       std::string(padding, 'x') + R"(","routes":[)" + routes +
--- a/test/platform/stand_ins.h
+++ b/test/platform/stand_ins.h
@@ -58,6 +58,9 @@
     std::chrono::milliseconds delay{0};
     // If set, polled until it returns a response, which is then sent in place of this one.
     std::function<std::optional<scripted_response>()> later{};
+    // If not empty, these bytes follow after this pause.
+    std::string rest{};
+    std::chrono::milliseconds pause{0};
 };
 
 inline scripted_response make_response(unsigned status, const std::string& fields,
@@ -220,6 +223,10 @@
             }
             boost::system::error_code ignored;
             boost::asio::write(from->socket, boost::asio::buffer(reply.bytes), ignored);
+            if (!reply.rest.empty()) {
+                send(from, {reply.rest, reply.after, reply.pause});
+                return;
+            }
             from->open = reply.bytes.empty();
             if (reply.after == scripted_response::then::reset) {
                 from->socket.set_option(boost::asio::socket_base::linger{true, 0}, ignored);
--- a/test/platform/stream_origin_test.cpp
+++ b/test/platform/stream_origin_test.cpp
@@ -154,6 +154,27 @@
     EXPECT_EQ(answer.body, events(first_events + 1, last_event));
 }
 
+// Counted a prefill engine as a replica that could continue the stream.
+TEST_F(stream_origin_test, a_silent_stream_is_kept_if_only_a_prefill_engine_is_left)
+{
+    constexpr auto silence = 1'600ms;
+    scripted_server decoding{[silence](const received_request& each) {
+        return testing::pausing_stream(each, first_events, last_event, silence);
+    }};
+    scripted_server prefilling{[](const received_request& each) {
+        return testing::make_response(200, "Request-Id: " + each.field("Request-Id") + "\r\n",
+                                      R"({"kv-handle":"k","tokens":10,"version":1})");
+    }};
+    list_replica("i-1", decoding.address(), "e", R"(,"stage":"decode")");
+    list_replica("i-2", prefilling.address(), "e", R"(,"stage":"prefill")");
+    start();
+    const auto answer =
+        ask(request("POST", "/prompt-going/x", "r1",
+                    "Model: m\r\nToken-Count: 10,5\r\nPrompt-Prefix: 1:10\r\n", "q"));
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(answer.body, events(1, last_event));
+}
+
 class stream_origin_fleet_test : public two_versions<testing::fleet_test> {
 protected:
     testing::caller::answer ask_host(int number, const std::string& bytes)
