serving: keep a stream whose replica is silent for about a second

What callers saw: a resumable stream without an event for 0.6 s was taken from its replica and sent to another one; if that one shed it, the stream was broken off. Sound replicas may be silent for a second or so and go on, and a replica's silence is no reason to end an answer.

Cause: min_silence_timeout of 0.6 s. It is 1.3 s now; callers leave after two seconds or later, so the rest suffices for another replica.

--- a/src/serving/exchange_failures.cpp
+++ b/src/serving/exchange_failures.cpp
@@ -15,9 +15,10 @@
 // Endpoints that may fail to connect before a request is rejected.
 constexpr std::uint32_t max_connect_attempts = 6;
 // A resumable stream continues on another replica after a silence of this many times the
-// inter-token latency objective. Callers disconnect after 8 times the objective.
+// inter-token latency objective. Callers disconnect after 8 times the objective, or two seconds if
+// that is longer; a sound replica may be silent for about a second.
 constexpr int silence_timeout_ratio = 4;
-constexpr milliseconds min_silence_timeout{600};
+constexpr milliseconds min_silence_timeout{1'300};
 
 constexpr std::size_t max_logged_segments = 16;
 
--- a/test/platform/host_test.cpp
+++ b/test/platform/host_test.cpp
@@ -379,6 +379,24 @@
     EXPECT_EQ(answer.body, events(1, 4));
 }
 
+// The stream was given up after 0.6 s, and no other replica took it.
+TEST_F(host_test, a_resumable_stream_whose_replica_is_silent_for_a_second_goes_on_there)
+{
+    constexpr auto silence = 1'000ms;
+    const auto serve = [silence](const received_request& each) {
+        return each.field("Last-Event-Id").empty() ? pausing_stream(each, 2, 4, silence)
+                                                   : not_executed(each);
+    };
+    scripted_server one{serve};
+    scripted_server two{serve};
+    list_replica("i-1", one.address());
+    list_replica("i-2", two.address());
+    start();
+    const auto answer = ask(request("POST", "/going/x", "r1", "", "q"));
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(answer.body, events(1, 4));
+}
+
 TEST_F(host_test, a_request_is_cancelled_at_the_replica_when_the_caller_disconnects)
 {
     scripted_server replica{[](const received_request&) { return scripted_response{"", {}, 0ms}; }};
