serving, test: one loop that divides announcements, one that starts a fleet

announce_survivals and announce_streams divided their items alike; both use for_each_part. The fixture of several hosts lets a test adjust settings, so that cut_off_host_test no longer has a copy of its start, and the tests of two versions list them in one place. No behaviour changes; assertions stay.

--- a/src/serving/internal/exchange_constants.h
+++ b/src/serving/internal/exchange_constants.h
@@ -1,4 +1,4 @@
-// Constants that the parts of `exchange` share.
+// Constants and functions that the parts of `exchange` share.
 #pragma once
 
 #include "cicadaport/serving/deployment.h"
--- a/src/serving/peer_gossip.cpp
+++ b/src/serving/peer_gossip.cpp
@@ -46,6 +46,17 @@
     return std::max(std::chrono::duration_cast<milliseconds>(now - at), milliseconds{0});
 }
 
+// Calls `use` with consecutive parts of at most `max_count` items.
+template <typename Item, typename Use>
+void for_each_part(std::span<const Item> items, std::size_t max_count, Use use)
+{
+    while (!items.empty()) {
+        const auto count = std::min(items.size(), max_count);
+        use(items.first(count));
+        items = items.subspan(count);
+    }
+}
+
 // Divides crashes into messages that each fit into a datagram.
 std::vector<protocol::host_news> to_messages(std::span<const engine_crash> crashes, time_point now)
 {
@@ -171,10 +182,7 @@
 void peer_gossip::announce_survivals(std::span<const segment_survival> survivals)
 {
     const auto now = m_host.timers.now();
-    while (!survivals.empty()) {
-        const auto part = survivals.first(
-            std::min(survivals.size(), static_cast<std::size_t>(max_segment_count)));
-        survivals = survivals.subspan(part.size());
+    for_each_part(survivals, max_segment_count, [&](std::span<const segment_survival> part) {
         protocol::host_news gossip;
         gossip.set_sender(m_own_number);
         for (const auto& each : part) {
@@ -183,7 +191,7 @@
             added.set_age_ms(static_cast<std::uint32_t>(age_of(each.at, now).count()));
         }
         broadcast(gossip, m_directory.routes_for_heartbeat(++m_greetings));
-    }
+    });
 }
 
 void peer_gossip::announce_trials(std::span<const segment_id> segments)
@@ -218,9 +226,7 @@
 
 void peer_gossip::announce_streams(std::span<const begun_stream> streams)
 {
-    while (!streams.empty()) {
-        const auto part = streams.first(std::min(streams.size(), max_stream_count));
-        streams = streams.subspan(part.size());
+    for_each_part(streams, max_stream_count, [&](std::span<const begun_stream> part) {
         protocol::host_news gossip;
         gossip.set_sender(m_own_number);
         for (const auto& each : part) {
@@ -229,7 +235,7 @@
             added.set_origin(each.origin);
         }
         broadcast(gossip, m_directory.routes_for_heartbeat(++m_greetings));
-    }
+    });
 }
 
 std::size_t peer_gossip::rank_among_known_hosts() const
--- a/test/platform/cut_off_host_test.cpp
+++ b/test/platform/cut_off_host_test.cpp
@@ -60,29 +60,18 @@
             list_at(other_view, id, unreachable[static_cast<std::size_t>(number)]);
         }
         copy_configuration();
-        fleet.resize(hosts);
-        for (int number = 0; number < hosts; ++number) {
-            auto& each = fleet[static_cast<std::size_t>(number)];
-            const auto ip = "127.0.0." + std::to_string(number + 1);
-            each.settings = settings;
-            each.settings.name = "host-" + std::to_string(number);
-            each.settings.caller_address.ip = ip;
-            each.settings.readiness_address.ip = ip;
-            each.settings.peers.own.ip = ip;
-            each.settings.peers.seed_ips = {"127.0.0.1"};
-            if (number == 0) {
-                each.settings.store_address = other_view.address();
-            }
-            each.start(*wire_adapter);
-        }
-        ASSERT_TRUE(eventually([this] {
-            return std::all_of(fleet.begin(), fleet.end(),
-                               [](const auto& each) { return each.is_ready(); });
-        }));
+        start_fleet();
         // Until the hosts know each other.
         std::this_thread::sleep_for(2s);
     }
 
+    void adjust_settings(int number, serving::host_settings& of) override
+    {
+        if (number == 0) {
+            of.store_address = other_view.address();
+        }
+    }
+
     static std::vector<http::address> refusing_addresses()
     {
         std::vector<http::address> out;
--- a/test/platform/host_fixture.h
+++ b/test/platform/host_fixture.h
@@ -267,6 +267,9 @@
         }
     }
 
+    // Changes the settings of one host before it starts.
+    virtual void adjust_settings(int, serving::host_settings&) {}
+
     // The hosts differ in their loopback addresses and share port numbers.
     void start_fleet()
     {
@@ -280,6 +283,7 @@
             each.settings.readiness_address.ip = ip;
             each.settings.peers.own.ip = ip;
             each.settings.peers.seed_ips = {"127.0.0.1"};
+            adjust_settings(number, each.settings);
             each.start(*wire_adapter);
         }
         ASSERT_TRUE(eventually([this] {
--- a/test/platform/stream_origin_test.cpp
+++ b/test/platform/stream_origin_test.cpp
@@ -49,6 +49,15 @@
         this->list_replica(id, replica.address(), "s", R"(,"version":")" + version + R"(")");
     }
 
+    // Lists two replicas of each version.
+    void list_two_versions()
+    {
+        list("i-1", old_one, "v1");
+        list("i-2", old_two, "v1");
+        list("i-3", new_one, "v2");
+        list("i-4", new_two, "v2");
+    }
+
     void SetUp() override
     {
         Fixture::SetUp();
@@ -102,10 +111,7 @@
 
 TEST_F(stream_origin_test, a_host_continues_a_stream_only_on_the_version_that_began_it)
 {
-    list("i-1", old_one, "v1");
-    list("i-2", old_two, "v1");
-    list("i-3", new_one, "v2");
-    list("i-4", new_two, "v2");
+    list_two_versions();
     start();
     constexpr int streams = 24;
     for (int number = 0; number < streams; ++number) {
@@ -226,10 +232,7 @@
     void start_with_two_versions()
     {
         publish(1, 1);
-        list("i-1", old_one, "v1");
-        list("i-2", old_two, "v1");
-        list("i-3", new_one, "v2");
-        list("i-4", new_two, "v2");
+        list_two_versions();
         start_fleet();
         std::this_thread::sleep_for(settling_time);
     }
