--- a/include/cicadaport/serving/caller_connection.h
+++ b/include/cicadaport/serving/caller_connection.h
@@ -72,6 +72,7 @@
     std::string m_body;
     std::shared_ptr<exchange> m_exchange;
     transport::timer_queue::handle m_timeout;
+    connection_progress m_progress;
     bool m_continue_sent = false;
     // When the connection began to wait for the next request.
     time_point m_waiting_since{};
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -13,6 +13,13 @@
 
 namespace cicadaport::serving {
 
+// Where a connection stands when it receives a request.
+struct connection_progress {
+    time_point accepted{};
+    // The number of requests received so far.
+    std::uint64_t request_count = 0;
+};
+
 class exchange final : public transport::answer_observer,
                        public pending_prompt,
                        public std::enable_shared_from_this<exchange> {
@@ -30,6 +37,9 @@
     // Called when the caller has closed its connection. Cancels the request at the endpoint.
     void on_caller_disconnected();
 
+    // Logs that the host stops before the answer has ended.
+    void log_cut_by_stop(const connection_progress& connection) const;
+
     // Called when the send buffer to the caller is too full, and when it has been written
     // out. Reading from the endpoint pauses in between.
     void on_caller_blocked();
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -186,8 +186,11 @@
     // Not owned. Null while this host sends no gossip.
     gossip_sender* gossip = nullptr;
     std::uint64_t last_work_id = 0;
-    // Whether the process has been told to stop.
-    bool is_stopping = false;
+    // When the process was told to stop; empty before.
+    std::optional<time_point> stop_requested_at;
+    bool is_stopping() const noexcept { return stop_requested_at.has_value(); }
+    // For log lines about requests that a planned stop affects.
+    line_budget stop_log_budget;
 
 private:
     void note_leaving(const endpoint& replica);
--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -53,6 +53,7 @@
 void caller_connection::start()
 {
     m_all.insert(shared_from_this());
+    m_progress.accepted = m_host.timers.now();
     m_connection->set_observer(this);
     wait_for_request();
     m_connection->start();
@@ -121,6 +122,7 @@
             return;
         }
         m_timeout.cancel();
+        ++m_progress.request_count;
         if (!m_reader.keeps_connection()) {
             m_closing = true;
         }
@@ -168,7 +170,7 @@
 std::string caller_connection::format_head(unsigned status, const http::field_list& fields,
                                            std::string_view framing)
 {
-    m_closing = m_closing || m_host.is_stopping;
+    m_closing = m_closing || m_host.is_stopping();
     const auto reason =
         boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(status));
     auto out = fmt::format("HTTP/1.1 {} {}\r\n", status, std::string_view{reason});
@@ -271,6 +273,7 @@
 {
     const auto keep = shared_from_this();
     if (m_exchange != nullptr) {
+        m_exchange->log_cut_by_stop(m_progress);
         std::exchange(m_exchange, nullptr)->on_caller_disconnected();
     }
     m_connection->abort();
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -273,6 +273,25 @@
         ms(m_host.timers.now() - m_arrived), m_events.count());
 }
 
+void exchange::log_cut_by_stop(const connection_progress& connection) const
+{
+    const auto now = m_host.timers.now();
+    if (!m_host.stop_log_budget.try_acquire(now)) {
+        return;
+    }
+    const auto stop = m_host.stop_requested_at.value_or(now);
+    const auto ms = [](clock::duration time) {
+        return std::chrono::duration_cast<milliseconds>(time).count();
+    };
+    spdlog::info("request_cut_by_stop id={} route={} received_ms={} accepted_ms={} "
+                 "request_of_connection={} endpoint={} attempts={} events={} time_left_ms={} "
+                 "passed_over={}",
+                 m_metadata.id, m_route != nullptr ? m_route->name : "", ms(m_arrived - stop),
+                 ms(connection.accepted - stop), connection.request_count,
+                 m_endpoint ? m_endpoint->report.id : "", m_attempts, m_events.count(),
+                 ms(m_deadline - now), m_host.stop_log_budget.take_suppressed_count());
+}
+
 void exchange::on_complete()
 {
     m_host.crashes.remove_pending(*this);
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -240,18 +240,17 @@
 
     void stop()
     {
-        if (m_state.is_stopping) {
+        if (m_state.is_stopping()) {
             return;
         }
-        m_state.is_stopping = true;
-        m_stop_requested_at = m_state.timers.now();
+        m_state.stop_requested_at = m_state.timers.now();
         spdlog::info("host_stopping requests_in_flight={}", requests_in_flight());
         check_stop();
     }
 
     bool is_ready() const noexcept
     {
-        return !m_state.is_stopping && m_state.deployed != nullptr && m_endpoints.has_read();
+        return !m_state.is_stopping() && m_state.deployed != nullptr && m_endpoints.has_read();
     }
 
 private:
@@ -436,7 +435,7 @@
     void check_stop()
     {
         const auto now = m_state.timers.now();
-        const auto since = now - m_stop_requested_at;
+        const auto since = now - *m_state.stop_requested_at;
         const bool quiet = now - m_callers->last_accepted() >= quiet_before_close ||
                            since >= m_settings.accept_time_after_stop + max_quiet_wait;
         if (since >= m_settings.accept_time_after_stop && quiet) {
@@ -484,7 +483,6 @@
     std::optional<listener> m_relays;
     transport::timer_queue::handle m_housekeeping;
     transport::timer_queue::handle m_stop_check;
-    time_point m_stop_requested_at{};
     unsigned m_housekeeping_count = 0;
 };
 
--- a/src/serving/stage_director.cpp
+++ b/src/serving/stage_director.cpp
@@ -37,7 +37,7 @@
 {
     m_evaluation_timer =
         m_host.timers.call_at(m_host.timers.now() + evaluation_interval, [this] { evaluate(); });
-    if (m_busy || m_host.is_stopping || m_host.deployed == nullptr) {
+    if (m_busy || m_host.is_stopping() || m_host.deployed == nullptr) {
         return;
     }
     for (const auto& [name, each] : m_host.deployed->services()) {
@@ -214,7 +214,7 @@
 
 void stage_director::announce(const change_pointer& current)
 {
-    if (current->orders.empty() || m_host.is_stopping) {
+    if (current->orders.empty() || m_host.is_stopping()) {
         abandon_change("no engine accepts an order, or the host is stopping");
         return;
     }
