test: requests taken long after a stop, failing

After a stream of 0.6 s that began before the stop the host took the next request of the connection; a request completed 0.5 s after the listener closed was sent to a replica and cut; a request without an answer was reset when the host ended; a host with a grace time of 2 s ended after 60 s, the time for which it accepts connections. The last two were found on the way.

--- /dev/null
+++ b/test/platform/planned_stop_test.cpp
@@ -0,0 +1,152 @@
+// Planned stops of a host, with callers that keep their connections.
+#include "platform/host_fixture.h"
+
+namespace cicadaport::platform {
+namespace {
+
+using namespace testing;
+
+class planned_stop_test : public host_test {
+protected:
+    // A replica whose streams pause for `pause` after their first event.
+    static scripted_server::answer_function streams_that_pause(std::chrono::milliseconds pause)
+    {
+        return [pause](const received_request& each) { return pausing_stream(each, 1, 3, pause); };
+    }
+
+    // Begins a planned stop and waits until the host has taken note of it.
+    void begin_stop()
+    {
+        process->stop();
+        ASSERT_TRUE(eventually([this] { return ready() == 503; }));
+    }
+
+    void wait_for_end()
+    {
+        thread.join();
+        process.reset();
+    }
+};
+
+// Regression: requests that followed such a stream were taken seconds after the signal, and cut.
+TEST_F(planned_stop_test, a_stream_that_began_before_the_stop_is_the_last_of_its_connection)
+{
+    scripted_server replica{streams_that_pause(600ms)};
+    list_replica("i-1", replica.address());
+    settings.grace_time = 6s;
+    start();
+    caller kept{settings.caller_address};
+    kept.send(request("POST", "/stream/x", "r1", "", "a"));
+    ASSERT_TRUE(eventually([&] { return replica.requests().size() == 1; }));
+    begin_stop();
+    EXPECT_TRUE(kept.receive().complete);
+    std::string problem;
+    try {
+        const auto late = kept.ask(request("POST", "/stream/x", "r2", "", "b"));
+        problem = "status " + std::to_string(late.status);
+        EXPECT_EQ(late.status, 0U) << "the connection must have been closed";
+    }
+    catch (const boost::system::system_error&) {
+        // The connection was closed before the request was written.
+    }
+    EXPECT_EQ(replica.requests().size(), 1U) << problem;
+    wait_for_end();
+}
+
+TEST_F(planned_stop_test, a_request_that_waits_behind_a_stream_is_answered)
+{
+    scripted_server replica{[](const received_request& each) {
+        return each.path() == "/stream/x" ? pausing_stream(each, 1, 3, 600ms)
+                                          : signed_answer(each, "x");
+    }};
+    list_replica("i-1", replica.address());
+    settings.grace_time = 6s;
+    start();
+    caller kept{settings.caller_address};
+    kept.send(request("POST", "/stream/x", "r1", "", "a") + request("GET", "/safe/x", "r2"));
+    ASSERT_TRUE(eventually([&] { return replica.requests().size() == 1; }));
+    begin_stop();
+    EXPECT_TRUE(kept.receive().complete);
+    const auto second = kept.receive();
+    EXPECT_TRUE(second.complete);
+    EXPECT_EQ(second.field("Request-Id"), "r2");
+    EXPECT_EQ(second.field("Connection"), "close");
+    wait_for_end();
+}
+
+// Regression: such a request was sent to a replica and cut when the host ended.
+TEST_F(planned_stop_test, a_late_request_that_may_outlast_the_host_is_refused_unsent)
+{
+    scripted_server replica{streams_that_pause(5s)};
+    list_replica("i-1", replica.address());
+    settings.grace_time = 3s;
+    start();
+    caller slow{settings.caller_address};
+    const auto bytes = request("POST", "/stream/x", "r1", "", "body");
+    slow.send(bytes.substr(0, bytes.size() - 1));
+    begin_stop();
+    // Longer than the host accepts connections.
+    std::this_thread::sleep_for(settings.accept_time_after_stop + 500ms);
+    slow.send(bytes.substr(bytes.size() - 1));
+    const auto answer = slow.receive();
+    EXPECT_EQ(answer.status, 503U);
+    EXPECT_TRUE(answer.complete);
+    EXPECT_FALSE(answer.field("Retry-After").empty());
+    EXPECT_EQ(answer.field("Connection"), "close");
+    EXPECT_TRUE(replica.requests().empty());
+    wait_for_end();
+}
+
+TEST_F(planned_stop_test, a_late_request_that_ends_before_the_host_is_served)
+{
+    scripted_server replica{[](const received_request& each) { return signed_answer(each, "x"); }};
+    list_replica("i-1", replica.address());
+    settings.grace_time = 20s;
+    start();
+    caller slow{settings.caller_address};
+    const auto bytes = request("POST", "/once/x", "r1", "", "body");
+    slow.send(bytes.substr(0, bytes.size() - 1));
+    begin_stop();
+    std::this_thread::sleep_for(settings.accept_time_after_stop + 500ms);
+    slow.send(bytes.substr(bytes.size() - 1));
+    EXPECT_EQ(slow.receive().status, 200U);
+    wait_for_end();
+}
+
+// Regression: the connections of such requests were reset.
+TEST_F(planned_stop_test, requests_without_an_answer_at_the_end_of_the_stop_get_one)
+{
+    scripted_server replica{[](const received_request& each) {
+        auto reply = signed_answer(each, "late");
+        reply.delay = 20s;
+        return reply;
+    }};
+    list_replica("i-1", replica.address());
+    settings.grace_time = 2s;
+    start();
+    caller waiting{settings.caller_address};
+    waiting.send(request("POST", "/once/x", "r1", "", "order"));
+    ASSERT_TRUE(eventually([&] { return replica.requests().size() == 1; }));
+    begin_stop();
+    const auto answer = waiting.receive();
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(answer.status, 504U) << "it may have run";
+    wait_for_end();
+}
+
+// Regression: the host did not begin to end before it was killed.
+TEST_F(planned_stop_test, a_host_whose_grace_time_is_shorter_than_it_accepts_connections_ends_in_it)
+{
+    scripted_server replica{[](const received_request& each) { return signed_answer(each, "x"); }};
+    list_replica("i-1", replica.address());
+    settings.grace_time = 2s;
+    settings.accept_time_after_stop = 60s;
+    start();
+    const auto begin = std::chrono::steady_clock::now();
+    process->stop();
+    wait_for_end();
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, settings.grace_time);
+}
+
+} // namespace
+} // namespace cicadaport::platform
