serving: close a connection after a stream that outlasts the stop signal

Cause: a response says Connection: close once the host is stopping, and the connection is then closed. The head of a stream that began before the stop had been sent without it, so that the host waited for the caller's next request after the stream, however late that was. Evidence: request_cut_by_stop: the three requests that were taken more than 3 s after the signal all came on connections accepted before it, as their third or a later request. Change: a connection closes after each answer that ends while the host is stopping, unless another request has arrived on it already; that one is answered with Connection: close. A request that crosses the close is not read, which callers may rely on.

--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -233,6 +233,9 @@
 {
     m_exchange.reset();
     m_connection->resume_reading();
+    // A caller whose answer began before the stop was not told that the connection closes. A
+    // request that has already arrived is still answered.
+    m_closing = m_closing || (m_host.is_stopping() && m_connection->input().empty());
     if (m_closing) {
         if (m_connection->unsent() == 0) {
             close_gracefully();
