serving: refuse requests that may outlast a stopping host

Callers saw: a request that was taken long after SIGTERM, sent to a replica, and cut when the host ended (LOST). Cause: a request that came after the host had closed its listeners, on whatever connection, was sent to a replica without comparing its time with what is left until the host ends. The class: work taken on during a drain without the drain's own deadline. Change: planned_stop holds the schedule of the stop. 0.2 s after the listeners have closed, when the first requests of accepted connections have arrived, a request whose deadline comes after the host's end gets 503 with Retry-After, unsent, and request_refused_by_stop tells. The wait for a quiet moment before closing is at most 0.2 s instead of 0.3 s, so that no request that can be cut comes later than 3 s after the signal.

--- a/include/cicadaport/serving/caller_connection.h
+++ b/include/cicadaport/serving/caller_connection.h
@@ -30,7 +30,7 @@
 
     // A connection is idle once it has waited this long for a request. It is not idle
     // right after it was accepted, because its first request is then on the way.
-    static constexpr milliseconds min_idle_time{200};
+    static constexpr milliseconds min_idle_time = planned_stop::first_request_time;
 
     // Closes the connection gracefully if it is idle and no request is being read or
     // answered.
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -63,6 +63,9 @@
     void cancel(const segment_verdict& verdict) override;
 
     bool find_route();
+    // Refuses the request if the host is stopping and may end before the answer. Returns whether
+    // the request may be sent on.
+    bool admit_to_stopping_host();
     // Rejects the request if engines crash on its prompt. Returns whether it was rejected.
     bool reject_if_quarantined();
     // Records an answer that shows that the prompt does not crash its engine; once for each run.
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -9,6 +9,7 @@
 #include "cicadaport/serving/line_budget.h"
 #include "cicadaport/serving/list_position.h"
 #include "cicadaport/serving/placement.h"
+#include "cicadaport/serving/planned_stop.h"
 #include "cicadaport/serving/replica_paths.h"
 #include "cicadaport/serving/request_limits.h"
 #include "cicadaport/serving/size_fairness.h"
@@ -186,9 +187,9 @@
     // Not owned. Null while this host sends no gossip.
     gossip_sender* gossip = nullptr;
     std::uint64_t last_work_id = 0;
-    // When the process was told to stop; empty before.
-    std::optional<time_point> stop_requested_at;
-    bool is_stopping() const noexcept { return stop_requested_at.has_value(); }
+    // Set once the process has been told to stop.
+    std::optional<planned_stop> stop;
+    bool is_stopping() const noexcept { return stop.has_value(); }
     // For log lines about requests that a planned stop affects.
     line_budget stop_log_budget;
 
--- /dev/null
+++ b/include/cicadaport/serving/planned_stop.h
@@ -0,0 +1,62 @@
+// The schedule of a host's planned stop.
+//
+// The platform kills a process that has not ended when the grace time is over. The host
+// therefore ends somewhat earlier, and takes on only what it can finish until then.
+//
+// Not thread safe.
+#pragma once
+
+#include "cicadaport/serving/wire.h"
+
+namespace cicadaport::serving {
+
+class planned_stop {
+public:
+    // The process ends this long before the end of the grace time.
+    static constexpr milliseconds grace_margin{600};
+    // The balancer may notice a stop late. New connections are therefore accepted until none has
+    // arrived for `quiet_before_close`, but for at most `max_quiet_wait` longer: requests that
+    // arrive later may not be answered within the grace time.
+    static constexpr milliseconds quiet_before_close{150};
+    static constexpr milliseconds max_quiet_wait{200};
+    // The first request of a new connection arrives within this time.
+    static constexpr milliseconds first_request_time{200};
+
+    // Begins at `now`. Connections are accepted for at least `accept_time` more.
+    planned_stop(time_point now, milliseconds grace_time, milliseconds accept_time)
+        : m_requested_at{now}, m_ends_at{now + grace_time - grace_margin}, m_accepts_until{
+                                                                               now + accept_time}
+    {
+    }
+
+    time_point requested_at() const noexcept { return m_requested_at; }
+    // When the process ends, whatever is in progress.
+    time_point ends_at() const noexcept { return m_ends_at; }
+
+    // Returns whether new connections are no longer to be accepted. `last_accepted` is when the
+    // last one was.
+    bool is_time_to_close(time_point now, time_point last_accepted) const noexcept
+    {
+        return now >= m_accepts_until && (now - last_accepted >= quiet_before_close ||
+                                          now >= m_accepts_until + max_quiet_wait);
+    }
+
+    // Records that new connections are no longer accepted.
+    void record_close(time_point now) noexcept { m_closed_at = m_closed_at.value_or(now); }
+
+    // Returns whether a request that is received at `now` is taken on. `deadline` is when its
+    // caller stops waiting. Requests of new connections are taken on although they may be cut off
+    // when the process ends, since their callers may have been sent here by the balancer.
+    bool admits(time_point now, time_point deadline) const noexcept
+    {
+        return !m_closed_at || now < *m_closed_at + first_request_time || deadline <= m_ends_at;
+    }
+
+private:
+    time_point m_requested_at;
+    time_point m_ends_at;
+    time_point m_accepts_until;
+    std::optional<time_point> m_closed_at;
+};
+
+} // namespace cicadaport::serving
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -19,6 +19,9 @@
 // Callers of a quarantined prompt are asked to wait for at most this time.
 constexpr milliseconds max_quarantine_retry_after{60'000};
 
+// Retry-After time when this host is stopping: other hosts can take the request at once.
+constexpr milliseconds retry_after_stop{50};
+
 // Larger answers, and larger events of a stream, are aborted.
 constexpr std::size_t max_answer_bytes = 8 * 1024 * 1024;
 constexpr std::size_t max_event_bytes = 1024 * 1024;
@@ -29,6 +32,11 @@
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_bad_request = 400;
 
+milliseconds to_ms(clock::duration time)
+{
+    return std::chrono::duration_cast<milliseconds>(time);
+}
+
 // Returns the ids of the segments that other requests may share: all but the last one.
 std::vector<segment_id> shared_segments_of(const std::vector<prompt_segment>& prompt)
 {
@@ -57,7 +65,7 @@
 void exchange::start()
 {
     m_self = shared_from_this();
-    if (find_route()) {
+    if (find_route() && admit_to_stopping_host()) {
         m_deadline_timer =
             m_host.timers.call_at(m_deadline + deadline_grace, [this] { handle_deadline(); });
         place();
@@ -102,6 +110,24 @@
     return true;
 }
 
+bool exchange::admit_to_stopping_host()
+{
+    const auto& stop = m_host.stop;
+    if (!stop || stop->admits(m_arrived, m_deadline + deadline_grace)) {
+        return true;
+    }
+    if (m_host.stop_log_budget.try_acquire(m_arrived)) {
+        spdlog::info("request_refused_by_stop id={} route={} received_ms={} time_left_ms={} "
+                     "host_ends_ms={} passed_over={}",
+                     m_metadata.id, m_route->name, to_ms(m_arrived - stop->requested_at()).count(),
+                     to_ms(m_deadline - m_arrived).count(),
+                     to_ms(stop->ends_at() - m_arrived).count(),
+                     m_host.stop_log_budget.take_suppressed_count());
+    }
+    reject(retry_after_stop, "the host is stopping");
+    return false;
+}
+
 bool exchange::reject_if_quarantined()
 {
     const auto evidence = m_host.crashes.max_evidence(m_shared_segments);
@@ -114,8 +140,7 @@
         return false;
     }
     ++m_host.counts.quarantined;
-    const auto left =
-        std::chrono::duration_cast<milliseconds>(rejected->retry_at - m_host.timers.now());
+    const auto left = to_ms(rejected->retry_at - m_host.timers.now());
     reject(std::clamp(left, retry_after_no_endpoint, max_quarantine_retry_after),
            "engines crash on this prompt");
     return true;
@@ -152,7 +177,7 @@
 
 milliseconds exchange::remaining_time() const
 {
-    return std::chrono::duration_cast<milliseconds>(m_deadline - m_host.timers.now());
+    return to_ms(m_deadline - m_host.timers.now());
 }
 
 bool exchange::owns(const transport::message_head& head)
@@ -279,10 +304,8 @@
     if (!m_host.stop_log_budget.try_acquire(now)) {
         return;
     }
-    const auto stop = m_host.stop_requested_at.value_or(now);
-    const auto ms = [](clock::duration time) {
-        return std::chrono::duration_cast<milliseconds>(time).count();
-    };
+    const auto stop = m_host.stop ? m_host.stop->requested_at() : now;
+    const auto ms = [](clock::duration time) { return to_ms(time).count(); };
     spdlog::info("request_cut_by_stop id={} route={} received_ms={} accepted_ms={} "
                  "request_of_connection={} endpoint={} attempts={} events={} time_left_ms={} "
                  "passed_over={}",
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -12,17 +12,10 @@
 
 namespace {
 
-// The process ends this long before the end of the grace time.
-constexpr milliseconds grace_margin{600};
 constexpr milliseconds housekeeping_interval{1'000};
 // Counts are logged every this many housekeeping intervals.
 constexpr unsigned log_counts_every = 10;
 constexpr milliseconds stop_check_interval{50};
-// The balancer may notice a stop late. New connections are therefore accepted until none has
-// arrived for `quiet_before_close`, but for at most `max_quiet_wait` longer: requests that arrive
-// later may not be answered within the grace time.
-constexpr milliseconds quiet_before_close{150};
-constexpr milliseconds max_quiet_wait{300};
 constexpr milliseconds accept_retry_interval{20};
 
 // Each list is read often enough that a failed read can be retried within the allowed time:
@@ -243,7 +236,8 @@
         if (m_state.is_stopping()) {
             return;
         }
-        m_state.stop_requested_at = m_state.timers.now();
+        m_state.stop.emplace(m_state.timers.now(), m_settings.grace_time,
+                             m_settings.accept_time_after_stop);
         spdlog::info("host_stopping requests_in_flight={}", requests_in_flight());
         check_stop();
     }
@@ -435,10 +429,9 @@
     void check_stop()
     {
         const auto now = m_state.timers.now();
-        const auto since = now - *m_state.stop_requested_at;
-        const bool quiet = now - m_callers->last_accepted() >= quiet_before_close ||
-                           since >= m_settings.accept_time_after_stop + max_quiet_wait;
-        if (since >= m_settings.accept_time_after_stop && quiet) {
+        auto& stop = *m_state.stop;
+        if (stop.is_time_to_close(now, m_callers->last_accepted())) {
+            stop.record_close(now);
             m_callers->close();
             if (m_relays) {
                 m_relays->close();
@@ -447,7 +440,7 @@
             for (const auto& each : all) {
                 each->close_if_idle();
             }
-            if (m_connections.empty() || since >= m_settings.grace_time - grace_margin) {
+            if (m_connections.empty() || now >= stop.ends_at()) {
                 end();
                 return;
             }
--- a/test/platform/planned_stop_test.cpp
+++ b/test/platform/planned_stop_test.cpp
@@ -21,6 +21,22 @@
         ASSERT_TRUE(eventually([this] { return ready() == 503; }));
     }
 
+    // Waits until the host accepts no connections, and for the time in which the first requests of
+    // those that it has accepted may arrive.
+    void wait_for_close()
+    {
+        EXPECT_TRUE(eventually([this] {
+            try {
+                caller{settings.caller_address};
+                return false;
+            }
+            catch (const boost::system::system_error&) {
+                return true;
+            }
+        }));
+        std::this_thread::sleep_for(2 * serving::planned_stop::first_request_time);
+    }
+
     void wait_for_end()
     {
         thread.join();
@@ -79,14 +95,13 @@
 {
     scripted_server replica{streams_that_pause(5s)};
     list_replica("i-1", replica.address());
-    settings.grace_time = 3s;
+    settings.grace_time = 4s;
     start();
     caller slow{settings.caller_address};
     const auto bytes = request("POST", "/stream/x", "r1", "", "body");
     slow.send(bytes.substr(0, bytes.size() - 1));
     begin_stop();
-    // Longer than the host accepts connections.
-    std::this_thread::sleep_for(settings.accept_time_after_stop + 500ms);
+    wait_for_close();
     slow.send(bytes.substr(bytes.size() - 1));
     const auto answer = slow.receive();
     EXPECT_EQ(answer.status, 503U);
@@ -107,7 +122,7 @@
     const auto bytes = request("POST", "/once/x", "r1", "", "body");
     slow.send(bytes.substr(0, bytes.size() - 1));
     begin_stop();
-    std::this_thread::sleep_for(settings.accept_time_after_stop + 500ms);
+    wait_for_close();
     slow.send(bytes.substr(bytes.size() - 1));
     EXPECT_EQ(slow.receive().status, 200U);
     wait_for_end();
