serving: answer the requests that remain when a stopping host ends

Callers saw: a reset instead of an answer, also for requests of which nothing had been answered. Cause: at the end of the grace time the host aborted all connections. Whoever gives a request up knows whether it has run, and may tell: a caller whose connection is reset can't come back safely. An answer that has begun is aborted as before. The same function gives up requests that are out of time.

--- a/include/cicadaport/serving/caller_connection.h
+++ b/include/cicadaport/serving/caller_connection.h
@@ -38,7 +38,7 @@
 
     bool is_answering() const noexcept { return m_exchange != nullptr; }
 
-    // Cancels the request in progress, if any, and aborts the connection.
+    // Ends the request in progress, if any, and closes the connection gracefully.
     void end_now();
 
 private:
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -37,8 +37,9 @@
     // Called when the caller has closed its connection. Cancels the request at the endpoint.
     void on_caller_disconnected();
 
-    // Logs that the host stops before the answer has ended.
-    void log_cut_by_stop(const connection_progress& connection) const;
+    // Called when the host ends before the answer has. Answers the request if no answer has begun,
+    // else aborts the answer.
+    void end_for_stop(const connection_progress& connection);
 
     // Called when the send buffer to the caller is too full, and when it has been written
     // out. Reading from the endpoint pauses in between.
@@ -133,6 +134,11 @@
     // Continues a resumable stream on another replica if its events stop coming.
     void start_silence_timeout();
     void handle_deadline();
+    // Gives up the request: aborts its answer, or answers whether it may have run. `pause` is for
+    // callers whose request has not run.
+    void give_up(milliseconds pause, std::string_view reason);
+    // Logs that the host stops before the answer has ended.
+    void log_cut_by_stop(const connection_progress& connection) const;
 
     // Returns whether the route and the retry budget allow one more attempt. If they do,
     // it is charged to the budget.
--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -276,11 +276,12 @@
 {
     const auto keep = shared_from_this();
     if (m_exchange != nullptr) {
-        m_exchange->log_cut_by_stop(m_progress);
-        std::exchange(m_exchange, nullptr)->on_caller_disconnected();
+        const auto current = m_exchange;
+        current->end_for_stop(m_progress);
+    }
+    else if (!m_closing) {
+        close_gracefully();
     }
-    m_connection->abort();
-    drop();
 }
 
 void caller_connection::drop()
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -315,6 +315,13 @@
                  ms(m_deadline - now), m_host.stop_log_budget.take_suppressed_count());
 }
 
+void exchange::end_for_stop(const connection_progress& connection)
+{
+    const auto keep = shared_from_this();
+    log_cut_by_stop(connection);
+    give_up(retry_after_stop, "the host is stopping");
+}
+
 void exchange::on_complete()
 {
     m_host.crashes.remove_pending(*this);
--- a/src/serving/exchange_failures.cpp
+++ b/src/serving/exchange_failures.cpp
@@ -269,13 +269,18 @@
 }
 
 void exchange::handle_deadline()
+{
+    give_up(retry_after_overload, "out of time");
+}
+
+void exchange::give_up(milliseconds pause, std::string_view reason)
 {
     release_endpoint();
     if (m_answer_started || may_have_run()) {
-        fail(status_timeout, "out of time");
+        fail(status_timeout, reason);
     }
     else {
-        reject(retry_after_overload, "out of time");
+        reject(pause, reason);
     }
 }
 
