serving: end within a short grace time

Callers saw: nothing yet on the users' deployments, whose grace time is 8 s. With a grace time of less than 2.6 s all requests in progress were lost, since the host was killed. Cause: the host ended at the end of the grace time only after it had closed its listeners, 2.6 s after the signal whatever the grace time. Change: planned_stop derives both times from the grace time: the host ends at most a quarter of it early, and accepts connections for at most two thirds of the time until then. The end does not wait for the listeners.

--- a/include/cicadaport/serving/planned_stop.h
+++ b/include/cicadaport/serving/planned_stop.h
@@ -12,8 +12,9 @@
 
 class planned_stop {
 public:
-    // The process ends this long before the end of the grace time.
-    static constexpr milliseconds grace_margin{600};
+    // The process ends this long before the end of the grace time, but not in its last quarter
+    // if that is shorter.
+    static constexpr milliseconds max_grace_margin{600};
     // The balancer may notice a stop late. New connections are therefore accepted until none has
     // arrived for `quiet_before_close`, but for at most `max_quiet_wait` longer: requests that
     // arrive later may not be answered within the grace time.
@@ -22,10 +23,12 @@
     // The first request of a new connection arrives within this time.
     static constexpr milliseconds first_request_time{200};
 
-    // Begins at `now`. Connections are accepted for at least `accept_time` more.
+    // Begins at `now`. Connections are accepted for at least `accept_time` more, or for two thirds
+    // of the time until the end if that is shorter.
     planned_stop(time_point now, milliseconds grace_time, milliseconds accept_time)
-        : m_requested_at{now}, m_ends_at{now + grace_time - grace_margin}, m_accepts_until{
-                                                                               now + accept_time}
+        : m_requested_at{now}, m_ends_at{now + grace_time -
+                                         std::min(max_grace_margin, grace_time / 4)},
+          m_accepts_until{now + std::min<clock::duration>(accept_time, (m_ends_at - now) * 2 / 3)}
     {
     }
 
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -442,11 +442,15 @@
             for (const auto& each : all) {
                 each->close_if_idle();
             }
-            if (m_connections.empty() || now >= stop.ends_at()) {
+            if (m_connections.empty()) {
                 end();
                 return;
             }
         }
+        if (now >= stop.ends_at()) {
+            end();
+            return;
+        }
         m_stop_check = m_state.timers.call_at(m_state.timers.now() + stop_check_interval,
                                               [this] { check_stop(); });
     }
--- a/test/serving/planned_stop_test.cpp
+++ b/test/serving/planned_stop_test.cpp
@@ -30,6 +30,14 @@
     EXPECT_FALSE(stop.admits(start + 3s, start + 60s));
 }
 
+TEST_F(planned_stop_schedule_test, a_short_grace_time_leaves_time_for_answers)
+{
+    const planned_stop brief{start, 2s, 2'600ms};
+    EXPECT_EQ(brief.ends_at(), start + 1'500ms);
+    EXPECT_FALSE(brief.is_time_to_close(start + 999ms, start));
+    EXPECT_TRUE(brief.is_time_to_close(start + 1'000ms, start));
+}
+
 TEST_F(planned_stop_schedule_test, takes_on_late_requests_that_end_before_the_host)
 {
     stop.record_close(start + 2'800ms);
