serving: log a digest of interrupted requests that is the same when they come again

Cause of the change: whether the same request crashes one replica after the other could not be seen in the logs, where each attempt has its own id. No decision changes.

--- a/include/cicadaport/serving/wire.h
+++ b/include/cicadaport/serving/wire.h
@@ -24,6 +24,8 @@
     // The authority to which the request is addressed, without the port.
     std::string host;
     std::string path;
+    // The credentials by which the caller identifies itself; empty if it states none.
+    std::string caller;
     // Time left until the caller's deadline; empty if the caller states none.
     std::optional<milliseconds> time_left;
     std::vector<prompt_segment> prompt;
--- a/src/serving/exchange_failures.cpp
+++ b/src/serving/exchange_failures.cpp
@@ -1,6 +1,7 @@
 // Handles attempts that fail, time out or are rejected.
 #include "cicadaport/serving/exchange.h"
 
+#include "cicadaport/serving/request_digest.h"
 #include "cicadaport/serving/single_call.h"
 #include "internal/exchange_constants.h"
 
@@ -119,11 +120,12 @@
         return;
     }
     spdlog::info("run_interrupted id={} route={} endpoint={} incarnation={} attempt={} "
-                 "running_ms={:.0f} events={} prompt={} passed_over={}",
+                 "running_ms={:.0f} events={} prompt={} digest={:x} passed_over={}",
                  m_metadata.id, m_route->name, m_endpoint->report.id,
                  m_endpoint->report.incarnation, m_attempts,
                  fractional_milliseconds{now - m_sent}.count(), m_events.count(),
-                 to_text(m_metadata.prompt), m_host.response_log_budget.take_suppressed_count());
+                 to_text(m_metadata.prompt), request_digest(m_head, m_metadata, m_body),
+                 m_host.response_log_budget.take_suppressed_count());
 }
 
 void exchange::log_unreached(time_point now) const
