--- a/test/platform/crashing_engines.h
+++ b/test/platform/crashing_engines.h
@@ -1,4 +1,4 @@
-// Engines that crash on one prompt segment.
+// Replicas that crash on one prompt segment, or on one body.
 #pragma once
 
 #include "stand_ins.h"
@@ -13,6 +13,7 @@
 namespace cicadaport::platform::testing {
 
 constexpr std::string_view deadly_segment = "dead1";
+constexpr std::string_view deadly_body = "deadly";
 
 // Returns the head fields of a prompt: a common segment, `shared_segments` and one of its own.
 inline std::string prompt_fields(const std::string& own_segment, const std::string& shared_segments)
@@ -21,14 +22,14 @@
            own_segment + ":400\r\n";
 }
 
-// Decode engines that crash on `deadly_segment` and are listed again after a restart.
+// Replicas that crash on `deadly_segment` and `deadly_body` and are listed again after a restart.
 class crashing_engines {
 public:
     // Lists an engine under a new id instead of its previous one, which may be empty.
     using list_function = std::function<void(const std::string& previous_id, const std::string& id,
                                              const http::address& at)>;
 
-    // `on_deadly` is called for each request with the deadly segment; it may be empty.
+    // `on_deadly` is called for each request that ends a replica; it may be empty.
     crashing_engines(int count, list_function list,
                      std::function<void(const received_request&)> on_deadly = {})
         : m_list{std::move(list)}, m_on_deadly{std::move(on_deadly)}
@@ -50,9 +51,9 @@
     // Sets how long a prompt with the deadly segment waits before the engine crashes on it.
     void delay_deadly(std::chrono::milliseconds time) { m_deadly_delay = time; }
 
-    // Number of crashes by the deadly segment.
+    // Number of crashes by deadly requests.
     std::size_t crash_count() const { return m_crash_count; }
-    // Number of requests with the deadly segment that reached an engine.
+    // Number of deadly requests that reached a replica.
     std::size_t deadly_count() const { return m_deadly_count; }
 
 private:
@@ -68,7 +69,8 @@
 
     scripted_response answer(int number, const received_request& each)
     {
-        if (each.field("Prompt-Prefix").find(deadly_segment) != std::string::npos) {
+        if (each.body == deadly_body ||
+            each.field("Prompt-Prefix").find(deadly_segment) != std::string::npos) {
             ++m_deadly_count;
             if (m_on_deadly) {
                 m_on_deadly(each);
