serving: quarantine requests that crash replicas as a whole

Cause: suspects were only the segments that prompts share, never a prompt's own part, and plain services were not looked at. A request of which only the whole is deadly left suspects that sound requests cleared at once, or none. The class: a query of death that is recognized by one of its features instead of by its identity. Evidence: run_interrupted with the same path, body and prompt under other ids, each time before the first event; prompt_segment_suspected and cleared in turn; for writes no endpoint_probed at all. Change: the digest of the whole request is one more of its segments for the same quarantine, so that evidence, news, trials, cancelling and expiry are those that exist, and hosts of an older build pass it on. It is computed only where an answer was interrupted or something is suspected, and survivals of it are recorded only while it is suspected. Interrupted answers of plain services are probed and reported too. Evidence is computed again only for suspects with crashes near the new one.

--- a/include/cicadaport/serving/crash_monitor.h
+++ b/include/cicadaport/serving/crash_monitor.h
@@ -1,8 +1,9 @@
-// Observes engines that end while they answer prompts, exchanges these observations with the
-// other hosts, and tells which prompts must not be sent to an engine.
+// Observes replicas that end while they run requests, exchanges these observations with the other
+// hosts, and tells which requests must not be sent to a replica.
 //
-// An interrupted answer alone proves nothing, since connections end for many reasons. The
-// monitor probes the engine: one that accepts connections has not ended.
+// A request is suspected as a whole, by its digest, and a prompt also for the segments that it
+// shares with others. An interrupted answer alone proves nothing, since connections end for many
+// reasons. The monitor probes the replica: one that accepts connections has not ended.
 //
 // Not thread safe: used only on the event loop of its host.
 #pragma once
@@ -27,9 +28,9 @@
 class pending_prompt {
 public:
     virtual ~pending_prompt() = default;
-    // The request's segments that others may share.
-    virtual std::span<const segment_id> shared_segments() const noexcept = 0;
-    // One of the segments is in quarantine now, so the request must be cancelled.
+    // The prompt's segments that others may share, and the digest of the whole request.
+    virtual std::span<const segment_id> suspects() = 0;
+    // One of these is in quarantine now, so the request must be cancelled.
     virtual void cancel(const segment_verdict& verdict) = 0;
 };
 
@@ -49,20 +50,25 @@
     // `gossip` is not owned; null while this host sends no gossip.
     void set_gossip(gossip_sender* gossip) noexcept { m_gossip = gossip; }
 
-    // Called when the connection to an engine ended while it was answering the request `id`.
-    // `segments` are the request's segments that others may share; empty if the answer had got past
-    // its beginning, so that the request can't have ended the engine.
+    // Called when the connection to a replica ended while it was running the request `id`.
+    // `segments` are what it may have crashed on: the prompt's segments that others may share, and
+    // the digest of the request. Empty if the answer had got past its beginning, so that the
+    // request can't have ended the replica.
     void handle_interrupted_answer(const endpoint& engine, std::span<const segment_id> segments,
                                    const std::string& id);
-    // Called when an engine has answered the request `id`.
+    // Called when an engine has answered the request `id` with these segments.
     void handle_answer(std::span<const segment_id> segments, const std::string& id);
 
+    // Returns whether there is evidence against anything, and whether there is against this.
+    bool has_suspects() const noexcept { return m_quarantine.suspect_count() > 0; }
+    bool is_suspect(segment_id segment) const { return m_quarantine.is_suspect(segment); }
+
     // Apply what another host has announced.
     void apply_announced_crash(const engine_crash& crash);
     void apply_announced_survival(const segment_survival& survival);
     void apply_announced_trial(segment_id segment);
 
-    // Returns why the request `id` with these segments must not be sent to an engine; empty if it
+    // Returns why the request `id` with these segments must not be sent to a replica; empty if it
     // may be sent.
     std::optional<prompt_quarantine::rejection> check(std::span<const segment_id> segments,
                                                       const std::string& id);
@@ -75,8 +81,8 @@
     {
         return m_quarantine.max_evidence(segments);
     }
-    // Returns whether a request with these segments may be sent on to another engine after its
-    // engine has ended: not if other engines have ended before in the same way.
+    // Returns whether a request with these segments may be sent on to another replica after its
+    // replica has ended: not if other replicas have ended before in the same way.
     bool may_retry_after_crash(std::span<const segment_id> segments) const;
 
     // Returns the crashes that a host which has just started should know.
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -57,19 +57,16 @@
     void on_failure(transport::exchange_failure failure) override;
 
     // pending_prompt
-    std::span<const segment_id> shared_segments() const noexcept override
-    {
-        return m_shared_segments;
-    }
+    std::span<const segment_id> suspects() override;
     void cancel(const segment_verdict& verdict) override;
 
     bool find_route();
     // Refuses the request if the host is stopping and may end before the answer. Returns whether
     // the request may be sent on.
     bool admit_to_stopping_host();
-    // Rejects the request if engines crash on its prompt. Returns whether it was rejected.
+    // Rejects the request if replicas crash on it. Returns whether it was rejected.
     bool reject_if_quarantined();
-    // Records an answer that shows that the prompt does not crash its engine; once for each run.
+    // Records an answer that shows that the request does not crash its replica; once for each run.
     void record_survival();
     // Reports a run that ended with its connection.
     void report_interrupted_answer();
@@ -169,7 +166,7 @@
     // Logs that no connection to the endpoint could be established.
     void log_unreached(time_point now) const;
     // Logs that the connection ended before the answer did, with the prompt's segments.
-    void log_interrupted_run() const;
+    void log_interrupted_run();
     void log_end(std::string_view result, std::string_view reason) const;
     void reject(milliseconds pause, std::string_view reason);
     void fail(unsigned status, std::string_view reason);
@@ -202,7 +199,10 @@
     time_point m_sent{};
     // The prompt's segments that other requests may share.
     std::vector<segment_id> m_shared_segments;
-    // The evidence against the segments when the request was admitted; empty if it was not admitted
+    // All that a replica may crash on: the shared segments, and the digest of the whole request.
+    // Empty until suspects() is called.
+    std::vector<segment_id> m_suspects;
+    // The evidence against the suspects when the request was admitted; empty if it was not admitted
     // yet.
     std::optional<double> m_admitted_evidence;
     // Replicas that have failed the request, and those of other versions than may run it.
@@ -227,8 +227,8 @@
     std::optional<origin_id> m_origin;
     // Arrival times of events, for the log and for the timeout of silent streams.
     time_point m_first_event{};
-    // The first event of the current run, and whether the run has shown that the prompt does not
-    // crash its engine.
+    // The first event of the current run, and whether the run has shown that the request does not
+    // crash its replica.
     time_point m_run_first_event{};
     bool m_run_survived = false;
     time_point m_last_event{};
--- a/include/cicadaport/serving/prompt_quarantine.h
+++ b/include/cicadaport/serving/prompt_quarantine.h
@@ -1,4 +1,8 @@
-// Finds prompt segments on which engines crash, and keeps requests with them away from engines.
+// Finds requests on which replicas crash, and keeps them away from replicas.
+//
+// What crashes an engine may be one segment of a prompt, which other requests share, or a request
+// as a whole. The digest of a whole request counts as one more of its segments, which only the same
+// request has when it comes again. In what follows an engine stands for any replica.
 //
 // A segment can crash every engine that begins to answer a request with it, whatever else the
 // request contains. Such requests arrive at any host, so the hosts exchange what they observe. An
@@ -26,6 +30,7 @@
 
 namespace cicadaport::serving {
 
+// Identifies a prompt segment, or a whole request by its digest.
 using segment_id = std::uint64_t;
 
 // The end of an engine, with the segments of the requests that it was beginning to answer.
@@ -143,6 +148,7 @@
 
     std::size_t quarantined_count(time_point now) const;
     std::size_t suspect_count() const noexcept { return m_suspects.size(); }
+    bool is_suspect(segment_id segment) const { return m_suspects.contains(segment); }
 
 private:
     struct seen_crash {
--- a/src/serving/crash_monitor.cpp
+++ b/src/serving/crash_monitor.cpp
@@ -110,7 +110,7 @@
         if (!m_pending.contains(each)) {
             continue;
         }
-        if (const auto verdict = m_quarantine.find_convicted(each->shared_segments(), now)) {
+        if (const auto verdict = m_quarantine.find_convicted(each->suspects(), now)) {
             each->cancel(*verdict);
         }
     }
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -1,5 +1,6 @@
 #include "cicadaport/serving/exchange.h"
 
+#include "cicadaport/serving/request_digest.h"
 #include "internal/exchange_constants.h"
 
 #include <fmt/format.h>
@@ -128,21 +129,33 @@
     return false;
 }
 
+std::span<const segment_id> exchange::suspects()
+{
+    if (m_suspects.empty()) {
+        m_suspects = m_shared_segments;
+        m_suspects.push_back(request_digest(m_head, m_metadata, m_body));
+    }
+    return m_suspects;
+}
+
 bool exchange::reject_if_quarantined()
 {
-    const auto evidence = m_host.crashes.max_evidence(m_shared_segments);
+    if (!m_host.crashes.has_suspects()) {
+        return false;
+    }
+    const auto evidence = m_host.crashes.max_evidence(suspects());
     if (m_admitted_evidence && evidence <= *m_admitted_evidence) {
         return false;
     }
     m_admitted_evidence = evidence;
-    const auto rejected = m_host.crashes.check(m_shared_segments, m_metadata.id);
+    const auto rejected = m_host.crashes.check(suspects(), m_metadata.id);
     if (!rejected) {
         return false;
     }
     ++m_host.counts.quarantined;
     const auto left = to_ms(rejected->retry_at - m_host.timers.now());
     reject(std::clamp(left, retry_after_no_endpoint, max_quarantine_retry_after),
-           "engines crash on this prompt");
+           "replicas crash on this request");
     return true;
 }
 
@@ -153,15 +166,22 @@
     spdlog::info("request_cancelled id={} endpoint={} segment={:x} crashes={} running_ms={:.0f}",
                  m_metadata.id, m_endpoint->report.id, verdict.segment, verdict.crashes,
                  fractional_milliseconds{m_host.timers.now() - m_sent}.count());
-    fail(status_bad_gateway, "engines crash on this prompt");
+    fail(status_bad_gateway, "replicas crash on this request");
 }
 
 void exchange::record_survival()
 {
-    if (!m_run_survived && m_route->has_prompt) {
-        m_run_survived = true;
+    if (m_run_survived) {
+        return;
+    }
+    m_run_survived = true;
+    if (m_route->has_prompt) {
         m_host.crashes.handle_answer(m_shared_segments, m_metadata.id);
     }
+    // Survivals of whole requests are recorded only while they are suspected: few come again.
+    if (m_host.crashes.has_suspects() && m_host.crashes.is_suspect(suspects().back())) {
+        m_host.crashes.handle_answer(suspects().last(1), m_metadata.id);
+    }
 }
 
 void exchange::log_unrouted() const
--- a/src/serving/exchange_failures.cpp
+++ b/src/serving/exchange_failures.cpp
@@ -1,7 +1,6 @@
 // Handles attempts that fail, time out or are rejected.
 #include "cicadaport/serving/exchange.h"
 
-#include "cicadaport/serving/request_digest.h"
 #include "cicadaport/serving/single_call.h"
 #include "internal/exchange_constants.h"
 
@@ -81,8 +80,8 @@
     end_prefill();
     release_held_kv_cache();
     m_excluded.insert(m_endpoint->report.id);
-    if (m_route->repeats == repeat_rule::any &&
-        m_host.crashes.may_retry_after_crash(m_shared_segments) && retry_elsewhere()) {
+    if (m_route->repeats == repeat_rule::any && m_host.crashes.may_retry_after_crash(suspects()) &&
+        retry_elsewhere()) {
         return;
     }
     fail(status_bad_gateway, "the replica gave no whole answer");
@@ -103,17 +102,16 @@
 
 void exchange::report_interrupted_answer()
 {
-    const bool is_beginning = m_run_first_event == time_point{} ||
-                              m_host.timers.now() - m_run_first_event < answer_beginning_time;
-    if (m_route->has_prompt) {
-        const std::span<const segment_id> suspected = m_shared_segments;
-        m_host.crashes.handle_interrupted_answer(
-            *m_endpoint, is_beginning && !m_run_survived ? suspected : suspected.first(0),
-            m_metadata.id);
-    }
+    const bool is_beginning =
+        m_route->streamed ? m_run_first_event == time_point{} ||
+                                m_host.timers.now() - m_run_first_event < answer_beginning_time
+                          : !m_answer;
+    const auto suspected =
+        is_beginning && !m_run_survived ? suspects() : std::span<const segment_id>{};
+    m_host.crashes.handle_interrupted_answer(*m_endpoint, suspected, m_metadata.id);
 }
 
-void exchange::log_interrupted_run() const
+void exchange::log_interrupted_run()
 {
     const auto now = m_host.timers.now();
     if (!m_host.response_log_budget.try_acquire(now)) {
@@ -124,7 +122,7 @@
                  m_metadata.id, m_route->name, m_endpoint->report.id,
                  m_endpoint->report.incarnation, m_attempts,
                  fractional_milliseconds{now - m_sent}.count(), m_events.count(),
-                 to_text(m_metadata.prompt), request_digest(m_head, m_metadata, m_body),
+                 to_text(m_metadata.prompt), suspects().back(),
                  m_host.response_log_budget.take_suppressed_count());
 }
 
--- a/src/serving/exchange_placement.cpp
+++ b/src/serving/exchange_placement.cpp
@@ -40,6 +40,9 @@
 
 void exchange::place_plain(const service* target)
 {
+    if (reject_if_quarantined()) {
+        return;
+    }
     const auto now = m_host.timers.now();
     const auto& replicas = m_host.endpoints.serving(m_service);
     auto excluded = m_excluded;
--- a/src/serving/prompt_quarantine.cpp
+++ b/src/serving/prompt_quarantine.cpp
@@ -51,8 +51,13 @@
         m_recent_ends.erase(m_recent_ends.begin());
     }
     m_recent_ends.push_back(end);
-    for (auto& each : m_suspects) {
-        each.second.evidence = evidence_against(each.second);
+    for (auto& [segment, each] : m_suspects) {
+        const auto is_near = [&](const seen_crash& crash) {
+            return std::chrono::abs(crash.at - end.at) < 2 * simultaneous_time;
+        };
+        if (std::any_of(each.crashes.begin(), each.crashes.end(), is_near)) {
+            each.evidence = evidence_against(each);
+        }
     }
     return true;
 }
