serving: ends that another suspect explains are no common failure

Cause: a segment that was present at only some of the engines that end within 100 ms counts less, since a rack that fails ends many. All three replicas of the service come back at the same time, are ended by waiting copies of both requests within milliseconds, and each request was the other's failing rack: evidence grew by a half for each round. Change: an end at which a suspect was present that also has a crash at another time does not reduce the evidence against others. A common failure leaves no such suspect. Measured: prompt_quarantine_test.two_deadly_segments_that_crash_at_the_same_times_are_both_quarantined failed before (both admitted after three rounds) and passes now; random_crash_test and crashing_fleet_test, with racks that fail, pass as before.

--- a/include/cicadaport/serving/prompt_quarantine.h
+++ b/include/cicadaport/serving/prompt_quarantine.h
@@ -63,7 +63,8 @@
 
     // Evidence from which on a segment is quarantined. The crash of one engine counts as 1. Of the
     // engines that end within `simultaneous_time`, as when a rack fails, at most
-    // `max_simultaneous_crashes` count, and less if the segment was present at only some of them.
+    // `max_simultaneous_crashes` count, and less if the segment was present at only some of those
+    // that nothing else explains.
     static constexpr double evidence_threshold = 2.5;
     static constexpr std::size_t max_simultaneous_crashes = 2;
     static constexpr std::chrono::milliseconds simultaneous_time{100};
@@ -155,6 +156,11 @@
         std::uint64_t engine = 0;
         time_point at{};
     };
+    struct seen_end : seen_crash {
+        // Whether a suspect was present that was also present at a crash at another time. It may
+        // have caused this end, which then says nothing about a common failure.
+        bool is_explained = false;
+    };
     struct suspect {
         // In order of time.
         std::vector<seen_crash> crashes;
@@ -167,6 +173,10 @@
     // Returns whether the crash was not known yet.
     bool record_end(const seen_crash& end, time_point now);
     double evidence_against(const suspect& of) const;
+    // Determines anew which ends are explained. Returns whether any has changed.
+    bool update_explained_ends();
+    // Computes the evidence anew that the end of an engine at this time may have changed.
+    void update_evidence(time_point at);
     static segment_verdict verdict_of(segment_id segment, const suspect& of);
     static bool is_convicted(const suspect& of) noexcept
     {
@@ -183,7 +193,7 @@
     std::unordered_map<segment_id, suspect> m_suspects;
     std::unordered_map<segment_id, time_point> m_survivals;
     // Engines that ended lately, whatever they were running.
-    std::vector<seen_crash> m_recent_ends;
+    std::vector<seen_end> m_recent_ends;
 };
 
 } // namespace cicadaport::serving
--- a/src/serving/prompt_quarantine.cpp
+++ b/src/serving/prompt_quarantine.cpp
@@ -11,6 +11,7 @@
     crash_result out;
     const seen_crash added{crash.engine, crash.at};
     out.is_new = record_end(added, now);
+    std::vector<segment_id> added_to;
     for (const auto segment : crash.segments) {
         const auto answered = m_survivals.find(segment);
         if (answered != m_survivals.end() && answered->second + survival_ttl >= crash.at) {
@@ -34,8 +35,14 @@
         if (crashes.size() > max_crashes_per_segment) {
             crashes.erase(crashes.begin());
         }
-        known.evidence = evidence_against(known);
-        out.suspected.push_back(verdict_of(segment, known));
+        added_to.push_back(segment);
+    }
+    update_evidence(crash.at);
+    for (const auto segment : added_to) {
+        // Making room for a later segment may have removed an earlier one.
+        if (const auto found = m_suspects.find(segment); found != m_suspects.end()) {
+            out.suspected.push_back(verdict_of(segment, found->second));
+        }
     }
     return out;
 }
@@ -50,16 +57,44 @@
     if (m_recent_ends.size() == max_recent_ends) {
         m_recent_ends.erase(m_recent_ends.begin());
     }
-    m_recent_ends.push_back(end);
+    m_recent_ends.push_back({end, false});
+    return true;
+}
+
+bool prompt_quarantine::update_explained_ends()
+{
+    std::vector<bool> explained(m_recent_ends.size(), false);
+    for (const auto& [segment, each] : m_suspects) {
+        const auto& crashes = each.crashes;
+        if (crashes.back().at - crashes.front().at < simultaneous_time) {
+            continue;
+        }
+        for (std::size_t index = 0; index < m_recent_ends.size(); ++index) {
+            explained[index] = explained[index] ||
+                               std::any_of(crashes.begin(), crashes.end(), [&](const auto& crash) {
+                                   return is_same_crash(crash, m_recent_ends[index]);
+                               });
+        }
+    }
+    bool is_changed = false;
+    for (std::size_t index = 0; index < m_recent_ends.size(); ++index) {
+        is_changed = is_changed || m_recent_ends[index].is_explained != explained[index];
+        m_recent_ends[index].is_explained = explained[index];
+    }
+    return is_changed;
+}
+
+void prompt_quarantine::update_evidence(time_point at)
+{
+    const bool is_any_changed = update_explained_ends();
     for (auto& [segment, each] : m_suspects) {
         const auto is_near = [&](const seen_crash& crash) {
-            return std::chrono::abs(crash.at - end.at) < 2 * simultaneous_time;
+            return std::chrono::abs(crash.at - at) < 2 * simultaneous_time;
         };
-        if (std::any_of(each.crashes.begin(), each.crashes.end(), is_near)) {
+        if (is_any_changed || std::any_of(each.crashes.begin(), each.crashes.end(), is_near)) {
             each.evidence = evidence_against(each);
         }
     }
-    return true;
 }
 
 double prompt_quarantine::evidence_against(const suspect& of) const
@@ -70,12 +105,15 @@
             return each.at - first->at >= simultaneous_time;
         });
         const auto present = static_cast<std::size_t>(last - first);
-        const auto ended = static_cast<std::size_t>(
-            std::count_if(m_recent_ends.begin(), m_recent_ends.end(), [&](const auto& each) {
-                return std::chrono::abs(each.at - first->at) < simultaneous_time;
+        const auto ended_without = static_cast<std::size_t>(
+            std::count_if(m_recent_ends.begin(), m_recent_ends.end(), [&](const seen_end& end) {
+                return !end.is_explained &&
+                       std::chrono::abs(end.at - first->at) < simultaneous_time &&
+                       std::none_of(of.crashes.begin(), of.crashes.end(),
+                                    [&](const auto& crash) { return is_same_crash(crash, end); });
             }));
         const auto share =
-            static_cast<double>(present) / static_cast<double>(std::max(present, ended));
+            static_cast<double>(present) / static_cast<double>(present + ended_without);
         out += share * static_cast<double>(std::min(present, max_simultaneous_crashes));
         first = last;
     }
--- a/test/serving/prompt_quarantine_test.cpp
+++ b/test/serving/prompt_quarantine_test.cpp
@@ -88,6 +88,20 @@
     EXPECT_FALSE(is_admitted(quarantine, {deadly}, start + 2s));
 }
 
+// Regression: requests that crash the same few replicas at the same times hid each other.
+TEST(prompt_quarantine_test, two_deadly_segments_that_crash_at_the_same_times_are_both_quarantined)
+{
+    constexpr segment_id other_deadly = 4;
+    prompt_quarantine quarantine;
+    for (std::uint64_t round = 0; round < 3; ++round) {
+        const auto at = start + 4s * round;
+        quarantine.record_crash({2 * round + 1, at, {deadly}}, at);
+        quarantine.record_crash({2 * round + 2, at + 5ms, {other_deadly}}, at + 5ms);
+    }
+    EXPECT_FALSE(is_admitted(quarantine, {deadly}, start + 9s));
+    EXPECT_FALSE(is_admitted(quarantine, {other_deadly}, start + 9s));
+}
+
 TEST(prompt_quarantine_test, an_answer_clears_a_segment)
 {
     prompt_quarantine quarantine;
