test: planned stops in the host soak

Cause: no soak stopped a host as planned, so no request was ever sent to a host that was stopping. A process that has not ended by itself with status 0 within its grace time is a violation; it is killed then, and started again after 0.5 s. Each host's grace time is drawn: 2, 6, 7 or 8 s. Six callers a host keep their connections until the host announces or makes their end and send timed requests: routes that may be repeated, that may run once, and streams of up to 4 s, some with a second request pipelined behind, some with a pause between head and body; deadlines of 1 to 10 s. stop_judge judges them. Impairments of the store excuse no loss, as the rule says. Stand-in replicas of a service of their own work on them, so that slow answers don't disturb the other checks.

--- a/test/platform/soak/fleet_soak.cpp
+++ b/test/platform/soak/fleet_soak.cpp
@@ -12,6 +12,11 @@
 constexpr auto report_interval = 1'200ms;
 constexpr auto longest_start = 10s;
 constexpr std::size_t plain_replicas = 3;
+// Callers of each host that keep their connections and send requests that take long.
+constexpr std::uint64_t timed_callers = 6;
+// A host that was stopped is started again after this time.
+constexpr auto pause_after_stop = 500ms;
+constexpr std::array services{"s", "t", "w"};
 constexpr int engine_count = 8;
 constexpr auto prompt_interval = 15ms;
 // Fraction of the prompts that have the segment on which engines crash.
@@ -29,7 +34,7 @@
 } // namespace
 
 fleet_soak::fleet_soak(soak_options options)
-    : m_options{std::move(options)}, m_random{m_options.seed}
+    : m_options{std::move(options)}, m_random{m_options.seed}, m_timed{m_options.bounds.contact}
 {
     m_store.miss_wakeups_after(m_options.missed_wakeup_time);
 }
@@ -63,7 +68,12 @@
 
 fleet_host& fleet_soak::add_host(const std::string& name, const std::string& zone)
 {
-    auto& added = m_hosts.emplace_back(m_store, m_hosts.size(), name, m_addresses.next(), zone);
+    // Some deployments allow less time for a stop than the balancer takes to notice it.
+    constexpr std::chrono::seconds graces[] = {2s, 6s, 7s, 8s};
+    const auto grace =
+        graces[std::uniform_int_distribution<std::size_t>{0, std::size(graces) - 1}(m_random)];
+    auto& added =
+        m_hosts.emplace_back(m_store, m_hosts.size(), name, m_addresses.next(), zone, grace);
     const std::lock_guard lock{m_mutex};
     m_by_number.push_back(&added);
     return added;
@@ -74,6 +84,15 @@
     host.start(m_options.host_program, m_options.folder, m_seed_ips, m_options.bounds);
 }
 
+void fleet_soak::start_callers(fleet_host& host)
+{
+    m_threads.emplace_back([this, &host] { send_requests(host); });
+    for (std::uint64_t index = 0; index < timed_callers; ++index) {
+        const auto seed = (m_options.seed << 16) + host.number() * timed_callers + index;
+        m_threads.emplace_back([this, &host, seed] { m_timed.send(host, seed, m_done); });
+    }
+}
+
 std::vector<fleet_host*> fleet_soak::running_hosts()
 {
     std::vector<fleet_host*> out;
@@ -294,9 +313,7 @@
 {
     m_result.limited += at.limit->named() ? 1 : 0;
     // Each process of a host has to receive the limit again. Nothing else exempts a host.
-    constexpr std::size_t most_incarnations = 1'000;
-    const auto process =
-        host * most_incarnations + static_cast<std::size_t>(m_by_number.at(host)->incarnation());
+    const auto process = m_by_number.at(host)->process();
     if (const auto count = at.limit->arrived(process, now)) {
         m_result.violations.push_back(fmt::format(
             "{} {} advertised a limit of {:.1f} and got {} requests in 4 s; allowed {:.0f}",
@@ -326,7 +343,9 @@
                             since_begin(now), host.name(), target, since_begin(left->second)));
         }
     }
-    return make_response(200, "Request-Id: " + id + "\r\nResponse-Seal: s\r\n" + limit, at.service);
+    const auto fields = "Request-Id: " + id + "\r\nResponse-Seal: s\r\n" + limit;
+    return request.field("Work-Ms").empty() ? make_response(200, fields, at.service)
+                                            : m_timed.work(request, fields);
 }
 
 // Publishes versions one at a time and in quick succession.
@@ -492,22 +511,52 @@
     plan(at + down, fmt::format("{} replaced", host.name()), [this, &host] {
         auto& fresh = add_host(fmt::format("{}-r{}", host.name(), ++m_last_host), host.zone());
         start_host(fresh);
-        m_threads.emplace_back([this, &fresh] { send_requests(fresh); });
+        start_callers(fresh);
     });
 }
 
 void fleet_soak::plan_freeze(milliseconds at, fleet_host& host, milliseconds time)
 {
     plan(at, fmt::format("{} frozen for {}", host.name(), time.count()), [&host] {
-        host.begin_fault();
+        host.begin_fault(host_fault::process);
         host.signal(SIGSTOP);
     });
     plan(at + time, fmt::format("{} thawed", host.name()), [&host] {
         host.signal(SIGCONT);
-        host.end_fault();
+        host.end_fault(host_fault::process);
     });
 }
 
+void fleet_soak::plan_stop(milliseconds at, fleet_host& host)
+{
+    plan(at, fmt::format("{} stopped, to end within {} s", host.name(), host.grace().count()),
+         [this, &host] {
+             host.stop();
+             m_timed.record_stop(host);
+         });
+}
+
+void fleet_soak::check_stop(fleet_host& host)
+{
+    const auto now = soak_clock::now();
+    const auto status = host.poll();
+    const auto time = std::chrono::duration_cast<milliseconds>(now - *host.stopped_at());
+    if (!status && time < host.grace()) {
+        return;
+    }
+    if (!status || *status != 0) {
+        violated(fmt::format("{} {} {} {} ms after SIGTERM", since_begin(now), host.name(),
+                             status ? fmt::format("ended with wait status {}", *status)
+                                    : "had not ended",
+                             time.count()));
+    }
+    m_result.steps.push_back(fmt::format("{} {} {} {} ms after SIGTERM", since_begin(now),
+                                         host.name(), status ? "ended" : "killed", time.count()));
+    host.end_process();
+    plan(std::chrono::duration_cast<milliseconds>(now - m_begin) + pause_after_stop,
+         fmt::format("{} started", host.name()), [this, &host] { start_host(host); });
+}
+
 void fleet_soak::plan_slow_store(milliseconds at, milliseconds time)
 {
     constexpr auto slow_answer = 200ms;
@@ -535,12 +584,18 @@
     });
 }
 
-void fleet_soak::plan_recorded()
+std::vector<fleet_host*> fleet_soak::all_hosts()
 {
-    std::vector<fleet_host*> all;
+    std::vector<fleet_host*> out;
     for (auto& each : m_hosts) {
-        all.push_back(&each);
+        out.push_back(&each);
     }
+    return out;
+}
+
+void fleet_soak::plan_recorded()
+{
+    const auto all = all_hosts();
     plan_restart(8'700ms, *all.at(4), 500ms);
     plan_store_fault(draw(9'900ms, 10'700ms), *all.at(2), store_proxy::state::silent,
                      draw(300ms, 9'000ms));
@@ -553,21 +608,34 @@
 
 void fleet_soak::plan_random_faults()
 {
-    std::vector<fleet_host*> all;
-    for (auto& each : m_hosts) {
-        all.push_back(&each);
-    }
+    const auto all = all_hosts();
+    const bool has_other_faults = m_options.shape == soak_shape::drawn;
     std::map<fleet_host*, milliseconds> busy;
+    // Until when a host's process has a fault or stops. The store may have one at the same time.
+    std::map<fleet_host*, milliseconds> disturbed;
+    const auto stop = [&](milliseconds at, fleet_host& host) {
+        constexpr auto after_start = 1'500ms;
+        if (disturbed[&host] <= at) {
+            plan_stop(at, host);
+            disturbed[&host] = at + host.grace() + pause_after_stop + after_start;
+        }
+    };
     const milliseconds end = m_options.time - 1'000ms;
     for (auto at = draw(500ms, 2'000ms); at < end; at += draw(300ms, 2'500ms)) {
         auto& host = *all[std::uniform_int_distribution<std::size_t>{0, all.size() - 1}(m_random)];
-        // A host has one fault at a time; several hosts may have faults at once.
-        if (busy[&host] > at) {
+        constexpr int faults = 10;
+        constexpr int stops = 4;
+        const auto kind = std::uniform_int_distribution<int>{has_other_faults ? 0 : faults,
+                                                             faults + stops - 1}(m_random);
+        // The store has one fault at a time for a host, and its process has one; several hosts may
+        // have faults at once.
+        const bool is_process_fault = kind == 5 || kind == 6;
+        if (kind < faults && (busy[&host] > at || (is_process_fault && disturbed[&host] > at))) {
             continue;
         }
         const auto time = draw(300ms, 7'000ms);
         constexpr auto after = 100ms;
-        switch (std::uniform_int_distribution<int>{0, 9}(m_random)) {
+        switch (kind) {
         case 0:
         case 1:
         case 2:
@@ -584,11 +652,11 @@
             break;
         case 5:
             plan_restart(at, host, time / 4);
-            busy[&host] = at + time;
+            busy[&host] = disturbed[&host] = at + time;
             break;
         case 6:
             plan_freeze(at, host, time);
-            busy[&host] = at + time + after;
+            busy[&host] = disturbed[&host] = at + time + after;
             break;
         case 7:
             plan_slow_store(at, time / 2);
@@ -601,11 +669,29 @@
                 }
             }
             break;
-        default:
+        case 9:
             plan(at, "history forgotten", [this] {
                 m_store.forget_history("keyed.op");
                 m_store.forget_history("keyed.servers");
             });
+            break;
+        case 10:
+            stop(at, host);
+            break;
+        case 11:
+        case 12:
+            stop(at, host);
+            stop(at + draw(0ms, 500ms), *all[(host.number() + 1) % all.size()]);
+            break;
+        default: {
+            // Rolling replacement.
+            const auto interval = draw(500ms, 5'000ms);
+            auto next = at;
+            for (auto* each : all) {
+                stop(next, *each);
+                next += interval;
+            }
+        }
         }
     }
 }
@@ -622,7 +708,10 @@
             step.second();
         }
         for (auto& each : m_hosts) {
-            if (each.has_ended_unexpectedly()) {
+            if (each.stopped_at()) {
+                check_stop(each);
+            }
+            else if (each.is_running() && each.poll()) {
                 violated(since_begin(soak_clock::now()) + " " + each.name() + " ended by itself");
                 each.kill();
             }
@@ -632,9 +721,9 @@
 
 soak_result fleet_soak::run()
 {
-    for (std::size_t index = 0; index < plain_replicas * 2; ++index) {
+    for (std::size_t index = 0; index < plain_replicas * services.size(); ++index) {
         auto& added =
-            m_replicas.emplace_back(index % 2 == 0 ? "s" : "t",
+            m_replicas.emplace_back(services[index % services.size()],
                                     [](const received_request&) { return scripted_response{}; });
         added.server.set_answer(
             [this, &added](const received_request& each) { return serve(added, each); });
@@ -676,7 +765,7 @@
     m_threads.emplace_back([this] { operate(); });
     m_threads.emplace_back([this] { send_prompts(); });
     for (auto& each : m_hosts) {
-        m_threads.emplace_back([this, &each] { send_requests(each); });
+        start_callers(each);
     }
     run_schedule();
     m_done = true;
@@ -690,6 +779,11 @@
     m_threads.clear();
     m_engines.reset();
     judge_sound_prompts();
+    m_result.checks += m_timed.judge().request_count();
+    m_result.stopped = m_timed.judge().stopped_count();
+    for (const auto& each : m_timed.judge().violations()) {
+        violated(fmt::format("{} {} {}", since_begin(each.of.sent), each.of.id, each.text));
+    }
     return m_result;
 }
 
--- a/test/platform/soak/fleet_soak.h
+++ b/test/platform/soak/fleet_soak.h
@@ -8,6 +8,7 @@
 #include "platform/soak/crash_judge.h"
 #include "platform/soak/host_fleet.h"
 #include "platform/soak/limit_judge.h"
+#include "platform/soak/timed_requests.h"
 
 #include <functional>
 #include <list>
@@ -24,6 +25,8 @@
     recorded,
     // Faults of all kinds, drawn at random, in sequence and overlapping.
     drawn,
+    // Planned stops only, drawn at random.
+    stops,
 };
 
 struct soak_options {
@@ -48,6 +51,8 @@
     std::size_t limited = 0;
     // Engines that a prompt has crashed.
     std::size_t crashes = 0;
+    // Requests that were in flight at a planned stop or sent after it.
+    std::size_t stopped = 0;
     // One line each.
     std::vector<std::string> violations;
     // The faults that were injected, one line each.
@@ -88,6 +93,8 @@
     };
 
     void start_host(fleet_host& host);
+    // Starts the threads that send requests to a host.
+    void start_callers(fleet_host& host);
     fleet_host& add_host(const std::string& name, const std::string& zone);
     std::vector<fleet_host*> running_hosts();
     void wait_until_ready();
@@ -124,12 +131,16 @@
     // Faults.
     void plan_recorded();
     void plan_random_faults();
+    std::vector<fleet_host*> all_hosts();
     void plan(milliseconds at, std::string what, std::function<void()> action);
     void plan_store_fault(milliseconds at, fleet_host& host, store_proxy::state to,
                           milliseconds time);
     void plan_restart(milliseconds at, fleet_host& host, milliseconds down);
     void plan_replacement(milliseconds at, fleet_host& host, milliseconds down);
     void plan_freeze(milliseconds at, fleet_host& host, milliseconds time);
+    void plan_stop(milliseconds at, fleet_host& host);
+    // Plans what follows once a host that got SIGTERM has ended, or should have.
+    void check_stop(fleet_host& host);
     void plan_slow_store(milliseconds at, milliseconds time);
     void plan_all_restarted(milliseconds at);
     void run_schedule();
@@ -142,6 +153,7 @@
 
     soak_options m_options;
     std::mt19937_64 m_random;
+    timed_requests m_timed;
     standin_store m_store;
     configuration_history m_history;
     address_range m_addresses;
--- a/test/platform/soak/main.cpp
+++ b/test/platform/soak/main.cpp
@@ -14,14 +14,15 @@
     std::int64_t deaf_ms = 0;
     std::string folder;
     const std::map<std::string, soak_shape> shapes{{"recorded", soak_shape::recorded},
-                                                   {"drawn", soak_shape::drawn}};
+                                                   {"drawn", soak_shape::drawn},
+                                                   {"stops", soak_shape::stops}};
     app.add_option("--host", options.host_program, "The host program")->required();
     app.add_option("--folder", folder, "The directory for settings and logs")->required();
     app.add_option("--seed", options.seed, "The first seed")->capture_default_str();
     app.add_option("--seeds", seeds, "The number of seeds, run in sequence")->capture_default_str();
     app.add_option("--seconds", seconds, "Duration of each run, in s")->capture_default_str();
     app.add_option("--hosts", options.hosts, "The number of hosts")->capture_default_str();
-    app.add_option("--shape", options.shape, "recorded or drawn")
+    app.add_option("--shape", options.shape, "recorded, drawn or stops")
         ->transform(CLI::CheckedTransformer(shapes));
     app.add_option("--padding", options.padding, "Bytes added to each configuration version");
     app.add_flag("--alone", options.alone, "Hosts don't know each other");
@@ -42,8 +43,9 @@
         for (const auto& each : result.violations) {
             fmt::print("seed {} {}\n", options.seed, each);
         }
-        fmt::print("seed={} checks={} limited={} crashes={} violations={}\n", options.seed,
-                   result.checks, result.limited, result.crashes, result.violations.size());
+        fmt::print("seed={} checks={} limited={} crashes={} stopped={} violations={}\n",
+                   options.seed, result.checks, result.limited, result.crashes, result.stopped,
+                   result.violations.size());
         std::fflush(stdout);
         passed += result.violations.empty() ? 1 : 0;
     }
--- a/test/platform/stand_ins.h
+++ b/test/platform/stand_ins.h
@@ -61,6 +61,8 @@
     // If not empty, these bytes follow after this pause.
     std::string rest{};
     std::chrono::milliseconds pause{0};
+    // If set, called once the bytes have been sent; returns what follows.
+    std::function<scripted_response()> following{};
 };
 
 inline scripted_response make_response(unsigned status, const std::string& fields,
@@ -227,6 +229,10 @@
                 send(from, {reply.rest, reply.after, reply.pause});
                 return;
             }
+            if (reply.following) {
+                send(from, reply.following());
+                return;
+            }
             from->open = reply.bytes.empty();
             if (reply.after == scripted_response::then::reset) {
                 from->socket.set_option(boost::asio::socket_base::linger{true, 0}, ignored);
