test: send a timed request's head and body together unless the caller pauses

Cause: two writes on one connection are up to 40 ms apart (delayed acknowledgement), so a request was judged as sent earlier than its last byte was. Change: one write, except for callers that pause between head and body.

--- a/test/platform/soak/timed_requests.cpp
+++ b/test/platform/soak/timed_requests.cpp
@@ -150,11 +150,15 @@
             auto first = draw(host, random);
             auto second = draw(host, random);
             const bool is_pipelined = chance(0.15);
-            kept->send(first.head);
+            const auto rest = first.body + (is_pipelined ? second.head + second.body : "");
             if (chance(0.15)) {
+                kept->send(first.head);
                 std::this_thread::sleep_for(draw_time(random, 20ms, 1'500ms));
+                kept->send(rest);
+            }
+            else {
+                kept->send(first.head + rest);
             }
-            kept->send(first.body + (is_pipelined ? second.head + second.body : ""));
             // The host may have been started again while the connection was made.
             if (host.process() != process) {
                 kept.reset();
