test: prompts that are prefilled at one engine and run at another in the host soak

Change: a route /generate/ to engines, one for prefill and two for decode, that list, leave and return as the other replicas do. stop_judge takes a prefilled request for passed on, not for run.

--- a/test/platform/soak/configuration_history.h
+++ b/test/platform/soak/configuration_history.h
@@ -2,8 +2,8 @@
 // host may give for a route at a time follow.
 //
 // Version N has the routes /aK/ of the last versions K up to N, and a route /moved/ whose
-// service depends on N. All versions have the routes /safe/, /once/ and /stream/, of which only
-// the requests of the first may be repeated, and /prompt/. Thread safe.
+// service depends on N. All versions have the routes /safe/, /once/, /stream/ and /generate/, of
+// which only the requests of the first may be repeated, and /prompt/. Thread safe.
 #pragma once
 
 #include "platform/stand_ins.h"
@@ -82,6 +82,9 @@
                 R"("timeout-ms":10000,"target-latency-ms":500,"max-attempts":3,"service":"w"}})",
                 name, name, kind);
         }
+        routes += R"(,{"name":"generate","host":"h.example","path-prefix":"/generate/",)"
+                  R"("kind":"streaming","timeout-ms":10000,"target-latency-ms":500,)"
+                  R"("max-attempts":3,"sticky":true,"service":"g"})";
         routes += R"(,{"name":"prompt","host":"h.example","path-prefix":"/prompt/",)"
                   R"("kind":"streaming","timeout-ms":2000,"target-latency-ms":500,)"
                   R"("max-attempts":2,"resumable":true,"sticky":true,"service":"e"})";
@@ -89,6 +92,8 @@
             R"({{"version":{},"padding":"{}","routes":[{}],)"
             R"("services":[{{"name":"s","max-conns":64}},{{"name":"t","max-conns":64}},)"
             R"({{"name":"w","max-conns":64}},)"
+            R"({{"name":"g","max-conns":640,"engine":{{"slots":64,"token-kv-bytes":1000,)"
+            R"("link-mbps":1000}}}},)"
             R"({{"name":"e","max-conns":640,"engine":{{"slots":64,"token-kv-bytes":1000,)"
             R"("link-mbps":1000}}}}],)"
             R"("limits":{{"idle-timeout-ms":60000}}}})",
--- a/test/platform/soak/fleet_soak.cpp
+++ b/test/platform/soak/fleet_soak.cpp
@@ -16,7 +16,7 @@
 constexpr std::uint64_t timed_callers = 6;
 // A host that was stopped is started again after this time.
 constexpr auto pause_after_stop = 500ms;
-constexpr std::array services{"s", "t", "w"};
+constexpr std::array services{"s", "t", "w", "g"};
 constexpr int engine_count = 8;
 constexpr auto prompt_interval = 15ms;
 // Fraction of the prompts that have the segment on which engines crash.
@@ -130,10 +130,11 @@
 {
     m_store.put(
         "keyed.servers", of.id,
-        fmt::format(R"({{"service":"{}","address":"{}","zone":"z1","version":"v1","slots":64,)"
-                    R"("state":"{}","sequence":{},"born":1}})",
-                    of.service, http::to_string(of.server.address()),
-                    of.leaving ? "draining" : "ready", ++of.sequence));
+        fmt::format(
+            R"({{"service":"{}","address":"{}","zone":"z1","version":"v1","slots":64,)"
+            R"("state":"{}",{}"sequence":{},"born":1}})",
+            of.service, http::to_string(of.server.address()), of.leaving ? "draining" : "ready",
+            of.stage.empty() ? "" : fmt::format(R"("stage":"{}",)", of.stage), ++of.sequence));
     of.next_report = soak_clock::now() + report_interval;
 }
 
@@ -323,6 +324,10 @@
 
 scripted_response fleet_soak::serve(replica& at, const received_request& request)
 {
+    if (request.path().starts_with("/-/")) {
+        // Orders and other calls to an engine.
+        return make_response(404, "", "");
+    }
     const auto now = soak_clock::now();
     const auto id = request.field("Request-Id");
     const auto number = std::stoul(id.substr(0, id.find('-')));
@@ -728,6 +733,9 @@
         added.server.set_answer(
             [this, &added](const received_request& each) { return serve(added, each); });
         added.id = fmt::format("i-{}", ++m_last_replica);
+        if (added.service == "g") {
+            added.stage = index < services.size() ? "prefill" : "decode";
+        }
         added.limit.emplace(m_options.bounds.contact);
         report(added);
     }
--- a/test/platform/soak/fleet_soak.h
+++ b/test/platform/soak/fleet_soak.h
@@ -75,6 +75,8 @@
         }
 
         std::string service;
+        // Of an engine; else empty.
+        std::string stage;
         std::string id;
         int sequence = 0;
         bool leaving = false;
--- a/test/platform/soak/stop_judge.h
+++ b/test/platform/soak/stop_judge.h
@@ -14,9 +14,9 @@
 
 // A request is lost if its connection ends without a complete answer within the time of a planned
 // stop, from SIGTERM until `slack_after_grace` after the grace time, and either a replica had
-// begun to run it or the connection ended later than `loss_slack` after its last byte. It is not
-// lost if its time was over, if its replica broke off, if the host had an unplanned fault, or if
-// its replica was at work in the last sixth of the grace time and it was sent at most
+// begun to work on it or the connection ended later than `loss_slack` after its last byte. It is
+// not lost if its time was over, if its replica broke off, if the host had an unplanned fault, or
+// if its replica was at work in the last sixth of the grace time and it was sent at most
 // `max_late_time` after SIGTERM.
 //
 // At all times a request that may not be repeated runs at most once, and not at all if its status
@@ -64,15 +64,19 @@
 
     // Records that a replica began to run a request.
     void record_run(const std::string& id, time_point at)
+    {
+        ++m_runs[id].count;
+        record_work(id, at);
+    }
+
+    // Records that a replica is at work on a request: runs it, or prefills its prompt.
+    void record_work(const std::string& id, time_point at)
     {
         auto& run = m_runs[id];
-        run.began = run.count++ == 0 ? at : run.began;
+        run.began = run.is_passed_on() ? run.began : at;
         run.last_at_work = at;
     }
 
-    // Records that a replica is still at work on a request.
-    void record_work(const std::string& id, time_point at) { m_runs[id].last_at_work = at; }
-
     // Records that a replica breaks off its answer to a request.
     void record_break_off(const std::string& id) { m_runs[id].broke_off = true; }
 
@@ -115,10 +119,11 @@
                     {each, fmt::format("LOST: sent {:.3f} s after SIGTERM, {}, ended "
                                        "without an answer {:.3f} s after SIGTERM",
                                        since_stop(each.sent),
-                                       run.count == 0 ? "not passed on"
-                                                      : fmt::format("run from {:.3f} to {:.3f} s",
-                                                                    since_stop(run.began),
-                                                                    since_stop(run.last_at_work)),
+                                       !run.is_passed_on()
+                                           ? "not passed on"
+                                           : fmt::format("at work from {:.3f} to {:.3f} s",
+                                                         since_stop(run.began),
+                                                         since_stop(run.last_at_work)),
                                        since_stop(each.ended))});
             }
         }
@@ -131,6 +136,8 @@
         time_point began{};
         time_point last_at_work{};
         bool broke_off = false;
+
+        bool is_passed_on() const { return last_at_work != time_point{}; }
     };
 
     struct stop_record {
@@ -165,11 +172,11 @@
         }
         constexpr int parts = 6;
         const bool was_at_work_at_end =
-            run.count > 0 && run.last_at_work >= stop->at + stop->grace * (parts - 1) / parts;
+            run.last_at_work >= stop->at + stop->grace * (parts - 1) / parts;
         if (was_at_work_at_end && of.sent - stop->at <= max_late_time) {
             return false;
         }
-        const bool was_passed_on = run.count > 0 && run.began <= of.ended;
+        const bool was_passed_on = run.is_passed_on() && run.began <= of.ended;
         return was_passed_on || (!of.is_behind_close && of.ended - of.sent > loss_slack);
     }
 
--- a/test/platform/soak/timed_requests.cpp
+++ b/test/platform/soak/timed_requests.cpp
@@ -7,6 +7,7 @@
 
 constexpr auto event_interval = 100ms;
 constexpr auto connect_interval = 10ms;
+constexpr int prompt_tokens = 900;
 
 // The last words of the answer to a timed request.
 std::string end_of_answer(const std::string& id)
@@ -33,14 +34,21 @@
 scripted_response timed_requests::work(const received_request& request, const std::string& fields)
 {
     const auto began = soak_clock::now();
-    const timed_work work{request.field("Request-Id"),
-                          began + milliseconds{std::stoll(request.field("Work-Ms"))},
+    const milliseconds time{std::stoll(request.field("Work-Ms"))};
+    const timed_work work{request.field("Request-Id"), began + time,
                           !request.field("Break-Off").empty()};
+    if (request.field("Serving-Stage") == "prefill") {
+        constexpr int prefill_divisor = 10;
+        const auto body =
+            fmt::format(R"({{"kv-handle":"{}","tokens":{},"version":1}})", work.id, prompt_tokens);
+        return respond_at(began + time / prefill_divisor, work.id,
+                          make_response(200, fields, body));
+    }
     {
         const std::lock_guard lock{m_mutex};
         m_judge.record_run(work.id, began);
     }
-    if (!request.path().starts_with("/stream/")) {
+    if (request.path().starts_with("/safe/") || request.path().starts_with("/once/")) {
         return respond_at(work.end, work.id,
                           work.breaks_off ? broken_answer
                                           : make_response(200, fields, end_of_answer(work.id)));
@@ -90,20 +98,25 @@
     const auto chance = [&random](double share) {
         return std::bernoulli_distribution{share}(random);
     };
-    const std::string path = chance(0.5) ? "stream" : chance(0.5) ? "once" : "safe";
+    const bool is_stream = chance(0.6);
+    const std::string path =
+        is_stream ? (chance(0.5) ? "stream" : "generate") : (chance(0.5) ? "once" : "safe");
     // Many streams last so long that their connection is used again only late in a planned stop.
-    const bool is_long = chance(path == "stream" ? 0.5 : 0.2);
-    const auto work = is_long            ? draw_time(random, 3'000ms, 4'000ms)
-                      : path == "stream" ? draw_time(random, 100ms, 4'000ms)
-                                         : draw_time(random, 0ms, 500ms);
+    const bool is_long = chance(is_stream ? 0.5 : 0.2);
+    const auto work = is_long     ? draw_time(random, 3'000ms, 4'000ms)
+                      : is_stream ? draw_time(random, 100ms, 4'000ms)
+                                  : draw_time(random, 0ms, 500ms);
     timed_request out;
     out.judged.id = fmt::format("{}-{}{}", host.number(), path, ++last);
     out.judged.may_repeat = path == "safe";
     out.judged.time_limit = draw_time(random, 1'000ms, 10'000ms);
     out.body = "body";
+    const auto prompt = fmt::format("Token-Count: {},80\r\nPrompt-Prefix: f1:300,{:x}:600\r\n",
+                                    prompt_tokens, last.load());
     out.head = fmt::format("POST /{}/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {}\r\n"
-                           "Deadline-Ms: {}\r\nWork-Ms: {}\r\n{}Content-Length: {}\r\n\r\n",
+                           "Deadline-Ms: {}\r\nWork-Ms: {}\r\n{}{}Content-Length: {}\r\n\r\n",
                            path, out.judged.id, out.judged.time_limit.count(), work.count(),
+                           path == "generate" ? prompt : "",
                            chance(break_off_share) ? "Break-Off: 1\r\n" : "", out.body.size());
     return out;
 }
--- a/test/platform/stop_judge_test.cpp
+++ b/test/platform/stop_judge_test.cpp
@@ -52,6 +52,14 @@
     EXPECT_EQ(rules(cut(0ms, 100ms)), "LOST");
 }
 
+TEST_F(stop_judge_test, a_request_whose_prompt_was_prefilled_is_lost_but_has_not_run)
+{
+    judge.record_work("r", stop + 10ms);
+    EXPECT_EQ(rules(cut(0ms, 100ms)), "LOST");
+    judge.record_run("r", stop + 200ms);
+    EXPECT_EQ(rules({}), "LOST") << "it ran once";
+}
+
 TEST_F(stop_judge_test, a_request_sent_before_the_stop_is_lost_if_its_connection_ends_after_it)
 {
     run(-900ms, 1ms);
