serving: end no earlier than the last eighth of a short grace time

Cause: the margin before the end of the grace time was up to a quarter of it. A cut is excused only if the replica is still at work in the last sixth of the grace time; with 2 s the host ended after 1.5 s, the last sixth begins at 1.67 s. Change: the margin is an eighth of the grace time, at most 0.6 s as before; the time for the last answers is at most half of it. Measured: planned_stop_schedule_test.a_short_grace_time_leaves_time_for_answers, which failed on the schedule before (1.5 s).

--- a/include/cicadaport/serving/planned_stop.h
+++ b/include/cicadaport/serving/planned_stop.h
@@ -12,9 +12,12 @@
 
 class planned_stop {
 public:
-    // The process ends this long before the end of the grace time, but not in its last quarter
-    // if that is shorter.
+    // The host ends its work this long before the end of the grace time, but not before the last
+    // eighth: replicas that are still at work late in the grace time excuse a cut.
     static constexpr milliseconds max_grace_margin{600};
+    static constexpr int min_margin_divisor = 8;
+    // Time in which the last answers are handed to their connections before the process exits.
+    static constexpr milliseconds max_last_answers_time{200};
     // The balancer may notice a stop late. New connections are therefore accepted until none has
     // arrived for `quiet_before_close`, but for at most `max_quiet_wait` longer: requests that
     // arrive later may not be answered within the grace time.
@@ -26,15 +29,20 @@
     // Begins at `now`. Connections are accepted for at least `accept_time` more, or for two thirds
     // of the time until the end if that is shorter.
     planned_stop(time_point now, milliseconds grace_time, milliseconds accept_time)
-        : m_requested_at{now}, m_ends_at{now + grace_time -
-                                         std::min(max_grace_margin, grace_time / 4)},
+        : m_requested_at{now}, m_margin{std::min(max_grace_margin,
+                                                 grace_time / min_margin_divisor)},
+          m_ends_at{now + grace_time - m_margin},
           m_accepts_until{now + std::min<clock::duration>(accept_time, (m_ends_at - now) * 2 / 3)}
     {
     }
 
     time_point requested_at() const noexcept { return m_requested_at; }
-    // When the process ends, whatever is in progress.
+    // When the host ends its work, whatever is in progress, and when the process exits.
     time_point ends_at() const noexcept { return m_ends_at; }
+    time_point exits_at() const noexcept
+    {
+        return m_ends_at + std::min(max_last_answers_time, m_margin / 2);
+    }
 
     // Returns whether new connections are no longer to be accepted. `last_accepted` is when the
     // last one was.
@@ -57,6 +65,7 @@
 
 private:
     time_point m_requested_at;
+    milliseconds m_margin;
     time_point m_ends_at;
     time_point m_accepts_until;
     std::optional<time_point> m_closed_at;
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -16,8 +16,6 @@
 // Counts are logged every this many housekeeping intervals.
 constexpr unsigned log_counts_every = 10;
 constexpr milliseconds stop_check_interval{50};
-// Time in which the last answers are handed to their connections before the process ends.
-constexpr milliseconds last_answers_time{200};
 constexpr milliseconds accept_retry_interval{20};
 
 // Each list is read often enough that a failed read can be retried within the allowed time:
@@ -467,8 +465,8 @@
             m_context.stop();
             return;
         }
-        m_stop_check = m_state.timers.call_at(m_state.timers.now() + last_answers_time,
-                                              [this] { m_context.stop(); });
+        m_stop_check =
+            m_state.timers.call_at(m_state.stop->exits_at(), [this] { m_context.stop(); });
     }
 
     settings_source m_source;
--- a/test/serving/planned_stop_test.cpp
+++ b/test/serving/planned_stop_test.cpp
@@ -33,9 +33,11 @@
 TEST_F(planned_stop_schedule_test, a_short_grace_time_leaves_time_for_answers)
 {
     const planned_stop brief{start, 2s, 2'600ms};
-    EXPECT_EQ(brief.ends_at(), start + 1'500ms);
-    EXPECT_FALSE(brief.is_time_to_close(start + 999ms, start));
-    EXPECT_TRUE(brief.is_time_to_close(start + 1'000ms, start));
+    EXPECT_GE(brief.ends_at(), start + 2'000ms * 5 / 6) << "a cut in the last sixth is excused";
+    EXPECT_GT(brief.exits_at(), brief.ends_at());
+    EXPECT_LT(brief.exits_at(), start + 2s);
+    EXPECT_FALSE(brief.is_time_to_close(start + 1s, start));
+    EXPECT_TRUE(brief.is_time_to_close(start + 1'200ms, start));
 }
 
 TEST_F(planned_stop_schedule_test, takes_on_late_requests_that_end_before_the_host)
