serving: take on no request later than 2.9 s after a stop, and close the listeners at the end

Cause: requests were taken on until 0.2 s after the listeners had closed, and the close is noticed by a check every 50 ms whose lateness adds up: 3.0 s and more after the signal. A cut request is excused only if it was sent within 3 s. A host with a very short grace time ended with its listeners open. Change: admission ends 0.3 s after the time for which connections are accepted, whenever the listeners close; end() closes them. Measured: planned_stop_schedule_test.takes_on_no_late_request_when_the_host_notices_late.

--- a/include/cicadaport/serving/planned_stop.h
+++ b/include/cicadaport/serving/planned_stop.h
@@ -23,6 +23,9 @@
     // arrive later may not be answered within the grace time.
     static constexpr milliseconds quiet_before_close{150};
     static constexpr milliseconds max_quiet_wait{200};
+    // Requests are taken on for this long after the time for which connections are accepted,
+    // however late the host notices that it is over: a later request that is cut would be lost.
+    static constexpr milliseconds max_admission_delay{300};
     // The first request of a new connection arrives within this time.
     static constexpr milliseconds first_request_time{200};
 
@@ -60,7 +63,9 @@
     // when the process ends, since their callers may have been sent here by the balancer.
     bool admits(time_point now, time_point deadline) const noexcept
     {
-        return !m_closed_at || now < *m_closed_at + first_request_time || deadline <= m_ends_at;
+        const bool may_be_first = !m_closed_at || now < *m_closed_at + first_request_time;
+        return (may_be_first && now < m_accepts_until + max_admission_delay) ||
+               deadline <= m_ends_at;
     }
 
 private:
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -431,11 +431,7 @@
         const auto now = m_state.timers.now();
         auto& stop = *m_state.stop;
         if (stop.is_time_to_close(now, m_callers->last_accepted())) {
-            stop.record_close(now);
-            m_callers->close();
-            if (m_relays) {
-                m_relays->close();
-            }
+            close_listeners();
             const auto all = m_connections;
             for (const auto& each : all) {
                 each->close_if_idle();
@@ -453,8 +449,18 @@
                                               [this] { check_stop(); });
     }
 
+    void close_listeners()
+    {
+        m_state.stop->record_close(m_state.timers.now());
+        m_callers->close();
+        if (m_relays) {
+            m_relays->close();
+        }
+    }
+
     void end()
     {
+        close_listeners();
         log_counts();
         spdlog::info("host_stopped cut={}", requests_in_flight());
         const auto all = m_connections;
--- a/test/serving/planned_stop_test.cpp
+++ b/test/serving/planned_stop_test.cpp
@@ -26,8 +26,15 @@
 {
     EXPECT_TRUE(stop.admits(start + 2'700ms, start + 60s));
     stop.record_close(start + 2'800ms);
-    EXPECT_TRUE(stop.admits(start + 2'999ms, start + 60s));
-    EXPECT_FALSE(stop.admits(start + 3s, start + 60s));
+    EXPECT_TRUE(stop.admits(start + 2'899ms, start + 60s));
+    EXPECT_FALSE(stop.admits(start + 2'900ms, start + 60s));
+}
+
+TEST_F(planned_stop_schedule_test, takes_on_no_late_request_when_the_host_notices_late)
+{
+    EXPECT_FALSE(stop.admits(start + 2'900ms, start + 60s)) << "not closed yet";
+    stop.record_close(start + 2'950ms);
+    EXPECT_FALSE(stop.admits(start + 2'960ms, start + 60s));
 }
 
 TEST_F(planned_stop_schedule_test, a_short_grace_time_leaves_time_for_answers)
