serving: send an answer whole before its connection is closed

Callers saw: the beginning of an answer, without its end, when the host was stopped while they were still reading. Cause: a connection whose last answer was queued and not yet written counted as idle, and closing it shut the sending side down, which dropped the queue. Change: a connection with unsent bytes closes once they are written. Measured: planned_stop_test.an_answer_that_a_slow_caller_has_not_read_yet_is_sent_whole.

--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -265,6 +265,11 @@
 void caller_connection::close_gracefully()
 {
     m_closing = true;
+    if (m_connection->unsent() > 0) {
+        // on_written() closes.
+        m_timeout.cancel();
+        return;
+    }
     m_connection->stop_sending();
     m_timeout = m_host.timers.call_at(m_host.timers.now() + close_timeout, [this] {
         const auto keep = shared_from_this();
--- a/test/platform/planned_stop_test.cpp
+++ b/test/platform/planned_stop_test.cpp
@@ -54,8 +54,12 @@
     caller kept{settings.caller_address};
     kept.send(request("POST", "/stream/x", "r1", "", "a"));
     ASSERT_TRUE(eventually([&] { return replica.requests().size() == 1; }));
+    // The head of the answer is sent before the stop.
+    std::this_thread::sleep_for(200ms);
     begin_stop();
-    EXPECT_TRUE(kept.receive().complete);
+    const auto first = kept.receive();
+    EXPECT_TRUE(first.complete);
+    EXPECT_EQ(first.field("Connection"), "");
     std::string problem;
     try {
         const auto late = kept.ask(request("POST", "/stream/x", "r2", "", "b"));
@@ -128,6 +132,27 @@
     wait_for_end();
 }
 
+// Regression: such a connection counted as idle, and what was not written yet was dropped.
+TEST_F(planned_stop_test, an_answer_that_a_slow_caller_has_not_read_yet_is_sent_whole)
+{
+    constexpr std::size_t size = 6'000'000;
+    scripted_server replica{
+        [](const received_request& each) { return signed_answer(each, std::string(size, 'x')); }};
+    list_replica("i-1", replica.address());
+    settings.grace_time = 6s;
+    start();
+    caller slow{settings.caller_address};
+    slow.send(request("GET", "/safe/x", "r1"));
+    ASSERT_TRUE(eventually([&] { return replica.requests().size() == 1; }));
+    std::this_thread::sleep_for(500ms);
+    begin_stop();
+    wait_for_close();
+    const auto answer = slow.receive();
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(answer.body.size(), size);
+    wait_for_end();
+}
+
 // Regression: the connections of such requests were reset.
 TEST_F(planned_stop_test, requests_without_an_answer_at_the_end_of_the_stop_get_one)
 {
