serving: count engines that end while they prefill

Callers saw: a prompt that crashes engines of both stages went on to the next engine each time. Cause: only interrupted runs were reported; an engine that ended during a prefill for another left no evidence, and the prompt was sent on. Change: interrupted prefills are logged and reported like runs, and a suspect is not sent on from there either. Measured: crashing_request_test.a_prompt_that_crashes_engines_of_both_stages_reaches_no_more_of_them.

--- a/src/serving/exchange_failures.cpp
+++ b/src/serving/exchange_failures.cpp
@@ -42,7 +42,7 @@
     // A prefill counts as an attempt unless it succeeds. The request itself has not been
     // sent to be run.
     ++m_attempts;
-    if (!retry_elsewhere()) {
+    if (!m_host.crashes.may_retry_after_crash(suspects()) || !retry_elsewhere()) {
         reject(retry_after_overload, "the engine read no prompt");
     }
 }
@@ -191,12 +191,12 @@
         return;
     }
     health.record_failure(now);
+    log_interrupted_run();
+    report_interrupted_answer();
     if (m_step == step::prefilling) {
         handle_prefill_failure();
     }
     else {
-        log_interrupted_run();
-        report_interrupted_answer();
         handle_run_failure();
     }
 }
