serving: any answer of a plain service clears a suspected request

Callers saw: 503 for 10 minutes for a request that replicas answered all the time with 404. Cause: only a success counted as a sign that the request crashes no replica. A popular request that is in progress whenever a replica ends for other reasons was convicted by the third end. Change: any answer of the replica to a request of a plain service is a survival, unless it states that the request has not run.

--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -447,6 +447,10 @@
         finish();
         return;
     }
+    if (!m_route->has_prompt) {
+        // Whatever the status, the replica has run the request and has not ended.
+        record_survival();
+    }
     if (status >= 500) {
         health.record_failure(now);
     }
--- a/src/serving/exchange_failures.cpp
+++ b/src/serving/exchange_failures.cpp
@@ -102,10 +102,8 @@
 
 void exchange::report_interrupted_answer()
 {
-    const bool is_beginning =
-        m_route->streamed ? m_run_first_event == time_point{} ||
-                                m_host.timers.now() - m_run_first_event < answer_beginning_time
-                          : !m_answer;
+    const bool is_beginning = m_run_first_event == time_point{} ||
+                              m_host.timers.now() - m_run_first_event < answer_beginning_time;
     const auto suspected =
         is_beginning && !m_run_survived ? suspects() : std::span<const segment_id>{};
     m_host.crashes.handle_interrupted_answer(*m_endpoint, suspected, m_metadata.id);
--- a/test/platform/crashing_engines.h
+++ b/test/platform/crashing_engines.h
@@ -51,6 +51,9 @@
     // Sets how long a prompt with the deadly segment waits before the engine crashes on it.
     void delay_deadly(std::chrono::milliseconds time) { m_deadly_delay = time; }
 
+    // Sets the status with which sound requests are answered.
+    void set_status(unsigned status) { m_status = status; }
+
     // Number of crashes by deadly requests.
     std::size_t crash_count() const { return m_crash_count; }
     // Number of deadly requests that reached a replica.
@@ -89,7 +92,7 @@
             };
             return waiting;
         }
-        return make_response(200,
+        return make_response(m_status,
                              "Request-Id: " + each.field("Request-Id") + "\r\nResponse-Seal: s\r\n",
                              "id: 1\ndata: event\n\n");
     }
@@ -99,6 +102,7 @@
     std::vector<std::unique_ptr<scripted_server>> m_engines;
     std::mutex m_mutex;
     std::map<int, std::string> m_ids;
+    std::atomic<unsigned> m_status{200};
     std::atomic<std::size_t> m_deadly_count{0};
     std::atomic<std::size_t> m_crash_count{0};
     std::atomic<std::chrono::milliseconds> m_deadly_delay{};
--- a/test/platform/crashing_request_test.cpp
+++ b/test/platform/crashing_request_test.cpp
@@ -129,6 +129,34 @@
   expect_refused(plain_request("/once/x", "last", deadly));
 }
 
+// Regression: only a success cleared a request, so that this one was
+// quarantined on all hosts.
+TEST_F(crashing_request_test,
+       a_request_that_replicas_answer_with_an_error_is_not_quarantined) {
+  const auto servers = make_replicas("s", "");
+  servers->set_status(404);
+  start_fleet();
+  std::atomic<bool> is_over{false};
+  std::vector<std::thread> callers;
+  for (int number = 0; number < hosts; ++number) {
+    callers.emplace_back([&, number] {
+      for (int count = 0; !is_over; ++count) {
+        const auto id = std::to_string(number) + "-" + std::to_string(count);
+        ask_host(number, request("GET", "/safe/x", id));
+      }
+    });
+  }
+  for (int round = 0; round < replicas; ++round) {
+    servers->crash(round % replicas);
+    std::this_thread::sleep_for(round_time);
+  }
+  is_over = true;
+  for (auto &each : callers) {
+    each.join();
+  }
+  EXPECT_EQ(ask_host(0, request("GET", "/safe/x", "last")).status, 404U);
+}
+
 TEST_F(crashing_request_test,
        a_request_that_may_be_repeated_is_not_sent_on_from_crash_to_crash) {
   const auto servers = make_replicas("s", "");
