serving: a rack that fails slowly explains none of its ends

Cause: took an end for explained if a suspect was present that had crashes 100 ms apart. A popular segment has these within one rack that fails over some hundred milliseconds, so that sound requests at few of its engines were convicted, also after the popular segment had been cleared; and all evidence was computed again for each repeated announcement. Change: an end is explained only by crashes a second apart; clearing a suspect withdraws what rests on it; nothing is computed when nothing is new, and else only near ends that have changed.

--- a/include/cicadaport/serving/prompt_quarantine.h
+++ b/include/cicadaport/serving/prompt_quarantine.h
@@ -173,10 +173,16 @@
     // Returns whether the crash was not known yet.
     bool record_end(const seen_crash& end, time_point now);
     double evidence_against(const suspect& of) const;
-    // Determines anew which ends are explained. Returns whether any has changed.
-    bool update_explained_ends();
-    // Computes the evidence anew that the end of an engine at this time may have changed.
-    void update_evidence(time_point at);
+    // Returns whether the suspect was present at crashes so far apart that they have no common
+    // cause but itself.
+    static bool has_separate_crashes(const suspect& of) noexcept;
+    // Marks the ends at which the suspect was present as explained. Adds the times of those that
+    // were not before to `changed`.
+    void mark_explained_ends(const suspect& by, std::vector<time_point>& changed);
+    // Computes the evidence anew that ends of engines at these times may have changed.
+    void update_evidence(std::span<const time_point> changed);
+    // Computes anew which ends are explained, and all evidence.
+    void update_all();
     static segment_verdict verdict_of(segment_id segment, const suspect& of);
     static bool is_convicted(const suspect& of) noexcept
     {
--- a/src/serving/prompt_quarantine.cpp
+++ b/src/serving/prompt_quarantine.cpp
@@ -37,7 +37,17 @@
         }
         added_to.push_back(segment);
     }
-    update_evidence(crash.at);
+    if (!out.is_new && added_to.empty()) {
+        return out;
+    }
+    std::vector<time_point> changed{crash.at};
+    for (const auto segment : added_to) {
+        const auto found = m_suspects.find(segment);
+        if (found != m_suspects.end() && has_separate_crashes(found->second)) {
+            mark_explained_ends(found->second, changed);
+        }
+    }
+    update_evidence(changed);
     for (const auto segment : added_to) {
         // Making room for a later segment may have removed an earlier one.
         if (const auto found = m_suspects.find(segment); found != m_suspects.end()) {
@@ -61,42 +71,53 @@
     return true;
 }
 
-bool prompt_quarantine::update_explained_ends()
+bool prompt_quarantine::has_separate_crashes(const suspect& of) noexcept
 {
-    std::vector<bool> explained(m_recent_ends.size(), false);
-    for (const auto& [segment, each] : m_suspects) {
-        const auto& crashes = each.crashes;
-        if (crashes.back().at - crashes.front().at < simultaneous_time) {
-            continue;
-        }
-        for (std::size_t index = 0; index < m_recent_ends.size(); ++index) {
-            explained[index] = explained[index] ||
-                               std::any_of(crashes.begin(), crashes.end(), [&](const auto& crash) {
-                                   return is_same_crash(crash, m_recent_ends[index]);
-                               });
+    return of.crashes.back().at - of.crashes.front().at >= same_crash_time;
+}
+
+void prompt_quarantine::mark_explained_ends(const suspect& by, std::vector<time_point>& changed)
+{
+    for (auto& end : m_recent_ends) {
+        if (!end.is_explained &&
+            std::any_of(by.crashes.begin(), by.crashes.end(),
+                        [&](const auto& each) { return is_same_crash(each, end); })) {
+            end.is_explained = true;
+            changed.push_back(end.at);
         }
     }
-    bool is_changed = false;
-    for (std::size_t index = 0; index < m_recent_ends.size(); ++index) {
-        is_changed = is_changed || m_recent_ends[index].is_explained != explained[index];
-        m_recent_ends[index].is_explained = explained[index];
-    }
-    return is_changed;
 }
 
-void prompt_quarantine::update_evidence(time_point at)
+void prompt_quarantine::update_evidence(std::span<const time_point> changed)
 {
-    const bool is_any_changed = update_explained_ends();
-    for (auto& [segment, each] : m_suspects) {
-        const auto is_near = [&](const seen_crash& crash) {
+    const auto is_changed = [&](const seen_crash& crash) {
+        return std::any_of(changed.begin(), changed.end(), [&](time_point at) {
             return std::chrono::abs(crash.at - at) < 2 * simultaneous_time;
-        };
-        if (is_any_changed || std::any_of(each.crashes.begin(), each.crashes.end(), is_near)) {
+        });
+    };
+    for (auto& [segment, each] : m_suspects) {
+        if (std::any_of(each.crashes.begin(), each.crashes.end(), is_changed)) {
             each.evidence = evidence_against(each);
         }
     }
 }
 
+void prompt_quarantine::update_all()
+{
+    for (auto& each : m_recent_ends) {
+        each.is_explained = false;
+    }
+    std::vector<time_point> changed;
+    for (const auto& [segment, each] : m_suspects) {
+        if (has_separate_crashes(each)) {
+            mark_explained_ends(each, changed);
+        }
+    }
+    for (auto& [segment, each] : m_suspects) {
+        each.evidence = evidence_against(each);
+    }
+}
+
 double prompt_quarantine::evidence_against(const suspect& of) const
 {
     double out = 0;
@@ -125,6 +146,7 @@
                                    time_point now)
 {
     std::vector<segment_verdict> out;
+    bool explained_ends = false;
     for (const auto segment : segments) {
         if (m_survivals.size() >= max_survivals && !m_survivals.contains(segment)) {
             forget_old(now);
@@ -137,9 +159,13 @@
         const auto found = m_suspects.find(segment);
         if (found != m_suspects.end() && found->second.crashes.back().at <= latest + survival_ttl) {
             out.push_back(verdict_of(segment, found->second));
+            explained_ends = explained_ends || has_separate_crashes(found->second);
             m_suspects.erase(found);
         }
     }
+    if (explained_ends) {
+        update_all();
+    }
     return out;
 }
 
--- a/test/serving/prompt_quarantine_test.cpp
+++ b/test/serving/prompt_quarantine_test.cpp
@@ -102,6 +102,39 @@
     EXPECT_FALSE(is_admitted(quarantine, {other_deadly}, start + 9s));
 }
 
+// Regression: a popular segment at all of the ends took them for explained.
+TEST(prompt_quarantine_test,
+     a_segment_at_few_engines_of_a_rack_that_fails_slowly_is_not_quarantined)
+{
+    constexpr std::uint64_t rack_size = 12;
+    prompt_quarantine quarantine;
+    for (std::uint64_t engine = 1; engine <= rack_size; ++engine) {
+        const auto at = start + 50ms * engine;
+        std::vector<segment_id> present{common};
+        if (engine % 4 == 0) {
+            present.push_back(companion);
+        }
+        quarantine.record_crash({engine, at, present}, at);
+    }
+    EXPECT_LT(quarantine.max_evidence({{companion}}), prompt_quarantine::evidence_threshold);
+    const std::vector<segment_id> popular{common};
+    quarantine.record_survival(popular, start + 2s, start + 2s);
+    EXPECT_TRUE(is_admitted(quarantine, {companion}, start + 2s));
+}
+
+TEST(prompt_quarantine_test, evidence_that_rests_on_a_cleared_segment_is_withdrawn)
+{
+    prompt_quarantine quarantine;
+    for (std::uint64_t round = 0; round < 3; ++round) {
+        const auto at = start + 4s * round;
+        quarantine.record_crash({2 * round + 1, at, {deadly}}, at);
+        quarantine.record_crash({2 * round + 2, at + 5ms, {companion}}, at + 5ms);
+    }
+    const std::vector<segment_id> sound{companion};
+    quarantine.record_survival(sound, start + 9s, start + 9s);
+    EXPECT_LT(quarantine.max_evidence({{deadly}}), prompt_quarantine::evidence_threshold);
+}
+
 TEST(prompt_quarantine_test, an_answer_clears_a_segment)
 {
     prompt_quarantine quarantine;
