serving: announce crashes seen through a request without an id

Change: the source is a parameter. Measured: crashing_request_test.crashes_by_a_request_without_an_id_are_known_to_all_hosts.

--- a/include/cicadaport/serving/crash_monitor.h
+++ b/include/cicadaport/serving/crash_monitor.h
@@ -102,8 +102,10 @@
     };
 
     void handle_probe(const std::string& engine, bool accepts_connections);
-    void record_crash(const engine_crash& crash, std::string_view source,
-                      const std::string& request);
+    // Who saw a crash.
+    enum class crash_source { own_request, other_host };
+    // `request` is the id of the interrupted request, if the caller gave it one.
+    void record_crash(const engine_crash& crash, crash_source source, const std::string& request);
     void cancel_pending();
     void schedule_contradiction(const segment_survival& survival);
     void contradict();
--- a/src/serving/crash_monitor.cpp
+++ b/src/serving/crash_monitor.cpp
@@ -63,16 +63,16 @@
                      pending.request, m_log_budget.take_suppressed_count());
     }
     if (!accepts_connections) {
-        record_crash(pending.crash, "own_request", pending.request);
+        record_crash(pending.crash, crash_source::own_request, pending.request);
     }
 }
 
-void crash_monitor::record_crash(const engine_crash& crash, std::string_view source,
+void crash_monitor::record_crash(const engine_crash& crash, crash_source source,
                                  const std::string& request)
 {
     const auto now = m_timers.now();
     const auto result = m_quarantine.record_crash(crash, now);
-    const bool is_own = !request.empty();
+    const bool is_own = source == crash_source::own_request;
     engine_crash announced{crash.engine, crash.at, {}};
     bool is_any_quarantined = false;
     for (const auto& each : result.suspected) {
@@ -85,7 +85,7 @@
                         each.quarantined_until ? "quarantined" : "suspected", each.segment,
                         each.crashes, crash.engine, to_ms(now - crash.at).count(),
                         each.quarantined_until ? to_ms(*each.quarantined_until - now).count() : 0,
-                        source, request);
+                        is_own ? "own_request" : "other_host", request);
         }
     }
     if (is_own && m_gossip != nullptr && (result.is_new || !announced.segments.empty())) {
@@ -158,7 +158,7 @@
 
 void crash_monitor::apply_announced_crash(const engine_crash& crash)
 {
-    record_crash(crash, "other_host", "");
+    record_crash(crash, crash_source::other_host, "");
 }
 
 void crash_monitor::apply_announced_survival(const segment_survival& survival)
--- a/test/platform/crashing_request_test.cpp
+++ b/test/platform/crashing_request_test.cpp
@@ -157,6 +157,26 @@
   EXPECT_EQ(ask_host(0, request("GET", "/safe/x", "last")).status, 404U);
 }
 
+// Regression: crashes that a request without an id interrupted were not
+// announced.
+TEST_F(crashing_request_test,
+       crashes_by_a_request_without_an_id_are_known_to_all_hosts) {
+  const auto servers = make_replicas("s", "");
+  start_fleet();
+  const std::string bytes =
+      "POST /once/x HTTP/1.1\r\nHost: h.example\r\nDeadline-Ms: 5000\r\n"
+      "Content-Length: 6\r\n\r\n" +
+      std::string{testing::deadly_body};
+  for (std::size_t round = 0; round < tolerated_crashes; ++round) {
+    ask_host(0, bytes);
+    std::this_thread::sleep_for(round_time);
+  }
+  for (int number = 0; number < hosts; ++number) {
+    EXPECT_EQ(ask_host(number, bytes).status, 503U) << "host " << number;
+  }
+  EXPECT_EQ(servers->deadly_count(), tolerated_crashes);
+}
+
 TEST_F(crashing_request_test,
        a_request_that_may_be_repeated_is_not_sent_on_from_crash_to_crash) {
   const auto servers = make_replicas("s", "");
