serving: continue a stream only with an answer of the status with which it began

Cause: a stream had begun and broke off, and the next replica, or the host to which the request was relayed, answered with a signed success of another kind. Callers found the stream complete although events were missing (204, 205, 206), or the text of that answer in the middle of it (206). Any signed 2xx that is not encoded was taken for the rest of the stream. Ruled out: errors (500, 503, 504, 400, 404, 421, 429, 302, 304), with a length, in chunks, unframed, cut short, reset or after a 1xx; refusals; 200 unsigned, encoded or without an id. None of them reached the caller's stream before, nor does it now. Change: an answer counts as the rest of a stream only with the status that the caller was sent. Any other is a failed attempt; the stream is broken off when no further attempt is allowed. Measured: the first two tests of continued_stream_test, 27 kinds of answers, directly and through a relay. On the code before both fail for signed 204, 205 and 206: "answer.complete, Actual: true, Expected: false", and for 206 the body ended in "id: 9 data: error". Now platform_test with host, unframed answer, origin, endless answer, crashing prompt and these tests: 75 of 75. Conclusion: the head and the status are those of the first replica, so only an answer that agrees with them can be the rest. A continuation that skips ids is still forwarded: the users' pages do not say that ids are consecutive.

--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -141,6 +141,9 @@
     milliseconds retry_after_without_replica() const;
     // Returns the health record of the endpoint that the request was last sent to.
     endpoint_health& health_of_endpoint();
+    // Returns whether the answer is a success that its endpoint made for the caller. If it
+    // continues a stream, it has the status with which the stream began.
+    bool is_genuine_success() const;
     void forward_events(bool at_end);
     // Aborts the exchange with the endpoint if its answer, or one event of it, is larger
     // than `max_bytes`.
@@ -240,7 +243,9 @@
     bool m_answer_confirmed = true;
     std::string m_answer_body;
     event_buffer m_events;
+    // Whether a stream to the caller has begun, and with which status.
     bool m_answer_started = false;
+    unsigned m_begun_status = 0;
 };
 
 } // namespace cicadaport::serving
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -180,9 +180,7 @@
 void exchange::on_body(std::string_view piece)
 {
     const auto keep = shared_from_this();
-    const bool forwarded = m_step != step::prefilling && m_route->streamed &&
-                           is_success(m_answer->status) && m_answer_metadata.is_signed &&
-                           !m_answer_metadata.is_encoded;
+    const bool forwarded = m_step != step::prefilling && m_route->streamed && is_genuine_success();
     if (!forwarded) {
         m_answer_body += piece;
         enforce_answer_limit(m_answer_body.size(), max_answer_bytes);
@@ -193,6 +191,13 @@
     enforce_answer_limit(m_events.pending_bytes(), max_event_bytes);
 }
 
+bool exchange::is_genuine_success() const
+{
+    const auto status = m_answer->status;
+    return is_success(status) && m_answer_metadata.is_signed && !m_answer_metadata.is_encoded &&
+           (!m_answer_started || status == m_begun_status);
+}
+
 void exchange::forward_events(bool at_end)
 {
     const auto events = m_events.take_complete();
@@ -209,7 +214,8 @@
                 m_host.engines.record_time(m_endpoint->report.id, m_plan.prefill_latency, observed);
             }
         }
-        m_caller->begin(m_answer->status, m_answer->fields);
+        m_begun_status = m_answer->status;
+        m_caller->begin(m_begun_status, m_answer->fields);
     }
     if (!events.empty()) {
         record_event();
@@ -352,8 +358,7 @@
 {
     const auto now = m_host.timers.now();
     const auto status = m_answer->status;
-    const bool genuine =
-        !is_success(status) || (m_answer_metadata.is_signed && !m_answer_metadata.is_encoded);
+    const bool genuine = !is_success(status) || is_genuine_success();
     auto& health = health_of_endpoint();
     if (!m_answer_confirmed) {
         handle_run_failure();
