serving: answer a stream without events as a whole

Cause: a replica answered 204 on a streaming route. The host sent the head of a chunked answer and its last chunk, although a 204 has no body, so the callers' connections held bytes that are no answer: the next answer on a kept connection could not be read. Change: a stream that ends before its first event is answered at once, with a length, and without a body where the status allows none. forward_events() only forwards events. Measured: continued_stream_test.without_events_and_body_leaves_nothing_on_the_callers_connection, two requests on one connection. Conclusion: nothing follows the head of a 204 any more.

--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -144,7 +144,7 @@
     // Returns whether the answer is a success that its endpoint made for the caller. If it
     // continues a stream, it has the status with which the stream began.
     bool is_genuine_success() const;
-    void forward_events(bool at_end);
+    void forward_events();
     // Aborts the exchange with the endpoint if its answer, or one event of it, is larger
     // than `max_bytes`.
     void enforce_answer_limit(std::size_t bytes, std::size_t max_bytes);
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -187,7 +187,7 @@
         return;
     }
     m_events.feed(piece);
-    forward_events(false);
+    forward_events();
     enforce_answer_limit(m_events.pending_bytes(), max_event_bytes);
 }
 
@@ -198,14 +198,15 @@
            (!m_answer_started || status == m_begun_status);
 }
 
-void exchange::forward_events(bool at_end)
+void exchange::forward_events()
 {
     const auto events = m_events.take_complete();
-    if (events.empty() && !at_end) {
+    if (events.empty()) {
         return;
     }
     if (!m_answer_started) {
         m_answer_started = true;
+        m_begun_status = m_answer->status;
         m_answer_timer.cancel();
         if (m_route->has_prompt) {
             end_prefill();
@@ -214,16 +215,13 @@
                 m_host.engines.record_time(m_endpoint->report.id, m_plan.prefill_latency, observed);
             }
         }
-        m_begun_status = m_answer->status;
         m_caller->begin(m_begun_status, m_answer->fields);
     }
-    if (!events.empty()) {
-        record_event();
-        if (m_route->resumable && !m_answer_timer.is_set()) {
-            start_silence_timeout();
-        }
-        m_caller->write(events);
+    record_event();
+    if (m_route->resumable && !m_answer_timer.is_set()) {
+        start_silence_timeout();
     }
+    m_caller->write(events);
     if (m_caller != nullptr && m_caller->unsent() > max_unsent_bytes) {
         on_caller_blocked();
     }
@@ -390,15 +388,15 @@
         log_end("answered", "");
         ++m_host.counts.answered;
         if (m_route->streamed) {
-            forward_events(true);
             m_host.events.learn(m_route->name, m_events.count());
-            if (m_caller != nullptr) {
-                m_caller->finish();
-            }
         }
-        else {
+        if (!m_answer_started) {
+            // Also a stream without events, whose status may allow no body.
             m_caller->answer(status, m_answer->fields, m_answer_body);
         }
+        else if (m_caller != nullptr) {
+            m_caller->finish();
+        }
         finish();
         return;
     }
--- a/test/platform/continued_stream_test.cpp
+++ b/test/platform/continued_stream_test.cpp
@@ -176,5 +176,21 @@
     EXPECT_EQ(answer.body, events(1, 2));
 }
 
+TEST_F(continued_stream_test, without_events_and_body_leaves_nothing_on_the_callers_connection)
+{
+    scripted_server replica{[](const received_request& each) {
+        return answer_with({"", "204 X\r\nIDResponse-Seal: s\r\n", ""}, each);
+    }};
+    list_replica("i-3", replica.address());
+    start();
+    testing::caller connection{settings.caller_address};
+    for (const std::string id : {"r1", "r2"}) {
+        const auto answer = connection.ask(request("POST", "/stream/x", id, "", "q"));
+        EXPECT_EQ(answer.status, 204U);
+        EXPECT_TRUE(answer.complete);
+        EXPECT_EQ(answer.field("Request-Id"), id);
+    }
+}
+
 } // namespace
 } // namespace cicadaport::platform
