platform: a nested value in the configuration ends no host

Cause: a configuration whose field limits holds 100,000 nested arrays ended every host that read it, and each one that was started in its place: the value was copied, and copies of nested JSON recurse until the stack is full. The parser and the destructor of the JSON library do not recurse. Ruled out: entries of replicas, answers of replicas and of the store, other fields of the configuration; 200,000 opening brackets without an end. None of them copies a nested value. Measured: wire_test.deeply_nested_json_yields_nothing_and_ends_no_process.

--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -229,6 +229,38 @@
     }
 }
 
+// Returns a complete entry in which the text of one field is replaced.
+std::string entry_with(const std::string& field, const std::string& replacement)
+{
+    std::string out = R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":"v1",)"
+                      R"("slots":4,"state":"ready","sequence":4,"born":17})";
+    return out.replace(out.find(field), field.size(), replacement);
+}
+
+constexpr std::size_t deep = 100'000;
+const std::string deeply_nested = std::string(deep, '[') + std::string(deep, ']');
+
+TEST(wire_test, deeply_nested_json_yields_nothing_and_ends_no_process)
+{
+    EXPECT_FALSE(read_endpoint(std::string(2 * deep, '[')));
+    EXPECT_FALSE(read_endpoint(deeply_nested));
+    for (const std::string field : {"\"s\"", "\"10.1.2.3:80\"", "4", "17"}) {
+        EXPECT_FALSE(read_endpoint(entry_with(field, deeply_nested)));
+    }
+    EXPECT_EQ(adapter.read_deployment({"config", deeply_nested}), nullptr);
+    for (const std::string field : {"limits", "routes", "services", "version"}) {
+        EXPECT_EQ(adapter.read_deployment({"config", R"({"version":1,"routes":[],"services":[],")" +
+                                                         field + R"(":)" + deeply_nested + "}"}),
+                  nullptr)
+            << field;
+    }
+    EXPECT_EQ(adapter.read_kv_handle(deeply_nested), std::nullopt);
+    EXPECT_EQ(adapter.read_status(200, deeply_nested), std::nullopt);
+    EXPECT_EQ(adapter.read_append(200, deeply_nested), std::nullopt);
+    EXPECT_EQ(adapter.read_first_offset(410, deeply_nested), std::nullopt);
+    EXPECT_THROW(adapter.read_newest(200, deeply_nested), serving::store_error);
+}
+
 TEST(wire_test, parses_a_configuration)
 {
     const auto read = adapter.read_deployment(
