--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -261,6 +261,19 @@
     EXPECT_THROW(adapter.read_newest(200, deeply_nested), serving::store_error);
 }
 
+TEST(wire_test, answers_with_fields_of_another_type_yield_nothing)
+{
+    EXPECT_EQ(adapter.read_status(200, R"({"sequence":1,"busy":"no"})"), std::nullopt);
+    EXPECT_EQ(adapter.read_status(200, R"({"sequence":1,"busy":[]})"), std::nullopt);
+    for (const std::string offset : {R"("7")", "-1", "1e3", "[]", "null"}) {
+        EXPECT_EQ(adapter.read_append(200, R"({"offset":)" + offset + "}"), std::nullopt) << offset;
+    }
+    for (const std::string handle : {"7", "[]", R"("")", R"("a\r\nX: y")", R"("a b")"}) {
+        EXPECT_EQ(adapter.read_kv_handle(R"({"kv-handle":)" + handle + "}"), std::nullopt)
+            << handle;
+    }
+}
+
 TEST(wire_test, parses_a_configuration)
 {
     const auto read = adapter.read_deployment(
