platform: an entry with a number, port or id out of range names no replica

Cause: numbers of an entry were wrapped: -1 slots counted as 4,294,967,295, with which a replica looks idle whatever it runs and no engine ever changes its stage, and a sequence or start time of 2^63 or more as negative. Port 0 was taken, and so was an address with a null character, after which any text may stand, and a key with spaces or line breaks. Key and address become fields of requests, so these could have added fields of their own. Ruled out: 1e400, 2^64, floating point numbers, ports above 65535, nested values: they named no replica before, and ended no host. Measured: wire_test.an_entry_with_a_number_or_port_out_of_range_yields_no_endpoint and an_entry_whose_id_is_no_field_value_yields_no_endpoint. Conclusion: such an entry counts as removed, like other unreadable ones.

--- a/src/http/address.cpp
+++ b/src/http/address.cpp
@@ -13,7 +13,8 @@
 {
     const auto colon = text.rfind(':');
     address out;
-    if (colon != std::string_view::npos) {
+    // The IP parser ignores what follows a null character.
+    if (colon != std::string_view::npos && text.find('\0') == std::string_view::npos) {
         const auto digits = text.substr(colon + 1);
         const auto [end, error] =
             std::from_chars(digits.data(), digits.data() + digits.size(), out.port);
--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -237,6 +237,32 @@
     return out.replace(out.find(field), field.size(), replacement);
 }
 
+TEST(wire_test, an_entry_with_a_number_or_port_out_of_range_yields_no_endpoint)
+{
+    ASSERT_TRUE(read_endpoint(entry_with("17", "18")));
+    for (const std::string number : {"1e400", "-1e400", "18446744073709551616", "1e3", "4.0",
+                                     "9223372036854775808", "18446744073709551615"}) {
+        EXPECT_FALSE(read_endpoint(entry_with(":4,\"born", ":" + number + ",\"born"))) << number;
+        EXPECT_FALSE(read_endpoint(entry_with("17", number))) << number;
+        EXPECT_FALSE(read_endpoint(entry_with("4", number))) << number;
+    }
+    for (const std::string slots : {"-1", "4294967296", "4294967300"}) {
+        EXPECT_FALSE(read_endpoint(entry_with("4", slots))) << slots;
+    }
+    for (const std::string port : {"0", "65536", "-1", "1e3", "", "18446744073709551616", "80 "}) {
+        EXPECT_FALSE(read_endpoint(entry_with(":80", ":" + port))) << port;
+    }
+    EXPECT_FALSE(read_endpoint(entry_with(":80", R"(\u0000\r\nX: y:80)")));
+}
+
+TEST(wire_test, an_entry_whose_id_is_no_field_value_yields_no_endpoint)
+{
+    const auto value = entry_with("17", "18");
+    for (const std::string id : {"", "i 1", "i-1\r\nX: y", "i\xff", "i\t"}) {
+        EXPECT_FALSE(adapter.read_endpoint({id, value})) << id;
+    }
+}
+
 constexpr std::size_t deep = 100'000;
 const std::string deeply_nested = std::string(deep, '[') + std::string(deep, ']');
 
