platform: one record or item that can't be read does not hide the others

Cause: a record without content, or shorter than its key's length, made the whole answer of the store unreadable. The next read began at the same record, so the host followed the list no more. An item of the whole list without a key or with a value that is not base64 did the same, and so did a key that the store can't write as valid JSON (invalid UTF-8, half of a surrogate pair); a host that started then was never ready. A key with a space or a line break, if it was the last of a page, broke the request for the next page. Conclusion: an odd entry costs itself. A whole page of only odd items still ends the list; not seen.

--- a/test/platform/malformed_input_test.cpp
+++ b/test/platform/malformed_input_test.cpp
@@ -178,6 +178,67 @@
         [this] { return ask(request("GET", "/v1000000/x", "r1")).body == "body"; }));
 }
 
+// Entries of another writer: nested too deeply, with numbers and ports out of range, with ids that
+// no replica has, and records without a valid key.
+const std::vector<std::pair<std::string, std::string>> odd_entries{
+    {"i-deep", std::string(200'000, '[')},
+    {"i-deeper", std::string(100'000, '[') + std::string(100'000, ']')},
+    {"i-number",
+     R"({"service":"s","address":"127.0.0.1:1","zone":"z","version":"v1","slots":1e400,)"
+     R"("state":"ready","sequence":1,"born":1})"},
+    {"i-port", R"({"service":"s","address":"127.0.0.1:70000","zone":"z","version":"v1","slots":4,)"
+               R"("state":"ready","sequence":1,"born":1})"},
+    {"i-sequence", R"({"service":"s","address":"127.0.0.1:1","zone":"z","version":"v1","slots":4,)"
+                   R"("state":"ready","sequence":18446744073709551616,"born":-1})"},
+    {"i 1\r\nX: y", "{}"},
+    {std::string(255, 'k'), std::string(1, '\0')},
+};
+
+TEST_F(malformed_input_test, odd_entries_hide_no_replica_and_no_later_change)
+{
+    const auto put_odd_entries = [this] {
+        for (const auto& [key, value] : odd_entries) {
+            store.put(std::string{testing::replicas_topic}, key, value);
+        }
+    };
+    put_odd_entries();
+    start_with_replica();
+    expect_served();
+    put_odd_entries();
+    // Such a key can't be written as JSON, in which the stand-in returns the whole list.
+    store.put(std::string{testing::replicas_topic}, "i\xff", "{}");
+    scripted_server later{
+        [](const received_request& each) { return signed_answer(each, "later"); }};
+    list_replica("i-2", later.address());
+    store.put(std::string{testing::replicas_topic}, "i-1", "");
+    put_odd_entries();
+    EXPECT_TRUE(testing::eventually(
+        [this] { return ask(request("GET", "/safe/x", "r2")).body == "later"; }));
+}
+
+class malformed_entry_fleet_test : public testing::fleet_test {};
+
+TEST_F(malformed_entry_fleet_test, all_hosts_follow_changes_announced_beside_odd_entries)
+{
+    scripted_server first{[](const received_request& each) { return signed_answer(each, "x"); }};
+    scripted_server later{
+        [](const received_request& each) { return signed_answer(each, "later"); }};
+    list_replica("i-1", first.address());
+    start_fleet();
+    for (const auto& [key, value] : odd_entries) {
+        store.put(std::string{testing::replicas_topic}, key, value);
+    }
+    store.put(std::string{testing::replicas_topic}, "i\xff", "{}");
+    list_replica("i-2", later.address());
+    store.put(std::string{testing::replicas_topic}, "i-1", "");
+    for (const auto& each : fleet) {
+        EXPECT_TRUE(testing::eventually([&] {
+            testing::caller connection{each.settings.caller_address};
+            return connection.ask(request("GET", "/safe/x", "r")).body == "later";
+        }));
+    }
+}
+
 TEST_F(malformed_input_test, no_request_ends_a_host_and_none_stays_unanswered)
 {
     start_with_replica();
--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -300,6 +300,46 @@
     }
 }
 
+TEST(wire_test, a_record_without_a_valid_key_does_not_hide_the_others)
+{
+    // One record without content, one that is shorter than its key length, and a sound one.
+    const std::string odd{"\0\0\0\0\0\0\0\2\5k", 10};
+    const std::string sound{"\0\0\0\3\1kv", 7};
+    const auto page = adapter.read_records(200, std::string(16, '\0') + odd + sound + odd, 4);
+    ASSERT_EQ(page.entries.size(), 1U);
+    EXPECT_EQ(page.entries[0].key, "k");
+    EXPECT_EQ(page.entries[0].offset, 6U);
+    EXPECT_EQ(page.next_offset, 9U);
+}
+
+TEST(wire_test, an_item_that_cannot_be_read_does_not_hide_the_others)
+{
+    const std::string sound = R"({"key":"i-1","value":"dg==","offset":3})";
+    for (const std::string odd :
+         {R"({"key":7,"value":"dg=="})", R"({"key":"x"})", R"({"key":"x","value":"%"})",
+          R"({"key":"x","value":"dg==","offset":"3"})", "[]", "7",
+          R"({"key":"\udc80","value":"dg=="})", "{\"key\":\"x\xff\",\"value\":\"dg==\"}",
+          "{\"key\":\"x\x01\",\"value\":\"dg==\"}"}) {
+        const auto page = adapter.read_newest(200, R"({"items":[)" + odd + "," + sound + "," + odd +
+                                                       R"(],"more":false,"end":9})");
+        ASSERT_FALSE(page.entries.empty()) << odd;
+        const bool has_sound =
+            std::any_of(page.entries.begin(), page.entries.end(), [](const auto& each) {
+                return each.key == "i-1" && each.value == "v" && each.offset == 3;
+            });
+        EXPECT_TRUE(has_sound) << odd;
+        EXPECT_EQ(page.next_offset, 9U);
+    }
+}
+
+TEST(wire_test, a_list_is_continued_after_a_key_with_any_bytes)
+{
+    EXPECT_THAT(adapter.newest_request(serving::feed::endpoints, "a&b c\r\nX: y"),
+                HasSubstr("&after=a%26b%20c%0D%0AX%3A%20y HTTP/1.1\r\n"));
+    EXPECT_THAT(adapter.newest_request(serving::feed::endpoints, "i-7f3a.91_c2"),
+                HasSubstr("&after=i-7f3a.91_c2 HTTP/1.1\r\n"));
+}
+
 TEST(wire_test, parses_a_configuration)
 {
     const auto read = adapter.read_deployment(
