platform: a configuration with a number out of range is not taken

Cause: numbers of the configuration were wrapped or converted: a version of -1 counted as 2^64 - 1, so all later versions were passed over as older, and a time-out of -1 or 1e30 ms became a deadline in the past, so that the route's requests were rejected. The store is said to accept only valid configurations; this guards against one that does not. Measured: wire_test.a_configuration_with_a_number_out_of_range_yields_no_deployment. Conclusion: a number is taken as it is written or not at all.

--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -340,6 +340,23 @@
                 HasSubstr("&after=i-7f3a.91_c2 HTTP/1.1\r\n"));
 }
 
+TEST(wire_test, a_configuration_with_a_number_out_of_range_yields_no_deployment)
+{
+    const auto with = [](const std::string& version, const std::string& timeout) {
+        return adapter.read_deployment(
+            {"config", R"({"version":)" + version +
+                           R"(,"routes":[{"name":"r","host":"h","path-prefix":"/a/","kind":"safe",)"
+                           R"("service":"s","timeout-ms":)" +
+                           timeout + R"(}],"services":[]})"});
+    };
+    EXPECT_NE(with("1", "600"), nullptr);
+    for (const std::string number :
+         {"-1", "1e400", "18446744073709551616", "1e30", "\"1\"", "[]"}) {
+        EXPECT_EQ(with(number, "600"), nullptr) << number << " would hide all later versions";
+        EXPECT_EQ(with("1", number), nullptr) << number;
+    }
+}
+
 TEST(wire_test, parses_a_configuration)
 {
     const auto read = adapter.read_deployment(
