serving: send a request once more to an address only on a new connection

Cause: a replica that was started again under another id stands in the list twice, with one address, until its old entry expires. It refused a request, which was sent to the other entry, on the same connection and with the same Request-Id. A second copy of the refusal then had the id of the request in progress: callers were told 503 for a request that the replica ran. Ruled out: copies without an id or with the id of another request, written with the refusal, before the next request, before its answer or alone, with Connection: close or without, for requests that may run once, streams, prompts whose prefill has the same id, and relayed requests. They are skipped, or the request counts as one that may have run (502). A request is not sent again to an entry that refused it. Change: an exchange remembers the addresses that answered it, and sends its request there once more only on a new connection, on which no copy can be left. Conclusion: what an id can't tell apart, the connection does.

--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -193,6 +193,9 @@
     endpoint_pointer m_endpoint;
     std::shared_ptr<transport::exchange_connection> m_connection;
     http::address m_address;
+    // Addresses from which the request was answered. A copy of such an answer has the request's id,
+    // so the request is sent there once more only on a new connection.
+    std::set<http::address> m_answered_at;
     time_point m_sent{};
     // The prompt's segments that other requests may share.
     std::vector<segment_id> m_shared_segments;
--- a/include/cicadaport/transport/connection_pool.h
+++ b/include/cicadaport/transport/connection_pool.h
@@ -39,6 +39,9 @@
     // Returns a pooled or new connection to `to`; a request may be sent on it at once.
     std::shared_ptr<exchange_connection> take(const http::address& to, reuse_rule rule);
 
+    // Returns a new connection to `to`; a request may be sent on it at once.
+    std::shared_ptr<exchange_connection> open(const http::address& to);
+
     // Returns a connection to the pool after its exchange has ended. A connection
     // that can't be reused is dropped.
     void give_back(const http::address& to, std::shared_ptr<exchange_connection> connection);
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -300,6 +300,7 @@
 {
     m_host.crashes.remove_pending(*this);
     m_answer_timer.cancel();
+    m_answered_at.insert(m_address);
     if (m_answer_confirmed) {
         m_host.connections.give_back(m_address, std::exchange(m_connection, nullptr));
     }
--- a/src/serving/exchange_placement.cpp
+++ b/src/serving/exchange_placement.cpp
@@ -198,8 +198,10 @@
     m_run_first_event = time_point{};
     m_run_survived = false;
     const bool once = m_route->repeats == repeat_rule::once && what != step::prefilling;
-    m_connection = m_host.connections.take(m_address, once ? transport::reuse_rule::certain
-                                                           : transport::reuse_rule::any);
+    m_connection = m_answered_at.contains(m_address)
+                       ? m_host.connections.open(m_address)
+                       : m_host.connections.take(m_address, once ? transport::reuse_rule::certain
+                                                                 : transport::reuse_rule::any);
 }
 
 void exchange::send(step what, const endpoint_pointer& to, const run_parameters& parameters)
--- a/src/transport/connection_pool.cpp
+++ b/src/transport/connection_pool.cpp
@@ -17,6 +17,11 @@
         }
         kept.pop_back();
     }
+    return open(to);
+}
+
+std::shared_ptr<exchange_connection> connection_pool::open(const http::address& to)
+{
     auto made = std::make_shared<exchange_connection>(m_context, m_timers, m_limits);
     made->connect(to, m_times);
     ++m_opened;
--- a/test/platform/stand_ins.h
+++ b/test/platform/stand_ins.h
@@ -28,6 +28,8 @@
 struct received_request {
     message_head head;
     std::string body;
+    // How many requests its connection had carried before.
+    std::size_t earlier_on_connection = 0;
 
     std::string field(std::string_view name) const
     {
@@ -155,6 +157,7 @@
         std::string input;
         message_reader reader{message_kind::request, {}};
         std::string body;
+        std::size_t requests = 0;
         bool open = false;
     };
     using session_pointer = std::shared_ptr<session>;
@@ -198,7 +201,8 @@
 
     void serve(const session_pointer& from)
     {
-        received_request request{from->reader.head(), std::exchange(from->body, {})};
+        received_request request{from->reader.head(), std::exchange(from->body, {}),
+                                 from->requests++};
         from->reader = message_reader{message_kind::request, {}};
         answer_function answer;
         {
