serving: an event's id ends with its line

Cause: an id with a carriage return inside was taken up to the line feed. It becomes a field of the request that continues the stream at another replica, where a reader that ends lines at carriage returns would have found another field. Found on reading; no caller saw it. Change: the id ends at the first carriage return, which ends a line of a stream of events. Measured: event_buffer_test.an_id_ends_with_its_line. Before: "Which is: ("7\rX: y")"; now it passes, with the other tests of event_buffer (6 of 6) and those of streams in platform_test (23 of 23). Conclusion: a faulty replica can't add fields to requests through event ids.

--- a/src/serving/event_buffer.cpp
+++ b/src/serving/event_buffer.cpp
@@ -16,10 +16,8 @@
             while (line.starts_with(' ')) {
                 line.remove_prefix(1);
             }
-            while (line.ends_with('\r')) {
-                line.remove_suffix(1);
-            }
-            return line;
+            // A carriage return ends a line, too.
+            return line.substr(0, line.find('\r'));
         }
     }
     return std::nullopt;
--- a/test/serving/event_buffer_test.cpp
+++ b/test/serving/event_buffer_test.cpp
@@ -52,6 +52,15 @@
     EXPECT_FALSE(events.is_inside_event());
 }
 
+TEST(event_buffer_test, an_id_ends_with_its_line)
+{
+    // The id becomes a field of the request that continues the stream.
+    event_buffer buffer;
+    buffer.feed("id: 7\rX: y\r\ndata: a\r\n\r\n");
+    buffer.take_complete();
+    EXPECT_EQ(buffer.last_event_id(), "7");
+}
+
 TEST(event_buffer_test, events_may_end_with_carriage_returns)
 {
     event_buffer events;
