--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -147,7 +147,10 @@
     milliseconds retry_after_without_replica() const;
     // Returns the health record of the endpoint that the request was last sent to.
     endpoint_health& health_of_endpoint();
-    void forward_events(bool at_end);
+    // Returns whether the answer is a success that its endpoint made for the caller. If it
+    // continues a stream, it has the status with which the stream began.
+    bool is_genuine_success() const;
+    void forward_events();
     // Aborts the exchange with the endpoint if its answer, or one event of it, is larger
     // than `max_bytes`.
     void enforce_answer_limit(std::size_t bytes, std::size_t max_bytes);
@@ -196,6 +199,9 @@
     endpoint_pointer m_endpoint;
     std::shared_ptr<transport::exchange_connection> m_connection;
     http::address m_address;
+    // Addresses from which the request was answered. A copy of such an answer has the request's id,
+    // so the request is sent there once more only on a new connection.
+    std::set<http::address> m_answered_at;
     time_point m_sent{};
     // The prompt's segments that other requests may share.
     std::vector<segment_id> m_shared_segments;
@@ -249,7 +255,9 @@
     bool m_answer_confirmed = true;
     std::string m_answer_body;
     event_buffer m_events;
+    // Whether a stream to the caller has begun, and with which status.
     bool m_answer_started = false;
+    unsigned m_begun_status = 0;
 };
 
 } // namespace cicadaport::serving
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -225,27 +225,33 @@
 void exchange::on_body(std::string_view piece)
 {
     const auto keep = shared_from_this();
-    const bool forwarded = m_step != step::prefilling && m_route->streamed &&
-                           is_success(m_answer->status) && m_answer_metadata.is_signed &&
-                           !m_answer_metadata.is_encoded;
+    const bool forwarded = m_step != step::prefilling && m_route->streamed && is_genuine_success();
     if (!forwarded) {
         m_answer_body += piece;
         enforce_answer_limit(m_answer_body.size(), max_answer_bytes);
         return;
     }
     m_events.feed(piece);
-    forward_events(false);
+    forward_events();
     enforce_answer_limit(m_events.pending_bytes(), max_event_bytes);
 }
 
-void exchange::forward_events(bool at_end)
+bool exchange::is_genuine_success() const
+{
+    const auto status = m_answer->status;
+    return is_success(status) && m_answer_metadata.is_signed && !m_answer_metadata.is_encoded &&
+           (!m_answer_started || status == m_begun_status);
+}
+
+void exchange::forward_events()
 {
     const auto events = m_events.take_complete();
-    if (events.empty() && !at_end) {
+    if (events.empty()) {
         return;
     }
     if (!m_answer_started) {
         m_answer_started = true;
+        m_begun_status = m_answer->status;
         m_answer_timer.cancel();
         if (m_route->has_prompt) {
             end_prefill();
@@ -254,15 +260,13 @@
                 m_host.engines.record_time(m_endpoint->report.id, m_plan.prefill_latency, observed);
             }
         }
-        m_caller->begin(m_answer->status, m_answer->fields);
+        m_caller->begin(m_begun_status, m_answer->fields);
     }
-    if (!events.empty()) {
-        record_event();
-        if (m_route->resumable && !m_answer_timer.is_set()) {
-            start_silence_timeout();
-        }
-        m_caller->write(events);
+    record_event();
+    if (m_route->resumable && !m_answer_timer.is_set()) {
+        start_silence_timeout();
     }
+    m_caller->write(events);
     if (m_caller != nullptr && m_caller->unsent() > max_unsent_bytes) {
         on_caller_blocked();
     }
@@ -346,6 +350,7 @@
 {
     m_host.crashes.remove_pending(*this);
     m_answer_timer.cancel();
+    m_answered_at.insert(m_address);
     if (m_answer_confirmed) {
         m_host.connections.give_back(m_address, std::exchange(m_connection, nullptr));
     }
@@ -402,8 +407,7 @@
 {
     const auto now = m_host.timers.now();
     const auto status = m_answer->status;
-    const bool genuine =
-        !is_success(status) || (m_answer_metadata.is_signed && !m_answer_metadata.is_encoded);
+    const bool genuine = !is_success(status) || is_genuine_success();
     auto& health = health_of_endpoint();
     if (!m_answer_confirmed) {
         handle_run_failure();
@@ -435,15 +439,15 @@
         log_end("answered", "");
         ++m_host.counts.answered;
         if (m_route->streamed) {
-            forward_events(true);
             m_host.events.learn(m_route->name, m_events.count());
-            if (m_caller != nullptr) {
-                m_caller->finish();
-            }
         }
-        else {
+        if (!m_answer_started) {
+            // Also a stream without events, whose status may allow no body.
             m_caller->answer(status, m_answer->fields, m_answer_body);
         }
+        else if (m_caller != nullptr) {
+            m_caller->finish();
+        }
         finish();
         return;
     }
--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -229,6 +229,134 @@
     }
 }
 
+// Returns a complete entry in which the text of one field is replaced.
+std::string entry_with(const std::string& field, const std::string& replacement)
+{
+    std::string out = R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":"v1",)"
+                      R"("slots":4,"state":"ready","sequence":4,"born":17})";
+    return out.replace(out.find(field), field.size(), replacement);
+}
+
+TEST(wire_test, an_entry_with_a_number_or_port_out_of_range_yields_no_endpoint)
+{
+    ASSERT_TRUE(read_endpoint(entry_with("17", "18")));
+    for (const std::string number : {"1e400", "-1e400", "18446744073709551616", "1e3", "4.0",
+                                     "9223372036854775808", "18446744073709551615"}) {
+        EXPECT_FALSE(read_endpoint(entry_with(":4,\"born", ":" + number + ",\"born"))) << number;
+        EXPECT_FALSE(read_endpoint(entry_with("17", number))) << number;
+        EXPECT_FALSE(read_endpoint(entry_with("4", number))) << number;
+    }
+    for (const std::string slots : {"-1", "4294967296", "4294967300"}) {
+        EXPECT_FALSE(read_endpoint(entry_with("4", slots))) << slots;
+    }
+    for (const std::string port : {"0", "65536", "-1", "1e3", "", "18446744073709551616", "80 "}) {
+        EXPECT_FALSE(read_endpoint(entry_with(":80", ":" + port))) << port;
+    }
+    EXPECT_FALSE(read_endpoint(entry_with(":80", R"(\u0000\r\nX: y:80)")));
+}
+
+TEST(wire_test, an_entry_whose_id_is_no_field_value_yields_no_endpoint)
+{
+    const auto value = entry_with("17", "18");
+    for (const std::string id : {"", "i 1", "i-1\r\nX: y", "i\xff", "i\t"}) {
+        EXPECT_FALSE(adapter.read_endpoint({id, value})) << id;
+    }
+}
+
+constexpr std::size_t deep = 100'000;
+const std::string deeply_nested = std::string(deep, '[') + std::string(deep, ']');
+
+TEST(wire_test, deeply_nested_json_yields_nothing_and_ends_no_process)
+{
+    EXPECT_FALSE(read_endpoint(std::string(2 * deep, '[')));
+    EXPECT_FALSE(read_endpoint(deeply_nested));
+    for (const std::string field : {"\"s\"", "\"10.1.2.3:80\"", "4", "17"}) {
+        EXPECT_FALSE(read_endpoint(entry_with(field, deeply_nested)));
+    }
+    EXPECT_EQ(adapter.read_deployment({"config", deeply_nested}), nullptr);
+    for (const std::string field : {"limits", "routes", "services", "version"}) {
+        EXPECT_EQ(adapter.read_deployment({"config", R"({"version":1,"routes":[],"services":[],")" +
+                                                         field + R"(":)" + deeply_nested + "}"}),
+                  nullptr)
+            << field;
+    }
+    EXPECT_EQ(adapter.read_kv_handle(deeply_nested), std::nullopt);
+    EXPECT_EQ(adapter.read_status(200, deeply_nested), std::nullopt);
+    EXPECT_EQ(adapter.read_append(200, deeply_nested), std::nullopt);
+    EXPECT_EQ(adapter.read_first_offset(410, deeply_nested), std::nullopt);
+    EXPECT_THROW(adapter.read_newest(200, deeply_nested), serving::store_error);
+}
+
+TEST(wire_test, answers_with_fields_of_another_type_yield_nothing)
+{
+    EXPECT_EQ(adapter.read_status(200, R"({"sequence":1,"busy":"no"})"), std::nullopt);
+    EXPECT_EQ(adapter.read_status(200, R"({"sequence":1,"busy":[]})"), std::nullopt);
+    for (const std::string offset : {R"("7")", "-1", "1e3", "[]", "null"}) {
+        EXPECT_EQ(adapter.read_append(200, R"({"offset":)" + offset + "}"), std::nullopt) << offset;
+    }
+    for (const std::string handle : {"7", "[]", R"("")", R"("a\r\nX: y")", R"("a b")"}) {
+        EXPECT_EQ(adapter.read_kv_handle(R"({"kv-handle":)" + handle + "}"), std::nullopt)
+            << handle;
+    }
+}
+
+TEST(wire_test, a_record_without_a_valid_key_does_not_hide_the_others)
+{
+    // One record without content, one that is shorter than its key length, and a sound one.
+    const std::string odd{"\0\0\0\0\0\0\0\2\5k", 10};
+    const std::string sound{"\0\0\0\3\1kv", 7};
+    const auto page = adapter.read_records(200, std::string(16, '\0') + odd + sound + odd, 4);
+    ASSERT_EQ(page.entries.size(), 1U);
+    EXPECT_EQ(page.entries[0].key, "k");
+    EXPECT_EQ(page.entries[0].offset, 6U);
+    EXPECT_EQ(page.next_offset, 9U);
+}
+
+TEST(wire_test, an_item_that_cannot_be_read_does_not_hide_the_others)
+{
+    const std::string sound = R"({"key":"i-1","value":"dg==","offset":3})";
+    for (const std::string odd :
+         {R"({"key":7,"value":"dg=="})", R"({"key":"x"})", R"({"key":"x","value":"%"})",
+          R"({"key":"x","value":"dg==","offset":"3"})", "[]", "7",
+          R"({"key":"\udc80","value":"dg=="})", "{\"key\":\"x\xff\",\"value\":\"dg==\"}",
+          "{\"key\":\"x\x01\",\"value\":\"dg==\"}"}) {
+        const auto page = adapter.read_newest(200, R"({"items":[)" + odd + "," + sound + "," + odd +
+                                                       R"(],"more":false,"end":9})");
+        ASSERT_FALSE(page.entries.empty()) << odd;
+        const bool has_sound =
+            std::any_of(page.entries.begin(), page.entries.end(), [](const auto& each) {
+                return each.key == "i-1" && each.value == "v" && each.offset == 3;
+            });
+        EXPECT_TRUE(has_sound) << odd;
+        EXPECT_EQ(page.next_offset, 9U);
+    }
+}
+
+TEST(wire_test, a_list_is_continued_after_a_key_with_any_bytes)
+{
+    EXPECT_THAT(adapter.newest_request(serving::feed::endpoints, "a&b c\r\nX: y"),
+                HasSubstr("&after=a%26b%20c%0D%0AX%3A%20y HTTP/1.1\r\n"));
+    EXPECT_THAT(adapter.newest_request(serving::feed::endpoints, "i-7f3a.91_c2"),
+                HasSubstr("&after=i-7f3a.91_c2 HTTP/1.1\r\n"));
+}
+
+TEST(wire_test, a_configuration_with_a_number_out_of_range_yields_no_deployment)
+{
+    const auto with = [](const std::string& version, const std::string& timeout) {
+        return adapter.read_deployment(
+            {"config", R"({"version":)" + version +
+                           R"(,"routes":[{"name":"r","host":"h","path-prefix":"/a/","kind":"safe",)"
+                           R"("service":"s","timeout-ms":)" +
+                           timeout + R"(}],"services":[]})"});
+    };
+    EXPECT_NE(with("1", "600"), nullptr);
+    for (const std::string number :
+         {"-1", "1e400", "18446744073709551616", "1e30", "\"1\"", "[]"}) {
+        EXPECT_EQ(with(number, "600"), nullptr) << number << " would hide all later versions";
+        EXPECT_EQ(with("1", number), nullptr) << number;
+    }
+}
+
 TEST(wire_test, parses_a_configuration)
 {
     const auto read = adapter.read_deployment(
