--- a/test/platform/continued_stream_test.cpp
+++ b/test/platform/continued_stream_test.cpp
@@ -8,7 +8,6 @@
 
 using namespace std::chrono_literals;
 using testing::events;
-using testing::make_response;
 using testing::received_request;
 using testing::request;
 using testing::scripted_response;
