--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -15,6 +15,8 @@
 constexpr caller_limits default_limits{};
 // Time in which a body must arrive after its head.
 constexpr milliseconds body_timeout{20'000};
+// Time in which a caller must have taken the last answer of its connection.
+constexpr milliseconds last_answer_timeout{20'000};
 // Time in which the caller may close its side after the host has closed its own.
 constexpr milliseconds close_timeout{1'000};
 
@@ -237,9 +239,7 @@
     // request that has already arrived is still answered.
     m_closing = m_closing || (m_host.is_stopping() && m_connection->input().empty());
     if (m_closing) {
-        if (m_connection->unsent() == 0) {
-            close_gracefully();
-        }
+        close_gracefully();
         return;
     }
     wait_for_request();
@@ -265,16 +265,16 @@
 void caller_connection::close_gracefully()
 {
     m_closing = true;
-    if (m_connection->unsent() > 0) {
-        // on_written() closes.
-        m_timeout.cancel();
-        return;
+    const bool is_written = m_connection->unsent() == 0;
+    if (is_written) {
+        m_connection->stop_sending();
     }
-    m_connection->stop_sending();
-    m_timeout = m_host.timers.call_at(m_host.timers.now() + close_timeout, [this] {
-        const auto keep = shared_from_this();
-        drop();
-    });
+    // Else on_written() continues here.
+    m_timeout = m_host.timers.call_at(
+        m_host.timers.now() + (is_written ? close_timeout : last_answer_timeout), [this] {
+            const auto keep = shared_from_this();
+            drop();
+        });
 }
 
 void caller_connection::end_now()
