serving: leave a stopping process more time to exit

Its log: it ended its work 1.77 s after the signal, waited for its last answers until 1.875 s, and had 0.125 s to exit on a machine with a load of 17. Change: the margin is a seventh of the grace time, at most 0.6 s, and the last answers get a quarter of it instead of half.

--- a/include/cicadaport/serving/planned_stop.h
+++ b/include/cicadaport/serving/planned_stop.h
@@ -13,9 +13,9 @@
 class planned_stop {
 public:
     // The host ends its work this long before the end of the grace time, but not before the last
-    // eighth: replicas that are still at work late in the grace time excuse a cut.
+    // seventh: replicas that are still at work late in the grace time excuse a cut.
     static constexpr milliseconds max_grace_margin{600};
-    static constexpr int min_margin_divisor = 8;
+    static constexpr int min_margin_divisor = 7;
     // Time in which the last answers are handed to their connections before the process exits.
     static constexpr milliseconds max_last_answers_time{200};
     // The balancer may notice a stop late. New connections are therefore accepted until none has
@@ -44,7 +44,7 @@
     time_point ends_at() const noexcept { return m_ends_at; }
     time_point exits_at() const noexcept
     {
-        return m_ends_at + std::min(max_last_answers_time, m_margin / 2);
+        return m_ends_at + std::min(max_last_answers_time, m_margin / 4);
     }
 
     // Returns whether new connections are no longer to be accepted. `last_accepted` is when the
