--- a/review/standins/stand.h
+++ b/review/standins/stand.h
@@ -500,12 +500,18 @@
 public:
     host(std::string name, std::string ip, std::string store_address, std::string folder,
          std::vector<std::string> seed_ips)
-        : m_name{std::move(name)}, m_ip{std::move(ip)}
+        : m_name{std::move(name)}, m_ip{std::move(ip)}, m_seed_ips{std::move(seed_ips)}
     {
         m_settings = folder + "/" + m_name + ".toml";
         m_log = folder + "/" + m_name + ".log";
+        write_settings(store_address);
+    }
+    ~host() { end(); }
+
+    void write_settings(const std::string& store_address) const
+    {
         std::string seeds;
-        for (const auto& each : seed_ips) {
+        for (const auto& each : m_seed_ips) {
             seeds += (seeds.empty() ? "\"" : ",\"") + each + ":18144\"";
         }
         std::ofstream out{m_settings};
@@ -520,7 +526,6 @@
             << "recovery-s = 15\nrequire-fence = false\nlease-ms = 3000\n[platform]\naddress = \""
             << store_address << "\"\nform = \"log\"\nrecord-bytes = 262144\n";
     }
-    ~host() { end(); }
 
     static inline int contact_ms = 4'000;
     static inline int apply_ms = 3'000;
@@ -562,6 +567,7 @@
 private:
     std::string m_name;
     std::string m_ip;
+    std::vector<std::string> m_seed_ips;
     std::string m_settings;
     std::string m_log;
     pid_t m_process = -1;
