--- a/review/standins/silent.cpp
+++ b/review/standins/silent.cpp
@@ -1,4 +1,4 @@
-// Case 2: streams whose replicas preempt them for 1.4 s, since their memory has run out, while the
+// Case 2: streams whose replicas preempt them for 1.5 s, since their memory has run out, while the
 // replicas are full and turn new requests away.
 #include "stand.h"
 
@@ -10,7 +10,7 @@
 constexpr int event_count = 60;
 constexpr long event_gap_ms = 50;
 // Below the two seconds after which a client abandons a stream.
-constexpr long preempted_ms = 1'400;
+constexpr long preempted_ms = 1'500;
 
 const char* const configuration =
     "{\"version\":1,\"routes\":[{\"name\":\"r-query\",\"host\":\"shop.example\",\"path-prefix\":"
--- a/review/standins/stand.h
+++ b/review/standins/stand.h
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -534,6 +535,8 @@
     {
         m_process = ::fork();
         if (m_process == 0) {
+            // The process does not outlive the script, however that ends.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int log = ::open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(log, 1);
             ::dup2(log, 2);
