serving: give up a read of a list when it stalls, not when it is long

Callers saw: requests on dropped routes ran, and those on new routes were rejected, for as long as a host ran that the store had turned away for 9 s while versions of a large configuration were accepted (CONFIG).

Cause: a read was given up after its response timeout, 0.9 s at most, whatever had arrived, and begun again from the same offset. It brings up to 1 MB, which takes 0.85 s on an idle link of 10 Mbit/s.

Ruled out: records refused as unreadable (feed_regained would follow), no calls (the store counts reads).

Change: the timeout runs out when less than 8 KB arrive within it. Of a backlog of several configurations of more than 256 KB only the newest is read, so that the time to catch up does not grow with their number.

Why it works: what decides is whether the peer sends, not how much; a silent store is noticed after the same time as before.

--- a/include/cicadaport/serving/feed_follower.h
+++ b/include/cicadaport/serving/feed_follower.h
@@ -12,11 +12,16 @@
 // expired, the follower reads the whole list again. A failed call is retried with growing
 // backoff; what was read before stays in force meanwhile.
 //
+// A call fails when its response stalls, not when it is long: a host that is far behind may need
+// longer for the records than for any other response. Of a large backlog of configurations only
+// the newest one is read.
+//
 // Not thread safe: used only on the event loop of its host.
 #pragma once
 
 #include "cicadaport/serving/feed_times.h"
 #include "cicadaport/serving/host_state.h"
+#include "cicadaport/transport/stall_timer.h"
 
 #include <functional>
 
@@ -47,12 +52,19 @@
 
 private:
     bool owns(const transport::message_head&) override { return true; }
-    void on_head(transport::message_head head) override { m_status = head.status; }
-    void on_body(std::string_view piece) override { m_body += piece; }
+    void on_head(transport::message_head head) override;
+    void on_body(std::string_view piece) override;
     void on_complete() override;
     void on_failure(transport::exchange_failure failure) override;
 
     void send_request();
+    // Returns whether the response that is being received is a large backlog of which only the
+    // newest record matters.
+    bool is_superseded_backlog() const;
+    // Ends the call and reads the newest record of each key instead.
+    void skip_backlog();
+    // Reads the newest record of each key, after `pause`.
+    void start_full_read(milliseconds pause);
     void schedule_read_after(milliseconds pause);
     // Schedules a read for when no host has read for the interval plus a random delay.
     void schedule_next_read();
@@ -75,7 +87,7 @@
     feed_times m_times;
     callbacks m_actions;
     std::shared_ptr<transport::exchange_connection> m_connection;
-    transport::timer_queue::handle m_response_timer;
+    transport::stall_timer m_response_timer;
     transport::timer_queue::handle m_read_timer;
     // How far the list has been read; shared with the rest of the host.
     list_position& m_position;
@@ -85,6 +97,8 @@
     // Since when records that another host has read have been missing here.
     std::optional<time_point> m_gap_since;
     unsigned m_status = 0;
+    // The size of the response's body; empty if its head does not state it.
+    std::optional<std::uint64_t> m_body_size;
     std::string m_body;
     // Whether the newest record of each key is being read, not the appended records.
     bool m_reading_full_list = true;
--- a/include/cicadaport/serving/feed_times.h
+++ b/include/cicadaport/serving/feed_times.h
@@ -24,7 +24,7 @@
 
     // Time from one read to the next.
     milliseconds interval{0};
-    // Response timeout of one call.
+    // How long the response to a call may stall.
     milliseconds response_timeout{0};
     // Maximum backoff after a failed call. A random jitter of up to the same length is added.
     milliseconds max_backoff{0};
--- a/include/cicadaport/serving/wire.h
+++ b/include/cicadaport/serving/wire.h
@@ -210,6 +210,11 @@
     virtual feed_page read_records(unsigned status, std::string_view body,
                                    std::uint64_t from) const = 0;
 
+    // Returns the end of the list from the beginning of an answer to a read; nothing if too little
+    // of the answer has arrived, or if it holds no records.
+    virtual std::optional<std::uint64_t> read_list_end(unsigned status,
+                                                       std::string_view body) const = 0;
+
     // Returns the first offset that the store still has, if the answer to a read tells that older
     // records were requested; else nothing.
     virtual std::optional<std::uint64_t> read_first_offset(unsigned status,
--- a/src/serving/feed_follower.cpp
+++ b/src/serving/feed_follower.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <charconv>
+
 namespace cicadaport::serving {
 namespace {
 
@@ -12,12 +14,32 @@
 constexpr int interval_to_delay_ratio = 4;
 // The datagrams of one page arrive within a few milliseconds.
 constexpr milliseconds max_gap_delay{100};
+// A backlog of several records is read in full up to this size, in bytes.
+constexpr std::uint64_t max_backlog_bytes = 256ULL * 1024;
 
 std::string_view to_string(feed which)
 {
     return which == feed::configuration ? "configuration" : "endpoints";
 }
 
+// Returns whether a record makes all earlier ones of its key irrelevant. Of endpoints, earlier
+// records tell which versions were listed.
+bool supersedes_earlier_records(feed which)
+{
+    return which == feed::configuration;
+}
+
+std::optional<std::uint64_t> body_size_of(const transport::message_head& head)
+{
+    const auto text = head.fields.find("Content-Length");
+    std::uint64_t size = 0;
+    if (!text ||
+        std::from_chars(text->data(), text->data() + text->size(), size).ec != std::errc{}) {
+        return std::nullopt;
+    }
+    return size;
+}
+
 list_position& position_of(host_state& host, feed which)
 {
     return which == feed::configuration ? host.configuration_position : host.endpoints_position;
@@ -27,8 +49,9 @@
 
 feed_follower::feed_follower(host_state& host, http::address store, feed which, feed_times times,
                              callbacks actions)
-    : m_host{host}, m_store{std::move(store)}, m_feed{which}, m_times{times},
-      m_actions{std::move(actions)}, m_position{position_of(host, which)}
+    : m_host{host}, m_store{std::move(store)}, m_feed{which}, m_times{times}, m_actions{std::move(
+                                                                                  actions)},
+      m_response_timer{host.timers}, m_position{position_of(host, which)}
 {
 }
 
@@ -44,6 +67,7 @@
     m_requested_at = m_host.timers.now();
     m_position.call_started_at = m_requested_at;
     m_requested_offset = m_position.offset;
+    m_body_size.reset();
     m_body.clear();
     auto& calls = m_host.store_calls;
     ++(m_reading_full_list             ? calls.pages
@@ -54,9 +78,9 @@
             ? m_host.wire.newest_request(m_feed, m_full_list.empty() ? std::string{}
                                                                      : m_full_list.back().key)
             : m_host.wire.read_request(m_feed, m_position.offset);
-    m_response_timer = m_host.timers.call_at(m_requested_at + m_times.response_timeout, [this] {
+    m_response_timer.start(m_times.response_timeout, [this] {
         m_connection->abandon();
-        failed("the store did not respond in time");
+        failed("the store's response stalled");
     });
     if (m_connection == nullptr || !m_connection->is_reusable()) {
         // Enough for whole pages of a large list.
@@ -73,6 +97,50 @@
     m_connection->send(request, *this);
 }
 
+void feed_follower::on_head(transport::message_head head)
+{
+    m_status = head.status;
+    m_body_size = body_size_of(head);
+}
+
+void feed_follower::on_body(std::string_view piece)
+{
+    m_body += piece;
+    m_response_timer.record_received(piece.size());
+    if (is_superseded_backlog()) {
+        skip_backlog();
+    }
+}
+
+bool feed_follower::is_superseded_backlog() const
+{
+    if (m_reading_full_list || !supersedes_earlier_records(m_feed) ||
+        m_body_size.value_or(m_body.size()) <= max_backlog_bytes) {
+        return false;
+    }
+    const auto end = m_host.wire.read_list_end(m_status, m_body);
+    return end && *end > m_requested_offset + 1;
+}
+
+void feed_follower::skip_backlog()
+{
+    spdlog::info("feed_backlog_skipped feed={} bytes={} effect=\"newest record read\" {}",
+                 to_string(m_feed), m_body_size.value_or(m_body.size()),
+                 to_fields(m_position, m_host.timers.now()));
+    m_response_timer.cancel();
+    m_connection->abandon();
+    m_position.call_started_at.reset();
+    start_full_read(milliseconds{0});
+}
+
+void feed_follower::start_full_read(milliseconds pause)
+{
+    m_reading_full_list = true;
+    m_full_list.clear();
+    m_first_appended_offset.reset();
+    schedule_read_after(pause);
+}
+
 void feed_follower::on_complete()
 {
     m_response_timer.cancel();
@@ -89,10 +157,7 @@
         if (error.what_kind() == store_error::kind::expired) {
             spdlog::info("feed_begins_anew feed={} reason=\"{}\" {}", to_string(m_feed),
                          error.what(), to_fields(m_position, m_host.timers.now()));
-            m_reading_full_list = true;
-            m_full_list.clear();
-            m_first_appended_offset.reset();
-            schedule_read_after(feed_times::initial_backoff);
+            start_full_read(feed_times::initial_backoff);
             return;
         }
         failed(error.what());
@@ -251,7 +316,8 @@
 {
     m_position.call_started_at.reset();
     if (m_position.failures == 0) {
-        spdlog::warn("feed_interrupted feed={} reason=\"{}\" {}", to_string(m_feed), reason,
+        spdlog::warn("feed_interrupted feed={} reason=\"{}\" received_bytes={} {}",
+                     to_string(m_feed), reason, m_body.size(),
                      to_fields(m_position, m_host.timers.now()));
     }
     // Before its first complete read a host serves no requests, so it retries without growing
--- a/test/platform/feed_follower_test.cpp
+++ b/test/platform/feed_follower_test.cpp
@@ -235,5 +235,78 @@
     EXPECT_THAT(applied_keys, ElementsAre("a", "b", "c"));
 }
 
+// Regression: such a read was given up after the response timeout, whatever had arrived, and
+// repeated forever.
+TEST_F(feed_follower_test, reads_a_backlog_that_takes_longer_than_the_response_timeout)
+{
+    start();
+    const std::string large(250'000, 'x');
+    for (const auto* key : {"a", "b", "c", "d"}) {
+        store.put(topic, key, large);
+    }
+    store.limit_rate(500'000);
+    EXPECT_TRUE(run_until([this] { return applied_keys.size() == 4; }));
+    EXPECT_THAT(applied_keys, ElementsAre("a", "b", "c", "d"));
+}
+
+TEST_F(feed_follower_test, gives_up_a_response_that_stalls)
+{
+    start();
+    store.put(topic, "a", std::string(250'000, 'x'));
+    store.limit_rate(2'000);
+    const auto before = store.reads(topic);
+    EXPECT_TRUE(run_until([&] { return store.reads(topic) >= before + 2; }));
+    store.limit_rate(0);
+    EXPECT_TRUE(run_until([this] { return applied_keys.size() == 1; }));
+}
+
+class configuration_follower_test : public feed_follower_test {
+protected:
+    configuration_follower_test()
+    {
+        const auto apply = [this](const std::vector<feed_entry>& entries) {
+            for (const auto& each : entries) {
+                applied_versions.push_back(each.value.value_or("").front());
+            }
+            return entries;
+        };
+        follower = std::make_unique<serving::feed_follower>(
+            host, store.address(), serving::feed::configuration,
+            serving::feed_times::within(interval, 2s, 3s),
+            serving::feed_follower::callbacks{apply, apply});
+    }
+
+    void publish(char version) { store.put("keyed.op", "config", std::string(250'000, version)); }
+
+    std::string applied_versions;
+};
+
+// Regression: a host that was behind by many large versions read all of them, the oldest first.
+TEST_F(configuration_follower_test, reads_only_the_newest_version_of_a_large_backlog)
+{
+    start();
+    for (const char version : {'1', '2', '3', '4', '5', '6', '7', '8'}) {
+        publish(version);
+    }
+    store.limit_rate(1'000'000);
+    EXPECT_TRUE(run_until([this] { return !applied_versions.empty(); }));
+    EXPECT_EQ(applied_versions, "8");
+    publish('9');
+    EXPECT_TRUE(run_until([this] { return applied_versions.size() > 1; }));
+    EXPECT_EQ(applied_versions, "89");
+}
+
+TEST_F(configuration_follower_test, reads_a_small_backlog_with_one_call)
+{
+    start();
+    const auto pages = host.store_calls.pages;
+    for (const char version : {'1', '2', '3'}) {
+        store.put("keyed.op", "config", std::string(1'000, version));
+    }
+    EXPECT_TRUE(run_until([this] { return !applied_versions.empty(); }));
+    EXPECT_EQ(applied_versions, "123");
+    EXPECT_EQ(host.store_calls.pages, pages);
+}
+
 } // namespace
 } // namespace cicadaport::platform
--- a/test/platform/stand_ins.h
+++ b/test/platform/stand_ins.h
@@ -74,6 +74,22 @@
             "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
 }
 
+// Returns a response whose bytes are sent at a limited rate, as over a slow link.
+inline scripted_response paced(scripted_response whole, std::size_t bytes_per_s)
+{
+    constexpr std::chrono::milliseconds interval{20};
+    const auto size = bytes_per_s * interval.count() / 1'000;
+    if (whole.bytes.size() <= size) {
+        return whole;
+    }
+    auto first = whole;
+    first.bytes.resize(size);
+    first.after = scripted_response::then::keep;
+    first.following = [rest = scripted_response{whole.bytes.substr(size), whole.after, interval},
+                       bytes_per_s] { return paced(rest, bytes_per_s); };
+    return first;
+}
+
 // Serves connections on loopback; `answer` is called on the server's thread.
 class scripted_server {
 public:
@@ -264,7 +280,7 @@
     friend class store_proxy;
 
 public:
-    standin_store() : m_server{[this](const received_request& each) { return answer(each); }} {}
+    standin_store() : m_server{[this](const received_request& each) { return respond(each); }} {}
 
     http::address address() const { return m_server.address(); }
 
@@ -297,6 +313,9 @@
     // Responses to reads are delayed by this time.
     void delay_reads(std::chrono::milliseconds time) { m_read_delay = time; }
 
+    // Responses are sent at this rate; 0 stands for no limit.
+    void limit_rate(std::size_t bytes_per_s) { m_bytes_per_s = bytes_per_s; }
+
     // Returns the number of reads of a topic so far.
     std::size_t reads(const std::string& topic) const
     {
@@ -363,6 +382,12 @@
         return out;
     }
 
+    scripted_response respond(const received_request& request)
+    {
+        auto out = answer(request);
+        return m_bytes_per_s > 0 && !out.later ? paced(std::move(out), m_bytes_per_s) : out;
+    }
+
     scripted_response answer(const received_request& request)
     {
         if (m_refusal != 0) {
@@ -491,6 +516,7 @@
     std::atomic<unsigned> m_refusal{0};
     std::atomic<bool> m_lose_appends{false};
     std::atomic<bool> m_miss_wakeups{false};
+    std::atomic<std::size_t> m_bytes_per_s{0};
     std::atomic<std::chrono::milliseconds> m_read_delay{};
     std::atomic<std::chrono::milliseconds> m_missed_wakeup_time{};
     scripted_server m_server;
