serving: give up a read of stream origins when it stalls, not when it is long

A caller that takes up a stream whose origin the host must read from the store is refused when the records take longer than 0.3 s to arrive.

The limit of a call held for the whole response, which may bring 1 MB.

Change: call_for_large_response() ends when the response stalls. Calls with small answers keep their limit for the whole call.

Why it works: the requests that wait have deadlines of their own, so that a longer read holds none of them beyond that.

--- a/include/cicadaport/serving/single_call.h
+++ b/include/cicadaport/serving/single_call.h
@@ -18,6 +18,12 @@
 void call_once(host_state& host, const http::address& to, std::string request, milliseconds limit,
                std::function<void(std::optional<call_response>)> on_end);
 
+// The same for a response that may be large: the call ends without one if it stalls for
+// `stall_timeout`, however long it takes as a whole.
+void call_for_large_response(host_state& host, const http::address& to, std::string request,
+                             milliseconds stall_timeout,
+                             std::function<void(std::optional<call_response>)> on_end);
+
 // Releases the KV cache entries of a prompt whose prefill is no longer needed. If the call fails,
 // the engine releases the entries when their own time limit expires.
 void release_kv_cache(host_state& host, const prompt_kv_cache& prompt);
--- a/src/serving/single_call.cpp
+++ b/src/serving/single_call.cpp
@@ -1,5 +1,7 @@
 #include "cicadaport/serving/single_call.h"
 
+#include "cicadaport/transport/stall_timer.h"
+
 #include <spdlog/spdlog.h>
 
 namespace cicadaport::serving {
@@ -13,29 +15,45 @@
 public:
     single_call(host_state& host, http::address to,
                 std::function<void(std::optional<call_response>)> on_end)
-        : m_host{host}, m_to{std::move(to)}, m_on_end{std::move(on_end)}
+        : m_host{host}, m_to{std::move(to)}, m_on_end{std::move(on_end)}, m_stall{host.timers}
+    {
+    }
+
+    void limit_duration(milliseconds limit)
     {
+        m_limit = m_host.timers.call_at(m_host.timers.now() + limit, [this] { give_up(); });
     }
 
-    void start(std::string request, milliseconds limit)
+    void limit_stall(milliseconds timeout)
+    {
+        m_stall.start(timeout, [this] { give_up(); });
+    }
+
+    void start(std::string request)
     {
         m_self = shared_from_this();
         m_connection = m_host.connections.take(m_to, transport::reuse_rule::certain);
-        m_limit = m_host.timers.call_at(m_host.timers.now() + limit, [this] {
-            m_connection->abandon();
-            end(std::nullopt);
-        });
         m_connection->send(std::move(request), *this);
     }
 
 private:
+    void give_up()
+    {
+        m_connection->abandon();
+        end(std::nullopt);
+    }
+
     bool owns(const transport::message_head&) override { return true; }
     void on_head(transport::message_head head) override
     {
         m_answer.status = head.status;
         m_answer.metadata = m_host.wire.read_answer(head);
     }
-    void on_body(std::string_view piece) override { m_answer.body += piece; }
+    void on_body(std::string_view piece) override
+    {
+        m_answer.body += piece;
+        m_stall.record_received(piece.size());
+    }
 
     void on_complete() override
     {
@@ -49,6 +67,7 @@
     {
         const auto keep = std::exchange(m_self, nullptr);
         m_limit.cancel();
+        m_stall.cancel();
         m_connection.reset();
         m_on_end(std::move(answer));
     }
@@ -58,6 +77,7 @@
     std::function<void(std::optional<call_response>)> m_on_end;
     std::shared_ptr<transport::exchange_connection> m_connection;
     transport::timer_queue::handle m_limit;
+    transport::stall_timer m_stall;
     call_response m_answer;
     std::shared_ptr<single_call> m_self;
 };
@@ -67,7 +87,18 @@
 void call_once(host_state& host, const http::address& to, std::string request, milliseconds limit,
                std::function<void(std::optional<call_response>)> on_end)
 {
-    std::make_shared<single_call>(host, to, std::move(on_end))->start(std::move(request), limit);
+    const auto call = std::make_shared<single_call>(host, to, std::move(on_end));
+    call->limit_duration(limit);
+    call->start(std::move(request));
+}
+
+void call_for_large_response(host_state& host, const http::address& to, std::string request,
+                             milliseconds stall_timeout,
+                             std::function<void(std::optional<call_response>)> on_end)
+{
+    const auto call = std::make_shared<single_call>(host, to, std::move(on_end));
+    call->limit_stall(stall_timeout);
+    call->start(std::move(request));
 }
 
 void release_kv_cache(host_state& host, const prompt_kv_cache& prompt)
--- a/src/serving/stream_origin_tracker.cpp
+++ b/src/serving/stream_origin_tracker.cpp
@@ -10,7 +10,7 @@
 namespace cicadaport::serving {
 namespace {
 
-// Time within which the store answers a call.
+// Time within which the store answers a call, and for which the records that it sends may stall.
 constexpr milliseconds call_timeout{300};
 // Streams that wait to be appended while the store takes no appends; older ones are dropped.
 constexpr std::size_t max_unwritten = 20'000;
@@ -189,8 +189,9 @@
 void stream_origin_tracker::read_log()
 {
     ++m_host.store_calls.origin_reads;
-    call_once(m_host, m_store, m_host.wire.read_request(feed::stream_origins, m_offset),
-              call_timeout, [this](const auto& response) { handle_page(response); });
+    call_for_large_response(m_host, m_store,
+                            m_host.wire.read_request(feed::stream_origins, m_offset), call_timeout,
+                            [this](const auto& response) { handle_page(response); });
 }
 
 void stream_origin_tracker::handle_page(const std::optional<call_response>& response)
--- a/test/platform/stream_origin_test.cpp
+++ b/test/platform/stream_origin_test.cpp
@@ -1,6 +1,10 @@
 // Tests that a stream continues only on the software version that began it.
 #include "host_fixture.h"
 
+#include "cicadaport/serving/stream_origins.h"
+
+#include "news.pb.h"
+
 #include <gmock/gmock.h>
 
 namespace cicadaport::platform {
@@ -160,6 +164,36 @@
     EXPECT_EQ(answer.body, events(first_events + 1, last_event));
 }
 
+// Regression: the read of the store's records was given up after 0.3 s, whatever had arrived.
+TEST_F(stream_origin_test, the_origin_of_a_stream_is_found_in_records_that_take_long_to_read)
+{
+    constexpr int record_count = 4;
+    constexpr int streams_per_record = 8'000;
+    serving::endpoint_report old_replica;
+    old_replica.service = "s";
+    old_replica.version = "v1";
+    const auto origin = serving::origin_of(old_replica);
+    protocol::stream_origin_record record;
+    for (int number = 1; number < streams_per_record; ++number) {
+        auto& other = *record.add_streams();
+        other.set_stream(serving::number_of_stream("other" + std::to_string(number)));
+        other.set_origin(origin);
+    }
+    auto& wanted = *record.add_streams();
+    wanted.set_stream(serving::number_of_stream("r1"));
+    wanted.set_origin(origin);
+    for (int number = 0; number < record_count; ++number) {
+        store.put("stream-origins", "", record.SerializeAsString());
+    }
+    list_two_versions();
+    start();
+    store.limit_rate(1'000'000);
+    const auto answer = ask(resumption("r2", "r1"));
+    EXPECT_EQ(answer.status, 200U);
+    EXPECT_EQ(answer.body, events(first_events + 1, last_event));
+    EXPECT_EQ(continued_on("r1"), "v1");
+}
+
 // Counted a prefill engine as a replica that could continue the stream.
 TEST_F(stream_origin_test, a_silent_stream_is_kept_if_only_a_prefill_engine_is_left)
 {
