serving: ask a silent replica for its status before its stream is taken away

Callers saw: streams on kept connections that were reset within the answer (LOST) although their replica was sound and went on 0.2 s later.

Cause: after 1.3 s without an event the replica of a resumable stream was left for another one, which was full.

Change: the replica is asked for its status 0.3 s before the timeout, one question for all its streams, none while it sends events in others. If it answers, its streams stay. A dark replica is left as early as before.

Why it works: an engine answers its status without a slot or memory.

--- a/include/cicadaport/serving/endpoint_health.h
+++ b/include/cicadaport/serving/endpoint_health.h
@@ -39,6 +39,13 @@
     // still waits there is queued behind others, and the endpoint is not unresponsive.
     bool has_answered_since(time_point then) const noexcept { return m_last_success >= then; }
 
+    // Records that the endpoint has sent a part of an answer, or has answered a check.
+    void record_activity(time_point now) noexcept { m_last_activity = now; }
+    bool was_active_since(time_point then) const noexcept
+    {
+        return m_last_activity >= then || has_answered_since(then);
+    }
+
     // Records a failed request.
     void record_failure(time_point now) noexcept
     {
@@ -84,6 +91,7 @@
     time_point m_ejected_until{};
     time_point m_backoff_until{};
     time_point m_last_success{};
+    time_point m_last_activity{};
 };
 
 } // namespace cicadaport::serving
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -128,8 +128,13 @@
     // requests in the meantime gets the same time again.
     void start_answer_timeout(fractional_milliseconds time);
     void handle_answer_timeout();
-    // Continues a resumable stream on another replica if its events stop coming.
+    // Continues a resumable stream on another replica if its events stop coming and its replica
+    // does not answer a check either.
     void start_silence_timeout();
+    void check_silent_replica();
+    void handle_liveness(bool is_alive);
+    // Returns for how long a stream may be silent.
+    milliseconds max_silence() const;
     void handle_deadline();
     // Gives up the request: aborts its answer, or answers whether it may have run. `pause` is for
     // callers whose request has not run.
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -8,6 +8,7 @@
 #include "cicadaport/serving/late_admission.h"
 #include "cicadaport/serving/line_budget.h"
 #include "cicadaport/serving/list_position.h"
+#include "cicadaport/serving/liveness_checker.h"
 #include "cicadaport/serving/placement.h"
 #include "cicadaport/serving/planned_stop.h"
 #include "cicadaport/serving/replica_paths.h"
@@ -182,6 +183,7 @@
     crash_monitor crashes;
     stream_origin_tracker origins;
     replica_paths paths;
+    liveness_checker liveness;
     request_counts counts;
     store_counts store_calls;
     // Not owned. Null while this host sends no gossip.
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -276,6 +276,7 @@
 {
     const auto now = m_host.timers.now();
     auto& engine = m_host.engines.state(m_endpoint->report.id);
+    health_of_endpoint().record_activity(now);
     if (m_run_first_event == time_point{}) {
         m_run_first_event = now;
         m_host.crashes.remove_pending(*this);
--- a/src/serving/exchange_failures.cpp
+++ b/src/serving/exchange_failures.cpp
@@ -14,9 +14,9 @@
 
 // Endpoints that may fail to connect before a request is rejected.
 constexpr std::uint32_t max_connect_attempts = 6;
-// A resumable stream continues on another replica after a silence of this many times the
-// inter-token latency objective. Callers disconnect after 8 times the objective, or two seconds if
-// that is longer; a sound replica may be silent for about a second.
+// The replica of a resumable stream is given up after a silence of this many times the inter-token
+// latency objective. Callers disconnect after 8 times the objective, or two seconds if that is
+// longer. A replica that preempts a stream may be silent for that long, so it is checked first.
 constexpr int silence_timeout_ratio = 4;
 constexpr milliseconds min_silence_timeout{1'300};
 
@@ -217,29 +217,61 @@
     });
 }
 
+milliseconds exchange::max_silence() const
+{
+    return std::max(silence_timeout_ratio * m_route->pause_objective, min_silence_timeout);
+}
+
 void exchange::start_silence_timeout()
 {
-    const auto limit =
-        std::max(silence_timeout_ratio * m_route->pause_objective, min_silence_timeout);
     const auto silent_since = std::max(m_last_event, m_silence_start);
-    m_answer_timer = m_host.timers.call_at(silent_since + limit, [this, limit] {
-        const auto now = m_host.timers.now();
-        auto& health = health_of_endpoint();
-        if (now - m_last_event < limit || health.has_answered_since(now - limit) ||
-            !can_continue_elsewhere()) {
-            m_silence_start = now - limit / 2;
-            start_silence_timeout();
-            return;
-        }
-        health.record_failure(now);
-        m_host.paths.note_silence();
-        m_excluded.insert(m_endpoint->report.id);
-        if (!retry_elsewhere()) {
-            spdlog::debug("stream_silent id={} endpoint={}", m_metadata.id, m_endpoint->report.id);
+    m_answer_timer = m_host.timers.call_at(silent_since + max_silence() - liveness_checker::timeout,
+                                           [this] { check_silent_replica(); });
+}
+
+void exchange::check_silent_replica()
+{
+    const auto now = m_host.timers.now();
+    const auto limit = max_silence() - liveness_checker::timeout;
+    if (now - m_last_event < limit || health_of_endpoint().was_active_since(now - limit) ||
+        !can_continue_elsewhere()) {
+        m_silence_start = now - limit / 2;
+        start_silence_timeout();
+        return;
+    }
+    if (!m_host.accepts_request(*m_endpoint, m_route->has_prompt)) {
+        // It has asked for a pause or is at its limit, and must not be sent a check.
+        handle_liveness(true);
+        return;
+    }
+    m_host.liveness.check(*m_endpoint, [weak = weak_from_this(), run = m_sent](bool is_alive) {
+        const auto self = weak.lock();
+        if (self != nullptr && self->m_step == step::running && self->m_sent == run) {
+            self->handle_liveness(is_alive);
         }
     });
 }
 
+void exchange::handle_liveness(bool is_alive)
+{
+    const auto now = m_host.timers.now();
+    auto& health = health_of_endpoint();
+    if (is_alive) {
+        health.record_activity(now);
+    }
+    if (is_alive || now - m_last_event < max_silence() - liveness_checker::timeout) {
+        m_silence_start = now;
+        start_silence_timeout();
+        return;
+    }
+    health.record_failure(now);
+    m_host.paths.note_silence();
+    m_excluded.insert(m_endpoint->report.id);
+    if (!retry_elsewhere()) {
+        spdlog::debug("stream_silent id={} endpoint={}", m_metadata.id, m_endpoint->report.id);
+    }
+}
+
 void exchange::handle_answer_timeout()
 {
     if (m_step == step::prefilling) {
--- a/src/serving/host_state.cpp
+++ b/src/serving/host_state.cpp
@@ -46,7 +46,7 @@
                                                                         zone)},
       connections{with_context, timers, transport::message_limits{}, endpoint_times()},
       budget{budget_bounds}, engines{fleet}, random{std::random_device{}()},
-      crashes{with_context, timers, random}, origins{*this}, paths{*this}
+      crashes{with_context, timers, random}, origins{*this}, paths{*this}, liveness{*this}
 {
 }
 
--- /dev/null
+++ b/src/serving/liveness_checker.cpp
@@ -0,0 +1,42 @@
+#include "cicadaport/serving/liveness_checker.h"
+
+#include "cicadaport/serving/host_state.h"
+#include "cicadaport/serving/single_call.h"
+
+#include <spdlog/spdlog.h>
+
+namespace cicadaport::serving {
+
+void liveness_checker::check(const endpoint& which, std::function<void(bool)> on_end)
+{
+    const auto& id = which.report.id;
+    auto& waiting = m_waiting[id];
+    waiting.push_back(std::move(on_end));
+    if (waiting.size() > 1) {
+        return;
+    }
+    m_host.limits.count_call(id);
+    call_once(m_host, which.report.address, m_host.wire.status_request(which.report), timeout,
+              [this, id](const std::optional<call_response>& response) {
+                  constexpr unsigned status_ok = 200;
+                  end(id, response && response->status == status_ok);
+              });
+}
+
+void liveness_checker::end(const std::string& id, bool is_alive)
+{
+    const auto found = m_waiting.find(id);
+    const auto waiting = std::move(found->second);
+    m_waiting.erase(found);
+    if (m_host.response_log_budget.try_acquire(m_host.timers.now())) {
+        spdlog::info("endpoint_liveness id={} alive={} streams={} effect=\"{}\" passed_over={}", id,
+                     is_alive, waiting.size(),
+                     is_alive ? "its streams are kept" : "its streams continue elsewhere",
+                     m_host.response_log_budget.take_suppressed_count());
+    }
+    for (const auto& each : waiting) {
+        each(is_alive);
+    }
+}
+
+} // namespace cicadaport::serving
--- a/test/platform/stand_ins.h
+++ b/test/platform/stand_ins.h
@@ -53,6 +53,12 @@
     }
 };
 
+// Returns whether a replica is asked for its status.
+inline bool is_status_request(const received_request& each)
+{
+    return each.path() == "/-/report";
+}
+
 // A fake's response to a request.
 struct scripted_response {
     std::string bytes;
