serving: hold kept connections to the limits in force when a request begins

Cause: the reader of the next request and the idle timeout took the limits of the moment at which the answer before ended.

Change: the reader is made with the first bytes of a request; an idle timeout that expires is compared with the version in force.

--- a/include/cicadaport/serving/caller_connection.h
+++ b/include/cicadaport/serving/caller_connection.h
@@ -42,6 +42,8 @@
     void end_now();
 
 private:
+    enum class read_phase { idle, head, body };
+
     void on_input() override;
     void on_end(transport::connection_end how) override;
     void on_written() override;
@@ -56,12 +58,16 @@
     void read_requests();
     void reject_message();
     void wait_for_request();
+    void start_idle_timeout();
+    // Begins to read a request, with the limits that are in force now.
+    void begin_request();
     void set_read_timeout();
     std::string format_head(unsigned status, const http::field_list& fields,
                             std::string_view framing);
     void on_answer_ended();
     void close_gracefully();
     void drop();
+    const caller_limits& limits() const;
     transport::message_limits message_limits() const;
 
     host_state& m_host;
@@ -78,7 +84,8 @@
     time_point m_waiting_since{};
     bool m_closing = false;
     bool m_request_started = false;
-    bool m_body_timeout_set = false;
+    // The phase of the request whose timeout is set.
+    read_phase m_timed_phase = read_phase::idle;
 };
 
 } // namespace cicadaport::serving
--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -46,10 +46,14 @@
     m_connection->close();
 }
 
+const caller_limits& caller_connection::limits() const
+{
+    return m_host.deployed ? m_host.deployed->limits() : default_limits;
+}
+
 transport::message_limits caller_connection::message_limits() const
 {
-    const auto& limits = m_host.deployed ? m_host.deployed->limits() : default_limits;
-    return {limits.head_bytes, limits.body_bytes};
+    return {limits().head_bytes, limits().body_bytes};
 }
 
 void caller_connection::start()
@@ -63,29 +67,42 @@
 
 void caller_connection::wait_for_request()
 {
-    m_reader = transport::message_reader{transport::message_kind::request, message_limits()};
     m_body.clear();
     m_continue_sent = false;
+    m_timed_phase = read_phase::idle;
     m_request_started = false;
-    m_body_timeout_set = false;
     m_waiting_since = m_host.timers.now();
-    const auto& limits = m_host.deployed ? m_host.deployed->limits() : default_limits;
-    m_timeout = m_host.timers.call_at(m_host.timers.now() + limits.idle_timeout,
-                                      [this] { close_gracefully(); });
+    start_idle_timeout();
+}
+
+void caller_connection::start_idle_timeout()
+{
+    m_timeout = m_host.timers.call_at(m_waiting_since + limits().idle_timeout, [this] {
+        // The configuration may have changed since.
+        if (m_host.timers.now() < m_waiting_since + limits().idle_timeout) {
+            start_idle_timeout();
+        }
+        else {
+            close_gracefully();
+        }
+    });
+}
+
+void caller_connection::begin_request()
+{
+    m_request_started = true;
+    m_reader = transport::message_reader{transport::message_kind::request, message_limits()};
 }
 
 void caller_connection::set_read_timeout()
 {
-    const auto& limits = m_host.deployed ? m_host.deployed->limits() : default_limits;
-    const bool head_done = m_reader.head_complete();
-    if (m_request_started && m_body_timeout_set == head_done) {
+    const auto phase = m_reader.head_complete() ? read_phase::body : read_phase::head;
+    if (std::exchange(m_timed_phase, phase) == phase) {
         return;
     }
-    m_request_started = true;
-    m_body_timeout_set = head_done;
-    m_timeout = m_host.timers.call_at(m_host.timers.now() +
-                                          (head_done ? body_timeout : limits.head_timeout),
-                                      [this] { close_gracefully(); });
+    m_timeout = m_host.timers.call_at(
+        m_host.timers.now() + (phase == read_phase::body ? body_timeout : limits().head_timeout),
+        [this] { close_gracefully(); });
 }
 
 void caller_connection::on_input()
@@ -107,6 +124,9 @@
 void caller_connection::read_requests()
 {
     while (m_exchange == nullptr && !m_closing && !m_connection->input().empty()) {
+        if (!m_request_started) {
+            begin_request();
+        }
         const auto used = m_reader.feed(m_connection->input());
         m_connection->consume(used);
         if (m_reader.problem() != transport::parse_problem::none) {
--- a/test/platform/host_fixture.h
+++ b/test/platform/host_fixture.h
@@ -185,8 +185,10 @@
         }
     }
 
-    // Publishes a configuration. `padding` is the size of a field that hosts ignore.
-    void publish(int version, int most_attempts = 2, std::size_t padding = 0)
+    // Publishes a configuration. `padding` is the size of a field that hosts ignore, `limits` are
+    // the fields of the limits on callers.
+    void publish(int version, int most_attempts = 2, std::size_t padding = 0,
+                 const std::string& limits = R"("idle-timeout-ms":60000)")
     {
         const auto route = [&](const std::string& name, const std::string& kind,
                                const std::string& more) {
@@ -207,7 +209,8 @@
                       std::string(padding, 'x') + R"(","routes":[)" + routes +
                       R"(],"services":[{"name":"s","max-conns":64},{"name":"e","max-conns":64,)"
                       R"("engine":{"slots":64,"token-kv-bytes":1000,"link-mbps":1000}}],)"
-                      R"("limits":{"idle-timeout-ms":60000}})");
+                      R"("limits":{)" +
+                      limits + "}}");
     }
 
     void list_replica(const std::string& id, const http::address& at,
--- a/test/platform/host_test.cpp
+++ b/test/platform/host_test.cpp
@@ -434,6 +434,40 @@
     EXPECT_LE(checks, 4) << "the streams of a replica share its checks";
 }
 
+// Regression: a kept connection read its next request with the limits of the version in force when
+// the request before it had been answered.
+TEST_F(host_test, a_kept_connection_is_held_to_the_limits_in_force_when_its_request_begins)
+{
+    scripted_server replica{[](const received_request& each) { return signed_answer(each, "x"); }};
+    list_replica("i-1", replica.address());
+    publish(2, 2, 0, R"("max-body-bytes":1000)");
+    start();
+    caller kept{settings.caller_address};
+    EXPECT_EQ(kept.ask(request("POST", "/safe/x", "r1", "", "small")).status, 200U);
+    publish(3, 2, 0, R"("max-body-bytes":100000)");
+    ASSERT_TRUE(eventually([&] { return ask(request("GET", "/v3/x", "r2")).status == 200; }));
+    EXPECT_EQ(kept.ask(request("POST", "/safe/x", "r3", "", std::string(2'000, 'x'))).status, 200U);
+    publish(4, 2, 0, R"("max-body-bytes":1000)");
+    ASSERT_TRUE(eventually([&] { return ask(request("GET", "/v4/x", "r4")).status == 200; }));
+    EXPECT_EQ(kept.ask(request("POST", "/safe/x", "r5", "", std::string(2'000, 'x'))).status, 413U);
+}
+
+// Regression: a connection that was idle when the idle timeout was raised was closed after the old
+// one.
+TEST_F(host_test, a_raised_idle_timeout_holds_for_connections_that_are_idle_already)
+{
+    scripted_server replica{[](const received_request& each) { return signed_answer(each, "x"); }};
+    list_replica("i-1", replica.address());
+    publish(2, 2, 0, R"("idle-timeout-ms":2000)");
+    start();
+    caller kept{settings.caller_address};
+    EXPECT_EQ(kept.ask(request("GET", "/safe/x", "r1")).status, 200U);
+    publish(3, 2, 0, R"("idle-timeout-ms":60000)");
+    ASSERT_TRUE(eventually([&] { return ask(request("GET", "/v3/x", "r2")).status == 200; }));
+    std::this_thread::sleep_for(2'500ms);
+    EXPECT_EQ(kept.ask(request("GET", "/safe/x", "r3")).status, 200U);
+}
+
 TEST_F(host_test, a_request_is_cancelled_at_the_replica_when_the_caller_disconnects)
 {
     scripted_server replica{[](const received_request&) { return scripted_response{"", {}, 0ms}; }};
