serving: an interruption of gossip makes an old list of replicas unfit

Cause: a list counted as current if any host had been heard within 1.5 s. Announcements of the time in which this host heard nothing are lost, so the first datagram afterwards made a list current that was seconds old.

Evidence: unknown_stream_test.has_no_known_origin_after_a_suspension_until_ the_list_is_read found the old version as the only origin 2 s after the suspension; ..._while_announced_records_of_the_list_are_missing likewise.

Change: such a list is current only if other hosts were heard without an interruption since it was read and no announced record is missing. The log line of a search has both ages.

Why it works: whatever the others announce in that time has then arrived, or is known to be missing.

--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -53,8 +53,9 @@
     // Returns this host's rank in an order of the hosts that it knows; the last possible rank
     // while it may not know all of them yet.
     virtual std::size_t rank_among_known_hosts() const = 0;
-    // Returns how long ago the last message of another host arrived; empty if there was none.
-    virtual std::optional<milliseconds> time_since_last_message() const = 0;
+    // Returns since when this host has heard the other hosts without an interruption; empty if it
+    // does not hear them now. Announcements from before that time may have been missed.
+    virtual std::optional<time_point> heard_since() const = 0;
     // Announces that an engine changes its stage and takes no work for `time`.
     virtual void announce_stage_change(std::uint32_t engine, engine_stage to,
                                        milliseconds time) = 0;
--- a/include/cicadaport/serving/peer_gossip.h
+++ b/include/cicadaport/serving/peer_gossip.h
@@ -34,6 +34,8 @@
     // Announcements of work are delayed by at most this time, to batch several in a datagram.
     static constexpr milliseconds max_batching_delay{8};
     static constexpr milliseconds greeting_interval{1'000};
+    // A host that receives no message for this long may have missed announcements.
+    static constexpr milliseconds max_message_pause{1'500};
     // Maximum number of hosts named in one greeting, and of hosts greeted at once that have
     // not been received from yet. With these, all hosts of a fleet that starts at once know
     // each other within a few greetings.
@@ -64,7 +66,7 @@
     std::vector<http::address> relay_hosts() const override;
     void announce_streams(std::span<const begun_stream> streams) override;
     std::size_t rank_among_known_hosts() const override;
-    std::optional<milliseconds> time_since_last_message() const override;
+    std::optional<time_point> heard_since() const override;
     fleet_place place_for(std::uint32_t endpoint, bool in_cell) const override;
     std::size_t peer_count() const noexcept override { return m_directory.size(); }
     std::uint64_t cell_count() const noexcept override { return m_directory.cell_count(); }
@@ -101,6 +103,8 @@
     host_directory m_directory;
     std::uint64_t m_greetings = 0;
     std::optional<time_point> m_last_message;
+    // The first message after the last interruption.
+    time_point m_heard_since{};
     std::string m_buffer;
     udp_address m_sender;
 };
--- a/include/cicadaport/serving/stream_origin_tracker.h
+++ b/include/cicadaport/serving/stream_origin_tracker.h
@@ -34,8 +34,8 @@
     static constexpr std::chrono::seconds versions_interval{5};
     // Number of hosts that append.
     static constexpr std::size_t writer_count = 2;
-    // A view of the list of replicas is current if it is at most this old, or if another host,
-    // which would have announced a change, was heard from within this time.
+    // A view of the list of replicas is current if it is at most this old, or if the other hosts,
+    // which would have announced a change, have been heard without an interruption since.
     static constexpr milliseconds max_view_age{1'500};
 
     // `host` must outlive the tracker.
--- a/src/serving/peer_gossip.cpp
+++ b/src/serving/peer_gossip.cpp
@@ -243,10 +243,11 @@
     return m_directory.rank_among_known(m_host.timers.now());
 }
 
-std::optional<milliseconds> peer_gossip::time_since_last_message() const
+std::optional<time_point> peer_gossip::heard_since() const
 {
-    return m_last_message ? std::optional{age_of(*m_last_message, m_host.timers.now())}
-                          : std::nullopt;
+    const bool is_heard =
+        m_last_message && m_host.timers.now() - *m_last_message <= max_message_pause;
+    return is_heard ? std::optional{m_heard_since} : std::nullopt;
 }
 
 fleet_place peer_gossip::place_for(std::uint32_t endpoint, bool in_cell) const
@@ -462,6 +463,9 @@
         return;
     }
     const auto now = m_host.timers.now();
+    if (!m_last_message || now - *m_last_message > max_message_pause) {
+        m_heard_since = now;
+    }
     m_last_message = now;
     const auto sender = gossip.sender();
     if (gossip.has_own()) {
--- a/src/serving/stream_origin_tracker.cpp
+++ b/src/serving/stream_origin_tracker.cpp
@@ -24,6 +24,12 @@
                                });
 }
 
+// Returns the time since `then`; -1 if there is none.
+std::int64_t to_ms(std::optional<time_point> then, time_point now)
+{
+    return then ? std::chrono::duration_cast<milliseconds>(now - *then).count() : -1;
+}
+
 } // namespace
 
 void stream_origin_tracker::note_report(const endpoint_report& report)
@@ -150,9 +156,14 @@
 
 bool stream_origin_tracker::is_view_current() const
 {
-    const auto age = m_host.endpoints_position.age(m_host.timers.now());
-    const auto heard = m_gossip != nullptr ? m_gossip->time_since_last_message() : std::nullopt;
-    return age && (*age <= max_view_age || (heard && *heard <= max_view_age));
+    const auto& position = m_host.endpoints_position;
+    const auto age = position.age(m_host.timers.now());
+    if (!age || *age <= max_view_age) {
+        return age.has_value();
+    }
+    const auto heard_since = m_gossip != nullptr ? m_gossip->heard_since() : std::nullopt;
+    return heard_since && *heard_since <= *position.known_at &&
+           position.offset >= position.announced_end;
 }
 
 std::optional<origin_id> stream_origin_tracker::find_known(std::span<const service_share> services,
@@ -284,10 +295,12 @@
         return;
     }
     spdlog::info("stream_origin_{} begun_as={} origin={:x} source={} versions={} whole_history={} "
-                 "current_view={} passed_over={}",
+                 "current_view={} view_age_ms={} heard_ms={} passed_over={}",
                  origin ? "found" : "unknown", begun_as, origin.value_or(0), source,
                  m_origins.versions(now).size(), m_origins.has_whole_history(now),
-                 is_view_current(), m_log_budget.take_suppressed_count());
+                 is_view_current(), to_ms(m_host.endpoints_position.known_at, now),
+                 to_ms(m_gossip != nullptr ? m_gossip->heard_since() : std::nullopt, now),
+                 m_log_budget.take_suppressed_count());
 }
 
 void stream_origin_tracker::run_housekeeping()
--- a/test/platform/feed_follower_test.cpp
+++ b/test/platform/feed_follower_test.cpp
@@ -41,7 +41,7 @@
     std::vector<http::address> relay_hosts() const override { return {}; }
     void announce_streams(std::span<const serving::begun_stream>) override {}
     std::size_t rank_among_known_hosts() const override { return 0; }
-    std::optional<std::chrono::milliseconds> time_since_last_message() const override { return {}; }
+    std::optional<serving::time_point> heard_since() const override { return {}; }
 
     std::vector<shared_page> announced;
 };
--- a/test/platform/peer_gossip_test.cpp
+++ b/test/platform/peer_gossip_test.cpp
@@ -1,8 +1,12 @@
 // Hosts exchange gossip in datagrams, on loopback addresses.
+#include "stand_ins.h"
+
 #include "platform/wire.h"
 
 #include "cicadaport/serving/peer_gossip.h"
 
+#include "news.pb.h"
+
 #include <gmock/gmock.h>
 
 namespace cicadaport::platform {
@@ -140,5 +144,83 @@
     EXPECT_TRUE(announced[0].entries.empty());
 }
 
+// Hosts that take up streams whose beginning they have not heard of.
+class unknown_stream_test : public peer_gossip_test {
+protected:
+    // Starts two hosts that list one version, with the record of the versions in the store.
+    void start_with_one_version()
+    {
+        replica.id = "i-1";
+        replica.service = "s";
+        replica.version = "v1";
+        protocol::stream_origin_record record;
+        auto& listed = *record.add_versions();
+        listed.set_service(number_of_service(replica.service));
+        listed.set_origin(origin_of(replica));
+        store.put("stream-origins", "", record.SerializeAsString());
+        start(2);
+        auto& state = hosts[0]->state;
+        state.origins.set_store(store.address());
+        state.endpoints.apply(replica, clock::now());
+        state.origins.note_report(replica);
+        state.origins.handle_changed_list();
+        state.endpoints_position.known_at = clock::now();
+    }
+
+    // Returns what the first host finds as the origin of a stream that it does not know.
+    std::optional<origin_id> find_origin()
+    {
+        std::optional<std::optional<origin_id>> found;
+        hosts[0]->state.origins.find(services, "unknown", [&](auto origin) { found = origin; });
+        EXPECT_TRUE(run_until([&] { return found.has_value(); }));
+        return found.value_or(std::nullopt);
+    }
+
+    // Longer than a view of the list is current by itself, and than hosts are silent.
+    static constexpr auto suspension = 2s;
+    const std::vector<service_share> services{{"s", 1}};
+    endpoint_report replica;
+    testing::standin_store store;
+};
+
+// Regression: the first datagram after a suspension made a list current that another host might
+// have read again meanwhile, with a version on which streams had begun.
+TEST_F(unknown_stream_test, has_no_known_origin_after_a_suspension_until_the_list_is_read)
+{
+    start_with_one_version();
+    ASSERT_EQ(find_origin(), origin_of(replica));
+    store.refuse(503);
+    std::this_thread::sleep_for(suspension);
+    const auto resumed_at = clock::now();
+    ASSERT_TRUE(run_until([&] {
+        const auto since = hosts[0]->gossip.heard_since();
+        return since && *since >= resumed_at;
+    }));
+    EXPECT_EQ(find_origin(), std::nullopt);
+    hosts[0]->state.endpoints_position.known_at = clock::now();
+    EXPECT_EQ(find_origin(), origin_of(replica));
+}
+
+TEST_F(unknown_stream_test, has_a_known_origin_while_the_store_is_down_and_other_hosts_are_heard)
+{
+    start_with_one_version();
+    ASSERT_EQ(find_origin(), origin_of(replica));
+    store.refuse(503);
+    const auto until = clock::now() + suspension;
+    run_until([&] { return clock::now() >= until; });
+    EXPECT_EQ(find_origin(), origin_of(replica));
+}
+
+TEST_F(unknown_stream_test, has_no_known_origin_while_announced_records_of_the_list_are_missing)
+{
+    start_with_one_version();
+    ASSERT_EQ(find_origin(), origin_of(replica));
+    store.refuse(503);
+    hosts[0]->state.endpoints_position.announced_end = 1;
+    const auto until = clock::now() + suspension;
+    run_until([&] { return clock::now() >= until; });
+    EXPECT_EQ(find_origin(), std::nullopt);
+}
+
 } // namespace
 } // namespace cicadaport::platform
