serving: a version that was listed lately begins no streams while another is left

Cause: the two seconds for which a new version begins no resumable streams, so that all hosts know it, were waived where the other versions had less than half of the replicas.

Evidence: stream_origins_test.a_recent_version_begins_no_streams_however_few_ replicas_are_left failed: all four replicas were fit.

Change: they are waived only if no older version is left. The rule that a version needs two replicas is still waived under load.

--- a/include/cicadaport/serving/stream_origins.h
+++ b/include/cicadaport/serving/stream_origins.h
@@ -86,7 +86,8 @@
     std::vector<listed_version> versions(time_point now) const;
     // Returns the ids of those replicas of a service on which no resumable stream should begin:
     // their version was listed too recently, or no second replica of it could continue the stream.
-    // Empty if the rest were less than half of the replicas that generate responses.
+    // If the rest were less than half of the replicas that generate responses, only recent versions
+    // begin none, and if all versions are recent, all begin streams.
     std::set<std::string> unfit_to_begin(std::span<const endpoint_pointer> replicas,
                                          time_point now) const;
 
--- a/src/serving/stream_origins.cpp
+++ b/src/serving/stream_origins.cpp
@@ -132,26 +132,38 @@
         versions[origin_of(each->report)].count += generates ? 1 : 0;
         count += generates ? 1 : 0;
     }
-    std::set<std::string> out;
     if (versions.size() < 2) {
-        return out;
+        return {};
     }
     for (const auto& each : known->second) {
         if (const auto found = versions.find(each.origin); found != versions.end()) {
             found->second.is_settled = now - each.first >= settling_time;
         }
     }
+    std::set<std::string> unsettled;
+    std::set<std::string> unfit;
+    std::size_t settled_count = 0;
     std::size_t fit_count = 0;
     for (const auto& each : replicas) {
         const auto& of = versions.at(origin_of(each->report));
+        const std::size_t generating = each->report.stage != engine_stage::prefill ? 1 : 0;
+        if (!of.is_settled) {
+            unsettled.insert(each->report.id);
+        }
+        else {
+            settled_count += generating;
+        }
         if (!of.is_settled || of.count < min_replicas_to_begin) {
-            out.insert(each->report.id);
+            unfit.insert(each->report.id);
         }
         else {
-            fit_count += each->report.stage != engine_stage::prefill ? 1 : 0;
+            fit_count += generating;
         }
     }
-    return 2 * fit_count >= count ? out : std::set<std::string>{};
+    if (2 * fit_count >= count) {
+        return unfit;
+    }
+    return settled_count > 0 ? unsettled : std::set<std::string>{};
 }
 
 bool stream_origins::record(const begun_stream& begun, time_point now)
--- a/test/serving/stream_origins_test.cpp
+++ b/test/serving/stream_origins_test.cpp
@@ -144,6 +144,26 @@
             .empty());
 }
 
+// Regression: such a version began streams at once, and a host whose view of the list was a second
+// old continued them on the other version.
+TEST_F(stream_origins_test, a_recent_version_begins_no_streams_however_few_replicas_are_left)
+{
+    list(replica("a", "v1"), start);
+    for (const auto* id : {"b", "c", "d"}) {
+        list(replica(id, "v2"), start + 10s);
+    }
+    const std::set<std::string> recent{"b", "c", "d"};
+    EXPECT_EQ(origins.unfit_to_begin(table.serving("s"), start + 10s), recent);
+    const std::set<std::string> single{"a"};
+    EXPECT_EQ(
+        origins.unfit_to_begin(table.serving("s"), start + 10s + stream_origins::settling_time),
+        single);
+    remove("a", start + 11s);
+    list(replica("e", "v3"), start + 11s);
+    EXPECT_TRUE(origins.unfit_to_begin(table.serving("s"), start + 11s).empty())
+        << "no other version is left";
+}
+
 // The only engine that could continue the streams of a version crashed.
 TEST_F(stream_origins_test, a_version_begins_no_streams_if_no_second_replica_could_continue_them)
 {
