test: answers that end inside their head are no answers

Reported by operators of other systems: a replica stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body, framed as whole (MIXED, ORDER).

Result: it does not happen here. Every proper prefix of four heads, closed or reset, yields no status and no complete answer; plain requests and streams get 502, a continued stream is broken off after its last whole event, directly and through a relay.

--- a/test/platform/continued_stream_test.cpp
+++ b/test/platform/continued_stream_test.cpp
@@ -61,6 +61,11 @@
     out.push_back(
         {"broken chunked error", "500 X\r\nID" + chunks, chunked(error_text), end::reset});
     out.push_back({"short error", "500 X\r\nIDContent-Length: 99\r\n", error_text, end::close});
+    // The blank line after the fields is missing.
+    out.push_back({"closed inside the head", "200 X\r\nIDResponse-Seal: s", "", end::close});
+    out.push_back({"closed inside the head after 100",
+                   "100 X\r\n\r\nHTTP/1.1 200 X\r\nIDResponse-Seal: s", "", end::close});
+    out.push_back({"reset inside the head", "200 X\r\nIDResponse-Seal: s", "", end::reset});
     out.push_back({"no answer", "", "", end::close});
     out.push_back({"no http", "X", error_text, end::close});
     return out;
--- a/test/platform/unframed_answer_test.cpp
+++ b/test/platform/unframed_answer_test.cpp
@@ -51,6 +51,25 @@
         << "the connection was not used again";
 }
 
+// Guards against a 200 with an empty body for an answer that ended inside its head.
+TEST_F(unframed_answer_test, an_answer_that_ends_inside_its_head_is_not_answered_as_a_success)
+{
+    for (const auto after : {end::close, end::reset}) {
+        scripted_server broken{[after](const received_request& each) {
+            return scripted_response{"HTTP/1.1 200 OK\r\nRequest-Id: " + each.field("Request-Id") +
+                                         "\r\nResponse-Seal: s\r\n",
+                                     after};
+        }};
+        list_replica("i-1", broken.address());
+        start();
+        for (const std::string route : {"once", "safe", "stream", "going"}) {
+            EXPECT_EQ(ask(request("POST", "/" + route + "/x", route, "", "q")).status, 502U)
+                << route;
+        }
+        stop_host();
+    }
+}
+
 TEST_F(unframed_answer_test, a_plain_answer_that_is_reset_is_not_whole)
 {
     const auto answer = ask_route("once", "body", end::reset);
--- a/test/transport/exchange_connection_test.cpp
+++ b/test/transport/exchange_connection_test.cpp
@@ -116,6 +116,25 @@
     EXPECT_EQ(recorder.failure, exchange_failure::cut_short);
 }
 
+// Guards against answers that are framed as whole although their head was truncated.
+TEST_F(exchange_connection_test, does_not_complete_a_response_that_ends_inside_its_head)
+{
+    const std::string fields = "HTTP/1.1 200 OK\r\nId: mine\r\nResponse-Seal: 3e1b.07\r\n";
+    const std::string earlier = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nother";
+    for (const std::string& head :
+         {fields + "\r\n", fields + "Content-Length: 0\r\n\r\n",
+          fields + "Transfer-Encoding: chunked\r\n\r\n", earlier + fields + "\r\n"}) {
+        for (std::size_t size = 0; size < head.size(); ++size) {
+            for (const auto how : {ending::close, ending::reset}) {
+                recorder = {};
+                exchange(head.substr(0, size), how);
+                EXPECT_FALSE(recorder.complete) << head.substr(0, size);
+                EXPECT_EQ(recorder.status, 0U) << head.substr(0, size);
+            }
+        }
+    }
+}
+
 TEST_F(exchange_connection_test, reports_a_request_without_a_response_as_unanswered)
 {
     exchange("", ending::close);
