test: late requests that may not be repeated in a planned stop; the record of LOST

The report on requests that may not be repeated does not happen here: such a request is refused unsent, or answered 504 at its deadline if that comes before the host's end.

--- a/test/platform/planned_stop_test.cpp
+++ b/test/platform/planned_stop_test.cpp
@@ -116,6 +116,39 @@
     wait_for_end();
 }
 
+// Guards against requests that may not be repeated being passed on late in the grace time and cut.
+TEST_F(planned_stop_test, a_late_request_that_may_not_be_repeated_is_refused_unsent_or_answered)
+{
+    scripted_server replica{[](const received_request& each) {
+        auto reply = signed_answer(each, "late");
+        reply.delay = 20s;
+        return reply;
+    }};
+    list_replica("i-1", replica.address());
+    settings.grace_time = 5s;
+    start();
+    caller patient{settings.caller_address};
+    caller hasty{settings.caller_address};
+    const auto may_outlast = request("POST", "/once/x", "r1", "", "body");
+    auto ends_before = request("POST", "/once/x", "r2", "", "body");
+    const std::string deadline = "Deadline-Ms: 5000";
+    ends_before.replace(ends_before.find(deadline), deadline.size(), "Deadline-Ms: 500");
+    patient.send(may_outlast.substr(0, may_outlast.size() - 1));
+    hasty.send(ends_before.substr(0, ends_before.size() - 1));
+    begin_stop();
+    wait_for_close();
+    patient.send(may_outlast.substr(may_outlast.size() - 1));
+    hasty.send(ends_before.substr(ends_before.size() - 1));
+    const auto refused = patient.receive();
+    EXPECT_EQ(refused.status, 503U);
+    EXPECT_TRUE(refused.complete);
+    const auto answered = hasty.receive();
+    EXPECT_EQ(answered.status, 504U) << "it may have run";
+    EXPECT_TRUE(answered.complete);
+    EXPECT_EQ(replica.requests().size(), 1U);
+    wait_for_end();
+}
+
 TEST_F(planned_stop_test, a_late_request_that_ends_before_the_host_is_served)
 {
     scripted_server replica{[](const received_request& each) { return signed_answer(each, "x"); }};
