platform: an entry that lacks a field names no replica

Callers saw: answers of a server that is no replica, and orders that it ran (ROUTE, MIXED).

Cause: the adapter had values for a missing `slots` and `sequence` and did not look at `cold-left-ms`.

The entries of the stand-ins are complete now; those of the invalid-entry test have one fault each, since the new demand would hide the others.

--- a/test/platform/cut_off_host_test.cpp
+++ b/test/platform/cut_off_host_test.cpp
@@ -122,7 +122,7 @@
         where.put(std::string{testing::replicas_topic}, id,
                   R"({"service":"s","address":")" + http::to_string(at) +
                       R"(","zone":"z","version":"v1","slots":4,"state":"ready","sequence":1,)"
-                      R"("born":1})");
+                      R"("cold-left-ms":0,"born":1})");
     }
 
     void copy_configuration()
--- a/test/platform/host_fixture.h
+++ b/test/platform/host_fixture.h
@@ -219,8 +219,9 @@
     {
         store.put(std::string{replicas_topic}, id,
                   R"({"service":")" + service + R"(","address":")" + http::to_string(at) +
-                      R"(","zone":"z","slots":4,"state":")" + state + R"(","sequence":)" +
-                      std::to_string(sequence) + R"(,"born":1)" +
+                      R"(","zone":"z","slots":4,"state":")" + state +
+                      R"(","cold-left-ms":0,"sequence":)" + std::to_string(sequence) +
+                      R"(,"born":1)" +
                       (more.find("\"version\"") == std::string::npos ? R"(,"version":"v1")" : "") +
                       more + "}");
     }
--- a/test/platform/malformed_input_test.cpp
+++ b/test/platform/malformed_input_test.cpp
@@ -155,7 +155,7 @@
     start_with_replica();
     const std::string entry =
         R"({"service":"s","address":"127.0.0.1:1","zone":"z","version":"v1","slots":4,"state":"ready",)"
-        R"("sequence":1,"born":1,"stage":"decode"})";
+        R"("cold-left-ms":0,"sequence":1,"born":1,"stage":"decode"})";
     const std::string configuration =
         R"({"version":1,"routes":[{"name":"a","host":"h.example","path-prefix":"/a/",)"
         R"("kind":"safe","timeout-ms":5000,"target-latency-ms":2000,"max-attempts":2,)"
@@ -185,11 +185,14 @@
     {"i-deeper", std::string(100'000, '[') + std::string(100'000, ']')},
     {"i-number",
      R"({"service":"s","address":"127.0.0.1:1","zone":"z","version":"v1","slots":1e400,)"
-     R"("state":"ready","sequence":1,"born":1})"},
+     R"("state":"ready","cold-left-ms":0,"sequence":1,"born":1})"},
     {"i-port", R"({"service":"s","address":"127.0.0.1:70000","zone":"z","version":"v1","slots":4,)"
-               R"("state":"ready","sequence":1,"born":1})"},
+               R"("state":"ready","cold-left-ms":0,"sequence":1,"born":1})"},
+    {"i-incomplete", R"({"service":"s","address":"127.0.0.1:1","zone":"z","version":"v1",)"
+                     R"("state":"ready"})"},
     {"i-sequence", R"({"service":"s","address":"127.0.0.1:1","zone":"z","version":"v1","slots":4,)"
-                   R"("state":"ready","sequence":18446744073709551616,"born":-1})"},
+                   R"("state":"ready","cold-left-ms":0,"sequence":18446744073709551616,)"
+                   R"("born":-1})"},
     {"i 1\r\nX: y", "{}"},
     {std::string(255, 'k'), std::string(1, '\0')},
 };
--- a/test/platform/soak/fleet_soak.cpp
+++ b/test/platform/soak/fleet_soak.cpp
@@ -132,7 +132,7 @@
         "keyed.servers", of.id,
         fmt::format(
             R"({{"service":"{}","address":"{}","zone":"z1","version":"v1","slots":64,)"
-            R"("state":"{}",{}"sequence":{},"born":1}})",
+            R"("state":"{}","cold-left-ms":0,{}"sequence":{},"born":1}})",
             of.service, http::to_string(of.server.address()), of.leaving ? "draining" : "ready",
             of.stage.empty() ? "" : fmt::format(R"("stage":"{}",)", of.stage), ++of.sequence));
     of.next_report = soak_clock::now() + report_interval;
@@ -228,7 +228,8 @@
         m_store.put(
             "keyed.servers", id,
             fmt::format(R"({{"service":"e","address":"{}","zone":"z1","version":"v1","slots":64,)"
-                        R"("state":"ready","stage":"decode","sequence":{},"born":1}})",
+                        R"("state":"ready","cold-left-ms":0,"stage":"decode","sequence":{},)"
+                        R"("born":1}})",
                         http::to_string(at), m_engine_reports));
     }
     m_next_engine_report = now + report_interval;
--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -213,28 +213,44 @@
     EXPECT_FALSE(read->leaving);
 }
 
+// Returns a complete entry in which the text of one field is replaced.
+std::string entry_with(const std::string& field, const std::string& replacement)
+{
+    std::string out = R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":"v1",)"
+                      R"("slots":4,"state":"ready","cold-left-ms":0,"sequence":4,"born":17})";
+    return out.replace(out.find(field), field.size(), replacement);
+}
+
 TEST(wire_test, an_invalid_endpoint_entry_yields_no_endpoint)
 {
-    for (
-        const std::string value :
-        {"", "not json", "[]", "{}", R"({"service":1})",
-         R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":"v","slots":1,"state":"odd"})",
-         R"({"service":"s","address":"nowhere","zone":"z","version":"v","slots":1,"state":"ready"})",
-         R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":"v","slots":"1","state":"ready"})",
-         R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":"v","state":"ready","born":1.5})",
-         R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":"v","state":"ready","stage":"x"})",
-         R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":1,"state":"ready"})",
-         R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":7,"state":"ready"})"}) {
+    for (const std::string value : {"", "not json", "[]", "{}", R"({"service":1})"}) {
         EXPECT_FALSE(read_endpoint(value)) << value;
     }
+    const std::vector<std::pair<std::string, std::string>> replacements{
+        {R"("ready")", R"("odd")"},
+        {"10.1.2.3:80", "nowhere"},
+        {R"("slots":4)", R"("slots":"4")"},
+        {R"("born":17)", R"("born":1.5)"},
+        {R"("born":17)", R"("born":17,"stage":"x")"},
+        {R"("version":"v1")", R"("version":7)"},
+        {R"("cold-left-ms":0)", R"("cold-left-ms":"0")"},
+    };
+    for (const auto& [field, replacement] : replacements) {
+        EXPECT_FALSE(read_endpoint(entry_with(field, replacement))) << replacement;
+    }
 }
 
-// Returns a complete entry in which the text of one field is replaced.
-std::string entry_with(const std::string& field, const std::string& replacement)
+// Regression: entries of another writer without slots, sequence or remaining warm-up time were used
+// as replicas.
+TEST(wire_test, an_endpoint_entry_that_lacks_a_field_yields_no_endpoint)
 {
-    std::string out = R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":"v1",)"
-                      R"("slots":4,"state":"ready","sequence":4,"born":17})";
-    return out.replace(out.find(field), field.size(), replacement);
+    ASSERT_TRUE(read_endpoint(entry_with("17", "18")));
+    for (const std::string field :
+         {R"("service":"s",)", R"("address":"10.1.2.3:80",)", R"("zone":"z",)",
+          R"("version":"v1",)", R"("slots":4,)", R"("state":"ready",)", R"("cold-left-ms":0,)",
+          R"("sequence":4,)"}) {
+        EXPECT_FALSE(read_endpoint(entry_with(field, ""))) << field;
+    }
 }
 
 TEST(wire_test, an_entry_with_a_number_or_port_out_of_range_yields_no_endpoint)
