serving: a replica that resets the check of a silent stream is alive

A replica accepts a bounded number of connections and resets the rest, also while it preempts streams; the reset counted as no answer, and its streams were taken away. A relayed stream would have had its check sent to the other host, which has no such route.

Change: a reset counts as a sign of life, while the connection of the stream is open; the replicas of relayed streams are watched by the other host.

--- a/include/cicadaport/serving/liveness_checker.h
+++ b/include/cicadaport/serving/liveness_checker.h
@@ -2,7 +2,7 @@
 //
 // An engine that preempts a request sends nothing for it until it has memory again, while an
 // engine that has crashed or is unreachable sends nothing at all. Only the first one answers a
-// request for its status.
+// request for its status. It may also reset the connection, if it accepts no more of them.
 //
 // Not thread safe: used only on the event loop of its host.
 #pragma once
@@ -26,7 +26,7 @@
     // `host` must outlive the checker.
     explicit liveness_checker(host_state& host) : m_host{host} {}
 
-    // Calls `on_end` once, asynchronously, with whether the endpoint has answered. Concurrent
+    // Calls `on_end` once, asynchronously, with whether the endpoint has reacted. Concurrent
     // checks of an endpoint share one request.
     void check(const endpoint& which, std::function<void(bool is_alive)> on_end);
 
--- a/src/serving/exchange_failures.cpp
+++ b/src/serving/exchange_failures.cpp
@@ -233,8 +233,9 @@
 {
     const auto now = m_host.timers.now();
     const auto limit = max_silence() - liveness_checker::timeout;
-    if (now - m_last_event < limit || health_of_endpoint().was_active_since(now - limit) ||
-        !can_continue_elsewhere()) {
+    // The other host of a relayed stream watches the replica.
+    if (m_step == step::relaying || now - m_last_event < limit ||
+        health_of_endpoint().was_active_since(now - limit) || !can_continue_elsewhere()) {
         m_silence_start = now - limit / 2;
         start_silence_timeout();
         return;
--- a/src/serving/liveness_checker.cpp
+++ b/src/serving/liveness_checker.cpp
@@ -16,10 +16,12 @@
         return;
     }
     m_host.limits.count_call(id);
+    const auto asked_at = m_host.timers.now();
     call_once(m_host, which.report.address, m_host.wire.status_request(which.report), timeout,
-              [this, id](const std::optional<call_response>& response) {
+              [this, id, asked_at](const std::optional<call_response>& response) {
                   constexpr unsigned status_ok = 200;
-                  end(id, response && response->status == status_ok);
+                  const bool is_reset = !response && m_host.timers.now() - asked_at < timeout;
+                  end(id, is_reset || (response && response->status == status_ok));
               });
 }
 
--- a/test/platform/continued_stream_test.cpp
+++ b/test/platform/continued_stream_test.cpp
@@ -159,6 +159,25 @@
     expect_broken_streams({&one, &two});
 }
 
+// The other host decides whether the replica is dark.
+TEST_F(continued_stream_test, stays_at_the_host_to_which_it_is_relayed_while_it_is_silent)
+{
+    const auto serve = [](const received_request& each) {
+        if (each.path().starts_with("/safe/")) {
+            return signed_answer(each, "own");
+        }
+        return each.field("Last-Event-Id").empty() ? testing::pausing_stream(each, 2, 4, 1'800ms)
+                                                   : testing::not_executed(each);
+    };
+    scripted_server first{serve};
+    scripted_server second{serve};
+    start_relaying({&first, &second});
+    greet({&first, &second});
+    const auto answer = ask(request("POST", "/going/x", "r1", "", "q"));
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(answer.body, events(1, 4));
+}
+
 TEST_F(continued_stream_test, has_each_event_once_when_its_continuation_repeats_some)
 {
     start_with_replicas();
--- a/test/platform/host_test.cpp
+++ b/test/platform/host_test.cpp
@@ -468,6 +468,26 @@
     EXPECT_EQ(kept.ask(request("GET", "/safe/x", "r3")).status, 200U);
 }
 
+TEST_F(host_test, a_resumable_stream_stays_at_a_silent_replica_that_accepts_no_more_connections)
+{
+    constexpr auto silence = 1'800ms;
+    const auto serve = [](const received_request& each) {
+        if (testing::is_status_request(each)) {
+            return scripted_response{"", scripted_response::then::reset};
+        }
+        return each.field("Last-Event-Id").empty() ? pausing_stream(each, 2, 4, silence)
+                                                   : not_executed(each);
+    };
+    scripted_server one{serve};
+    scripted_server two{serve};
+    list_replica("i-1", one.address());
+    list_replica("i-2", two.address());
+    start();
+    const auto answer = ask(request("POST", "/going/x", "r1", "", "q"));
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(answer.body, events(1, 4));
+}
+
 TEST_F(host_test, a_request_is_cancelled_at_the_replica_when_the_caller_disconnects)
 {
     scripted_server replica{[](const received_request&) { return scripted_response{"", {}, 0ms}; }};
