--- a/test/platform/host_test.cpp
+++ b/test/platform/host_test.cpp
@@ -100,8 +100,9 @@
     std::this_thread::sleep_for(2s);
     stop_host();
     EXPECT_THAT(log.text(),
-                ContainsRegex("feed_interrupted feed=configuration reason=\"status 503\" offset=1 "
-                              "told_end=[0-9]+ age_ms=[0-9]+ read_by=this_host"));
+                ContainsRegex("feed_interrupted feed=configuration reason=\"status 503\" "
+                              "received_bytes=[0-9]+ offset=1 told_end=[0-9]+ age_ms=[0-9]+ "
+                              "read_by=this_host"));
     EXPECT_THAT(log.text(), ContainsRegex("feed_regained feed=configuration offset=1 "
                                           "told_end=[0-9]+ age_ms=[0-9]+ read_by=this_host "
                                           "failures=[1-9]"));
