serving: a stream that is sent on does not name the KV handle that its first engine has taken

Callers saw: streams of an engine that fell silent were cut, although another engine could have gone on. Cause: the handle of the prefilled prompt was kept until the answer had ended. A silent stream was sent on with it; a handle can be taken once, so the next engine refused the request (503, not run), and where a route allows two attempts that was the last one. The test failed before: the stream had two of its four events and no end. Change: the handle is dropped with the first event of the run, when the engine has the prompt. A run that breaks off later also sends no request any more to release it.

--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -169,6 +169,8 @@
 
     void record_event();
     void record_decode_wait();
+    // Records that the engine has the prompt's KV cache. A handle can be used once.
+    void record_kv_transfer();
     // Logs that a stream is sent to a replica to be continued, with where it began.
     void log_continuation(const endpoint& to) const;
     // Logs that no connection to the endpoint could be established.
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -263,6 +263,7 @@
         m_caller->begin(m_begun_status, m_answer->fields);
     }
     record_event();
+    record_kv_transfer();
     if (m_route->resumable && !m_answer_timer.is_set()) {
         start_silence_timeout();
     }
@@ -304,6 +305,15 @@
     }
 }
 
+void exchange::record_kv_transfer()
+{
+    if (m_kv_cache && m_plan.prefill_engine) {
+        m_host.engines.state(m_plan.prefill_engine->report.id)
+            .kv_transfer_health.record_success(m_host.timers.now());
+    }
+    m_kv_cache.reset();
+}
+
 void exchange::log_end(std::string_view result, std::string_view reason) const
 {
     if (!spdlog::should_log(spdlog::level::debug)) {
@@ -431,11 +441,7 @@
     if (is_success(status)) {
         health.record_success(now);
         record_survival();
-        if (m_kv_cache && m_plan.prefill_engine) {
-            m_host.engines.state(m_plan.prefill_engine->report.id)
-                .kv_transfer_health.record_success(now);
-        }
-        m_kv_cache.reset();
+        record_kv_transfer();
         m_served = true;
         log_end("answered", "");
         ++m_host.counts.answered;
--- a/test/platform/host_test.cpp
+++ b/test/platform/host_test.cpp
@@ -383,6 +383,36 @@
     EXPECT_EQ(answer.body, events(1, 4));
 }
 
+// Regression: the stream was sent on with the handle that its first engine had taken, and was cut.
+TEST_F(host_test, a_silent_stream_continues_without_the_kv_handle_that_was_taken)
+{
+    scripted_server prefill{[](const received_request& each) {
+        return make_response(200, "Request-Id: " + each.field("Request-Id") + "\r\n",
+                             R"({"kv-handle":"h1","tokens":9,"version":1})");
+    }};
+    std::atomic<bool> is_handle_taken{false};
+    const auto serve = [&](const received_request& each) {
+        if (testing::is_status_request(each)) {
+            return scripted_response{};
+        }
+        if (!each.field("Kv-Source").empty()) {
+            return is_handle_taken.exchange(true) ? not_executed(each)
+                                                  : pausing_stream(each, 2, 4, 1min);
+        }
+        return stream(each, "s", events(3, 4), scripted_response::then::keep);
+    };
+    scripted_server one{serve};
+    scripted_server two{serve};
+    list_replica("i-p", prefill.address(), "e", R"(,"stage":"prefill")");
+    list_replica("i-1", one.address(), "e", R"(,"stage":"decode")");
+    list_replica("i-2", two.address(), "e", R"(,"stage":"decode")");
+    start();
+    const auto answer = ask(request("POST", "/prompt-going/x", "r1",
+                                    "Token-Count: 900,80\r\nPrompt-Prefix: a:500,b:400\r\n", "q"));
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(answer.body, events(1, 4));
+}
+
 // The stream was given up after 0.6 s, and no other replica took it.
 TEST_F(host_test, a_resumable_stream_whose_replica_is_silent_for_a_second_goes_on_there)
 {
