serving: a stream that was continued is watched for silence from its first event on

Callers saw: a stream that had been continued once hung until its deadline when its second replica went dark too, although a third one was free. Cause: the timeout of the answer was cancelled by the first event of the first run only. In a later run it kept the timer occupied, so that no timeout for silence was started, and when it expired it counted a failure against a replica that had answered. Change: the first event of each run cancels the timeout.

--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -249,10 +249,12 @@
     if (events.empty()) {
         return;
     }
+    if (m_run_first_event == time_point{}) {
+        m_answer_timer.cancel();
+    }
     if (!m_answer_started) {
         m_answer_started = true;
         m_begun_status = m_answer->status;
-        m_answer_timer.cancel();
         if (m_route->has_prompt) {
             end_prefill();
             const fractional_milliseconds observed = m_host.timers.now() - m_sent;
--- a/test/platform/host_test.cpp
+++ b/test/platform/host_test.cpp
@@ -383,6 +383,38 @@
     EXPECT_EQ(answer.body, events(1, 4));
 }
 
+// Regression: a continued stream was watched for the beginning of its answer only.
+TEST_F(host_test, a_stream_that_was_continued_once_continues_again_when_its_replica_goes_dark)
+{
+    settings.attempts.ratio = 2;
+    publish(2, 3);
+    const auto serve = [](const received_request& each) {
+        if (testing::is_status_request(each)) {
+            return scripted_response{};
+        }
+        const auto after = each.field("Last-Event-Id");
+        if (after.empty()) {
+            return stream(each, "s", events(1, 2), scripted_response::then::close);
+        }
+        if (after == "2") {
+            auto out = stream(each, "s", events(3, 3), scripted_response::then::close);
+            out.after = scripted_response::then::keep;
+            return out;
+        }
+        return stream(each, "s", events(4, 4), scripted_response::then::keep);
+    };
+    scripted_server one{serve};
+    scripted_server two{serve};
+    scripted_server three{serve};
+    list_replica("i-1", one.address());
+    list_replica("i-2", two.address());
+    list_replica("i-3", three.address());
+    start();
+    const auto answer = ask(request("POST", "/going/x", "r1", "", "q"));
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(answer.body, events(1, 4));
+}
+
 // Regression: the stream was sent on with the handle that its first engine had taken, and was cut.
 TEST_F(host_test, a_silent_stream_continues_without_the_kv_handle_that_was_taken)
 {
