serving: the replica of a silent stream is left only when another one continues it

Where the replica that was asked next had no room, failed, or was silent too, the caller's connection was reset within the answer (LOST), although the first replica would have gone on. Cause: the first replica was given up before another one had agreed. The class: a takeover that lets go before it has hold. Change: the silent run keeps its connection while another replica is asked. The first of them that sends an event has the stream, the other one is cancelled; if the other one refuses or fails, the stream stays where it was. Both end with the deadline, with their caller and with the host. The log line stream_silent says what was decided.

--- a/include/cicadaport/serving/event_buffer.h
+++ b/include/cicadaport/serving/event_buffer.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace cicadaport::serving {
 
@@ -30,6 +31,9 @@
     // Drops the incomplete event. A new stream follows that continues after `last_event_id()`.
     void restart() { m_pending.clear(); }
 
+    // Removes and returns the bytes of the event that is not complete yet.
+    std::string take_incomplete() { return std::exchange(m_pending, {}); }
+
     // Returns how many complete events take_complete() has returned in all.
     std::size_t count() const noexcept { return m_count; }
 
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -48,6 +48,8 @@
 
 private:
     enum class step { idle, prefilling, running, relaying };
+    struct run_state;
+    class silent_run;
 
     // answer_observer
     bool owns(const transport::message_head& head) override;
@@ -128,11 +130,21 @@
     // requests in the meantime gets the same time again.
     void start_answer_timeout(fractional_milliseconds time);
     void handle_answer_timeout();
-    // Continues a resumable stream on another replica if its events stop coming and its replica
+    // Asks another replica to continue a resumable stream if its events stop coming and its replica
     // does not answer a check either.
     void start_silence_timeout();
     void check_silent_replica();
     void handle_liveness(bool is_alive);
+    // Keeps the current run while another replica is asked to continue its stream.
+    void hold_silent_run();
+    // Makes the run that is kept the current one again, in place of the attempt to continue it.
+    void return_to_silent_run();
+    // Ends the run that is kept, if any.
+    void release_silent_run();
+    // Handles the end of the run that is kept.
+    void handle_silent_run_failure();
+    // Logs what becomes of a stream whose replica is silent.
+    void log_silence(std::string_view effect) const;
     // Returns for how long a stream may be silent.
     milliseconds max_silence() const;
     void handle_deadline();
@@ -160,6 +172,8 @@
     // than `max_bytes`.
     void enforce_answer_limit(std::size_t bytes, std::size_t max_bytes);
     void release_endpoint();
+    // Ends what is recorded for a run at an endpoint.
+    void end_run_work(const endpoint& at, std::uint64_t decode_work);
     void release_held_kv_cache();
     void begin_prefill(const endpoint& engine);
     // Records that an engine will have the prompt in its KV cache after `prefill_latency`.
@@ -248,6 +262,8 @@
     clock::duration m_longest_pause{0};
     // Silence before this time does not count against the stream.
     time_point m_silence_start{};
+    // Null unless another replica is asked to continue a silent stream.
+    std::unique_ptr<silent_run> m_silent_run;
 
     prompt_plan m_plan;
     std::optional<prompt_kv_cache> m_kv_cache;
--- a/include/cicadaport/transport/exchange_connection.h
+++ b/include/cicadaport/transport/exchange_connection.h
@@ -61,6 +61,9 @@
     // `on_failure()` or `abandon()` was called. The connection must be `is_idle()`.
     void send(std::string request, answer_observer& observer);
 
+    // Passes the events of the exchange in progress, if any, to another observer from now on.
+    void set_observer(answer_observer& observer) noexcept;
+
     // Ends the exchange in progress, if any, and closes the connection, which
     // tells the peer to stop.
     void abandon() noexcept;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "cicadaport/serving/request_digest.h"
 #include "internal/exchange_constants.h"
+#include "internal/silent_run.h"
 
 #include <fmt/format.h>
 #include <spdlog/spdlog.h>
@@ -249,6 +250,7 @@
     if (events.empty()) {
         return;
     }
+    release_silent_run();
     if (m_run_first_event == time_point{}) {
         m_answer_timer.cancel();
     }
@@ -539,6 +541,10 @@
 
 void exchange::fail(unsigned status, std::string_view reason)
 {
+    if (m_silent_run != nullptr) {
+        return_to_silent_run();
+        return;
+    }
     if (m_answer_started) {
         ++m_host.counts.cut;
         m_caller->cut();
@@ -562,6 +568,7 @@
     m_caller = nullptr;
     m_deadline_timer.cancel();
     if (m_route != nullptr) {
+        release_silent_run();
         if (m_route->has_prompt) {
             m_host.sizes.record_outcome(m_route->name, m_size, m_served);
         }
--- a/src/serving/exchange_failures.cpp
+++ b/src/serving/exchange_failures.cpp
@@ -14,12 +14,6 @@
 
 // Endpoints that may fail to connect before a request is rejected.
 constexpr std::uint32_t max_connect_attempts = 6;
-// The replica of a resumable stream is given up after a silence of this many times the inter-token
-// latency objective. Callers disconnect after 8 times the objective, or two seconds if that is
-// longer. A replica that preempts a stream may be silent for that long, so it is checked first.
-constexpr int silence_timeout_ratio = 4;
-constexpr milliseconds min_silence_timeout{1'300};
-
 constexpr std::size_t max_logged_segments = 16;
 
 // Returns the ids of the prompt's segments in hexadecimal, separated by commas.
@@ -217,62 +211,6 @@
     });
 }
 
-milliseconds exchange::max_silence() const
-{
-    return std::max(silence_timeout_ratio * m_route->pause_objective, min_silence_timeout);
-}
-
-void exchange::start_silence_timeout()
-{
-    const auto silent_since = std::max(m_last_event, m_silence_start);
-    m_answer_timer = m_host.timers.call_at(silent_since + max_silence() - liveness_checker::timeout,
-                                           [this] { check_silent_replica(); });
-}
-
-void exchange::check_silent_replica()
-{
-    const auto now = m_host.timers.now();
-    const auto limit = max_silence() - liveness_checker::timeout;
-    // The other host of a relayed stream watches the replica.
-    if (m_step == step::relaying || now - m_last_event < limit ||
-        health_of_endpoint().was_active_since(now - limit) || !can_continue_elsewhere()) {
-        m_silence_start = now - limit / 2;
-        start_silence_timeout();
-        return;
-    }
-    if (!m_host.accepts_request(*m_endpoint, m_route->has_prompt)) {
-        // It has asked for a pause or is at its limit, and must not be sent a check.
-        handle_liveness(true);
-        return;
-    }
-    m_host.liveness.check(*m_endpoint, [weak = weak_from_this(), run = m_sent](bool is_alive) {
-        const auto self = weak.lock();
-        if (self != nullptr && self->m_step == step::running && self->m_sent == run) {
-            self->handle_liveness(is_alive);
-        }
-    });
-}
-
-void exchange::handle_liveness(bool is_alive)
-{
-    const auto now = m_host.timers.now();
-    auto& health = health_of_endpoint();
-    if (is_alive) {
-        health.record_activity(now);
-    }
-    if (is_alive || now - m_last_event < max_silence() - liveness_checker::timeout) {
-        m_silence_start = now;
-        start_silence_timeout();
-        return;
-    }
-    health.record_failure(now);
-    m_host.paths.note_silence();
-    m_excluded.insert(m_endpoint->report.id);
-    if (!retry_elsewhere()) {
-        spdlog::debug("stream_silent id={} endpoint={}", m_metadata.id, m_endpoint->report.id);
-    }
-}
-
 void exchange::handle_answer_timeout()
 {
     if (m_step == step::prefilling) {
@@ -306,6 +244,7 @@
 
 void exchange::give_up(milliseconds pause, std::string_view reason)
 {
+    release_silent_run();
     release_endpoint();
     if (m_answer_started || may_have_run()) {
         fail(status_timeout, reason);
@@ -315,16 +254,23 @@
     }
 }
 
-void exchange::release_endpoint()
+void exchange::end_run_work(const endpoint& at, std::uint64_t decode_work)
 {
-    m_answer_timer.cancel();
-    if (m_decode_work != 0) {
-        m_host.end_work(std::exchange(m_decode_work, 0));
+    if (decode_work != 0) {
+        m_host.end_work(decode_work);
     }
-    if (m_endpoint != nullptr && !m_route->has_prompt && m_step == step::running) {
-        auto& in_flight = m_host.replicas.state(m_endpoint->report.id).in_flight;
+    if (!m_route->has_prompt) {
+        auto& in_flight = m_host.replicas.state(at.report.id).in_flight;
         in_flight -= in_flight > 0 ? 1 : 0;
     }
+}
+
+void exchange::release_endpoint()
+{
+    m_answer_timer.cancel();
+    if (m_step == step::running) {
+        end_run_work(*m_endpoint, std::exchange(m_decode_work, 0));
+    }
     m_step = step::idle;
     m_host.crashes.remove_pending(*this);
     if (m_connection != nullptr) {
--- a/src/transport/exchange_connection.cpp
+++ b/src/transport/exchange_connection.cpp
@@ -54,6 +54,13 @@
     m_connection->write(std::move(request));
 }
 
+void exchange_connection::set_observer(answer_observer& observer) noexcept
+{
+    if (m_observer != nullptr) {
+        m_observer = &observer;
+    }
+}
+
 void exchange_connection::abandon() noexcept
 {
     m_observer = nullptr;
