serving: a request that crosses the close of its connection is left unread

Callers saw: in planned stops without any disruption, a request that may not be repeated got neither an answer nor a refusal and was not sent again (a booking in the users' terms). Cause: when a stopping host closed its idle connections it went on reading them for a second and dropped what came. By the users' protocol a caller may repeat such a request if the host has closed without having read it; since it had been read, the caller could not. Change: a connection that closes between two requests reads nothing more. What arrives stays unread and is reset, by which its caller can tell. A connection that closes while a request is being received still reads the rest, so that the answer to it is not lost.

--- a/include/cicadaport/transport/tcp_connection.h
+++ b/include/cicadaport/transport/tcp_connection.h
@@ -78,6 +78,10 @@
 
     bool is_open() const noexcept { return m_socket.is_open(); }
 
+    // Leaves unread what the peer sends from now on, so that closing the connection resets it if
+    // there is any. The end of the connection is reported if nothing was sent before it.
+    void leave_unread();
+
     // Shuts down the sending side; reading continues.
     void stop_sending() noexcept;
 
@@ -101,6 +105,7 @@
     std::string m_sending;
     std::string m_queued;
     bool m_paused = false;
+    bool m_leaves_unread = false;
     bool m_waiting = false;
     bool m_connected = false;
     bool m_write_failed = false;
--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -148,6 +148,7 @@
             return;
         }
         m_timeout.cancel();
+        m_request_started = false;
         ++m_progress.request_count;
         if (!m_reader.keeps_connection()) {
             m_closing = true;
@@ -290,6 +291,11 @@
 void caller_connection::close_gracefully()
 {
     m_closing = true;
+    if (!m_request_started) {
+        // A request that crosses the close must not be read: the reset tells its caller that it was
+        // not taken on.
+        m_connection->leave_unread();
+    }
     const bool is_written = m_connection->unsent() == 0;
     if (is_written) {
         m_connection->stop_sending();
--- a/src/transport/tcp_connection.cpp
+++ b/src/transport/tcp_connection.cpp
@@ -120,6 +120,12 @@
     wait_for_input();
 }
 
+void tcp_connection::leave_unread()
+{
+    m_leaves_unread = true;
+    resume_reading();
+}
+
 void tcp_connection::wait_for_input()
 {
     if (m_waiting || m_paused || !m_connected || !m_socket.is_open()) {
@@ -136,8 +142,11 @@
 
 void tcp_connection::read_input()
 {
-    const auto buffer = read_buffer();
     error_code error;
+    if (m_leaves_unread && m_socket.available(error) > 0) {
+        return;
+    }
+    const auto buffer = read_buffer();
     const auto count = m_socket.read_some(asio::buffer(buffer.data(), buffer.size()), error);
     if (error == asio::error::would_block) {
         wait_for_input();
--- a/test/platform/idle_connection_test.cpp
+++ b/test/platform/idle_connection_test.cpp
@@ -31,6 +31,15 @@
         return {buffer.data(), client.read_some(boost::asio::buffer(buffer), error)};
     }
 
+    // Returns whether the caller's connection was reset.
+    bool is_reset()
+    {
+        int error = 0;
+        socklen_t size = sizeof(error);
+        ::getsockopt(client.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size);
+        return error != 0;
+    }
+
     boost::asio::io_context context;
     wire adapter{http::address{"127.0.0.1", 1}};
     serving::host_state host{context, adapter, "z", {}};
@@ -59,5 +68,26 @@
     EXPECT_FALSE(connection->is_answering());
 }
 
+// Regression: the host read such a request and dropped it, and its caller could not tell.
+TEST_F(idle_connection_test, is_reset_when_a_request_crosses_its_close)
+{
+    connect();
+    connection->close_if_idle();
+    boost::asio::write(client, boost::asio::buffer(testing::request("POST", "/once/x", "r1")));
+    context.run_for(1'200ms);
+    EXPECT_TRUE(connections.empty());
+    EXPECT_TRUE(is_reset());
+}
+
+TEST_F(idle_connection_test, is_not_reset_when_its_caller_closes_it_too)
+{
+    connect();
+    connection->close_if_idle();
+    client.shutdown(tcp::socket::shutdown_send);
+    EXPECT_EQ(receive(), "");
+    EXPECT_TRUE(connections.empty());
+    EXPECT_FALSE(is_reset());
+}
+
 } // namespace
 } // namespace cicadaport::platform
