serving: the log line of a liveness check says what was seen

Each stream decides for itself what becomes of it (the retry budget may keep one), and says so in stream_silent. The line of the check claimed it for all of them.

--- a/src/serving/liveness_checker.cpp
+++ b/src/serving/liveness_checker.cpp
@@ -31,10 +31,8 @@
     const auto waiting = std::move(found->second);
     m_waiting.erase(found);
     if (m_host.response_log_budget.try_acquire(m_host.timers.now())) {
-        spdlog::info("endpoint_liveness id={} alive={} streams={} effect=\"{}\" passed_over={}", id,
-                     is_alive, waiting.size(),
-                     is_alive ? "its streams are kept" : "its streams continue elsewhere",
-                     m_host.response_log_budget.take_suppressed_count());
+        spdlog::info("endpoint_liveness id={} alive={} streams={} passed_over={}", id, is_alive,
+                     waiting.size(), m_host.response_log_budget.take_suppressed_count());
     }
     for (const auto& each : waiting) {
         each(is_alive);
