serving: a silent replica is left with the first byte of the one that continues its stream

Cause: the sign that the other one has taken over was a whole event; a replica runs a request from its first token on. Evidence: the test failed before (the first replica was left after 3 s, with the rest of the event). Change: the first byte of the other one's answer ends the silent run, and the other one is watched for silence from then on.

--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -232,6 +232,12 @@
         enforce_answer_limit(m_answer_body.size(), max_answer_bytes);
         return;
     }
+    if (m_silent_run != nullptr) {
+        // Two replicas must not work on the stream.
+        release_silent_run();
+        m_silence_start = m_host.timers.now();
+        start_silence_timeout();
+    }
     m_events.feed(piece);
     forward_events();
     enforce_answer_limit(m_events.pending_bytes(), max_event_bytes);
@@ -250,7 +256,6 @@
     if (events.empty()) {
         return;
     }
-    release_silent_run();
     if (m_run_first_event == time_point{}) {
         m_answer_timer.cancel();
     }
--- a/test/platform/silent_replica_test.cpp
+++ b/test/platform/silent_replica_test.cpp
@@ -20,6 +20,8 @@
 using end = scripted_response::then;
 
 constexpr auto silence = 2'000ms;
+// Two replicas may work on one stream for this long.
+constexpr auto max_overlap = 400ms;
 
 bool continues_stream(const received_request& each)
 {
@@ -146,14 +148,27 @@
     EXPECT_TRUE(eventually([this] { return abandoned_streams() == 1; }));
 }
 
-TEST_F(silent_replica_test, a_stream_goes_on_at_its_own_replica_until_the_other_has_sent_an_event)
+// Regression: both replicas worked on the stream until the second one had sent a whole event.
+TEST_F(silent_replica_test, a_silent_replica_is_left_with_the_first_byte_of_another_one)
 {
-    start_with(silent_for_a_while, [](const received_request& each) {
+    constexpr auto pause = 3s;
+    start_with(dark, [](const received_request& each) {
         auto out = stream(each, "other", "id: 3\nda", end::close);
         out.after = end::keep;
+        const auto rest = "ta: e3\n\n" + events(4, 4);
+        out.rest = fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", rest.size(), rest);
+        out.pause = pause;
         return out;
     });
-    expect_whole_stream();
+    caller waiting{settings.caller_address};
+    waiting.send(request("POST", "/going/x", "r1", "", "q"));
+    ASSERT_TRUE(eventually([this] { return continuations() == 1; }));
+    const auto begun = std::chrono::steady_clock::now();
+    EXPECT_TRUE(eventually([this] { return abandoned_streams() == 1; }));
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, max_overlap);
+    const auto answer = waiting.receive();
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(answer.body, events(1, 4));
 }
 
 TEST_F(silent_replica_test, the_other_replica_continues_the_stream_when_the_silent_one_breaks_off)
