serving: a stream that waits for a replica to continue it is watched

Cause: the timeout of the answer does nothing once an answer has begun, and no timeout followed it. Evidence: the test failed before (cut at its deadline). Change: the timeout for silence runs whenever a stream has no replica that speaks. An attempt without an answer is kept like a silent run while a further replica is asked. The budget is charged only if there is one that could take the stream.

--- a/src/serving/exchange_failures.cpp
+++ b/src/serving/exchange_failures.cpp
@@ -226,7 +226,13 @@
         return;
     }
     const bool may_repeat = m_route->repeats == repeat_rule::any;
-    if (!m_answer_started && may_repeat && !m_answer) {
+    if (m_answer_started) {
+        if (!m_answer && m_silent_run == nullptr) {
+            continue_elsewhere();
+        }
+        return;
+    }
+    if (may_repeat && !m_answer) {
         m_excluded.insert(m_endpoint->report.id);
         if (try_acquire_attempt()) {
             release_endpoint();
--- a/src/serving/exchange_silence.cpp
+++ b/src/serving/exchange_silence.cpp
@@ -67,14 +67,21 @@
     }
     health.record_failure(now);
     m_host.paths.note_silence();
-    const bool is_continued = try_acquire_attempt();
-    log_silence(is_continued ? "another replica is asked to continue the stream"
-                             : "no further attempt is allowed");
-    if (is_continued) {
+    continue_elsewhere();
+}
+
+void exchange::continue_elsewhere()
+{
+    if (can_continue_elsewhere() && try_acquire_attempt()) {
+        log_silence("another replica is asked to continue the stream");
         m_excluded.insert(m_endpoint->report.id);
         hold_silent_run();
         place();
+        return;
     }
+    log_silence("no further attempt is possible now");
+    m_silence_start = m_host.timers.now();
+    start_silence_timeout();
 }
 
 void exchange::hold_silent_run()
@@ -137,6 +144,8 @@
     m_host.health_of(silent, m_route->has_prompt).record_failure(m_host.timers.now());
     m_host.crashes.handle_interrupted_answer(silent, {}, m_metadata.id);
     release_silent_run();
+    m_silence_start = m_host.timers.now();
+    start_silence_timeout();
 }
 
 void exchange::log_silence(std::string_view effect) const
--- a/src/serving/internal/silent_run.h
+++ b/src/serving/internal/silent_run.h
@@ -36,9 +36,15 @@
     run_state take() { return std::move(m_run); }
 
 private:
-    // The run's answer has begun, so its head has been read.
-    bool owns(const transport::message_head&) override { return true; }
-    void on_head(transport::message_head) override {}
+    bool owns(const transport::message_head& head) override { return m_owner.owns(head); }
+
+    void on_head(transport::message_head head) override
+    {
+        auto& owner = m_owner;
+        const auto keep = owner.shared_from_this();
+        owner.return_to_silent_run();
+        owner.on_head(std::move(head));
+    }
 
     // The exchange destroys this object when it returns to the run.
     void on_body(std::string_view piece) override
--- a/test/platform/silent_replica_test.cpp
+++ b/test/platform/silent_replica_test.cpp
@@ -65,6 +65,15 @@
         return pausing_stream(each, 2, 4, 1min);
     }
 
+    // The replica resets its connection after a silence.
+    static scripted_response breaks_off_silently(const received_request& each)
+    {
+        auto out = stream(each, "s", events(1, 2), end::close);
+        out.after = end::keep;
+        out.following = [] { return scripted_response{"", end::reset, 1'700ms}; };
+        return out;
+    }
+
     caller::answer ask_for_stream() { return ask(request("POST", "/going/x", "r1", "", "q")); }
 
     std::size_t continuations() const
@@ -152,7 +161,7 @@
 TEST_F(silent_replica_test, a_silent_replica_is_left_with_the_first_byte_of_another_one)
 {
     constexpr auto pause = 3s;
-    start_with(dark, [](const received_request& each) {
+    start_with(dark, [pause](const received_request& each) {
         auto out = stream(each, "other", "id: 3\nda", end::close);
         out.after = end::keep;
         const auto rest = "ta: e3\n\n" + events(4, 4);
@@ -188,6 +197,27 @@
     expect_whole_stream();
 }
 
+// Regression: such a stream hung until its deadline.
+TEST_F(silent_replica_test, a_third_replica_is_asked_when_the_second_one_never_answers)
+{
+    publish(2, 3);
+    std::atomic<int> asked{0};
+    const auto continuing = [&](const received_request& each) {
+        return ++asked == 1 ? scripted_response{} : stream(each, "other", events(3, 4), end::keep);
+    };
+    scripted_server three{[&](const received_request& each) {
+        return testing::is_status_request(each) ? scripted_response{}
+               : continues_stream(each)         ? continuing(each)
+                                                : breaks_off_silently(each);
+    }};
+    list_replica("i-3", three.address());
+    start_with(breaks_off_silently, continuing);
+    const auto answer = ask_for_stream();
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(answer.body, events(1, 4));
+    EXPECT_EQ(asked, 2);
+}
+
 TEST_F(silent_replica_test, a_stream_without_a_replica_that_speaks_ends_with_its_deadline)
 {
     start_with(dark, [](const received_request&) { return scripted_response{}; });
