serving: the prefill of a continued stream ends with its first event

Callers saw: prompts were placed badly after an engine had ended or fallen silent, since the engines that continued its streams were taken to be reading prompts still. Cause: the end of a prefill was recorded with the first event of the first run only; that of a later run was announced to all hosts until the stream had ended. Change: the first event of each run ends the prefill.

--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -258,16 +258,14 @@
     }
     if (m_run_first_event == time_point{}) {
         m_answer_timer.cancel();
+        end_prefill();
     }
     if (!m_answer_started) {
         m_answer_started = true;
         m_begun_status = m_answer->status;
-        if (m_route->has_prompt) {
-            end_prefill();
+        if (m_route->has_prompt && !m_kv_cache) {
             const fractional_milliseconds observed = m_host.timers.now() - m_sent;
-            if (!m_kv_cache) {
-                m_host.engines.record_time(m_endpoint->report.id, m_plan.prefill_latency, observed);
-            }
+            m_host.engines.record_time(m_endpoint->report.id, m_plan.prefill_latency, observed);
         }
         m_caller->begin(m_begun_status, m_answer->fields);
     }
