serving: a request that does not arrive in time is answered 408

Callers saw: a connection that closed without an answer to a request of which the host had read a part; what they sent after that was read and dropped. A request that may not be repeated was given up. Cause: the timeouts of head and body closed the connection as if it were idle. Evidence: whole_request_test.a_request_whose_rest_does_not_arrive_in_time_is_refused failed before (no answer, on a new and on a kept connection). Change: the timeouts answer 408, which promises that the request has not run, and close the connection.

--- a/include/cicadaport/serving/caller_connection.h
+++ b/include/cicadaport/serving/caller_connection.h
@@ -57,6 +57,8 @@
 
     void read_requests();
     void reject_message();
+    // Answers a request that has not arrived whole, and closes the connection.
+    void reject_unfinished(unsigned status, std::string_view reason);
     void wait_for_request();
     void start_idle_timeout();
     // Begins to read a request, with the limits that are in force now.
--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -116,7 +116,8 @@
             start_read_timeout(m_host.timers.now() + transport::timer_queue::resolution);
         }
         else {
-            close_gracefully();
+            constexpr unsigned request_timeout = 408;
+            reject_unfinished(request_timeout, "the request did not arrive in time");
         }
     });
 }
@@ -186,6 +187,12 @@
            {}, "the request can't be read");
 }
 
+void caller_connection::reject_unfinished(unsigned status, std::string_view reason)
+{
+    m_closing = true;
+    answer(status, {}, reason);
+}
+
 void caller_connection::on_end(transport::connection_end)
 {
     const auto keep = shared_from_this();
--- a/test/platform/whole_request_test.cpp
+++ b/test/platform/whole_request_test.cpp
@@ -73,6 +73,27 @@
     }
 }
 
+// Regression: the connection was closed without an answer, so that the caller could not know
+// whether its request had run.
+TEST_F(whole_request_test, a_request_whose_rest_does_not_arrive_in_time_is_refused)
+{
+    publish(2, 2, 0, wide_limits);
+    start_delayable();
+    for (const bool kept : {false, true}) {
+        caller connection{settings.caller_address};
+        if (kept) {
+            EXPECT_EQ(connection.ask(request("GET", "/safe/x", "r0")).status, 200U);
+        }
+        connection.send("POST /once/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n");
+        std::this_thread::sleep_for(600ms);
+        connection.send("Content-Length: 1\r\n\r\nq");
+        const auto answer = connection.receive();
+        EXPECT_EQ(answer.status, 408U) << "kept " << kept;
+        EXPECT_EQ(answer.field("Connection"), "close");
+    }
+    EXPECT_EQ(replica.count([](const auto& each) { return each.field("Request-Id") == "r1"; }), 0U);
+}
+
 TEST_F(whole_request_test, a_request_keeps_the_limits_under_which_its_first_bytes_were_read)
 {
     publish(2, 2, 0, R"("max-header-bytes":30000,"max-body-bytes":50000)");
