serving: a request that is half read when the host ends is refused

Callers saw: the end of a planned stop closed the connection of a request of which the host had read a part, without an answer; the rest was read and dropped. Cause: the end closed such connections as if they were idle. Evidence: whole_request_test.a_request_that_is_half_read_when_the_host_ends_is_refused failed before (no answer). Change: they get 503, also when a request was read but its turn has not come.

--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -334,6 +334,10 @@
         const auto current = m_exchange;
         current->end_for_stop(m_progress);
     }
+    else if (!m_closing && (m_request_started || !m_connection->input().empty())) {
+        constexpr unsigned unavailable = 503;
+        reject_unfinished(unavailable, "the host is stopping");
+    }
     else if (!m_closing) {
         close_gracefully();
     }
--- a/test/platform/whole_request_test.cpp
+++ b/test/platform/whole_request_test.cpp
@@ -94,6 +94,20 @@
     EXPECT_EQ(replica.count([](const auto& each) { return each.field("Request-Id") == "r1"; }), 0U);
 }
 
+// Regression: the rest was read and dropped after the connection had been closed.
+TEST_F(whole_request_test, a_request_that_is_half_read_when_the_host_ends_is_refused)
+{
+    settings.grace_time = 2s;
+    start_delayable();
+    caller connection{settings.caller_address};
+    connection.send("POST /once/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n");
+    ASSERT_EQ(ask(request("GET", "/safe/x", "r0")).status, 200U);
+    process->stop();
+    const auto answer = connection.receive();
+    EXPECT_EQ(answer.status, 503U);
+    EXPECT_EQ(answer.field("Connection"), "close");
+}
+
 TEST_F(whole_request_test, a_request_keeps_the_limits_under_which_its_first_bytes_were_read)
 {
     publish(2, 2, 0, R"("max-header-bytes":30000,"max-body-bytes":50000)");
