serving: a relayed request that a stopping host refuses goes to another host

Callers of a host without a path to replicas see (in a test, not in the users' record): while another host stops, requests that are relayed to it are answered 503, and a stream that is to be continued there is cut, although further hosts could take them. Cause: a host that relays treats every refusal of another host as final. A stopping host refuses what it cannot finish, which says nothing about the other hosts. Evidence: relay_to_stopping_host_test, 3 tests with fakes of other hosts; all failed before: 503 in place of 200, a stream of 2 of 4 events, and one of two hosts asked. Change: a refusal with "Connection: close", which a host gives another one only while it stops, has the request relayed to the next host, within the bounds on relays, attempts and time. It works beside older builds, whose refusals look the same. A request that all hosts refuse is refused as before.

--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -81,6 +81,11 @@
     void relay_to(const http::address& host);
     void handle_relay_answer();
     void handle_relay_failure(transport::exchange_failure failure);
+    // Returns whether another host has refused the request because it is stopping.
+    bool is_refused_by_stop() const;
+    // Relays a request that another host has refused to a further one, if there is one and enough
+    // time is left. Returns whether it was relayed.
+    bool relay_elsewhere();
     // Returns the id of the request in whose answer the stream began; empty if it isn't known.
     const std::string& begun_as() const noexcept
     {
--- a/src/serving/exchange_relay.cpp
+++ b/src/serving/exchange_relay.cpp
@@ -3,6 +3,7 @@
 
 #include "internal/exchange_constants.h"
 
+#include <boost/beast/core/string.hpp>
 #include <spdlog/spdlog.h>
 
 namespace cicadaport::serving {
@@ -65,6 +66,9 @@
         handle_run_answer();
         return;
     }
+    if (is_refused_by_stop() && relay_elsewhere()) {
+        return;
+    }
     if (m_answer_started) {
         fail(status_bad_gateway, "the stream could not be continued");
         return;
@@ -84,6 +88,22 @@
     fail(status, "another host failed the request");
 }
 
+bool exchange::is_refused_by_stop() const
+{
+    // Hosts keep the connections of other hosts open unless they are stopping.
+    const auto connection = m_answer->fields.find("Connection");
+    return m_answer->status == status_unavailable && !m_answer_metadata.is_signed && connection &&
+           boost::beast::iequals(*connection, "close");
+}
+
+bool exchange::relay_elsewhere()
+{
+    m_excluded.insert(m_endpoint->report.id);
+    m_attempt_may_have_run = false;
+    release_endpoint();
+    return remaining_time() >= min_useful_time && relay();
+}
+
 void exchange::handle_relay_failure(transport::exchange_failure failure)
 {
     m_excluded.insert(m_endpoint->report.id);
--- a/test/platform/planned_stop_test.cpp
+++ b/test/platform/planned_stop_test.cpp
@@ -1,5 +1,5 @@
 // Planned stops of a host, with callers that keep their connections.
-#include "platform/host_fixture.h"
+#include "platform/relay_fixture.h"
 
 namespace cicadaport::platform {
 namespace {
@@ -221,5 +221,93 @@
     EXPECT_LT(std::chrono::steady_clock::now() - begin, settings.grace_time);
 }
 
+// A host that relays requests, beside fakes of hosts that are stopping.
+class relay_to_stopping_host_test : public relaying_host_test {
+protected:
+    void SetUp() override
+    {
+        relaying_host_test::SetUp();
+        settings.attempts.ratio = 2;
+    }
+
+    // Refuses a request as a host does that is stopping.
+    static scripted_response refused_by_stop(const received_request& each)
+    {
+        return make_response(503,
+                             "Request-Id: " + each.field("Request-Id") +
+                                 "\r\nRetry-After: 0.05\r\nConnection: close\r\n",
+                             "the host is stopping");
+    }
+
+    // Starts the host beside three others that all serve requests, but break off streams. The one
+    // that is first asked for anything else is stopping.
+    void start_beside_one_that_stops()
+    {
+        const auto serve = [this](const received_request& each) {
+            if (each.path().starts_with("/safe/")) {
+                return signed_answer(each, "x");
+            }
+            if (each.path().starts_with("/going/") && each.field("Last-Event-Id").empty()) {
+                return stream(each, "s", events(1, 2), scripted_response::then::reset);
+            }
+            if (!m_has_refused.exchange(true)) {
+                return refused_by_stop(each);
+            }
+            return each.path().starts_with("/going/")
+                       ? stream(each, "s", events(3, 4), scripted_response::then::keep)
+                       : signed_answer(each, "x");
+        };
+        one.set_answer(serve);
+        two.set_answer(serve);
+        three.set_answer(serve);
+        start_relaying({&one, &two, &three});
+        greet({&one, &two, &three});
+    }
+
+    scripted_server one{refused_by_stop};
+    scripted_server two{refused_by_stop};
+    scripted_server three{refused_by_stop};
+
+private:
+    std::atomic<bool> m_has_refused{false};
+};
+
+// Regression: the caller got the refusal although other hosts could take the request.
+TEST_F(relay_to_stopping_host_test, a_request_that_it_refuses_goes_to_another_host)
+{
+    start_beside_one_that_stops();
+    EXPECT_EQ(ask(request("POST", "/once/x", "r1", "", "q")).status, 200U);
+}
+
+// Regression: the stream was cut although other hosts could continue it.
+TEST_F(relay_to_stopping_host_test, a_stream_that_it_does_not_continue_goes_to_another_host)
+{
+    publish(2, 4);
+    start_beside_one_that_stops();
+    const auto answer = ask(request("POST", "/going/x", "r1", "", "q"));
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(answer.body, events(1, 4));
+}
+
+TEST_F(relay_to_stopping_host_test, a_request_that_all_hosts_refuse_is_refused)
+{
+    const auto serve = [](const received_request& each) {
+        return each.path().starts_with("/safe/") ? signed_answer(each, "x") : refused_by_stop(each);
+    };
+    one.set_answer(serve);
+    two.set_answer(serve);
+    start_relaying({&one, &two});
+    greet({&one, &two});
+    const auto answer = ask(request("POST", "/once/x", "r1", "", "q"));
+    EXPECT_EQ(answer.status, 503U);
+    EXPECT_FALSE(answer.field("Retry-After").empty());
+    for (const auto* each : {&one, &two}) {
+        EXPECT_EQ(each->count([](const received_request& seen) {
+            return seen.field("Request-Id") == "r1";
+        }),
+                  1U);
+    }
+}
+
 } // namespace
 } // namespace cicadaport::platform
