serving: a stopping host takes on a relayed request only if it outlasts it

Callers may see: a request that another host has relayed to a stopping one is cut when that one ends, although the host that took it from them is not stopping. Cause: in the first seconds of a stop requests are taken on whatever their deadline, since their callers may have been sent there by a balancer that has not noticed the stop yet. No balancer chooses the host to which a request is relayed. Evidence: planned_stop_test.a_relayed_request_that_may_outlast_the_host_is_refused_unsent; before, the request was sent to the replica. Change: the deadline of a relayed request is compared with the end of the host from the signal on. The relaying host then turns to another one.

--- a/include/cicadaport/serving/planned_stop.h
+++ b/include/cicadaport/serving/planned_stop.h
@@ -58,14 +58,17 @@
     // Records that new connections are no longer accepted.
     void record_close(time_point now) noexcept { m_closed_at = m_closed_at.value_or(now); }
 
+    // Returns whether the host is still at work at `deadline`.
+    bool outlasts(time_point deadline) const noexcept { return deadline <= m_ends_at; }
+
     // Returns whether a request that is received at `now` is taken on. `deadline` is when its
     // caller stops waiting. Requests of new connections are taken on although they may be cut off
-    // when the process ends, since their callers may have been sent here by the balancer.
+    // when the process ends, since their callers may have been sent here by the balancer. Requests
+    // that other hosts relay were not, so those are taken on only if the host outlasts them.
     bool admits(time_point now, time_point deadline) const noexcept
     {
         const bool may_be_first = !m_closed_at || now < *m_closed_at + first_request_time;
-        return (may_be_first && now < m_accepts_until + max_admission_delay) ||
-               deadline <= m_ends_at;
+        return (may_be_first && now < m_accepts_until + max_admission_delay) || outlasts(deadline);
     }
 
 private:
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -115,7 +115,8 @@
 bool exchange::admit_to_stopping_host()
 {
     const auto& stop = m_host.stop;
-    if (!stop || stop->admits(m_arrived, m_deadline + deadline_grace)) {
+    const auto deadline = m_deadline + deadline_grace;
+    if (!stop || (m_is_relayed ? stop->outlasts(deadline) : stop->admits(m_arrived, deadline))) {
         return true;
     }
     if (m_host.stop_log_budget.try_acquire(m_arrived)) {
--- a/test/platform/planned_stop_test.cpp
+++ b/test/platform/planned_stop_test.cpp
@@ -149,6 +149,32 @@
     wait_for_end();
 }
 
+// Guards against requests that other hosts relay being cut at the end of the stop: the grace time
+// of the host that took them from their callers is another one.
+TEST_F(planned_stop_test, a_relayed_request_that_may_outlast_the_host_is_refused_unsent)
+{
+    scripted_server replica{[](const received_request& each) { return signed_answer(each, "x"); }};
+    list_replica("i-1", replica.address());
+    settings.grace_time = 5s;
+    settings.accept_time_after_stop = 2s;
+    start();
+    begin_stop();
+    const std::string attempts = "Attempts-Left: 1\r\n";
+    caller other_host{settings.peers.own};
+    const auto refused = other_host.ask(request("POST", "/once/x", "r1", attempts, "body"));
+    EXPECT_EQ(refused.status, 503U);
+    EXPECT_FALSE(refused.field("Retry-After").empty());
+    EXPECT_EQ(refused.field("Connection"), "close");
+    EXPECT_TRUE(replica.requests().empty());
+    auto ends_before = request("POST", "/once/x", "r2", attempts, "body");
+    const std::string deadline = "Deadline-Ms: 5000";
+    ends_before.replace(ends_before.find(deadline), deadline.size(), "Deadline-Ms: 500");
+    EXPECT_EQ(caller{settings.peers.own}.ask(ends_before).status, 200U);
+    EXPECT_EQ(ask(request("POST", "/once/x", "r3", "", "body")).status, 200U)
+        << "callers may have been sent here by the balancer";
+    wait_for_end();
+}
+
 TEST_F(planned_stop_test, a_late_request_that_ends_before_the_host_is_served)
 {
     scripted_server replica{[](const received_request& each) { return signed_answer(each, "x"); }};
