serving: other hosts are told that a host stops and takes no relayed requests

Cause: hosts announce whether they have a path to replicas, but not that they stop, so that a stopping host counted as one to relay to until its connections were refused. Evidence: planned_stop_test.other_hosts_are_told_to_relay_no_more_requests; before, no greeting said so within 8 s. Change: the field by which a host without a path asks for no relayed requests is set while it stops too, and announced at once. It holds until the next process at the address sends its first greeting.

--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -43,10 +43,11 @@
     virtual void announce_survivals(std::span<const segment_survival> survivals) = 0;
     // Announces that a request is sent to find out whether quarantined segments are sound.
     virtual void announce_trials(std::span<const segment_id> segments) = 0;
-    // Announces whether this host has a path to replicas.
+    // Announces whether requests may be relayed to this host: it has a path to replicas and is not
+    // stopping.
     virtual void announce_reachability() = 0;
     // Returns the hosts to which requests may be relayed, the nearest first: those that were heard
-    // from lately and have a path to replicas.
+    // from lately, have a path to replicas and are not known to be stopping.
     virtual std::vector<http::address> relay_hosts() const = 0;
     // Announces on which versions streams began.
     virtual void announce_streams(std::span<const begun_stream> streams) = 0;
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -239,6 +239,9 @@
         m_state.stop.emplace(m_state.timers.now(), m_settings.grace_time,
                              m_settings.accept_time_after_stop);
         spdlog::info("host_stopping requests_in_flight={}", requests_in_flight());
+        if (m_state.gossip != nullptr) {
+            m_state.gossip->announce_reachability();
+        }
         check_stop();
     }
 
--- a/src/serving/peer_gossip.cpp
+++ b/src/serving/peer_gossip.cpp
@@ -381,7 +381,7 @@
     const auto own = to_peer(m_settings.own);
     out.mutable_own()->set_ip(own.ip);
     out.mutable_own()->set_port(own.port);
-    out.set_cut_off(m_host.paths.is_cut_off());
+    out.set_cut_off(m_host.paths.is_cut_off() || m_host.is_stopping());
     return out;
 }
 
--- a/test/platform/planned_stop_test.cpp
+++ b/test/platform/planned_stop_test.cpp
@@ -247,6 +247,60 @@
     EXPECT_LT(std::chrono::steady_clock::now() - begin, settings.grace_time);
 }
 
+// Another host, as far as the gossip of the tested one goes.
+class gossip_peer {
+public:
+    explicit gossip_peer(const http::address& host)
+    {
+        protocol::host_news greeting;
+        greeting.set_sender(1);
+        const auto own = m_socket.local_endpoint();
+        greeting.mutable_own()->set_ip(own.address().to_v4().to_uint());
+        greeting.mutable_own()->set_port(own.port());
+        m_socket.send_to(boost::asio::buffer(greeting.SerializeAsString()),
+                         {boost::asio::ip::make_address(host.ip), host.port});
+        m_socket.non_blocking(true);
+    }
+
+    // Reads what has arrived. Returns whether the newest greeting asks for no relayed requests;
+    // empty if no greeting has arrived.
+    std::optional<bool> is_told_to_relay_nothing()
+    {
+        std::array<char, 2'000> buffer{};
+        boost::system::error_code error;
+        while (!error) {
+            const auto size = m_socket.receive(boost::asio::buffer(buffer), 0, error);
+            protocol::host_news news;
+            if (!error && news.ParseFromArray(buffer.data(), static_cast<int>(size)) &&
+                news.has_own()) {
+                m_newest = news.cut_off();
+            }
+        }
+        return m_newest;
+    }
+
+private:
+    boost::asio::io_context m_context;
+    boost::asio::ip::udp::socket m_socket{m_context,
+                                          {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    std::optional<bool> m_newest;
+};
+
+// Guards against requests being relayed to a host that is known to be stopping.
+TEST_F(planned_stop_test, other_hosts_are_told_to_relay_no_more_requests)
+{
+    scripted_server replica{[](const received_request& each) { return signed_answer(each, "x"); }};
+    list_replica("i-1", replica.address());
+    settings.grace_time = 4s;
+    settings.accept_time_after_stop = 2s;
+    start();
+    gossip_peer other{settings.peers.own};
+    ASSERT_TRUE(eventually([&] { return other.is_told_to_relay_nothing() == false; }));
+    begin_stop();
+    EXPECT_TRUE(eventually([&] { return other.is_told_to_relay_nothing() == true; }));
+    wait_for_end();
+}
+
 // A host that relays requests, beside fakes of hosts that are stopping.
 class relay_to_stopping_host_test : public relaying_host_test {
 protected:
