serving: tests of answers that the end of a planned stop cuts

A stream whose replica is silent while another one is asked to continue it, and an answer that its caller reads only after the host has ended, do not look complete. Both pass on the code before.

--- a/test/platform/planned_stop_test.cpp
+++ b/test/platform/planned_stop_test.cpp
@@ -301,6 +301,54 @@
     wait_for_end();
 }
 
+TEST_F(planned_stop_test, a_silent_stream_is_cut_at_the_end_while_another_replica_is_asked)
+{
+    settings.attempts.ratio = 2;
+    const auto silent = [](const received_request& each) {
+        return is_status_request(each) || !each.field("Last-Event-Id").empty()
+                   ? scripted_response{}
+                   : pausing_stream(each, 2, 4, 1min);
+    };
+    scripted_server one{silent};
+    scripted_server two{silent};
+    list_replica("i-1", one.address());
+    list_replica("i-2", two.address());
+    settings.grace_time = 3s;
+    start();
+    caller waiting{settings.caller_address};
+    waiting.send(request("POST", "/going/x", "r1", "", "q"));
+    ASSERT_TRUE(eventually([&] { return one.requests().size() + two.requests().size() == 1; }));
+    begin_stop();
+    const auto answer = waiting.receive();
+    EXPECT_FALSE(answer.complete);
+    EXPECT_EQ(answer.body, events(1, 2));
+    const auto runs = [](const scripted_server& at) {
+        return at.count([](const received_request& each) { return !is_status_request(each); });
+    };
+    EXPECT_EQ(runs(one), 1U);
+    EXPECT_EQ(runs(two), 1U);
+    wait_for_end();
+}
+
+TEST_F(planned_stop_test, an_answer_that_is_read_after_the_end_does_not_look_complete)
+{
+    constexpr std::size_t size = 7'900'000;
+    scripted_server replica{
+        [](const received_request& each) { return signed_answer(each, std::string(size, 'x')); }};
+    list_replica("i-1", replica.address());
+    settings.grace_time = 2s;
+    start();
+    caller slow{settings.caller_address};
+    slow.send(request("GET", "/safe/x", "r1"));
+    ASSERT_TRUE(eventually([&] { return replica.requests().size() == 1; }));
+    std::this_thread::sleep_for(500ms);
+    begin_stop();
+    wait_for_end();
+    const auto answer = slow.receive();
+    EXPECT_EQ(answer.status, 200U);
+    EXPECT_EQ(answer.complete, answer.body.size() == size);
+}
+
 // A host that relays requests, beside fakes of hosts that are stopping.
 class relay_to_stopping_host_test : public relaying_host_test {
 protected:
