--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -140,7 +140,8 @@
     void start_silence_timeout();
     void check_silent_replica();
     void handle_liveness(bool is_alive);
-    // Asks another replica to continue the stream, if there is one and a further attempt is allowed.
+    // Asks another replica to continue the stream, if there is one and a further attempt is
+    // allowed.
     void continue_elsewhere();
     // Keeps the current run while another replica is asked to continue its stream.
     void hold_silent_run();
