--- a/cmake/cicadaport.cmake
+++ b/cmake/cicadaport.cmake
@@ -17,7 +17,8 @@
 # One precompiled header for the slow third-party headers.
 file(WRITE ${CMAKE_BINARY_DIR}/pch_anchor.cpp "")
 add_library(cicadaport_pch OBJECT ${CMAKE_BINARY_DIR}/pch_anchor.cpp)
-target_precompile_headers(cicadaport_pch PRIVATE ${CMAKE_SOURCE_DIR}/src/precompiled.h)
+target_precompile_headers(cicadaport_pch PRIVATE <precompiled.h>)
+target_include_directories(cicadaport_pch PRIVATE ${CMAKE_SOURCE_DIR}/src)
 find_package(Threads REQUIRED)
 target_link_libraries(cicadaport_pch PRIVATE Threads::Threads)
 set(cicadaport_warnings -Wall -Wextra -Wpedantic -Wshadow -Werror
