--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -1,5 +1,8 @@
 #include "cicadaport/serving/host_process.h"
 
+#include "internal/listener.h"
+#include "internal/readiness_connection.h"
+
 #include <boost/asio/signal_set.hpp>
 #include <spdlog/spdlog.h>
 
@@ -16,7 +19,6 @@
 // Counts are logged every this many housekeeping intervals.
 constexpr unsigned log_counts_every = 10;
 constexpr milliseconds stop_check_interval{50};
-constexpr milliseconds accept_retry_interval{20};
 
 // Each list is read often enough that a failed read can be retried within the allowed time:
 // for the configuration the time within which a version must be in force, for endpoints the
@@ -25,129 +27,6 @@
 constexpr int leaving_interval_divisor = 20;
 constexpr int leaving_interval_factor = 8;
 
-// Accepts connections and passes them to `on_connection`.
-class listener {
-public:
-    listener(asio::io_context& context, transport::timer_queue& timers, const http::address& at,
-             std::function<void(tcp::socket)> on_connection)
-        : m_timers{timers}, m_acceptor{context}, m_on_connection{std::move(on_connection)}
-    {
-        const tcp::endpoint address{asio::ip::make_address(at.ip), at.port};
-        m_acceptor.open(address.protocol());
-        m_acceptor.set_option(asio::socket_base::reuse_address{true});
-        m_acceptor.bind(address);
-        m_acceptor.listen();
-        accept();
-    }
-
-    // Accepts the connections that are still in the listen queue, then closes the socket.
-    void close()
-    {
-        if (!m_acceptor.is_open()) {
-            return;
-        }
-        error_code error;
-        m_acceptor.non_blocking(true, error);
-        while (!error) {
-            tcp::socket socket{m_acceptor.get_executor()};
-            m_acceptor.accept(socket, error);
-            if (!error) {
-                m_on_connection(std::move(socket));
-            }
-        }
-        m_acceptor.close(error);
-    }
-
-    time_point last_accepted() const noexcept { return m_last_accepted; }
-
-    http::address address() const
-    {
-        const auto at = m_acceptor.local_endpoint();
-        return {at.address().to_string(), at.port()};
-    }
-
-private:
-    void accept()
-    {
-        m_acceptor.async_accept([this](error_code error, tcp::socket socket) {
-            if (!error) {
-                m_last_accepted = m_timers.now();
-                m_on_connection(std::move(socket));
-            }
-            if (!m_acceptor.is_open()) {
-                return;
-            }
-            if (!error) {
-                accept();
-                return;
-            }
-            spdlog::warn("accept_failed error=\"{}\"", error.message());
-            m_pause =
-                m_timers.call_at(m_timers.now() + accept_retry_interval, [this] { accept(); });
-        });
-    }
-
-    transport::timer_queue& m_timers;
-    tcp::acceptor m_acceptor;
-    std::function<void(tcp::socket)> m_on_connection;
-    time_point m_last_accepted{};
-    transport::timer_queue::handle m_pause;
-};
-
-// Answers the balancer's readiness checks: responds to each request of a connection with 200
-// if the host is ready, else with 503.
-class readiness_connection final : public transport::connection_observer,
-                                   public std::enable_shared_from_this<readiness_connection> {
-public:
-    readiness_connection(tcp::socket socket, std::function<bool()> is_ready)
-        : m_connection{std::make_shared<transport::tcp_connection>(std::move(socket))},
-          m_is_ready{std::move(is_ready)}
-    {
-    }
-    ~readiness_connection() override { m_connection->close(); }
-
-    void start()
-    {
-        m_self = shared_from_this();
-        m_connection->set_observer(this);
-        m_connection->start();
-    }
-
-private:
-    void on_input() override
-    {
-        const auto keep = shared_from_this();
-        m_connection->consume(m_reader.feed(m_connection->input()));
-        if (m_reader.problem() != transport::parse_problem::none) {
-            end();
-        }
-        else if (m_reader.complete()) {
-            m_reader = fresh_reader();
-            m_connection->write(m_is_ready() ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-                                             : "HTTP/1.1 503 Service Unavailable\r\n"
-                                               "Content-Length: 0\r\n\r\n");
-        }
-    }
-
-    void on_end(transport::connection_end) override { end(); }
-
-    void end()
-    {
-        const auto keep = std::exchange(m_self, nullptr);
-        m_connection->close();
-    }
-
-    static transport::message_reader fresh_reader()
-    {
-        return transport::message_reader{transport::message_kind::request, {}};
-    }
-
-    std::shared_ptr<transport::tcp_connection> m_connection;
-    std::function<bool()> m_is_ready;
-    transport::message_reader m_reader = fresh_reader();
-    std::shared_ptr<readiness_connection> m_self;
-};
-
 } // namespace
 
 class host_process::implementation {
