--- a/include/cicadaport/serving/host_process.h
+++ b/include/cicadaport/serving/host_process.h
@@ -10,8 +10,10 @@
 #include "cicadaport/serving/peer_gossip.h"
 #include "cicadaport/serving/stage_director.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace cicadaport::serving {
 
@@ -37,6 +39,10 @@
     milliseconds max_recovery_delay{3'000};
     // Retry budget: attempts beyond the first, of all hosts together, as a ratio to requests.
     attempt_budget::bounds attempts;
+    // The most memory, in bytes, and the most descriptors that the process may use; empty if the
+    // deployment does not limit them.
+    std::optional<std::uint64_t> max_memory;
+    std::optional<std::uint32_t> max_descriptors;
 };
 
 class host_process {
--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -505,6 +505,18 @@
     EXPECT_EQ(read.max_leaving_delay, serving::milliseconds{900});
 }
 
+TEST_F(settings_test, take_the_limits_of_the_process_from_the_deployment)
+{
+    write(whole);
+    EXPECT_EQ(read_settings(file).max_memory, std::nullopt);
+    EXPECT_EQ(read_settings(file).max_descriptors, std::nullopt);
+    write(whole + "[limits]\nmemory-mb = 260\nmax-fds = 4100\n");
+    EXPECT_EQ(read_settings(file).max_memory, 260'000'000U);
+    EXPECT_EQ(read_settings(file).max_descriptors, 4'100U);
+    write(whole + "[limits]\nmemory-mb = \"much\"\n");
+    EXPECT_THROW(read_settings(file), std::runtime_error);
+}
+
 TEST_F(settings_test, report_a_missing_field)
 {
     write("node-name = \"n\"\nzone = \"z\"\n");
