serving: the log tells when the event loop stood still, and what a host uses

Cause: a host whose loop stands still (a full pipe, a stall of the machine, a copy of a large buffer) looked from outside like one whose peers are silent, and its memory was not known. Change: a line loop_late with how late a timer was and the processor time used meanwhile; open caller connections and peak memory in the line of counts.

--- a/include/cicadaport/transport/timer_queue.h
+++ b/include/cicadaport/transport/timer_queue.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <utility>
 
 namespace cicadaport::transport {
 
@@ -62,6 +63,13 @@
     // Calls `action` once, at `when` or up to `resolution` later.
     [[nodiscard]] handle call_at(time_point when, std::function<void()> action);
 
+    // Returns by how much the latest action since the last call was late. A large value tells that
+    // the event loop stood still.
+    clock::duration take_max_lateness() noexcept
+    {
+        return std::exchange(m_max_lateness, clock::duration::zero());
+    }
+
 private:
     void cancel(std::uint64_t id) noexcept;
     void arm();
@@ -73,6 +81,7 @@
     std::uint64_t m_last_id = 0;
     // When the timer fires next; empty while it is not armed.
     std::optional<time_point> m_armed_for;
+    clock::duration m_max_lateness{0};
 };
 
 } // namespace cicadaport::transport
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -3,6 +3,8 @@
 #include "internal/listener.h"
 #include "internal/readiness_connection.h"
 
+#include "cicadaport/base/process_usage.h"
+
 #include <boost/asio/signal_set.hpp>
 #include <spdlog/spdlog.h>
 
@@ -19,6 +21,8 @@
 // Counts are logged every this many housekeeping intervals.
 constexpr unsigned log_counts_every = 10;
 constexpr milliseconds stop_check_interval{50};
+// The event loop has stood still if a timer is late by this much.
+constexpr milliseconds late_loop_threshold{100};
 
 // Each list is read often enough that a failed read can be retried within the allowed time:
 // for the configuration the time within which a version must be in force, for endpoints the
@@ -259,6 +263,7 @@
 
     void run_housekeeping()
     {
+        log_late_loop();
         m_state.connections.close_expired();
         m_state.log_limit_usage();
         m_state.limits.forget_old(m_state.timers.now());
@@ -272,8 +277,28 @@
                                                 [this] { run_housekeeping(); });
     }
 
+    // Logs that the event loop stood still, with the processor time that the process used since the
+    // last call: little of it tells that the process was not run, or waited in a call.
+    void log_late_loop()
+    {
+        const auto used = base::process_usage::now();
+        const auto before = std::exchange(m_usage, used);
+        const auto late =
+            std::chrono::duration_cast<milliseconds>(m_state.timers.take_max_lateness());
+        if (late >= late_loop_threshold) {
+            spdlog::warn("loop_late late_ms={} processor_ms={} interval_ms={}", late.count(),
+                         std::chrono::duration_cast<milliseconds>(used.processor_time -
+                                                                  before.processor_time)
+                             .count(),
+                         std::chrono::duration_cast<milliseconds>(m_state.timers.now() - m_usage_at)
+                             .count());
+        }
+        m_usage_at = m_state.timers.now();
+    }
+
     void log_counts() const
     {
+        constexpr std::uint64_t bytes_per_kilobyte = 1'024;
         const auto& counts = m_state.counts;
         spdlog::info(
             "requests answered={} refused={} quarantined={} failed={} cut={} callers_left={} "
@@ -282,7 +307,7 @@
             "configuration={} configuration_age_ms={} endpoints_age_ms={} store_pages={} "
             "store_configuration_reads={} store_endpoint_reads={} store_order_reads={} "
             "store_origin_reads={} store_appends={} known_streams={} suspected_segments={} "
-            "quarantined_segments={}",
+            "quarantined_segments={} caller_connections={} peak_memory_kb={}",
             counts.answered, counts.refused, counts.quarantined, counts.failed, counts.cut,
             counts.client_disconnects, counts.retries, counts.handed_over, counts.relayed,
             m_state.connections.opened(), m_gossip.peer_count(), m_state.endpoints.size(),
@@ -292,7 +317,8 @@
             m_state.store_calls.endpoint_reads, m_state.store_calls.order_reads,
             m_state.store_calls.origin_reads, m_state.store_calls.appends,
             m_state.origins.known_count(), m_state.crashes.suspect_count(),
-            m_state.crashes.quarantined_count());
+            m_state.crashes.quarantined_count(), m_connections.size(),
+            m_usage.peak_memory / bytes_per_kilobyte);
     }
 
     std::int64_t age_ms(const list_position& of) const
@@ -374,6 +400,8 @@
     transport::timer_queue::handle m_housekeeping;
     transport::timer_queue::handle m_stop_check;
     unsigned m_housekeeping_count = 0;
+    base::process_usage m_usage;
+    time_point m_usage_at{};
 };
 
 host_process::host_process(settings_source source, const wire_format& wire)
--- a/src/transport/timer_queue.cpp
+++ b/src/transport/timer_queue.cpp
@@ -76,8 +76,13 @@
 void timer_queue::fire()
 {
     m_armed_for.reset();
-    while (!m_entries.empty() && m_entries.begin()->first <= now()) {
+    while (!m_entries.empty()) {
         const auto first = m_entries.begin();
+        const auto lateness = now() - first->first;
+        if (lateness < clock::duration::zero()) {
+            break;
+        }
+        m_max_lateness = std::max(m_max_lateness, lateness);
         const auto due = std::move(first->second);
         m_by_id.erase(due.id);
         m_entries.erase(first);
