transport: a chunk extension or trailer without end is rejected

Cause: Beast parses the extensions of a chunk and the trailer only once they are whole, and bounds neither. message_reader left the bytes unread and its users kept them. It is the one reader for replicas, callers, other hosts, the store and the readiness checks. Change: input that stays unread beyond the limit of the head is a problem of the message. Evidence: message_reader_test.bounds_the_input_that_it_leaves_unread failed before (all six beginnings, requests and responses), passes now. Why this is enough: in a head the library enforces the limit itself; in a body it takes all input; only the lines between chunks and the trailer remain.

--- a/include/cicadaport/transport/message_reader.h
+++ b/include/cicadaport/transport/message_reader.h
@@ -20,6 +20,7 @@
 
 // Bounds on one message, in bytes.
 struct message_limits {
+    // Also bounds the extensions of one chunk and the trailer.
     std::uint32_t head_bytes = 32 * 1024;
     std::uint64_t body_bytes = 64ULL * 1024 * 1024;
 };
@@ -46,7 +47,8 @@
     message_reader& operator=(message_reader&&) noexcept;
 
     // Parses as much of `bytes` as possible and returns the number of bytes consumed.
-    // The caller must pass the rest again, followed by further input.
+    // The caller must pass the rest again, followed by further input. The rest is never larger than
+    // the limit of the head, unless the message is complete or has a problem.
     std::size_t feed(std::string_view bytes);
 
     // Reports that the peer closed its connection in an orderly way, which completes
--- a/src/transport/message_reader.cpp
+++ b/src/transport/message_reader.cpp
@@ -95,7 +95,8 @@
 template <bool IsRequest>
 class parsing final : public message_reader::implementation {
 public:
-    explicit parsing(const message_limits& limits) : m_parser{*this}
+    explicit parsing(const message_limits& limits)
+        : m_parser{*this}, m_max_framing_bytes{limits.head_bytes}
     {
         m_parser.header_limit(limits.head_bytes);
         m_parser.body_limit(limits.body_bytes);
@@ -120,6 +121,12 @@
                 break;
             }
         }
+        // The library bounds neither the extensions of a chunk nor the trailer, which it parses
+        // only once they are whole.
+        if (!m_parser.is_done() && problem == parse_problem::none &&
+            bytes.size() - used > m_max_framing_bytes) {
+            problem = parse_problem::head_too_large;
+        }
         return used;
     }
 
@@ -146,6 +153,7 @@
 
 private:
     message_collector<IsRequest> m_parser;
+    std::size_t m_max_framing_bytes;
 };
 
 std::unique_ptr<message_reader::implementation> make_parsing(message_kind kind,
--- a/test/platform/endless_answer_test.cpp
+++ b/test/platform/endless_answer_test.cpp
@@ -118,6 +118,18 @@
                    "2710\r\n" + std::string(10'000, 'x') + "\r\n");
 }
 
+TEST_F(endless_answer_test, an_endless_chunk_extension_is_aborted)
+{
+    expect_aborted(own_head + "Transfer-Encoding: chunked\r\n\r\n3;name=",
+                   std::string(10'000, 'x'));
+}
+
+TEST_F(endless_answer_test, an_endless_trailer_is_aborted)
+{
+    expect_aborted(own_head + "Transfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n",
+                   "Name: " + std::string(1'000, 'x') + "\r\n");
+}
+
 TEST_F(endless_answer_test, endless_interim_answers_are_aborted)
 {
     expect_aborted("", "HTTP/1.1 100 Continue\r\n\r\n");
--- a/test/transport/message_reader_test.cpp
+++ b/test/transport/message_reader_test.cpp
@@ -84,5 +84,43 @@
     EXPECT_EQ(long_body.problem(), parse_problem::body_too_large);
 }
 
+// A peer that sent an endless chunk extension or trailer took all memory of the process.
+TEST(message_reader_test, bounds_the_input_that_it_leaves_unread)
+{
+    constexpr std::uint32_t max_head_bytes = 1'024;
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    for (const std::string unfinished : {"3;name=", "3;name=\"", "0;name=", "0\r\nName: ",
+                                         "0\r\nOne: 1\r\nTwo: ", "3\r\nabc\r\n3;name="}) {
+        for (const auto kind : {message_kind::request, message_kind::response}) {
+            message_reader reader{kind, {max_head_bytes, max_head_bytes}};
+            std::string held = kind == message_kind::request ? "POST / HTTP/1.1\r\nHost: h\r\n"
+                                                             : "HTTP/1.1 200 OK\r\n";
+            held += chunked + unfinished;
+            for (std::uint32_t sent = 0; sent <= 2 * max_head_bytes; ++sent) {
+                held.erase(0, reader.feed(held));
+                if (reader.problem() != parse_problem::none) {
+                    break;
+                }
+                ASSERT_LE(held.size(), max_head_bytes) << unfinished;
+                held += 'x';
+            }
+            EXPECT_EQ(reader.problem(), parse_problem::head_too_large) << unfinished;
+        }
+    }
+}
+
+TEST(message_reader_test, reads_a_trailer_and_a_chunk_extension_up_to_the_limit_of_the_head)
+{
+    message_reader reader{message_kind::response, {1'024, 1'024}};
+    const std::string value(900, 'x');
+    std::string held = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const char each : "3;name=" + value + "\r\nabc\r\n0\r\nLate: " + value + "\r\n\r\n") {
+        held += each;
+        held.erase(0, reader.feed(held));
+    }
+    EXPECT_TRUE(reader.complete());
+    EXPECT_EQ(reader.take_body(), "abc");
+}
+
 } // namespace
 } // namespace cicadaport::transport
