--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -264,6 +264,7 @@
     void run_housekeeping()
     {
         log_late_loop();
+        spdlog::default_logger()->flush();
         m_state.connections.close_expired();
         m_state.log_limit_usage();
         m_state.limits.forget_old(m_state.timers.now());
