host: a signal during the start waits for its handler

Callers saw: a host that ended at its start (FAULT). Cause: until the handlers are installed, SIGHUP and SIGTERM have their default action. Change: the signals are held back from the first line of main() until the handlers stand, so a reload or a stop that was asked for meanwhile is still done. What remains: in the dynamic loader, before main(), a program can do nothing. Evidence: signal_block_test; without the block its first raise() ends the program.

--- a/programs/host/main.cpp
+++ b/programs/host/main.cpp
@@ -2,16 +2,19 @@
 #include "platform/settings.h"
 #include "platform/wire.h"
 
+#include "cicadaport/base/signal_block.h"
 #include "cicadaport/telemetry/log.h"
 
 #include <CLI/CLI.hpp>
 #include <spdlog/spdlog.h>
 
+#include <csignal>
 #include <cstdlib>
 
 int main(int argc, char** argv)
 {
     using namespace cicadaport;
+    base::signal_block until_handled{SIGHUP, SIGTERM, SIGINT};
     CLI::App app{"Serves requests of callers on one host of the platform."};
     std::string settings_file;
     std::string log_level = "info";
@@ -26,6 +29,7 @@
         const auto read = [&] { return platform::read_settings(settings_file); };
         const platform::wire wire{read().store_address};
         serving::host_process process{read, wire};
+        until_handled.release();
         process.run();
         return EXIT_SUCCESS;
     }
