host: closed standard streams are replaced by /dev/null

Cause: a host started without standard streams used descriptors 0 to 2 for its event loop (own run: eventfd, epoll and timerfd), and wrote its log to the last of them. Not shown: that a socket got such a number; it would have got the log's lines.

--- a/programs/host/main.cpp
+++ b/programs/host/main.cpp
@@ -3,6 +3,7 @@
 #include "platform/wire.h"
 
 #include "cicadaport/base/signal_block.h"
+#include "cicadaport/base/standard_streams.h"
 #include "cicadaport/telemetry/log.h"
 
 #include <CLI/CLI.hpp>
@@ -15,6 +16,7 @@
 {
     using namespace cicadaport;
     base::signal_block until_handled{SIGHUP, SIGTERM, SIGINT};
+    base::open_closed_standard_streams();
     CLI::App app{"Serves requests of callers on one host of the platform."};
     std::string settings_file;
     std::string log_level = "info";
