serving: a port that is in use at the start is tried again

With the port for other hosts in use it went on without them for ever, so that limits and budgets were not shared. Cause: each socket was bound once; a process before it that ends late, or an outgoing connection that has the port for a moment, was enough. Change: the listeners and gossip try again, with one line at the first failure and one when it works. A host is not ready before its callers can connect, and a stop ends the wait. An address that is not there (a late interface) is tried again too.

--- a/include/cicadaport/serving/peer_gossip.h
+++ b/include/cicadaport/serving/peer_gossip.h
@@ -50,6 +50,7 @@
     peer_gossip(host_state& host, peer_settings settings, page_handler on_page);
     ~peer_gossip() override;
 
+    // Begins to hear and greet other hosts. If the port can't be bound, tries again until it can.
     void start();
 
     void set_seed_ips(std::vector<std::string> ips) { m_settings.seed_ips = std::move(ips); }
@@ -76,6 +77,7 @@
     }
 
 private:
+    boost::system::error_code bind();
     using udp_address = boost::asio::ip::udp::endpoint;
     void schedule_flush();
     void flush();
@@ -100,6 +102,8 @@
     std::unique_ptr<protocol::host_news> m_batch;
     transport::timer_queue::handle m_flush;
     transport::timer_queue::handle m_greeting;
+    transport::timer_queue::handle m_bind_retry;
+    unsigned m_failed_binds = 0;
     host_directory m_directory;
     std::uint64_t m_greetings = 0;
     std::optional<time_point> m_last_message;
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -96,17 +96,12 @@
     // Other hosts relay requests to the port at which this host receives gossip.
     void listen_for_relayed_requests()
     {
-        try {
-            m_relays.emplace(
-                m_context, m_state.timers, m_settings.peers.own, [this](tcp::socket socket) {
-                    std::make_shared<caller_connection>(m_state, m_connections, std::move(socket),
-                                                        caller_connection::peer::host)
-                        ->start();
-                });
-        }
-        catch (const boost::system::system_error& error) {
-            spdlog::warn("relayed_requests_not_accepted error=\"{}\"", error.what());
-        }
+        m_relays.emplace(
+            m_context, m_state.timers, m_settings.peers.own, [this](tcp::socket socket) {
+                std::make_shared<caller_connection>(m_state, m_connections, std::move(socket),
+                                                    caller_connection::peer::host)
+                    ->start();
+            });
     }
 
     void post_stop()
@@ -130,7 +125,8 @@
 
     bool is_ready() const noexcept
     {
-        return !m_state.is_stopping() && m_state.deployed != nullptr && m_endpoints.has_read();
+        return !m_state.is_stopping() && m_callers->is_listening() && m_state.deployed != nullptr &&
+               m_endpoints.has_read();
     }
 
 private:
--- a/src/serving/internal/listener.cpp
+++ b/src/serving/internal/listener.cpp
@@ -10,23 +10,61 @@
 namespace {
 
 constexpr std::chrono::milliseconds accept_retry_interval{20};
+constexpr std::chrono::milliseconds bind_retry_interval{100};
 
 } // namespace
 
 listener::listener(asio::io_context& context, transport::timer_queue& timers,
                    const http::address& at, connection_handler on_connection)
-    : m_timers{timers}, m_acceptor{context}, m_on_connection{std::move(on_connection)}
+    : m_timers{timers}, m_address{asio::ip::make_address(at.ip), at.port}, m_acceptor{context},
+      m_on_connection{std::move(on_connection)}
 {
-    const tcp::endpoint address{asio::ip::make_address(at.ip), at.port};
-    m_acceptor.open(address.protocol());
-    m_acceptor.set_option(asio::socket_base::reuse_address{true});
-    m_acceptor.bind(address);
-    m_acceptor.listen();
-    accept();
+    open();
+}
+
+void listener::open()
+{
+    const auto error = bind();
+    if (!error) {
+        if (m_failed_binds > 0) {
+            spdlog::info("listening_begun address={}:{} failed_attempts={}",
+                         m_address.address().to_string(), m_address.port(), m_failed_binds);
+        }
+        accept();
+        return;
+    }
+    if (m_failed_binds++ == 0) {
+        spdlog::warn(
+            "listening_delayed address={}:{} error=\"{}\" effect=\"tried again every {} ms\"",
+            m_address.address().to_string(), m_address.port(), error.message(),
+            bind_retry_interval.count());
+    }
+    m_pause = m_timers.call_at(m_timers.now() + bind_retry_interval, [this] { open(); });
+}
+
+error_code listener::bind()
+{
+    error_code error;
+    m_acceptor.open(m_address.protocol(), error);
+    if (!error) {
+        m_acceptor.set_option(asio::socket_base::reuse_address{true}, error);
+    }
+    if (!error) {
+        m_acceptor.bind(m_address, error);
+    }
+    if (!error) {
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        error_code ignored;
+        m_acceptor.close(ignored);
+    }
+    return error;
 }
 
 void listener::close()
 {
+    m_pause.cancel();
     if (!m_acceptor.is_open()) {
         return;
     }
--- a/src/serving/internal/listener.h
+++ b/src/serving/internal/listener.h
@@ -14,27 +14,38 @@
 namespace cicadaport::serving {
 
 // Accepts connections and passes them to `on_connection`.
+//
+// If the address can't be used, the listener tries again until it can or is closed: the process
+// that had the port before may end late, or an outgoing connection may have the port for a moment.
 class listener {
 public:
     using connection_handler = std::function<void(boost::asio::ip::tcp::socket)>;
 
-    // Starts to accept; throws boost::system::system_error if the address can't be used.
+    // Starts to accept. Throws boost::system::system_error if `at` has no valid IP address.
     listener(boost::asio::io_context& context, transport::timer_queue& timers,
              const http::address& at, connection_handler on_connection);
 
+    // Returns whether connections can be established.
+    bool is_listening() const noexcept { return m_acceptor.is_open(); }
+
     // Accepts the connections that are still in the listen queue, then closes the socket.
     void close();
 
     transport::time_point last_accepted() const noexcept { return m_last_accepted; }
 
 private:
+    // Binds the socket and starts to accept, or schedules the next attempt.
+    void open();
+    boost::system::error_code bind();
     void accept();
 
     transport::timer_queue& m_timers;
+    boost::asio::ip::tcp::endpoint m_address;
     boost::asio::ip::tcp::acceptor m_acceptor;
     connection_handler m_on_connection;
     transport::time_point m_last_accepted{};
     transport::timer_queue::handle m_pause;
+    unsigned m_failed_binds = 0;
 };
 
 } // namespace cicadaport::serving
--- a/src/serving/peer_gossip.cpp
+++ b/src/serving/peer_gossip.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::size_t max_datagram_bytes = 1'400;
+constexpr milliseconds bind_retry_interval{100};
 // Maximum number of announcements of work in a datagram.
 constexpr int max_announcement_count = 40;
 // Bounds for one page of a list: bytes of records per datagram, and datagrams. The records of a
@@ -109,16 +110,20 @@
 
 void peer_gossip::start()
 {
-    try {
-        const udp_address own{asio::ip::make_address(m_settings.own.ip), m_settings.own.port};
-        m_socket.open(own.protocol());
-        m_socket.bind(own);
-        m_socket.non_blocking(true);
-    }
-    catch (const boost::system::system_error& error) {
-        spdlog::warn("peers_not_heard error=\"{}\"", error.what());
+    if (const auto error = bind()) {
+        if (m_failed_binds++ == 0) {
+            spdlog::warn(
+                "peers_not_heard address={} error=\"{}\" effect=\"tried again every {} ms\"",
+                http::to_string(m_settings.own), error.message(), bind_retry_interval.count());
+        }
+        m_bind_retry =
+            m_host.timers.call_at(m_host.timers.now() + bind_retry_interval, [this] { start(); });
         return;
     }
+    if (m_failed_binds > 0) {
+        spdlog::info("peers_heard address={} failed_attempts={}", http::to_string(m_settings.own),
+                     m_failed_binds);
+    }
     m_host.gossip = this;
     m_host.crashes.set_gossip(this);
     m_host.origins.set_gossip(this);
@@ -126,6 +131,26 @@
     greet();
 }
 
+error_code peer_gossip::bind()
+{
+    error_code error;
+    const auto ip = asio::ip::make_address(m_settings.own.ip, error);
+    if (!error) {
+        m_socket.open(udp::v4(), error);
+    }
+    if (!error) {
+        m_socket.bind({ip, m_settings.own.port}, error);
+    }
+    if (!error) {
+        m_socket.non_blocking(true, error);
+    }
+    if (error) {
+        error_code ignored;
+        m_socket.close(ignored);
+    }
+    return error;
+}
+
 void peer_gossip::announce_work_start(std::uint64_t id, const engine_work& work)
 {
     auto& begun = *m_batch->add_begun();
