--- a/include/cicadaport/serving/event_buffer.h
+++ b/include/cicadaport/serving/event_buffer.h
@@ -29,10 +29,14 @@
     std::size_t pending_bytes() const noexcept { return m_pending.size(); }
 
     // Drops the incomplete event. A new stream follows that continues after `last_event_id()`.
-    void restart() { m_pending.clear(); }
+    void restart() { take_incomplete(); }
 
     // Removes and returns the bytes of the event that is not complete yet.
-    std::string take_incomplete() { return std::exchange(m_pending, {}); }
+    std::string take_incomplete()
+    {
+        m_searched = 0;
+        return std::exchange(m_pending, {});
+    }
 
     // Returns how many complete events take_complete() has returned in all.
     std::size_t count() const noexcept { return m_count; }
@@ -42,6 +46,8 @@
 
 private:
     std::string m_pending;
+    // The first bytes of m_pending, among which no event ends.
+    std::size_t m_searched = 0;
     std::optional<std::string> m_last_event_id;
     std::size_t m_count = 0;
 };
--- a/src/serving/event_buffer.cpp
+++ b/src/serving/event_buffer.cpp
@@ -1,5 +1,6 @@
 #include "cicadaport/serving/event_buffer.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace cicadaport::serving {
@@ -39,10 +40,16 @@
     return !left || !right || *left > *right;
 }
 
-// Returns the position after the empty line that ends the first event; npos if there is none.
-std::size_t end_of_event(std::string_view text)
+// The longest end of an event, a line feed and an empty line.
+constexpr std::size_t max_ending_bytes = 3;
+
+// Returns the position after the empty line that ends the first event; npos if there is none. No
+// event ends within the first `searched` bytes.
+std::size_t end_of_event(std::string_view text, std::size_t searched)
 {
-    for (auto at = text.find('\n'); at != std::string_view::npos; at = text.find('\n', at + 1)) {
+    const auto from = searched - std::min(searched, max_ending_bytes - 1);
+    for (auto at = text.find('\n', from); at != std::string_view::npos;
+         at = text.find('\n', at + 1)) {
         const auto next = text.substr(at + 1);
         if (next.starts_with('\n')) {
             return at + 2;
@@ -62,8 +69,9 @@
     std::size_t start = 0;
     for (;;) {
         const auto rest = std::string_view{m_pending}.substr(start);
-        const auto end = end_of_event(rest);
+        const auto end = end_of_event(rest, std::exchange(m_searched, 0));
         if (end == std::string_view::npos) {
+            m_searched = rest.size();
             break;
         }
         const auto event = rest.substr(0, end);
--- a/test/serving/event_buffer_test.cpp
+++ b/test/serving/event_buffer_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
+
 namespace cicadaport::serving {
 namespace {
 
@@ -70,6 +72,35 @@
     EXPECT_TRUE(events.is_inside_event());
 }
 
+// Each piece of a large event made the host search all of the event again.
+TEST(event_buffer_test, searches_each_byte_of_an_unfinished_event_once)
+{
+    constexpr int piece_count = 400'000;
+    event_buffer buffer;
+    const auto begun = std::chrono::steady_clock::now();
+    for (int piece = 0; piece < piece_count; ++piece) {
+        buffer.feed("a\n");
+        ASSERT_EQ(buffer.take_complete(), "");
+    }
+    buffer.feed("\n");
+    EXPECT_EQ(buffer.take_complete().size(), 2U * piece_count + 1);
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::seconds{10});
+}
+
+TEST(event_buffer_test, finds_an_end_of_an_event_that_comes_in_pieces)
+{
+    for (const std::string ending : {"\n\n", "\n\r\n"}) {
+        event_buffer buffer;
+        const auto event = "id: 1\ndata: x" + ending;
+        std::string out;
+        for (const char each : event + event) {
+            buffer.feed({&each, 1});
+            out += buffer.take_complete();
+        }
+        EXPECT_EQ(out, event) << "the second event has the id of the first";
+    }
+}
+
 TEST(size_fairness_test, tells_the_largest_tenth_from_the_rest)
 {
     size_fairness fairness;
