serving: the prompt segments that a caller may make a host remember are bounded

Cause: a caller chooses how many segments it names. Evidence: wire_test.bounds_the_segments_of_a_prompt failed before. engine_kv_cache_test.bounds_the_prefixes_that_have_not_expired was not run on the code before, which lacks the count that it asks for.

--- a/include/cicadaport/serving/engine_kv_cache.h
+++ b/include/cicadaport/serving/engine_kv_cache.h
@@ -24,6 +24,9 @@
     static constexpr double usable_fraction = 0.85;
     // Number of prefixes of one engine above which expired ones are removed.
     static constexpr std::size_t max_prefixes = 1'024;
+    // Number of prefixes of one engine that remain when expired ones are removed; of more, the
+    // least recently used ones are removed too.
+    static constexpr std::size_t max_unexpired_prefixes = 16 * max_prefixes;
 
     // Records that a prompt with this prefix was sent to an engine, which has it cached
     // from `ready` on.
@@ -45,6 +48,9 @@
 
     void forget(std::uint32_t engine) { m_engines.erase(engine); }
 
+    // Returns the number of prefixes recorded for an engine.
+    std::size_t prefix_count(std::uint32_t engine) const;
+
 private:
     struct cached_prefix {
         time_point used{};
@@ -55,8 +61,13 @@
     struct record {
         double added_tokens = 0;
         std::unordered_map<std::uint32_t, cached_prefix> prefixes;
+        // Number of prefixes above which the next ones are removed: twice the number that remained
+        // the last time, so that the cost of a removal is spread over many records.
+        std::size_t eviction_size = max_prefixes;
     };
 
+    static void evict(record& from, time_point now);
+
     const cached_prefix* find(std::uint32_t engine, std::uint32_t prefix) const;
 
     std::unordered_map<std::uint32_t, record> m_engines;
--- a/src/serving/engine_kv_cache.cpp
+++ b/src/serving/engine_kv_cache.cpp
@@ -1,5 +1,7 @@
 #include "cicadaport/serving/engine_kv_cache.h"
 
+#include <algorithm>
+
 namespace cicadaport::serving {
 
 void engine_kv_cache::record_prefix(std::uint32_t engine, std::uint32_t prefix, time_point ready,
@@ -11,10 +13,24 @@
     kept.ready = again ? std::min(kept.ready, ready) : ready;
     kept.used = now;
     kept.added_tokens = known.added_tokens;
-    if (known.prefixes.size() > max_prefixes) {
-        std::erase_if(known.prefixes,
-                      [&](const auto& each) { return now - each.second.used > prefix_ttl; });
+    if (known.prefixes.size() > known.eviction_size) {
+        evict(known, now);
+    }
+}
+
+void engine_kv_cache::evict(record& from, time_point now)
+{
+    auto ttl = std::chrono::duration_cast<clock::duration>(prefix_ttl);
+    const auto is_expired = [&](const auto& each) { return now - each.second.used > ttl; };
+    std::erase_if(from.prefixes, is_expired);
+    while (from.prefixes.size() > max_unexpired_prefixes && ttl > clock::duration::zero()) {
+        ttl /= 2;
+        std::erase_if(from.prefixes, is_expired);
     }
+    if (from.prefixes.size() > max_unexpired_prefixes) {
+        from.prefixes.clear();
+    }
+    from.eviction_size = std::max(max_prefixes, 2 * from.prefixes.size());
 }
 
 void engine_kv_cache::record_added_tokens(std::uint32_t engine, double tokens)
@@ -50,4 +66,10 @@
     return kept != nullptr && kept->ready <= now;
 }
 
+std::size_t engine_kv_cache::prefix_count(std::uint32_t engine) const
+{
+    const auto known = m_engines.find(engine);
+    return known != m_engines.end() ? known->second.prefixes.size() : 0;
+}
+
 } // namespace cicadaport::serving
--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -45,6 +45,18 @@
     EXPECT_LT(std::chrono::steady_clock::now() - begun, 10s);
 }
 
+// Each segment was looked up for each engine, however many a caller named.
+TEST(wire_test, bounds_the_segments_of_a_prompt)
+{
+    constexpr std::size_t max_segments = 256;
+    std::string parts;
+    for (std::size_t part = 0; part <= max_segments; ++part) {
+        parts += (parts.empty() ? "" : ",") + std::to_string(part) + ":1";
+    }
+    const auto read = adapter.read_request(head({{"Host", "h"}, {"Prompt-Prefix", parts}}));
+    EXPECT_EQ(read.prompt.size(), max_segments);
+}
+
 TEST(wire_test, parses_a_request_head)
 {
     const auto terms =
--- a/test/serving/engine_kv_cache_test.cpp
+++ b/test/serving/engine_kv_cache_test.cpp
@@ -74,5 +74,21 @@
     EXPECT_FALSE(cache.is_ready(engine, 0, start + 21s)) << "the expired entry was not removed";
 }
 
+// Prefixes that had not expired were kept however many there were, and searched with each new one.
+TEST(engine_kv_cache_test, bounds_the_prefixes_that_have_not_expired)
+{
+    constexpr std::uint32_t count = 300'000;
+    engine_kv_cache cache;
+    std::size_t largest = 0;
+    const auto begun = std::chrono::steady_clock::now();
+    for (std::uint32_t each = 0; each < count; ++each) {
+        cache.record_prefix(engine, each, start, start + each * 10us);
+        largest = std::max(largest, cache.prefix_count(engine));
+    }
+    EXPECT_LE(largest, 2 * engine_kv_cache::max_unexpired_prefixes + 1);
+    EXPECT_TRUE(cache.has_prefix(engine, count - 1, 0, start + count * 10us));
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, 10s);
+}
+
 } // namespace
 } // namespace cicadaport::serving
