--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -57,6 +57,15 @@
     EXPECT_EQ(read.prompt.size(), max_segments);
 }
 
+// The time left overflowed when it was converted.
+TEST(wire_test, a_negative_time_left_is_none)
+{
+    const auto read = adapter.read_request(
+        head({{"Host", "h"},
+              {"Deadline-Ms", std::to_string(std::numeric_limits<std::int64_t>::min())}}));
+    EXPECT_EQ(read.time_left, 0ms);
+}
+
 TEST(wire_test, parses_a_request_head)
 {
     const auto terms =
