--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -66,6 +66,15 @@
     EXPECT_EQ(read.time_left, 0ms);
 }
 
+// Parsing nested JSON takes many times its size.
+TEST(wire_test, a_large_answer_to_a_prefill_is_not_parsed)
+{
+    const std::string handle = R"("kv-handle":"h")";
+    EXPECT_EQ(adapter.read_kv_handle("{" + handle + "}"), "h");
+    const std::string filling(1'000'000, ' ');
+    EXPECT_EQ(adapter.read_kv_handle("{" + filling + handle + "}"), std::nullopt);
+}
+
 TEST(wire_test, parses_a_request_head)
 {
     const auto terms =
