telemetry: a pipe that other processes share can't make logging wait

Change: pipes and terminals are opened anew without blocking, which leaves the open file description of other processes as it is; the question is asked only where that fails. One system call a line less.

--- a/src/telemetry/bounded_sink.cpp
+++ b/src/telemetry/bounded_sink.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cerrno>
 
+#include <fcntl.h>
 #include <limits.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -13,17 +14,40 @@
 
 namespace cicadaport::telemetry {
 
-bounded_sink::bounded_sink(int descriptor) : m_descriptor{descriptor}, m_kind{kind_of(descriptor)}
+bounded_sink::bounded_sink(int descriptor) : m_descriptor{descriptor}
 {
+    choose_mode();
 }
 
-bounded_sink::descriptor_kind bounded_sink::kind_of(int descriptor) noexcept
+bounded_sink::~bounded_sink()
+{
+    if (m_is_own) {
+        ::close(m_descriptor);
+    }
+}
+
+void bounded_sink::choose_mode() noexcept
 {
     struct ::stat status {};
-    if (::fstat(descriptor, &status) == 0 && S_ISREG(status.st_mode)) {
-        return descriptor_kind::file;
+    if (::fstat(m_descriptor, &status) != 0) {
+        return;
+    }
+    if (S_ISREG(status.st_mode)) {
+        m_mode = write_mode::as_it_is;
+    }
+    else if (S_ISSOCK(status.st_mode)) {
+        m_mode = write_mode::per_call;
+    }
+    else if (S_ISFIFO(status.st_mode) || S_ISCHR(status.st_mode)) {
+        // Other processes may share the open file description, so it must not be changed.
+        const auto path = fmt::format("/proc/self/fd/{}", m_descriptor);
+        const int own = ::open(path.c_str(), O_WRONLY | O_NONBLOCK | O_NOCTTY | O_CLOEXEC);
+        if (own >= 0) {
+            m_descriptor = own;
+            m_is_own = true;
+            m_mode = write_mode::as_it_is;
+        }
     }
-    return S_ISSOCK(status.st_mode) ? descriptor_kind::socket : descriptor_kind::stream;
 }
 
 std::string bounded_sink::format(const spdlog::details::log_msg& message)
@@ -60,7 +84,7 @@
 
 bool bounded_sink::is_writable() const noexcept
 {
-    if (m_kind != descriptor_kind::stream) {
+    if (m_mode != write_mode::polled) {
         return true;
     }
     ::pollfd wanted{m_descriptor, POLLOUT, 0};
@@ -75,7 +99,7 @@
     while (written < m_pending.size() && is_writable()) {
         const auto* const from = m_pending.data() + written;
         const auto size = std::min(max_write_bytes, m_pending.size() - written);
-        const auto count = m_kind == descriptor_kind::socket
+        const auto count = m_mode == write_mode::per_call
                                ? ::send(m_descriptor, from, size, MSG_DONTWAIT | MSG_NOSIGNAL)
                                : ::write(m_descriptor, from, size);
         if (count < 0) {
--- a/src/telemetry/internal/bounded_sink.h
+++ b/src/telemetry/internal/bounded_sink.h
@@ -23,6 +23,9 @@
 
     // `descriptor` must stay open as long as the sink; the sink does not close it.
     explicit bounded_sink(int descriptor);
+    ~bounded_sink() override;
+    bounded_sink(const bounded_sink&) = delete;
+    bounded_sink& operator=(const bounded_sink&) = delete;
 
 protected:
     void sink_it_(const spdlog::details::log_msg& message) override;
@@ -30,15 +33,25 @@
     void flush_() override;
 
 private:
-    enum class descriptor_kind { file, socket, stream };
-
-    static descriptor_kind kind_of(int descriptor) noexcept;
+    // How a write is kept from waiting.
+    enum class write_mode {
+        // The descriptor is not blocking. Files are written at once anyway.
+        as_it_is,
+        // Each call asks for it.
+        per_call,
+        // The descriptor is asked first whether it takes bytes.
+        polled,
+    };
+
+    void choose_mode() noexcept;
     std::string format(const spdlog::details::log_msg& message);
     bool is_writable() const noexcept;
     void add_dropped_count(const spdlog::details::log_msg& after);
 
     int m_descriptor;
-    descriptor_kind m_kind;
+    write_mode m_mode = write_mode::polled;
+    // Whether the sink has opened the descriptor itself.
+    bool m_is_own = false;
     std::string m_pending;
     std::uint64_t m_dropped_count = 0;
 };
--- a/test/telemetry/bounded_sink_test.cpp
+++ b/test/telemetry/bounded_sink_test.cpp
@@ -104,6 +104,13 @@
     ends[0] = ::open("/dev/null", O_RDONLY);
 }
 
+// Other processes that share the pipe would lose lines if it did not block.
+TEST_P(bounded_sink_test, leaves_the_descriptor_of_other_processes_as_it_is)
+{
+    logger->info("line");
+    EXPECT_EQ(::fcntl(ends[1], F_GETFL) & O_NONBLOCK, 0);
+}
+
 INSTANTIATE_TEST_SUITE_P(pipe_and_socket, bounded_sink_test, ::testing::Bool());
 
 } // namespace
