serving: an address that can't become usable ends the start

Change: only an address in use or not there yet, and a lack of descriptors, are tried again, and the line is repeated every 10 s; else the start fails with the address and the reason.

--- a/src/serving/internal/listener.cpp
+++ b/src/serving/internal/listener.cpp
@@ -1,7 +1,11 @@
 #include "internal/listener.h"
 
+#include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
+#include <cerrno>
+#include <stdexcept>
+
 namespace cicadaport::serving {
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -11,6 +15,15 @@
 
 constexpr std::chrono::milliseconds accept_retry_interval{20};
 constexpr std::chrono::milliseconds bind_retry_interval{100};
+// The failure to bind is logged again after this many attempts.
+constexpr unsigned log_bind_failure_every = 100;
+
+// Returns whether binding may succeed later without a change of the settings.
+bool is_transient(const error_code& error)
+{
+    return error == asio::error::address_in_use || error == asio::error::no_descriptors ||
+           error == error_code{EADDRNOTAVAIL, boost::system::system_category()};
+}
 
 } // namespace
 
@@ -33,7 +46,12 @@
         accept();
         return;
     }
-    if (m_failed_binds++ == 0) {
+    if (m_failed_binds == 0 && !is_transient(error)) {
+        throw std::runtime_error{fmt::format("can't listen on {}:{}: {}",
+                                             m_address.address().to_string(), m_address.port(),
+                                             error.message())};
+    }
+    if (m_failed_binds++ % log_bind_failure_every == 0) {
         spdlog::warn(
             "listening_delayed address={}:{} error=\"{}\" effect=\"tried again every {} ms\"",
             m_address.address().to_string(), m_address.port(), error.message(),
--- a/src/serving/internal/listener.h
+++ b/src/serving/internal/listener.h
@@ -21,7 +21,9 @@
 public:
     using connection_handler = std::function<void(boost::asio::ip::tcp::socket)>;
 
-    // Starts to accept. Throws boost::system::system_error if `at` has no valid IP address.
+    // Starts to accept. Throws boost::system::system_error if `at` has no valid IP address, and
+    // std::runtime_error if it can't be used for another reason than that it is in use or not
+    // there.
     listener(boost::asio::io_context& context, transport::timer_queue& timers,
              const http::address& at, connection_handler on_connection);
 
