--- a/programs/host/main.cpp
+++ b/programs/host/main.cpp
@@ -15,6 +15,8 @@
 int main(int argc, char** argv)
 {
     using namespace cicadaport;
+    // A log or a connection whose reader has ended must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
     base::signal_block until_handled{SIGHUP, SIGTERM, SIGINT};
     base::open_closed_standard_streams();
     CLI::App app{"Serves requests of callers on one host of the platform."};
