transport: an exception ends one connection, not the event loop

Callers saw: whatever an observer of a connection threw left the event loop, so that the host ended with all its requests. Cause: nothing between the observer and main() caught exceptions. Evidence: tcp_connection_test.ends_alone_when_its_observer_throws and reports_its_end_once_if_that_throws_too fail without the change: the exception leaves the loop, on_end() is not called, the socket stays open. Change: what the event loop calls on a connection runs in a guard. Not covered: an observer whose exchange has already ended, such as a throwing on_complete(), hears nothing more from its connection.

--- a/include/cicadaport/transport/tcp_connection.h
+++ b/include/cicadaport/transport/tcp_connection.h
@@ -5,7 +5,8 @@
 // disconnect by the peer is noticed at once.
 //
 // Belongs to one event loop. The observer is called until `close()` or
-// `abort()` and never afterwards. It must keep itself alive during its calls.
+// `abort()` and never afterwards. It must keep itself alive during its calls. If a call
+// throws, the connection is reset and the observer told that it failed.
 #pragma once
 
 #include "cicadaport/http/address.h"
@@ -95,10 +96,16 @@
 
 private:
     void set_options(socket_times times) noexcept;
+    void handle_connected(boost::system::error_code failure);
     void wait_for_input();
     void read_input();
+    void handle_sent(boost::system::error_code error);
     void end(connection_end how);
     void send_queued();
+    // Runs what the event loop has called. An exception is logged and ends this connection only.
+    template <typename Handler>
+    void guard(Handler handle) noexcept;
+    void end_after_exception() noexcept;
 
     boost::asio::ip::tcp::socket m_socket;
     connection_observer* m_observer = nullptr;
@@ -111,6 +118,7 @@
     bool m_waiting = false;
     bool m_connected = false;
     bool m_write_failed = false;
+    bool m_end_reported = false;
 };
 
 } // namespace cicadaport::transport
--- a/src/transport/tcp_connection.cpp
+++ b/src/transport/tcp_connection.cpp
@@ -1,5 +1,7 @@
 #include "cicadaport/transport/tcp_connection.h"
 
+#include "cicadaport/telemetry/exception_log.h"
+
 #include <boost/asio/write.hpp>
 
 #include <netinet/tcp.h>
@@ -36,6 +38,34 @@
     close();
 }
 
+template <typename Handler>
+void tcp_connection::guard(Handler handle) noexcept
+{
+    try {
+        handle();
+    }
+    catch (...) {
+        telemetry::log_exception("connection");
+        end_after_exception();
+    }
+}
+
+void tcp_connection::end_after_exception() noexcept
+{
+    auto* observer = std::exchange(m_observer, nullptr);
+    abort();
+    if (observer == nullptr || m_end_reported) {
+        return;
+    }
+    m_end_reported = true;
+    try {
+        observer->on_end(connection_end::failed);
+    }
+    catch (...) {
+        telemetry::log_exception("connection_end");
+    }
+}
+
 void tcp_connection::connect(const http::address& to, socket_times times)
 {
     error_code error;
@@ -44,29 +74,35 @@
         m_socket.open(tcp::v4(), error);
     }
     if (error) {
-        asio::post(m_socket.get_executor(),
-                   [self = shared_from_this()] { self->end(connection_end::failed); });
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+            self->guard([&] { self->end(connection_end::failed); });
+        });
         return;
     }
     set_options(times);
     m_socket.async_connect(tcp::endpoint{ip, to.port},
                            [self = shared_from_this()](error_code failure) {
-                               if (!self->m_socket.is_open()) {
-                                   return;
-                               }
-                               if (failure) {
-                                   self->end(connection_end::failed);
-                                   return;
-                               }
-                               self->m_connected = true;
-                               self->wait_for_input();
-                               if (self->m_observer != nullptr) {
-                                   self->m_observer->on_connected();
-                               }
-                               self->send_queued();
+                               self->guard([&] { self->handle_connected(failure); });
                            });
 }
 
+void tcp_connection::handle_connected(error_code failure)
+{
+    if (!m_socket.is_open()) {
+        return;
+    }
+    if (failure) {
+        end(connection_end::failed);
+        return;
+    }
+    m_connected = true;
+    wait_for_input();
+    if (m_observer != nullptr) {
+        m_observer->on_connected();
+    }
+    send_queued();
+}
+
 void tcp_connection::start(socket_times times)
 {
     set_options(times);
@@ -140,7 +176,7 @@
     m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
         self->m_waiting = false;
         if (!error && !self->m_paused && self->m_socket.is_open()) {
-            self->read_input();
+            self->guard([&] { self->read_input(); });
         }
     });
 }
@@ -171,6 +207,7 @@
 void tcp_connection::end(connection_end how)
 {
     if (m_observer != nullptr) {
+        m_end_reported = true;
         m_observer->on_end(how);
     }
 }
@@ -197,26 +234,30 @@
     m_sending = std::exchange(m_queued, {});
     asio::async_write(m_socket, asio::buffer(m_sending),
                       [self = shared_from_this()](error_code error, std::size_t) {
-                          self->m_sending.clear();
-                          if (!self->m_socket.is_open()) {
-                              return;
-                          }
-                          if (error) {
-                              // Bytes that the peer sent earlier remain to be read;
-                              // the reading side reports the end.
-                              self->m_write_failed = true;
-                              self->m_queued.clear();
-                              return;
-                          }
-                          if (!self->m_queued.empty()) {
-                              self->send_queued();
-                          }
-                          else if (self->m_observer != nullptr) {
-                              self->m_observer->on_written();
-                          }
+                          self->guard([&] { self->handle_sent(error); });
                       });
 }
 
+void tcp_connection::handle_sent(error_code error)
+{
+    m_sending.clear();
+    if (!m_socket.is_open()) {
+        return;
+    }
+    if (error) {
+        // Bytes that the peer sent earlier remain to be read; the reading side reports the end.
+        m_write_failed = true;
+        m_queued.clear();
+        return;
+    }
+    if (!m_queued.empty()) {
+        send_queued();
+    }
+    else if (m_observer != nullptr) {
+        m_observer->on_written();
+    }
+}
+
 void tcp_connection::stop_sending() noexcept
 {
     error_code ignored;
--- /dev/null
+++ b/test/transport/tcp_connection_test.cpp
@@ -0,0 +1,72 @@
+#include "cicadaport/transport/tcp_connection.h"
+
+#include "peer.h"
+
+#include <boost/asio/write.hpp>
+
+#include <gtest/gtest.h>
+
+#include <stdexcept>
+
+namespace cicadaport::transport {
+namespace {
+
+using testing::peer;
+using testing::run_until;
+
+// Throws whenever input arrives, and from on_end() if told to.
+class throwing_observer final : public connection_observer {
+public:
+    void on_input() override { throw std::length_error{"too long"}; }
+    void on_end(connection_end how) override
+    {
+        ++ends;
+        last_end = how;
+        if (throws_at_end) {
+            throw std::runtime_error{"at the end"};
+        }
+    }
+
+    bool throws_at_end = false;
+    int ends = 0;
+    connection_end last_end = connection_end::closed;
+};
+
+class tcp_connection_test : public ::testing::Test {
+protected:
+    // Connects, receives bytes and waits until the peer sees the end.
+    void receive()
+    {
+        connection->set_observer(&observer);
+        connection->connect(server.address());
+        connection->write("x");
+        ASSERT_TRUE(run_until(context, [&] { return observer.ends > 0; }));
+        EXPECT_TRUE(run_until(context, [&] { return server.connections.front()->ended; }));
+    }
+
+    boost::asio::io_context context;
+    peer server{context, [](peer::connection& from) { from.say("answer"); }};
+    throwing_observer observer;
+    std::shared_ptr<tcp_connection> connection = std::make_shared<tcp_connection>(context);
+};
+
+// An exception of one connection's observer ended the event loop and all other connections.
+TEST_F(tcp_connection_test, ends_alone_when_its_observer_throws)
+{
+    EXPECT_NO_THROW(receive());
+    EXPECT_EQ(observer.ends, 1);
+    EXPECT_EQ(observer.last_end, connection_end::failed);
+    EXPECT_FALSE(connection->is_open());
+}
+
+// The observer must not be told twice that its connection has ended.
+TEST_F(tcp_connection_test, reports_its_end_once_if_that_throws_too)
+{
+    observer.throws_at_end = true;
+    EXPECT_NO_THROW(receive());
+    EXPECT_EQ(observer.ends, 1);
+    EXPECT_FALSE(connection->is_open());
+}
+
+} // namespace
+} // namespace cicadaport::transport
