transport: an exception of one timer action leaves the others

Callers saw: an exception of one deadline's action left the event loop, so that the host ended; had it gone on, no deadline would have been due any more, as the timer was not armed again. Evidence: timer_queue_test.calls_the_other_actions_after_one_throws fails without the change: the exception leaves the loop, 0 of 2 actions are called. A wait that can't be started leaves the timer unarmed, so that the next deadline arms it.

--- a/include/cicadaport/transport/timer_queue.h
+++ b/include/cicadaport/transport/timer_queue.h
@@ -60,7 +60,8 @@
 
     static time_point now() noexcept { return clock::now(); }
 
-    // Calls `action` once, at `when` or up to `resolution` later.
+    // Calls `action` once, at `when` or up to `resolution` later. An exception that it throws is
+    // logged; the other actions go on.
     [[nodiscard]] handle call_at(time_point when, std::function<void()> action);
 
     // Returns by how much the latest action since the last call was late. A large value tells that
--- a/src/transport/timer_queue.cpp
+++ b/src/transport/timer_queue.cpp
@@ -1,5 +1,7 @@
 #include "cicadaport/transport/timer_queue.h"
 
+#include "cicadaport/telemetry/exception_log.h"
+
 namespace cicadaport::transport {
 
 // Maximum delay of the timer after a suspension of the host, during which the steady
@@ -63,7 +65,8 @@
     if (m_armed_for && *m_armed_for <= when + resolution) {
         return;
     }
-    m_armed_for = when;
+    // Stays empty if the wait can't be started, so that the next call tries it again.
+    m_armed_for.reset();
     m_timer.expires_after(
         std::chrono::duration_cast<std::chrono::steady_clock::duration>(when - at));
     m_timer.async_wait([this](boost::system::error_code error) {
@@ -71,6 +74,7 @@
             fire();
         }
     });
+    m_armed_for = when;
 }
 
 void timer_queue::fire()
@@ -86,7 +90,12 @@
         const auto due = std::move(first->second);
         m_by_id.erase(due.id);
         m_entries.erase(first);
-        due.action();
+        try {
+            due.action();
+        }
+        catch (...) {
+            telemetry::log_exception("timer");
+        }
     }
     arm();
 }
--- a/test/transport/timer_queue_test.cpp
+++ b/test/transport/timer_queue_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <stdexcept>
 #include <thread>
 
 namespace cicadaport::transport {
@@ -24,5 +25,19 @@
     EXPECT_EQ(timers.take_max_lateness(), 0ms) << "counted anew after each call";
 }
 
+// One action that threw ended the event loop, and with it all other deadlines.
+TEST(timer_queue_test, calls_the_other_actions_after_one_throws)
+{
+    boost::asio::io_context context;
+    timer_queue timers{context};
+    const auto due = timer_queue::now() + 10ms;
+    int called = 0;
+    const auto first = timers.call_at(due, [] { throw std::length_error{"too long"}; });
+    const auto same = timers.call_at(due, [&] { ++called; });
+    const auto later = timers.call_at(due + 50ms, [&] { ++called; });
+    EXPECT_NO_THROW(context.run());
+    EXPECT_EQ(called, 2);
+}
+
 } // namespace
 } // namespace cicadaport::transport
