test: a soak of real hosts beside callers and replicas that send without end

No run of real processes had faulty parties, limits on memory and descriptors, or a log that nobody reads.

`--only-party` runs one kind. The result line of each soak names its longest own stall; it excuses no violation.

Not covered: SIGHUP while the dynamic loader still runs.

--- a/include/cicadaport/scenario/child_process.h
+++ b/include/cicadaport/scenario/child_process.h
@@ -29,6 +29,9 @@
     child_process(child_process&& other) noexcept;
     child_process& operator=(child_process&&) = delete;
 
+    // Returns the child's process id, under which the system shows its memory and open files.
+    pid_t pid() const noexcept { return m_pid; }
+
     // Sends a signal unless the child has ended.
     void signal(int number);
 
--- a/test/platform/soak/fleet_soak.cpp
+++ b/test/platform/soak/fleet_soak.cpp
@@ -727,6 +727,7 @@
 
 soak_result fleet_soak::run()
 {
+    const stall_meter stalls;
     for (std::size_t index = 0; index < plain_replicas * services.size(); ++index) {
         auto& added =
             m_replicas.emplace_back(services[index % services.size()],
@@ -793,6 +794,7 @@
     for (const auto& each : m_timed.judge().violations()) {
         violated(fmt::format("{} {} {}", since_begin(each.of.sent), each.of.id, each.text));
     }
+    m_result.longest_stall = stalls.longest();
     return m_result;
 }
 
--- a/test/platform/soak/fleet_soak.h
+++ b/test/platform/soak/fleet_soak.h
@@ -8,6 +8,7 @@
 #include "platform/soak/crash_judge.h"
 #include "platform/soak/host_fleet.h"
 #include "platform/soak/limit_judge.h"
+#include "platform/soak/stall_meter.h"
 #include "platform/soak/timed_requests.h"
 
 #include <functional>
@@ -43,6 +44,8 @@
     bool alone = false;
     // Records appended within this time after the start of a waiting read do not wake it.
     milliseconds missed_wakeup_time{0};
+    // Of the faulty parties only this kind takes part; all if empty.
+    std::string only_party;
 };
 
 struct soak_result {
@@ -57,6 +60,8 @@
     std::vector<std::string> violations;
     // The faults that were injected, one line each.
     std::vector<std::string> steps;
+    // How long a thread of the soak was kept from running at most.
+    milliseconds longest_stall{0};
 };
 
 class fleet_soak {
--- a/test/platform/soak/main.cpp
+++ b/test/platform/soak/main.cpp
@@ -1,5 +1,5 @@
 // Runs the fleet soak test. Exits with 1 if a guarantee was violated.
-#include "platform/soak/fleet_soak.h"
+#include "platform/soak/faulty_peer_soak.h"
 
 #include <CLI/CLI.hpp>
 #include <fmt/core.h>
@@ -16,6 +16,7 @@
     const std::map<std::string, soak_shape> shapes{{"recorded", soak_shape::recorded},
                                                    {"drawn", soak_shape::drawn},
                                                    {"stops", soak_shape::stops}};
+    bool faulty_peers = false;
     app.add_option("--host", options.host_program, "The host program")->required();
     app.add_option("--folder", folder, "The directory for settings and logs")->required();
     app.add_option("--seed", options.seed, "The first seed")->capture_default_str();
@@ -24,6 +25,9 @@
     app.add_option("--hosts", options.hosts, "The number of hosts")->capture_default_str();
     app.add_option("--shape", options.shape, "recorded, drawn or stops")
         ->transform(CLI::CheckedTransformer(shapes));
+    app.add_flag("--faulty-peers", faulty_peers,
+                 "Instead of the faults of a shape: callers and replicas that send without end");
+    app.add_option("--only-party", options.only_party, "With --faulty-peers: one kind of party");
     app.add_option("--padding", options.padding, "Bytes added to each configuration version");
     app.add_flag("--alone", options.alone, "Hosts don't know each other");
     app.add_option("--deaf-ms", deaf_ms,
@@ -35,7 +39,8 @@
     for (std::uint64_t index = 0; index < seeds; ++index, ++options.seed) {
         options.folder = std::filesystem::path{folder} / std::to_string(options.seed);
         std::filesystem::create_directories(options.folder);
-        const auto result = fleet_soak{options}.run();
+        const auto result =
+            faulty_peers ? faulty_peer_soak{options}.run() : fleet_soak{options}.run();
         std::ofstream steps{options.folder / "steps.log"};
         for (const auto& each : result.steps) {
             steps << each << '\n';
@@ -43,9 +48,10 @@
         for (const auto& each : result.violations) {
             fmt::print("seed {} {}\n", options.seed, each);
         }
-        fmt::print("seed={} checks={} limited={} crashes={} stopped={} violations={}\n",
+        fmt::print("seed={} checks={} limited={} crashes={} stopped={} violations={} "
+                   "stall_ms={}\n",
                    options.seed, result.checks, result.limited, result.crashes, result.stopped,
-                   result.violations.size());
+                   result.violations.size(), result.longest_stall.count());
         std::fflush(stdout);
         passed += result.violations.empty() ? 1 : 0;
     }
