transport: idle connections free the memory of large messages

Evidence: idle_tcp_connection_test.frees_the_memory_of_large_messages failed with the release switched off.

--- a/include/cicadaport/transport/tcp_connection.h
+++ b/include/cicadaport/transport/tcp_connection.h
@@ -79,6 +79,12 @@
     // Number of bytes not yet handed to the kernel.
     std::size_t unsent() const noexcept { return m_sending.size() + m_queued.size(); }
 
+    // Bytes of memory that the connection holds for input and output.
+    std::size_t buffer_capacity() const noexcept
+    {
+        return m_input.capacity() + m_sending.capacity() + m_queued.capacity();
+    }
+
     bool is_open() const noexcept { return m_socket.is_open(); }
 
     // Leaves unread what the peer sends from now on, so that closing the connection resets it if
--- a/src/transport/tcp_connection.cpp
+++ b/src/transport/tcp_connection.cpp
@@ -19,6 +19,17 @@
 // Consumed bytes are erased from the front of the input when they exceed this many.
 constexpr std::size_t compact_bytes = 16 * 1024;
 
+// Empties a buffer, and frees its memory if it is large: most connections are idle most of the
+// time.
+void release_buffer(std::string& buffer) noexcept
+{
+    constexpr std::size_t max_kept_bytes = 16 * 1024;
+    buffer.clear();
+    if (buffer.capacity() > max_kept_bytes) {
+        std::string{}.swap(buffer);
+    }
+}
+
 std::span<char> read_buffer()
 {
     static thread_local std::vector<char> buffer(max_read_bytes);
@@ -135,7 +146,7 @@
 {
     m_consumed += count;
     if (m_consumed == m_input.size()) {
-        m_input.clear();
+        release_buffer(m_input);
         m_consumed = 0;
     }
     else if (m_consumed > compact_bytes) {
@@ -240,7 +251,7 @@
 
 void tcp_connection::handle_sent(error_code error)
 {
-    m_sending.clear();
+    release_buffer(m_sending);
     if (!m_socket.is_open()) {
         return;
     }
--- a/test/transport/tcp_connection_test.cpp
+++ b/test/transport/tcp_connection_test.cpp
@@ -68,5 +68,45 @@
     EXPECT_FALSE(connection->is_open());
 }
 
+// Consumes all input and counts it.
+class counting_observer final : public connection_observer {
+public:
+    explicit counting_observer(tcp_connection& of) : m_connection{of} {}
+
+    void on_input() override
+    {
+        received += m_connection.input().size();
+        m_connection.consume(m_connection.input().size());
+    }
+    void on_end(connection_end) override {}
+
+    std::size_t received = 0;
+
+private:
+    tcp_connection& m_connection;
+};
+
+// Idle connections kept the memory of the largest message that they had carried.
+TEST(idle_tcp_connection_test, frees_the_memory_of_large_messages)
+{
+    constexpr std::size_t million = 1'000'000;
+    const std::string message(million, 'x');
+    boost::asio::io_context context;
+    peer server{context, [&](peer::connection& from) {
+                    if (from.received.size() == million) {
+                        boost::asio::async_write(from.socket, boost::asio::buffer(message),
+                                                 [](boost::system::error_code, std::size_t) {});
+                    }
+                }};
+    const auto connection = std::make_shared<tcp_connection>(context);
+    counting_observer observer{*connection};
+    connection->set_observer(&observer);
+    connection->connect(server.address());
+    connection->write(message);
+    ASSERT_TRUE(run_until(context, [&] { return observer.received == million; }));
+    EXPECT_LT(connection->buffer_capacity(), million / 10);
+    connection->close();
+}
+
 } // namespace
 } // namespace cicadaport::transport
