serving: callers can't take the descriptors that the host needs

Cause: nothing bounded the connections that were accepted, so that callers took the descriptors for replicas, the store and readiness. Change: callers get 2/5 and other hosts that relay 1/12 of the descriptors that are left after those for files, so that each accepted connection leaves one for a replica. The limit is the smaller of the settings' and the kernel's. At the limit a connection without a whole request ends: one that only waits for its peer to close; then those that have sent no whole request, if they hold more than a quarter; then the longest idle; then any without a whole request. The quarter lets half-sent requests displace one another, not connections in use, while idle connections can't keep a new caller from sending its request. An idle connection is closed; a request that has arrived in part, or not been read, gets 503 with Retry-After, which is true: it did not run. If all are being answered, the new connection gets the same: in the listen queue it would cost its caller up to a second, while callers try another host after 503. Why it works: each change of phase is a splice of a list, without allocation or system call; descriptors are closed before the new connection is kept. Not shown: a real process whose kernel limit is 200.

--- a/include/cicadaport/serving/caller_connection.h
+++ b/include/cicadaport/serving/caller_connection.h
@@ -4,6 +4,7 @@
 // Not thread safe: used on the event loop only.
 #pragma once
 
+#include "cicadaport/serving/connection_slots.h"
 #include "cicadaport/serving/exchange.h"
 #include "cicadaport/transport/tcp_connection.h"
 
@@ -16,16 +17,20 @@
 
 class caller_connection final : public transport::connection_observer,
                                 public caller_port,
+                                public slot_holder,
                                 public std::enable_shared_from_this<caller_connection> {
 public:
     // Who sends the requests: callers, or other hosts that relay theirs.
     enum class peer { caller, host };
 
-    // The connection is a member of `all`, which owns it, from start() until it is closed.
-    caller_connection(host_state& host, caller_set& all, boost::asio::ip::tcp::socket socket,
-                      peer from = peer::caller);
+    // The connection is a member of `all`, which owns it, and holds one of `slots`, from start()
+    // until it is closed.
+    caller_connection(host_state& host, caller_set& all, connection_slots& slots,
+                      boost::asio::ip::tcp::socket socket, peer from = peer::caller);
     ~caller_connection() override;
 
+    // Starts the connection. If no slot is free, the one that `slots` names ends to make room; if
+    // there is none, the new connection is refused.
     void start();
 
     // A connection is idle once it has waited this long for a request. It is not idle
@@ -47,6 +52,7 @@
     void on_input() override;
     void on_end(transport::connection_end how) override;
     void on_written() override;
+    void end_for_room() override;
 
     void answer(unsigned status, const http::field_list& fields, std::string_view body) override;
     void begin(unsigned status, const http::field_list& fields) override;
@@ -68,6 +74,12 @@
     void start_read_timeout(time_point when);
     std::string format_head(unsigned status, const http::field_list& fields,
                             std::string_view framing);
+    // Returns whether the connection has a slot; else it was refused.
+    bool acquire_slot();
+    void log_limit(std::string_view outcome);
+    void update_phase();
+    // Returns the answer to a request that is not taken on, for want of descriptors.
+    std::string format_refusal();
     void on_answer_ended();
     void close_gracefully();
     void drop();
@@ -76,6 +88,8 @@
 
     host_state& m_host;
     caller_set& m_all;
+    connection_slots& m_slots;
+    std::optional<connection_slots::slot> m_slot;
     std::shared_ptr<transport::tcp_connection> m_connection;
     transport::message_reader m_reader;
     peer m_from;
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -174,6 +174,8 @@
     line_budget resumption_log_budget;
     // For log lines about endpoints to which no connection could be established.
     line_budget reachability_log_budget;
+    // For log lines about connections that were ended or refused at their limit.
+    line_budget connection_log_budget;
     attempt_budget budget;
     fleet_work fleet;
     engine_placement engines;
--- a/include/cicadaport/transport/tcp_connection.h
+++ b/include/cicadaport/transport/tcp_connection.h
@@ -97,6 +97,10 @@
     // Closes in an orderly way. The kernel sends a reset if unread input remains.
     void close() noexcept;
 
+    // Discards what has arrived and is unread, passes `bytes` to the kernel as far as it takes them
+    // at once, and closes. Without the unread bytes the peer receives `bytes` and no reset.
+    void close_with(std::string_view bytes) noexcept;
+
     // Closes with a reset, so that the peer sees that the data it received is incomplete.
     void abort() noexcept;
 
--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -1,9 +1,12 @@
 #include "cicadaport/serving/caller_connection.h"
 
+#include "internal/exchange_constants.h"
+
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/status.hpp>
 
 #include <fmt/format.h>
+#include <spdlog/spdlog.h>
 
 namespace cicadaport::serving {
 namespace {
@@ -33,10 +36,10 @@
 
 } // namespace
 
-caller_connection::caller_connection(host_state& host, caller_set& all,
+caller_connection::caller_connection(host_state& host, caller_set& all, connection_slots& slots,
                                      boost::asio::ip::tcp::socket socket, peer from)
-    : m_host{host}, m_all{all}, m_connection{std::make_shared<transport::tcp_connection>(
-                                    std::move(socket))},
+    : m_host{host}, m_all{all}, m_slots{slots},
+      m_connection{std::make_shared<transport::tcp_connection>(std::move(socket))},
       m_reader{transport::message_kind::request, message_limits()}, m_from{from}
 {
 }
@@ -58,6 +61,9 @@
 
 void caller_connection::start()
 {
+    if (!acquire_slot()) {
+        return;
+    }
     m_all.insert(shared_from_this());
     m_progress.accepted = m_host.timers.now();
     m_connection->set_observer(this);
@@ -65,6 +71,68 @@
     m_connection->start();
 }
 
+bool caller_connection::acquire_slot()
+{
+    if (m_slots.is_full()) {
+        auto* const least_used = m_slots.next_to_end();
+        log_limit(least_used != nullptr ? "longest_waiting_ended" : "new_one_refused");
+        if (least_used == nullptr) {
+            // Left in the listen queue, it would wait for as long as its caller does; refused, its
+            // caller can turn to another host at once.
+            m_connection->close_with(format_refusal());
+            return false;
+        }
+        least_used->end_for_room();
+    }
+    m_slot = m_slots.add(*this);
+    return true;
+}
+
+void caller_connection::log_limit(std::string_view outcome)
+{
+    const auto now = m_host.timers.now();
+    if (m_host.connection_log_budget.try_acquire(now)) {
+        spdlog::warn("connections_at_limit peer={} count={} limit={} effect={} passed_over={}",
+                     m_from == peer::host ? "host" : "caller", m_slots.count(), m_slots.limit(),
+                     outcome, m_host.connection_log_budget.take_suppressed_count());
+    }
+}
+
+void caller_connection::update_phase()
+{
+    using phase = connection_slots::phase;
+    if (m_slot) {
+        m_slots.set_phase(*m_slot, m_exchange != nullptr || m_connection->unsent() > 0
+                                       ? phase::answering
+                                   : m_closing                     ? phase::closing
+                                   : m_progress.request_count == 0 ? phase::fresh
+                                                                   : phase::kept);
+    }
+}
+
+std::string caller_connection::format_refusal()
+{
+    constexpr std::string_view reason = "the host has no connection left";
+    m_closing = true;
+    http::field_list fields;
+    const auto again = m_host.wire.make_retry_after_field(retry_after_overload);
+    fields.add(again.name, again.value);
+    return format_head(status_unavailable, fields,
+                       fmt::format("Content-Length: {}", reason.size())) +
+           std::string{reason};
+}
+
+void caller_connection::end_for_room()
+{
+    const auto keep = shared_from_this();
+    const bool has_request = m_request_started || m_connection->has_input();
+    if (!m_closing && has_request && m_connection->unsent() == 0) {
+        ++m_host.counts.refused;
+        m_connection->close_with(format_refusal());
+    }
+    drop();
+}
+
 void caller_connection::wait_for_request()
 {
     m_body.clear();
@@ -168,6 +236,7 @@
         }
         m_exchange = std::make_shared<exchange>(m_host, *this, std::move(m_reader.head()),
                                                 std::move(m_body), m_from == peer::host);
+        update_phase();
         // This copy keeps the exchange alive: start() may end it and reset m_exchange.
         const auto current = m_exchange;
         current->start();
@@ -211,6 +280,9 @@
     else if (m_closing) {
         close_gracefully();
     }
+    else {
+        update_phase();
+    }
 }
 
 std::string caller_connection::format_head(unsigned status, const http::field_list& fields,
@@ -287,6 +359,7 @@
         return;
     }
     wait_for_request();
+    update_phase();
     // This function may run within read_requests(). Input that has already arrived is
     // read later, from the event loop, so that the call does not recurse.
     if (!m_connection->input().empty()) {
@@ -320,6 +393,7 @@
         m_connection->stop_sending();
     }
     // Else on_written() continues here.
+    update_phase();
     m_timeout = m_host.timers.call_at(
         m_host.timers.now() + (is_written ? close_timeout : last_answer_timeout), [this] {
             const auto keep = shared_from_this();
@@ -347,6 +421,10 @@
 {
     m_timeout.cancel();
     m_connection->close();
+    if (m_slot) {
+        m_slots.remove(*m_slot);
+        m_slot.reset();
+    }
     m_all.erase(shared_from_this());
 }
 
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -8,7 +8,13 @@
 #include <boost/asio/signal_set.hpp>
 #include <spdlog/spdlog.h>
 
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <cerrno>
 #include <csignal>
+#include <cstring>
+#include <limits>
 
 namespace cicadaport::serving {
 namespace asio = boost::asio;
@@ -31,6 +37,20 @@
 constexpr int leaving_interval_divisor = 20;
 constexpr int leaving_interval_factor = 8;
 
+// Returns how many descriptors the process may have: by its settings and by the kernel.
+std::uint64_t max_descriptors(const host_settings& settings)
+{
+    auto out = std::numeric_limits<std::uint64_t>::max();
+    ::rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+        spdlog::warn("descriptor_limit_unknown error=\"{}\"", std::strerror(errno));
+    }
+    else if (limit.rlim_cur != RLIM_INFINITY) {
+        out = limit.rlim_cur;
+    }
+    return std::min<std::uint64_t>(out, settings.max_descriptors.value_or(out));
+}
+
 } // namespace
 
 class host_process::implementation {
@@ -78,30 +98,35 @@
                                     return is_ready();
                                 })->start();
                             });
-        m_callers.emplace(
-            m_context, m_state.timers, m_settings.caller_address, [this](tcp::socket socket) {
-                std::make_shared<caller_connection>(m_state, m_connections, std::move(socket))
-                    ->start();
-            });
+        m_callers.emplace(m_context, m_state.timers, m_settings.caller_address,
+                          [this](tcp::socket socket) {
+                              std::make_shared<caller_connection>(m_state, m_connections,
+                                                                  m_caller_slots, std::move(socket))
+                                  ->start();
+                          });
         listen_for_relayed_requests();
         m_configuration.start();
         m_endpoints.start();
         m_gossip.start();
         m_director.start();
         run_housekeeping();
-        spdlog::info("host_started name={} zone={}", m_settings.name, m_settings.availability_zone);
+        spdlog::info("host_started name={} zone={} max_caller_connections={} "
+                     "max_host_connections={}",
+                     m_settings.name, m_settings.availability_zone, m_caller_slots.limit(),
+                     m_host_slots.limit());
         m_context.run();
     }
 
     // Other hosts relay requests to the port at which this host receives gossip.
     void listen_for_relayed_requests()
     {
-        m_relays.emplace(
-            m_context, m_state.timers, m_settings.peers.own, [this](tcp::socket socket) {
-                std::make_shared<caller_connection>(m_state, m_connections, std::move(socket),
-                                                    caller_connection::peer::host)
-                    ->start();
-            });
+        m_relays.emplace(m_context, m_state.timers, m_settings.peers.own,
+                         [this](tcp::socket socket) {
+                             std::make_shared<caller_connection>(m_state, m_connections,
+                                                                 m_host_slots, std::move(socket),
+                                                                 caller_connection::peer::host)
+                                 ->start();
+                         });
     }
 
     void post_stop()
@@ -384,6 +409,10 @@
     host_settings m_settings;
     asio::io_context m_context;
     host_state m_state;
+    connection_shares m_connection_shares = connection_shares::of(max_descriptors(m_settings));
+    // Outlive the connections, which hold them.
+    connection_slots m_caller_slots{m_connection_shares.callers};
+    connection_slots m_host_slots{m_connection_shares.hosts};
     caller_set m_connections;
     feed_follower m_configuration;
     feed_follower m_endpoints;
--- a/src/transport/tcp_connection.cpp
+++ b/src/transport/tcp_connection.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t max_read_bytes = 64 * 1024;
 // Consumed bytes are erased from the front of the input when they exceed this many.
 constexpr std::size_t compact_bytes = 16 * 1024;
+// Maximum number of reads that discard input before a connection is closed.
+constexpr int max_discarding_reads = 4;
 
 // Empties a buffer, and frees its memory if it is large: most connections are idle most of the
 // time.
@@ -282,6 +284,19 @@
     m_socket.close(ignored);
 }
 
+void tcp_connection::close_with(std::string_view bytes) noexcept
+{
+    error_code error;
+    m_socket.non_blocking(true, error);
+    const auto buffer = read_buffer();
+    for (int reads = 0; reads < max_discarding_reads && !error; ++reads) {
+        m_socket.read_some(asio::buffer(buffer.data(), buffer.size()), error);
+    }
+    error_code ignored;
+    m_socket.write_some(asio::buffer(bytes), ignored);
+    close();
+}
+
 void tcp_connection::abort() noexcept
 {
     error_code ignored;
--- a/test/platform/idle_connection_test.cpp
+++ b/test/platform/idle_connection_test.cpp
@@ -15,8 +15,8 @@
     void connect()
     {
         client.connect(acceptor.local_endpoint());
-        connection =
-            std::make_shared<serving::caller_connection>(host, connections, acceptor.accept());
+        connection = std::make_shared<serving::caller_connection>(host, connections, slots,
+                                                                  acceptor.accept());
         connection->start();
         context.run_for(serving::caller_connection::min_idle_time + 50ms);
     }
@@ -43,6 +43,7 @@
     boost::asio::io_context context;
     wire adapter{http::address{"127.0.0.1", 1}};
     serving::host_state host{context, adapter, "z", {}};
+    serving::connection_slots slots{1};
     serving::caller_set connections;
     tcp::acceptor acceptor{context, {boost::asio::ip::make_address("127.0.0.1"), 0}};
     boost::asio::io_context client_context;
