serving: a request whose handling throws is answered with 502

Callers saw: an exception while one request was taken on, or about its replica's answer, ended the host and all its requests. Cause: nothing between the exchange and main() caught exceptions. The guard of the connection does not suffice: an exchange whose on_complete() or on_failure() throws hears nothing more from its connection. Change: start(), on_complete() and on_failure() run in a guard: the exception is logged, the replica released and the caller answered with 502, or a stream that has begun is aborted. The request may have run, so 503 is never used.

--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -199,6 +199,22 @@
     void log_unreached(time_point now) const;
     // Logs that the connection ended before the answer did, with the prompt's segments.
     void log_interrupted_run();
+    // Handles the answer that has been received.
+    void handle_answer();
+    void handle_failure(transport::exchange_failure failure);
+    // Runs a handler. If it throws, the request ends with 502 or its answer is aborted.
+    template <typename Handler>
+    void guard(Handler handle)
+    {
+        try {
+            handle();
+        }
+        catch (const std::exception&) {
+            end_after_exception();
+        }
+    }
+    // Call it in a catch clause only.
+    void end_after_exception();
     void log_end(std::string_view result, std::string_view reason) const;
     void reject(milliseconds pause, std::string_view reason);
     void fail(unsigned status, std::string_view reason);
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -1,6 +1,7 @@
 #include "cicadaport/serving/exchange.h"
 
 #include "cicadaport/serving/request_digest.h"
+#include "cicadaport/telemetry/exception_log.h"
 #include "internal/exchange_constants.h"
 #include "internal/silent_run.h"
 
@@ -67,11 +68,24 @@
 void exchange::start()
 {
     m_self = shared_from_this();
-    if (find_route() && admit_to_stopping_host()) {
-        m_deadline_timer =
-            m_host.timers.call_at(m_deadline + deadline_grace, [this] { handle_deadline(); });
-        place();
+    guard([this] {
+        if (find_route() && admit_to_stopping_host()) {
+            m_deadline_timer =
+                m_host.timers.call_at(m_deadline + deadline_grace, [this] { handle_deadline(); });
+            place();
+        }
+    });
+}
+
+void exchange::end_after_exception()
+{
+    telemetry::log_exception("request");
+    if (m_caller == nullptr) {
+        return;
     }
+    release_silent_run();
+    release_endpoint();
+    fail(status_bad_gateway, "the host could not handle the request");
 }
 
 bool exchange::find_route()
@@ -366,6 +380,12 @@
 }
 
 void exchange::on_complete()
+{
+    const auto keep = shared_from_this();
+    guard([this] { handle_answer(); });
+}
+
+void exchange::handle_answer()
 {
     m_host.crashes.remove_pending(*this);
     m_answer_timer.cancel();
--- a/src/serving/exchange_failures.cpp
+++ b/src/serving/exchange_failures.cpp
@@ -150,6 +150,12 @@
 }
 
 void exchange::on_failure(exchange_failure failure)
+{
+    const auto keep = shared_from_this();
+    guard([this, failure] { handle_failure(failure); });
+}
+
+void exchange::handle_failure(exchange_failure failure)
 {
     m_answer_timer.cancel();
     m_host.crashes.remove_pending(*this);
