serving: an exception outside of requests does not end the host

Callers saw: an exception about one list entry, one answer of the store, one datagram of another host or one timer's action ended the host; every host that read the same entry would have ended. The other places have no test of their own. Change: a list entry whose reader throws is logged and passed over; what is known of its replica stays in force. Any other std::exception about an answer of the store counts as a failed read: it is logged, and what was not applied is read again. A datagram that can't be handled is dropped with a bounded line. As a last resort the event loop logs what nothing else caught, pauses for a millisecond, so that a handler that throws without end does not occupy the processor, and goes on unless the host has stopped. Housekeeping and the check of a planned stop schedule their next run first, so that one exception does not end the series.

--- a/src/serving/feed_follower.cpp
+++ b/src/serving/feed_follower.cpp
@@ -145,6 +145,8 @@
 {
     m_response_timer.cancel();
     m_position.call_started_at.reset();
+    const bool read_full_list = m_reading_full_list;
+    const bool had_read = m_has_read;
     try {
         if (m_reading_full_list) {
             apply_newest();
@@ -162,6 +164,17 @@
         }
         failed(error.what());
     }
+    catch (const std::exception& error) {
+        // What was not applied is read again.
+        if (read_full_list) {
+            start_full_read(feed_times::initial_backoff);
+        }
+        else {
+            m_position.offset = m_requested_offset;
+        }
+        m_has_read = had_read;
+        failed(error.what());
+    }
 }
 
 void feed_follower::apply_newest()
@@ -294,7 +307,18 @@
 
 void feed_follower::schedule_read_after(milliseconds pause)
 {
-    m_read_timer = m_host.timers.call_at(m_host.timers.now() + pause, [this] { send_request(); });
+    m_read_timer = m_host.timers.call_at(m_host.timers.now() + pause, [this] {
+        try {
+            send_request();
+        }
+        catch (const std::exception& error) {
+            m_response_timer.cancel();
+            if (m_connection != nullptr) {
+                m_connection->abandon();
+            }
+            failed(error.what());
+        }
+    });
 }
 
 void feed_follower::on_failure(transport::exchange_failure)
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -4,6 +4,7 @@
 #include "internal/readiness_connection.h"
 
 #include "cicadaport/base/process_usage.h"
+#include "cicadaport/telemetry/exception_log.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <spdlog/spdlog.h>
@@ -15,6 +16,7 @@
 #include <csignal>
 #include <cstring>
 #include <limits>
+#include <thread>
 
 namespace cicadaport::serving {
 namespace asio = boost::asio;
@@ -29,6 +31,9 @@
 constexpr milliseconds stop_check_interval{50};
 // The event loop has stood still if a timer is late by this much.
 constexpr milliseconds late_loop_threshold{100};
+// Pause of the event loop after an exception that nothing else has caught, so that a handler that
+// throws without end does not occupy the processor.
+constexpr milliseconds exception_pause{1};
 
 // Each list is read often enough that a failed read can be retried within the allowed time:
 // for the configuration the time within which a version must be in force, for endpoints the
@@ -114,7 +119,23 @@
                      "max_host_connections={}",
                      m_settings.name, m_settings.availability_zone, m_caller_slots.limit(),
                      m_host_slots.limit());
-        m_context.run();
+        run_loop();
+    }
+
+    // Runs the event loop until the host has stopped.
+    void run_loop()
+    {
+        // After a stop, run() returns at once.
+        while (!m_context.stopped()) {
+            try {
+                m_context.run();
+                return;
+            }
+            catch (...) {
+                telemetry::log_exception("event_loop");
+                std::this_thread::sleep_for(exception_pause);
+            }
+        }
     }
 
     // Other hosts relay requests to the port at which this host receives gossip.
@@ -185,11 +206,25 @@
                 }};
     }
 
+    // Parses an entry. Returns nothing if the parser throws, so that the others are applied.
+    template <typename Result>
+    std::optional<Result> read_entry(const feed_entry& entry,
+                                     Result (wire_format::*parse)(const feed_entry&) const) const
+    {
+        try {
+            return (m_state.wire.*parse)(entry);
+        }
+        catch (const std::exception&) {
+            telemetry::log_exception("list_entry");
+            return std::nullopt;
+        }
+    }
+
     // Applies the newest readable version, unless it is no newer than the one in force.
     void apply_configuration(const std::vector<feed_entry>& entries)
     {
         for (auto each = entries.rbegin(); each != entries.rend(); ++each) {
-            auto read = m_state.wire.read_deployment(*each);
+            auto read = read_entry(*each, &wire_format::read_deployment).value_or(nullptr);
             if (read == nullptr) {
                 continue;
             }
@@ -221,7 +256,12 @@
         endpoint_update out;
         std::vector<endpoint_report> listed;
         for (const auto& each : entries) {
-            const auto report = m_state.wire.read_endpoint(each);
+            const auto read = read_entry(each, &wire_format::read_endpoint);
+            if (!read) {
+                // What is known of the replica stays in force.
+                continue;
+            }
+            const auto& report = *read;
             const bool changed = report ? m_state.endpoints.apply(*report, now)
                                         : m_state.endpoints.remove(each.key, now);
             if (report) {
@@ -284,6 +324,9 @@
 
     void run_housekeeping()
     {
+        // Scheduled first, so that an exception does not end the series.
+        m_housekeeping = m_state.timers.call_at(m_state.timers.now() + housekeeping_interval,
+                                                [this] { run_housekeeping(); });
         log_late_loop();
         spdlog::default_logger()->flush();
         m_state.connections.close_expired();
@@ -295,8 +338,6 @@
         if (++m_housekeeping_count % log_counts_every == 0) {
             log_counts();
         }
-        m_housekeeping = m_state.timers.call_at(m_state.timers.now() + housekeeping_interval,
-                                                [this] { run_housekeeping(); });
     }
 
     // Logs that the event loop stood still, with the processor time that the process used since the
@@ -359,6 +400,8 @@
     void check_stop()
     {
         const auto now = m_state.timers.now();
+        // Scheduled first, so that the host stops also if this check throws.
+        m_stop_check = m_state.timers.call_at(now + stop_check_interval, [this] { check_stop(); });
         auto& stop = *m_state.stop;
         if (stop.is_time_to_close(now, m_callers->last_accepted())) {
             close_listeners();
@@ -373,10 +416,7 @@
         }
         if (now >= stop.ends_at()) {
             end();
-            return;
         }
-        m_stop_check = m_state.timers.call_at(m_state.timers.now() + stop_check_interval,
-                                              [this] { check_stop(); });
     }
 
     void close_listeners()
--- a/src/serving/peer_gossip.cpp
+++ b/src/serving/peer_gossip.cpp
@@ -1,5 +1,7 @@
 #include "cicadaport/serving/peer_gossip.h"
 
+#include "cicadaport/telemetry/exception_log.h"
+
 #include "news.pb.h"
 
 #include <spdlog/spdlog.h>
@@ -472,7 +474,12 @@
         while (!error) {
             const auto count = m_socket.receive_from(asio::buffer(m_buffer), m_sender, 0, error);
             if (!error) {
-                handle_datagram(m_sender, std::string_view{m_buffer}.substr(0, count));
+                try {
+                    handle_datagram(m_sender, std::string_view{m_buffer}.substr(0, count));
+                }
+                catch (const std::exception&) {
+                    telemetry::log_exception("datagram");
+                }
             }
         }
         receive();
--- a/src/serving/stage_director.cpp
+++ b/src/serving/stage_director.cpp
@@ -134,7 +134,7 @@
                           return;
                       }
                   }
-                  catch (const store_error& error) {
+                  catch (const std::exception& error) {
                       abandon_change(error.what());
                       return;
                   }
--- a/src/serving/stream_origin_tracker.cpp
+++ b/src/serving/stream_origin_tracker.cpp
@@ -219,7 +219,7 @@
             read_log();
         }
     }
-    catch (const store_error& error) {
+    catch (const std::exception& error) {
         spdlog::info("stream_origins_not_read reason=\"{}\"", error.what());
         end_read(false);
     }
--- a/test/platform/throwing_handler_test.cpp
+++ b/test/platform/throwing_handler_test.cpp
@@ -1,4 +1,4 @@
-// What one request or answer makes the host throw must not end the others.
+// What one request, answer or list entry makes the host throw must not end the others.
 #include "host_fixture.h"
 
 #include <stdexcept>
@@ -12,6 +12,7 @@
 using testing::signed_answer;
 
 constexpr auto poisoned_path = "/safe/poisoned";
+constexpr auto poisoned_replica = "i-poisoned";
 
 // Throws what no caller of the adapter expects.
 class throwing_wire final : public wire {
@@ -35,7 +36,12 @@
         }
         return wire::read_answer(head);
     }
-};
+
+    std::optional<serving::endpoint_report>
+    read_endpoint(const serving::feed_entry& entry) const override
+    {
+        if (entry.key == poisoned_replica) {
+            throw std::length_error{"poisoned entry"};
         }
         return wire::read_endpoint(entry);
     }
@@ -83,5 +89,16 @@
     expect_served();
 }
 
+// An exception about one entry ended each host that read the list.
+TEST_F(throwing_handler_test, applies_the_list_without_an_entry_whose_reader_throws)
+{
+    list_replica(poisoned_replica, replica->address());
+    start();
+    expect_served();
+    list_replica(poisoned_replica, replica->address(), "s", "", "ready", 2);
+    list_replica("i-2", replica->address());
+    expect_served();
+}
+
 } // namespace
 } // namespace cicadaport::platform
