serving: the memory of all request bodies together is bounded

Callers saw: many bodies, each within the bound of the configuration, whose last bytes do not come could take more memory than a host may use; it would end, and all requests on it. Cause: the body's bound counts for one request; nothing counted the sum. Change: memory_budget counts the bytes held. Why it works: those who hold most go first, so that small requests are served at the bound. Not tested: the eviction of a request that has arrived whole.

--- a/include/cicadaport/serving/caller_connection.h
+++ b/include/cicadaport/serving/caller_connection.h
@@ -18,6 +18,7 @@
 class caller_connection final : public transport::connection_observer,
                                 public caller_port,
                                 public slot_holder,
+                                public memory_holder,
                                 public std::enable_shared_from_this<caller_connection> {
 public:
     // Who sends the requests: callers, or other hosts that relay theirs.
@@ -61,10 +62,14 @@
     void cut() override;
     std::size_t unsent() const override { return m_connection->unsent(); }
 
+    std::string memory_fields() const override;
+    void release_memory() override;
+
     void read_requests();
     void reject_message();
     // Answers a request that has not arrived whole, and closes the connection.
-    void reject_unfinished(unsigned status, std::string_view reason);
+    void reject_unfinished(unsigned status, std::string_view reason,
+                           const http::field_list& fields = {});
     void wait_for_request();
     void start_idle_timeout();
     // Begins to read a request, with the limits that are in force now.
@@ -94,6 +99,8 @@
     transport::message_reader m_reader;
     peer m_from;
     std::string m_body;
+    // Bytes of the request that is being read.
+    memory_budget::reservation m_memory;
     std::shared_ptr<exchange> m_exchange;
     transport::timer_queue::handle m_timeout;
     connection_progress m_progress;
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -22,6 +22,7 @@
 
 class exchange final : public transport::answer_observer,
                        public pending_prompt,
+                       public memory_holder,
                        public std::enable_shared_from_this<exchange> {
 public:
     // `is_relayed` tells that another host has relayed the request, so that it is not relayed
@@ -62,6 +63,12 @@
     std::span<const segment_id> suspects() override;
     void cancel(const segment_verdict& verdict) override;
 
+    // memory_holder
+    std::string memory_fields() const override;
+    void release_memory() override;
+
+    // Records how many bytes the exchange holds.
+    void update_memory();
     bool find_route();
     // Refuses the request if the host is stopping and may end before the answer. Returns whether
     // the request may be sent on.
@@ -230,6 +237,7 @@
     caller_port* m_caller;
     transport::message_head m_head;
     std::string m_body;
+    memory_budget::reservation m_memory;
     request_metadata m_metadata;
     deployment_pointer m_deployment;
     const route* m_route = nullptr;
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -9,6 +9,7 @@
 #include "cicadaport/serving/line_budget.h"
 #include "cicadaport/serving/list_position.h"
 #include "cicadaport/serving/liveness_checker.h"
+#include "cicadaport/serving/memory_budget.h"
 #include "cicadaport/serving/placement.h"
 #include "cicadaport/serving/planned_stop.h"
 #include "cicadaport/serving/replica_paths.h"
@@ -147,11 +148,16 @@
     // Returns the earliest time at which one of the service's replicas that accept no requests
     // now accepts them again; nothing if there is no such time.
     std::optional<time_point> earliest_acceptance_time(const std::string& service_name);
+    // Ends the holders of the most memory until what is held is within its limit.
+    void reclaim_memory();
     // Returns the health of a replica. `is_engine` tells an engine from a replica of a plain
     // service.
     endpoint_health& health_of(const endpoint& replica, bool is_engine);
 
     boost::asio::io_context& context;
+    // The memory that requests and answers hold, and the budget for log lines about it.
+    memory_budget memory;
+    line_budget memory_log_budget;
     transport::timer_queue timers;
     const wire_format& wire;
     std::string availability_zone;
--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -14,6 +14,8 @@
 // Bytes of pipelined requests that are buffered while a request is being answered, before
 // reading pauses.
 constexpr std::size_t max_pipelined_bytes = 64 * 1024;
+// Retry-After time of a request whose body can't be held.
+constexpr milliseconds retry_after_memory{1'000};
 // Used until a configuration with limits for callers has been read.
 constexpr caller_limits default_limits{};
 // Time in which a body must arrive after its head.
@@ -40,7 +42,9 @@
                                      boost::asio::ip::tcp::socket socket, peer from)
     : m_host{host}, m_all{all}, m_slots{slots},
       m_connection{std::make_shared<transport::tcp_connection>(std::move(socket))},
-      m_reader{transport::message_kind::request, message_limits()}, m_from{from}
+      m_reader{transport::message_kind::request, message_limits()}, m_from{from}, m_memory{
+                                                                                      host.memory,
+                                                                                      *this}
 {
 }
 
@@ -136,6 +140,7 @@
 void caller_connection::wait_for_request()
 {
     m_body.clear();
+    m_memory.resize(0);
     m_continue_sent = false;
     m_timed_phase = read_phase::idle;
     m_request_started = false;
@@ -219,6 +224,7 @@
             return;
         }
         m_body += m_reader.take_body();
+        m_memory.resize(m_body.capacity());
         if (!m_reader.complete()) {
             set_read_timeout();
             if (m_reader.head_complete() && !m_continue_sent &&
@@ -238,6 +244,7 @@
                                                 std::move(m_body), m_from == peer::host);
         update_phase();
         // This copy keeps the exchange alive: start() may end it and reset m_exchange.
+        m_memory.resize(0);
         const auto current = m_exchange;
         current->start();
     }
@@ -250,16 +257,38 @@
     constexpr unsigned head_too_large = 431;
     const auto problem = m_reader.problem();
     m_closing = true;
+    m_body.clear();
+    m_body.shrink_to_fit();
+    m_memory.resize(0);
     answer(problem == transport::parse_problem::body_too_large   ? too_large
            : problem == transport::parse_problem::head_too_large ? head_too_large
                                                                  : bad_request,
            {}, "the request can't be read");
 }
 
-void caller_connection::reject_unfinished(unsigned status, std::string_view reason)
+void caller_connection::reject_unfinished(unsigned status, std::string_view reason,
+                                          const http::field_list& fields)
 {
     m_closing = true;
-    answer(status, {}, reason);
+    m_body.clear();
+    m_body.shrink_to_fit();
+    m_memory.resize(0);
+    answer(status, fields, reason);
+}
+
+std::string caller_connection::memory_fields() const
+{
+    return fmt::format("holder=request_body received_requests={}", m_progress.request_count);
+}
+
+void caller_connection::release_memory()
+{
+    const auto keep = shared_from_this();
+    constexpr unsigned unavailable = 503;
+    http::field_list fields;
+    const auto again = m_host.wire.make_retry_after_field(retry_after_memory);
+    fields.add(again.name, again.value);
+    reject_unfinished(unavailable, "the host has no memory for the request", fields);
 }
 
 void caller_connection::on_end(transport::connection_end)
@@ -420,6 +449,7 @@
 void caller_connection::drop()
 {
     m_timeout.cancel();
+    m_memory.resize(0);
     m_connection->close();
     if (m_slot) {
         m_slots.remove(*m_slot);
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -59,7 +59,7 @@
 exchange::exchange(host_state& host, caller_port& caller, transport::message_head head,
                    std::string body, bool is_relayed)
     : m_host{host}, m_caller{&caller}, m_head{std::move(head)}, m_body{std::move(body)},
-      m_arrived{host.timers.now()}, m_is_relayed{is_relayed}
+      m_memory{host.memory, *this}, m_arrived{host.timers.now()}, m_is_relayed{is_relayed}
 {
 }
 
@@ -68,6 +68,7 @@
 void exchange::start()
 {
     m_self = shared_from_this();
+    update_memory();
     guard([this] {
         if (find_route() && admit_to_stopping_host()) {
             m_deadline_timer =
--- a/src/serving/exchange_failures.cpp
+++ b/src/serving/exchange_failures.cpp
@@ -308,6 +308,28 @@
     release_kv_cache(m_host, prompt);
 }
 
+void exchange::update_memory()
+{
+    m_memory.resize(m_body.capacity());
+}
+
+std::string exchange::memory_fields() const
+{
+    return fmt::format("holder=request id={} endpoint={}", m_metadata.id,
+                       m_endpoint != nullptr ? m_endpoint->report.id : "");
+}
+
+void exchange::release_memory()
+{
+    const auto keep = shared_from_this();
+    m_body.clear();
+    m_body.shrink_to_fit();
+    update_memory();
+    if (m_caller != nullptr) {
+        give_up(retry_after_overload, "the host has no memory for the request");
+    }
+}
+
 void exchange::enforce_answer_limit(std::size_t bytes, std::size_t max_bytes)
 {
     if (m_connection == nullptr || bytes <= max_bytes) {
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -82,6 +82,8 @@
           m_director{m_state, m_settings.store_address, m_settings.name}, m_signals{m_context},
           m_settings_signal{m_context, SIGHUP}
     {
+        m_state.memory.set_max_memory(
+            m_settings.max_memory.value_or(memory_budget::default_max_memory));
         m_state.max_apply_delay = m_settings.max_apply_delay;
         m_state.origins.set_store(m_settings.store_address);
         std::signal(SIGPIPE, SIG_IGN);
@@ -370,7 +372,7 @@
             "configuration={} configuration_age_ms={} endpoints_age_ms={} store_pages={} "
             "store_configuration_reads={} store_endpoint_reads={} store_order_reads={} "
             "store_origin_reads={} store_appends={} known_streams={} suspected_segments={} "
-            "quarantined_segments={} caller_connections={} peak_memory_kb={}",
+            "quarantined_segments={} caller_connections={} held_bytes={} peak_memory_kb={}",
             counts.answered, counts.refused, counts.quarantined, counts.failed, counts.cut,
             counts.client_disconnects, counts.retries, counts.handed_over, counts.relayed,
             m_state.connections.opened(), m_gossip.peer_count(), m_state.endpoints.size(),
@@ -380,7 +382,7 @@
             m_state.store_calls.endpoint_reads, m_state.store_calls.order_reads,
             m_state.store_calls.origin_reads, m_state.store_calls.appends,
             m_state.origins.known_count(), m_state.crashes.suspect_count(),
-            m_state.crashes.quarantined_count(), m_connections.size(),
+            m_state.crashes.quarantined_count(), m_connections.size(), m_state.memory.held(),
             m_usage.peak_memory / bytes_per_kilobyte);
     }
 
--- a/src/serving/host_state.cpp
+++ b/src/serving/host_state.cpp
@@ -1,5 +1,6 @@
 #include "cicadaport/serving/host_state.h"
 
+#include <boost/asio/post.hpp>
 #include <spdlog/spdlog.h>
 
 namespace cicadaport::serving {
@@ -42,14 +43,38 @@
 
 host_state::host_state(boost::asio::io_context& with_context, const wire_format& with_wire,
                        std::string zone, attempt_budget::bounds budget_bounds)
-    : context{with_context}, timers{with_context}, wire{with_wire}, availability_zone{std::move(
-                                                                        zone)},
+    : context{with_context}, memory{[this] {
+          boost::asio::post(context, [this] { reclaim_memory(); });
+      }},
+      timers{with_context}, wire{with_wire}, availability_zone{std::move(zone)},
       connections{with_context, timers, transport::message_limits{}, endpoint_times()},
       budget{budget_bounds}, engines{fleet}, random{std::random_device{}()},
       crashes{with_context, timers, random}, origins{*this}, paths{*this}, liveness{*this}
 {
 }
 
+void host_state::reclaim_memory()
+{
+    memory.restart();
+    while (memory.is_exceeded()) {
+        const auto* largest = memory.largest();
+        if (largest == nullptr) {
+            return;
+        }
+        auto& holder = largest->holder();
+        const auto held = memory.held();
+        if (memory_log_budget.try_acquire(timers.now())) {
+            spdlog::warn("memory_reclaimed {} bytes={} held={} limit={} passed_over={}",
+                         holder.memory_fields(), largest->bytes(), held, memory.limit(),
+                         memory_log_budget.take_suppressed_count());
+        }
+        holder.release_memory();
+        if (memory.held() >= held) {
+            return;
+        }
+    }
+}
+
 const std::vector<endpoint_pointer>& host_state::engines_of(const std::string& service_name)
 {
     const auto& all = endpoints.serving(service_name);
