serving: the memory of all answers that are being received is bounded

Callers saw: many answers without an end, each broken off at 8 MB, could take more memory than a host may use; it would end, and all requests on it. Cause: max_answer_bytes counts for one answer; nothing counted the sum. Change: an exchange counts the bytes of the answer and of the incomplete event in the memory budget. When it is the largest holder, mostly by its answer, the answer is abandoned like one that is too large: the replica's health gets a failure, and the request is repeated only where it may be.

--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -245,6 +245,7 @@
     const bool forwarded = m_step != step::prefilling && m_route->streamed && is_genuine_success();
     if (!forwarded) {
         m_answer_body += piece;
+        update_memory();
         enforce_answer_limit(m_answer_body.size(), max_answer_bytes);
         return;
     }
@@ -256,6 +257,7 @@
     }
     m_events.feed(piece);
     forward_events();
+    update_memory();
     enforce_answer_limit(m_events.pending_bytes(), max_event_bytes);
 }
 
--- a/src/serving/exchange_failures.cpp
+++ b/src/serving/exchange_failures.cpp
@@ -26,6 +26,12 @@
     return out;
 }
 
+// Returns whether more of the `held` bytes were received from the endpoint than from the caller.
+bool is_mostly_answer(std::size_t held, std::size_t body) noexcept
+{
+    return held > 2 * body;
+}
+
 } // namespace
 
 void exchange::handle_prefill_failure()
@@ -310,18 +316,29 @@
 
 void exchange::update_memory()
 {
-    m_memory.resize(m_body.capacity());
+    m_memory.resize(m_body.capacity() + m_answer_body.capacity() + m_events.pending_bytes());
 }
 
 std::string exchange::memory_fields() const
 {
-    return fmt::format("holder=request id={} endpoint={}", m_metadata.id,
-                       m_endpoint != nullptr ? m_endpoint->report.id : "");
+    return fmt::format("holder={} id={} endpoint={}",
+                       is_mostly_answer(m_memory.bytes(), m_body.capacity()) ? "answer" : "request",
+                       m_metadata.id, m_endpoint != nullptr ? m_endpoint->report.id : "");
 }
 
 void exchange::release_memory()
 {
     const auto keep = shared_from_this();
+    if (m_connection != nullptr && m_caller != nullptr &&
+        is_mostly_answer(m_memory.bytes(), m_body.capacity())) {
+        m_answer_body.clear();
+        m_answer_body.shrink_to_fit();
+        m_events.restart();
+        update_memory();
+        m_connection->abandon();
+        on_failure(exchange_failure::cut_short);
+        return;
+    }
     m_body.clear();
     m_body.shrink_to_fit();
     update_memory();
--- a/test/platform/memory_test.cpp
+++ b/test/platform/memory_test.cpp
@@ -108,5 +108,39 @@
     EXPECT_EQ(ask(request("POST", "/once/x", "small", "", "order")).status, 200U);
 }
 
+// Answers without an end.
+scripted_response endless_body()
+{
+    constexpr std::size_t piece_bytes = 100'000;
+    scripted_response out{std::string(piece_bytes, 'x')};
+    out.following = endless_body;
+    return out;
+}
+
+// Regression: each answer was broken off at its bound, and their sum was not bounded.
+TEST_F(memory_test, answers_without_end_are_broken_off_before_the_memory_is_used_up)
+{
+    constexpr std::size_t callers = 60;
+    replica.set_answer([](const received_request& each) {
+        if (each.path() == "/safe/x") {
+            return signed_answer(each, "x");
+        }
+        scripted_response out{"HTTP/1.1 200 OK\r\nRequest-Id: " + each.field("Request-Id") +
+                              "\r\nResponse-Seal: s\r\n\r\n"};
+        out.following = endless_body;
+        return out;
+    });
+    std::vector<std::unique_ptr<caller>> all;
+    for (std::size_t number = 0; number < callers; ++number) {
+        all.push_back(std::make_unique<caller>(settings.caller_address));
+        all.back()->send(request("POST", "/once/x", "r" + std::to_string(number), "", "order"));
+    }
+    EXPECT_EQ(ask(request("GET", "/safe/x", "sound")).status, 200U) << "sound callers";
+    for (const auto& each : all) {
+        EXPECT_EQ(each->receive().status, 502U) << "the request may have run";
+    }
+    expect_bounded_memory();
+}
+
 } // namespace
 } // namespace cicadaport::platform
