serving: a request that outlives the release of its memory keeps its body

Cause: the budget cleared the body of the largest request before it gave the request up, but a stream may go on at its silent replica then, and would be sent on without its body. Found on reading the merged change; no test shows it.

--- a/src/serving/exchange_failures.cpp
+++ b/src/serving/exchange_failures.cpp
@@ -339,12 +339,15 @@
         on_failure(exchange_failure::cut_short);
         return;
     }
-    m_body.clear();
-    m_body.shrink_to_fit();
-    update_memory();
     if (m_caller != nullptr) {
         give_up(retry_after_overload, "the host has no memory for the request");
     }
+    if (m_caller == nullptr) {
+        // A request that goes on at a silent replica may need its body again.
+        m_body.clear();
+        m_body.shrink_to_fit();
+        update_memory();
+    }
 }
 
 void exchange::enforce_answer_limit(std::size_t bytes, std::size_t max_bytes)
