serving: the memory of answers that their callers do not read is bounded

Callers saw: whole answers to callers that do not read stayed queued, each within its bound; 60 of 7 MB took 521 MB (test program with the host), so a host would end. Cause: nothing counted the sum of what waits to be sent. Change: a connection counts its unsent bytes in the memory budget, with twice their size, so that an answer that nobody reads is ended before one that is being received. Its connection is reset, so that the caller sees that it is incomplete.

--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -36,6 +36,16 @@
                        [&](std::string_view each) { return boost::beast::iequals(each, name); });
 }
 
+// Weight of the bytes that wait for their caller to read. An answer that nobody reads is ended
+// before one that is being received, whose caller may read it.
+constexpr std::size_t unread_weight = 2;
+
+// Returns the number of bytes that a connection holds, with their weight.
+std::size_t held_bytes(const std::string& body, const transport::tcp_connection& connection)
+{
+    return (body.empty() ? 0 : body.capacity()) + unread_weight * connection.unsent();
+}
+
 } // namespace
 
 caller_connection::caller_connection(host_state& host, caller_set& all, connection_slots& slots,
@@ -140,7 +150,7 @@
 void caller_connection::wait_for_request()
 {
     m_body.clear();
-    m_memory.resize(0);
+    m_memory.resize(held_bytes(m_body, *m_connection));
     m_continue_sent = false;
     m_timed_phase = read_phase::idle;
     m_request_started = false;
@@ -224,7 +234,7 @@
             return;
         }
         m_body += m_reader.take_body();
-        m_memory.resize(m_body.capacity());
+        m_memory.resize(held_bytes(m_body, *m_connection));
         if (!m_reader.complete()) {
             set_read_timeout();
             if (m_reader.head_complete() && !m_continue_sent &&
@@ -244,7 +254,7 @@
                                                 std::move(m_body), m_from == peer::host);
         update_phase();
         // This copy keeps the exchange alive: start() may end it and reset m_exchange.
-        m_memory.resize(0);
+        m_memory.resize(held_bytes(m_body, *m_connection));
         const auto current = m_exchange;
         current->start();
     }
@@ -278,12 +288,22 @@
 
 std::string caller_connection::memory_fields() const
 {
-    return fmt::format("holder=request_body received_requests={}", m_progress.request_count);
+    return fmt::format("holder={} received_requests={}",
+                       m_connection->unsent() > m_body.size() ? "unread_answer" : "request_body",
+                       m_progress.request_count);
 }
 
 void caller_connection::release_memory()
 {
     const auto keep = shared_from_this();
+    if (m_connection->unsent() > m_body.size()) {
+        if (m_exchange != nullptr) {
+            std::exchange(m_exchange, nullptr)->on_caller_disconnected();
+        }
+        m_connection->abort();
+        drop();
+        return;
+    }
     constexpr unsigned unavailable = 503;
     http::field_list fields;
     const auto again = m_host.wire.make_retry_after_field(retry_after_memory);
@@ -303,6 +323,7 @@
 void caller_connection::on_written()
 {
     const auto keep = shared_from_this();
+    m_memory.resize(held_bytes(m_body, *m_connection));
     if (m_exchange != nullptr) {
         m_exchange->on_caller_drained();
     }
@@ -350,6 +371,7 @@
         bytes += body;
     }
     m_connection->write(std::move(bytes));
+    m_memory.resize(held_bytes(m_body, *m_connection));
     on_answer_ended();
 }
 
@@ -361,6 +383,7 @@
 void caller_connection::write(std::string_view piece)
 {
     m_connection->write(fmt::format("{:x}\r\n{}\r\n", piece.size(), piece));
+    m_memory.resize(held_bytes(m_body, *m_connection));
 }
 
 void caller_connection::finish()
--- a/test/platform/memory_test.cpp
+++ b/test/platform/memory_test.cpp
@@ -142,5 +142,27 @@
     expect_bounded_memory();
 }
 
+// Whole answers to callers that do not read stayed queued, each within its bound.
+TEST_F(memory_test, callers_that_do_not_read_are_reset_before_the_memory_is_used_up)
+{
+    constexpr std::size_t callers = 60;
+    constexpr std::size_t answer_bytes = 7 * 1024 * 1024;
+    replica.set_answer([body = std::string(answer_bytes, 'x')](const received_request& each) {
+        return signed_answer(each, each.path() == "/safe/x" ? "x" : body);
+    });
+    std::vector<std::unique_ptr<caller>> all;
+    for (std::size_t number = 0; number < callers; ++number) {
+        all.push_back(std::make_unique<caller>(settings.caller_address));
+        all.back()->send(request("GET", "/safe/large", "r" + std::to_string(number)));
+        // The next answer is made when this one was received: the replica is in this process, too.
+        EXPECT_EQ(ask(request("GET", "/safe/x", "sound")).status, 200U) << "sound callers";
+    }
+    EXPECT_EQ(ask(request("GET", "/safe/x", "sound")).status, 200U) << "sound callers";
+    expect_bounded_memory();
+    EXPECT_TRUE(std::any_of(all.begin(), all.end(), [](const auto& each) {
+        return !each->receive().complete;
+    })) << "callers see that their answers are incomplete";
+}
+
 } // namespace
 } // namespace cicadaport::platform
