serving: an exception about an accepted connection ends that connection only

Cause: an exception while a connection was set up skipped the next accept, so that the listener would accept nothing more; and each failed accept wrote a line, 50 a second.

--- a/src/serving/internal/listener.cpp
+++ b/src/serving/internal/listener.cpp
@@ -1,5 +1,7 @@
 #include "internal/listener.h"
 
+#include "cicadaport/telemetry/exception_log.h"
+
 #include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
@@ -92,18 +94,28 @@
         tcp::socket socket{m_acceptor.get_executor()};
         m_acceptor.accept(socket, error);
         if (!error) {
-            m_on_connection(std::move(socket));
+            start(std::move(socket));
         }
     }
     m_acceptor.close(error);
 }
 
+void listener::start(tcp::socket socket) noexcept
+{
+    try {
+        m_on_connection(std::move(socket));
+    }
+    catch (...) {
+        telemetry::log_exception("accepted_connection");
+    }
+}
+
 void listener::accept()
 {
     m_acceptor.async_accept([this](error_code error, tcp::socket socket) {
         if (!error) {
             m_last_accepted = m_timers.now();
-            m_on_connection(std::move(socket));
+            start(std::move(socket));
         }
         if (!m_acceptor.is_open()) {
             return;
@@ -112,7 +124,10 @@
             accept();
             return;
         }
-        spdlog::warn("accept_failed error=\"{}\"", error.message());
+        if (m_failure_log_budget.try_acquire(m_timers.now())) {
+            spdlog::warn("accept_failed error=\"{}\" passed_over={}", error.message(),
+                         m_failure_log_budget.take_suppressed_count());
+        }
         m_pause = m_timers.call_at(m_timers.now() + accept_retry_interval, [this] { accept(); });
     });
 }
--- a/src/serving/internal/listener.h
+++ b/src/serving/internal/listener.h
@@ -6,6 +6,7 @@
 #include "cicadaport/transport/timer_queue.h"
 
 #include "cicadaport/http/address.h"
+#include "cicadaport/serving/line_budget.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -40,6 +41,8 @@
     void open();
     boost::system::error_code bind();
     void accept();
+    // Passes on a connection. An exception ends this connection only.
+    void start(boost::asio::ip::tcp::socket socket) noexcept;
 
     transport::timer_queue& m_timers;
     boost::asio::ip::tcp::endpoint m_address;
@@ -48,6 +51,7 @@
     transport::time_point m_last_accepted{};
     transport::timer_queue::handle m_pause;
     unsigned m_failed_binds = 0;
+    line_budget m_failure_log_budget;
 };
 
 } // namespace cicadaport::serving
