serving: the next request waits until its caller has read the last answer

Callers saw: one caller on one connection that pipelined 400 requests for answers of 1 MB and read none took 510 MB of a real host within 6 s; with 600 requests above 800 MB, and sound requests were lost. Cause: the next pipelined request was begun whatever of the earlier answers was unsent. Change: it is begun once 128 KB at most are unsent; reading pauses meanwhile. Evidence: memory_test.the_next_request_waits_until_its_caller_has_read_the_last_answer.

--- a/include/cicadaport/serving/caller_connection.h
+++ b/include/cicadaport/serving/caller_connection.h
@@ -65,6 +65,9 @@
     std::string memory_fields() const override;
     void release_memory() override;
 
+    // Returns whether the next request may be read: the last one was answered, and its caller has
+    // taken most of the answer.
+    bool can_read_requests() const noexcept;
     void read_requests();
     void reject_message();
     // Answers a request that has not arrived whole, and closes the connection.
--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -14,6 +14,8 @@
 // Bytes of pipelined requests that are buffered while a request is being answered, before
 // reading pauses.
 constexpr std::size_t max_pipelined_bytes = 64 * 1024;
+// Bytes of earlier answers that the caller has not taken above which its next request is not begun.
+constexpr std::size_t max_unread_answer_bytes = 128 * 1024;
 // Retry-After time of a request whose body can't be held.
 constexpr milliseconds retry_after_memory{1'000};
 // Used until a configuration with limits for callers has been read.
@@ -212,18 +214,22 @@
         m_connection->consume(m_connection->input().size());
         return;
     }
-    if (m_exchange != nullptr) {
-        if (m_connection->input().size() > max_pipelined_bytes) {
-            m_connection->pause_reading();
-        }
-        return;
+    if (m_exchange == nullptr) {
+        read_requests();
+    }
+    if (!can_read_requests() && m_connection->input().size() > max_pipelined_bytes) {
+        m_connection->pause_reading();
     }
-    read_requests();
+}
+
+bool caller_connection::can_read_requests() const noexcept
+{
+    return m_exchange == nullptr && !m_closing && m_connection->unsent() <= max_unread_answer_bytes;
 }
 
 void caller_connection::read_requests()
 {
-    while (m_exchange == nullptr && !m_closing && !m_connection->input().empty()) {
+    while (can_read_requests() && !m_connection->input().empty()) {
         if (!m_request_started) {
             begin_request();
         }
@@ -332,6 +338,8 @@
     }
     else {
         update_phase();
+        m_connection->resume_reading();
+        read_requests();
     }
 }
 
--- a/test/platform/memory_test.cpp
+++ b/test/platform/memory_test.cpp
@@ -62,7 +62,7 @@
     scripted_server replica{[](const received_request& each) { return signed_answer(each, "x"); }};
 };
 
-// Regression: each body was within its bound, and their sum was not bounded.
+// Each body was within its bound, and their sum was not bounded.
 TEST_F(memory_test, callers_whose_bodies_do_not_end_are_refused_before_the_memory_is_used_up)
 {
     constexpr int callers = 80;
@@ -121,7 +121,7 @@
     return out;
 }
 
-// Regression: each answer was broken off at its bound, and their sum was not bounded.
+// each answer was broken off at its bound, and their sum was not bounded.
 TEST_F(memory_test, answers_without_end_are_broken_off_before_the_memory_is_used_up)
 {
     constexpr std::size_t callers = 60;
@@ -168,5 +168,30 @@
     })) << "callers see that their answers are incomplete";
 }
 
+// One caller that pipelined requests and read no answer took all memory.
+TEST_F(memory_test, the_next_request_waits_until_its_caller_has_read_the_last_answer)
+{
+    constexpr int count = 100;
+    constexpr int max_requests_ahead = 10;
+    std::atomic<int> received{0};
+    replica.set_answer([&, body = std::string(million, 'x')](const received_request& each) {
+        ++received;
+        return signed_answer(each, body);
+    });
+    std::string requests;
+    for (int number = 0; number < count; ++number) {
+        requests += request("GET", "/safe/x", "r" + std::to_string(number));
+    }
+    caller reader{settings.caller_address};
+    reader.send(requests);
+    ASSERT_TRUE(eventually([&] { return received > 0; }));
+    std::this_thread::sleep_for(500ms);
+    EXPECT_LT(received, max_requests_ahead) << "the caller has read nothing";
+    for (int number = 0; number < count; ++number) {
+        EXPECT_EQ(reader.receive().body.size(), million);
+    }
+    expect_bounded_memory();
+}
+
 } // namespace
 } // namespace cicadaport::platform
