test: a caller of the soak that pipelines and does not read

Cause: caller_connection reads the next pipelined request as soon as the answer before it is queued, whatever is unsent by then. Not mended here.

Change: a kind of faulty caller, one connection with 400 such requests.

--- a/test/platform/soak/faulty_peer_soak.cpp
+++ b/test/platform/soak/faulty_peer_soak.cpp
@@ -329,9 +329,16 @@
         {post + chunked + "4\r\nbody\r\n0\r\n", trailer_field, faulty_peers::without_end});
     add("caller-part-of-body", {post + fmt::format("Content-Length: {}\r\n\r\n", max_body_bytes),
                                 filler, max_body_bytes / filler.size() - 1});
-    constexpr std::size_t pipelined = 20;
     add("caller-unread",
-        {"", fmt::format(fmt::runtime(head("GET", "large") + "\r\n"), "unread"), pipelined, false});
+        {"", fmt::format(fmt::runtime(head("GET", "large") + "\r\n"), "unread"), 20, false});
+    // One connection is enough to ask for more than a host may hold.
+    constexpr std::size_t pipelined = 400;
+    std::string requests;
+    for (std::size_t index = 0; index < pipelined; ++index) {
+        requests += fmt::format(fmt::runtime(head("GET", "large") + "\r\n"),
+                                fmt::format("pipelined-{}", index));
+    }
+    add("caller-pipelined", {requests, "", 0, false}, 1);
     add("caller-part-of-head", {"GET /safe/x HTTP/1.1\r\nHost: h"}, callers_with_part_of_head);
 }
 
