--- a/cmake/cicadaport.cmake
+++ b/cmake/cicadaport.cmake
@@ -21,6 +21,8 @@
 target_include_directories(cicadaport_pch PRIVATE ${CMAKE_SOURCE_DIR}/src)
 find_package(Threads REQUIRED)
 target_link_libraries(cicadaport_pch PRIVATE Threads::Threads)
+# Lets the compiler cache handle units that use the precompiled header.
+add_compile_options($<$<CXX_COMPILER_ID:GNU>:-fpch-preprocess>)
 set(cicadaport_warnings -Wall -Wextra -Wpedantic -Wshadow -Werror
   # g++ 12 reports members of coroutine frames that it cannot follow.
   -Wno-maybe-uninitialized)
