platform: reads the terms of scaling and the settings of duties

Change: a service's scale section, reclaimable replicas in the list, the interface for duties, the partitions of a topic and the bound of revocation are read; nothing uses them yet. Tests: wire_test, settings_test.

--- a/include/cicadaport/serving/deployment.h
+++ b/include/cicadaport/serving/deployment.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -64,11 +65,28 @@
     milliseconds switch_time{0};
 };
 
+// How the number of a service's replicas may be changed. Limits and prices are those of each
+// availability zone.
+struct scale_terms {
+    // Bounds of the number of replicas of both kinds together.
+    std::uint32_t min_replicas = 0;
+    std::uint32_t max_replicas = 0;
+    // Time from an order until the new replicas serve.
+    milliseconds boot_time{0};
+    // Price of a reclaimable replica as a fraction of the price of another one; 0 if there are
+    // none.
+    double reclaimable_price_ratio = 0;
+    // Price of one second of a replica, by availability zone.
+    std::map<std::string, double> zone_prices;
+};
+
 struct service {
     std::string name;
     // Maximum number of connections that one replica accepts from all hosts together.
     std::uint32_t max_connections = 64;
     std::optional<engine_properties> engines;
+    // Empty if the number of replicas is fixed.
+    std::optional<scale_terms> scale;
 };
 
 // Limits on the requests and connections of callers.
--- a/include/cicadaport/serving/endpoint_table.h
+++ b/include/cicadaport/serving/endpoint_table.h
@@ -36,6 +36,9 @@
     std::uint32_t slots = 1;
     bool leaving = false;
     engine_stage stage = engine_stage::none;
+    // The platform may reclaim the replica at short notice, together with the others of its kind
+    // and availability zone.
+    bool is_reclaimable = false;
     // Start of this incarnation in Unix milliseconds, and the sequence number of the report within
     // the incarnation.
     std::int64_t incarnation = 0;
@@ -46,7 +49,7 @@
     {
         const auto parts = [](const endpoint_report& of) {
             return std::tie(of.id, of.service, of.address, of.availability_zone, of.version,
-                            of.slots, of.leaving, of.stage, of.incarnation);
+                            of.slots, of.leaving, of.stage, of.is_reclaimable, of.incarnation);
         };
         return parts(*this) == parts(other);
     }
--- a/include/cicadaport/serving/host_process.h
+++ b/include/cicadaport/serving/host_process.h
@@ -17,6 +17,21 @@
 
 namespace cicadaport::serving {
 
+// Settings of the duties towards the platform that one host performs at a time.
+struct duty_settings {
+    // Address of the platform's interface for duties.
+    http::address address;
+    bool reports_usage = false;
+    bool scales = false;
+    // Maximum number of calls per second of all hosts together.
+    double calls_per_second = 50;
+    // Length of a usage window, and the time after its end within which its report is due.
+    milliseconds usage_window{5'000};
+    milliseconds usage_due{10'000};
+    // Two hosts must not act in turn for one subject within this time.
+    milliseconds lease_time{3'000};
+};
+
 // Settings of a host.
 struct host_settings {
     std::string name;
@@ -43,6 +58,13 @@
     // deployment does not limit them.
     std::optional<std::uint64_t> max_memory;
     std::optional<std::uint32_t> max_descriptors;
+    // Empty if the platform offers no interface for duties.
+    std::optional<duty_settings> duties;
+    // Number of partitions of a topic in the platform's store.
+    std::uint32_t store_partitions = 1;
+    // If set, a host whose view of the configuration is older than this runs no request of an
+    // account.
+    std::optional<milliseconds> max_revocation_delay;
 };
 
 class host_process {
--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -451,6 +451,22 @@
     EXPECT_EQ(read->limits().idle_timeout, serving::milliseconds{9'000});
 }
 
+TEST(wire_test, parses_how_the_number_of_replicas_may_be_changed)
+{
+    const auto read = adapter.read_deployment(
+        {"config", R"({"version":1,"routes":[],"services":[{"name":"a","scale":{"min":1,"max":46,)"
+                   R"("boot-s":4.0,"spot-price":0.18,"zone-prices":{"z":0.85}}},{"name":"b"}]})"});
+    ASSERT_NE(read, nullptr);
+    EXPECT_FALSE(read->find_service("b")->scale);
+    const auto& scale = read->find_service("a")->scale;
+    ASSERT_TRUE(scale);
+    EXPECT_EQ(scale->min_replicas, 1U);
+    EXPECT_EQ(scale->max_replicas, 46U);
+    EXPECT_EQ(scale->boot_time, serving::milliseconds{4'000});
+    EXPECT_DOUBLE_EQ(scale->reclaimable_price_ratio, 0.18);
+    EXPECT_DOUBLE_EQ(scale->zone_prices.at("z"), 0.85);
+}
+
 TEST(wire_test, an_invalid_configuration_yields_no_deployment)
 {
     EXPECT_EQ(adapter.read_deployment({"config", "{}"}), nullptr);
@@ -567,6 +583,31 @@
     EXPECT_THROW(read_settings(file), std::runtime_error);
 }
 
+TEST_F(settings_test, take_the_duties_from_the_cloud_interface)
+{
+    write(whole);
+    EXPECT_FALSE(read_settings(file).duties);
+    write(whole + "usage-window-s = 4\nusage-late-s = 7\nlease-ms = 2500\n[cloud-api]\n"
+                  "address = \"10.9.0.2:4\"\nduties = [\"usage_report\"]\nduty-per-s = 20\n");
+    const auto duties = read_settings(file).duties;
+    ASSERT_TRUE(duties);
+    EXPECT_EQ(duties->address, (http::address{"10.9.0.2", 4}));
+    EXPECT_TRUE(duties->reports_usage);
+    EXPECT_FALSE(duties->scales);
+    EXPECT_DOUBLE_EQ(duties->calls_per_second, 20);
+    EXPECT_EQ(duties->usage_window, serving::milliseconds{4'000});
+    EXPECT_EQ(duties->usage_due, serving::milliseconds{7'000});
+    EXPECT_EQ(duties->lease_time, serving::milliseconds{2'500});
+}
+
+TEST_F(settings_test, bound_the_age_of_keys_only_if_revocation_is_strict)
+{
+    write(whole + "revoke-ms = 5000\nstrict-revoke = false\n");
+    EXPECT_FALSE(read_settings(file).max_revocation_delay);
+    write(whole + "revoke-ms = 5000\nstrict-revoke = true\n");
+    EXPECT_EQ(read_settings(file).max_revocation_delay, serving::milliseconds{5'000});
+}
+
 TEST_F(settings_test, report_a_missing_field)
 {
     write("node-name = \"n\"\nzone = \"z\"\n");
