platform: tests of clients that pipeline and read nothing

Cause: no test sent whole requests of which each is within its limits and whose number is not. It runs alone. It checks that the process is alive, that memory and descriptors are within their limits, and that an ordinary request is answered afterwards. One test brings the answer to a request and the end of its connection into one turn of the host's event loop.

--- a/cmake/cicadaport.cmake
+++ b/cmake/cicadaport.cmake
@@ -134,9 +134,23 @@
     target_link_libraries(platform_test PRIVATE platform GTest::gmock_main)
     cicadaport_test(platform ${cicadaport_parts_platform})
     cicadaport_platform_soak()
+    cicadaport_untrusted_clients_test()
   endif()
 endfunction()
 
+# Untrusted clients before the host program. Runs alone, because it measures the memory of a process
+# that is under load.
+function(cicadaport_untrusted_clients_test)
+  file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/platform/untrusted/*_test.cpp)
+  add_executable(untrusted_clients_test ${tests})
+  cicadaport_options(untrusted_clients_test)
+  target_include_directories(untrusted_clients_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test)
+  target_link_libraries(untrusted_clients_test PRIVATE scenario platform GTest::gmock_main)
+  add_dependencies(untrusted_clients_test cicadaport-host)
+  cicadaport_test(untrusted_clients 1)
+  set_tests_properties(untrusted_clients_test PROPERTIES RUN_SERIAL TRUE)
+endfunction()
+
 # Real host processes before a stand-in store, under troubles; a short run is
 # one of the tests.
 function(cicadaport_platform_soak)
