serving: a connection that has ended begins no further request

Cause: after an answer, caller_connection posted a lambda that begins the next request from its input buffer. If the end of the connection was handled before the lambda ran, the lambda began the request on a connection that nobody owned any more. The exchange owns itself, outlived the connection and answered to freed memory (exchange::handle_run_answer). Change: tcp_connection reports input that was left for later (report_input_later), under its rule that nothing follows close(). drop() marks the connection as closing and tells an exchange in progress, on whatever path it is reached. release_memory() counts anew before it decides, and does not answer a second time while a request is being answered. Not run yet: platform_test and serving_test with this change, sanitizer build.

--- a/include/cicadaport/transport/tcp_connection.h
+++ b/include/cicadaport/transport/tcp_connection.h
@@ -66,6 +66,10 @@
     std::string_view input() const noexcept;
     void consume(std::size_t count) noexcept;
 
+    // Calls `on_input()` from the event loop for bytes that were not consumed. Like every call of
+    // the observer it does not come after `close()` or `abort()`.
+    void report_input_later();
+
     // Returns whether bytes have arrived that were not consumed yet, also if they were not read.
     bool has_input() const noexcept;
     // Returns whether bytes have arrived that were not read yet.
--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -302,10 +302,13 @@
 void caller_connection::release_memory()
 {
     const auto keep = shared_from_this();
-    if (m_connection->unsent() > m_body.size()) {
-        if (m_exchange != nullptr) {
-            std::exchange(m_exchange, nullptr)->on_caller_disconnected();
-        }
+    const auto held = held_bytes(m_body, *m_connection);
+    if (held < m_memory.bytes()) {
+        // The kernel has taken or refused bytes since they were counted.
+        m_memory.resize(held);
+        return;
+    }
+    if (m_exchange != nullptr || m_connection->unsent() > m_body.size()) {
         m_connection->abort();
         drop();
         return;
@@ -320,9 +323,6 @@
 void caller_connection::on_end(transport::connection_end)
 {
     const auto keep = shared_from_this();
-    if (m_exchange != nullptr) {
-        std::exchange(m_exchange, nullptr)->on_caller_disconnected();
-    }
     drop();
 }
 
@@ -423,11 +423,7 @@
     // This function may run within read_requests(). Input that has already arrived is
     // read later, from the event loop, so that the call does not recurse.
     if (!m_connection->input().empty()) {
-        boost::asio::post(m_host.context, [self = shared_from_this()] {
-            if (self->m_exchange == nullptr && !self->m_closing) {
-                self->read_requests();
-            }
-        });
+        m_connection->report_input_later();
     }
 }
 
@@ -479,7 +475,13 @@
 
 void caller_connection::drop()
 {
+    // No further request is begun, although its bytes may have been received.
+    m_closing = true;
     m_timeout.cancel();
+    if (m_exchange != nullptr) {
+        // It owns itself until its answer has ended, and must not answer to a freed connection.
+        std::exchange(m_exchange, nullptr)->on_caller_disconnected();
+    }
     m_memory.resize(0);
     m_connection->close();
     if (m_slot) {
--- a/src/transport/tcp_connection.cpp
+++ b/src/transport/tcp_connection.cpp
@@ -157,6 +157,17 @@
     }
 }
 
+void tcp_connection::report_input_later()
+{
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->guard([&] {
+            if (self->m_observer != nullptr && !self->input().empty()) {
+                self->m_observer->on_input();
+            }
+        });
+    });
+}
+
 bool tcp_connection::has_input() const noexcept
 {
     return !input().empty() || has_unread();
--- a/test/transport/tcp_connection_test.cpp
+++ b/test/transport/tcp_connection_test.cpp
@@ -108,5 +108,31 @@
     connection->close();
 }
 
+// Leaves the input where it is and counts the calls.
+class waiting_observer final : public connection_observer {
+public:
+    void on_input() override { ++calls; }
+    void on_end(connection_end) override {}
+
+    int calls = 0;
+};
+
+// Input that was left for later was reported to an owner that had closed its connection meanwhile.
+TEST_F(tcp_connection_test, reports_no_input_after_it_was_closed)
+{
+    waiting_observer waiting;
+    connection->set_observer(&waiting);
+    connection->connect(server.address());
+    connection->write("x");
+    ASSERT_TRUE(run_until(context, [&] { return waiting.calls == 1; }));
+    connection->report_input_later();
+    ASSERT_TRUE(run_until(context, [&] { return waiting.calls == 2; }));
+    connection->report_input_later();
+    connection->close();
+    context.restart();
+    context.poll();
+    EXPECT_EQ(waiting.calls, 2);
+}
+
 } // namespace
 } // namespace cicadaport::transport
