accounts: client accounts by keys of the configuration

Change: new package accounts (key set, authentication decision). wire_configuration.cpp reads `tenants` and `allow-anonymous`; the host determines the account of each request before it is sent, removes Authorization and Tenant, and sends the account's name with runs, prefills and relays. The account's priority replaces the route's. Only if the configuration has accounts. find_route, the quarantine check and the check against a planned stop move to exchange_admission.cpp. Conclusion: revocation, paths and malformed input still need tests against a host.

--- a/include/cicadaport/http/message.h
+++ b/include/cicadaport/http/message.h
@@ -37,6 +37,9 @@
     // Sets `name` to `value`, replacing all its previous values.
     void set(std::string_view name, std::string_view value);
 
+    // Removes all fields called `name` and returns their values.
+    std::vector<std::string> take(std::string_view name);
+
     auto begin() const noexcept { return m_fields.begin(); }
     auto end() const noexcept { return m_fields.end(); }
 
--- a/include/cicadaport/serving/deployment.h
+++ b/include/cicadaport/serving/deployment.h
@@ -4,6 +4,8 @@
 // started.
 #pragma once
 
+#include "cicadaport/accounts/key_set.h"
+
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -43,6 +45,8 @@
     bool resumable = false;
     // The request carries a prompt and is served by engines.
     bool has_prompt = false;
+    // Callers need no key, if the configuration has accounts.
+    bool allows_anonymous = false;
     milliseconds time_limit{10'000};
     milliseconds latency_objective{1'000};
     // Objective for the inter-token latency: the longest pause between two events of a stream.
@@ -99,12 +103,16 @@
 
 class deployment {
 public:
+    // `keys` is null if the configuration has no accounts.
     deployment(std::uint64_t version, std::vector<route> routes, std::vector<service> services,
-               caller_limits limits);
+               caller_limits limits, accounts::key_set_pointer keys = nullptr);
 
     std::uint64_t version() const noexcept { return m_version; }
     const caller_limits& limits() const noexcept { return m_limits; }
 
+    // Returns the accounts and their keys; null if callers need no key.
+    const accounts::key_set* keys() const noexcept { return m_keys.get(); }
+
     // Returns the route of `host` with the longest prefix that matches `path`, or null.
     const route* find_route(std::string_view host, std::string_view path) const;
 
@@ -124,6 +132,7 @@
     std::uint64_t m_version;
     std::vector<route> m_routes;
     caller_limits m_limits;
+    accounts::key_set_pointer m_keys;
     // Indices of a host's routes, longest prefix first.
     std::unordered_map<std::string, std::vector<std::size_t>> m_by_host;
     std::unordered_map<std::string, service> m_services;
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -70,6 +70,12 @@
     // Records how many bytes the exchange holds.
     void update_memory();
     bool find_route();
+    // Determines the account of the request. Returns false, with the request answered, if its key
+    // does not allow it to run.
+    bool authenticate();
+    // Records the account for which the request runs, in place of the caller's credentials.
+    void set_account(const std::string& name, const accounts::account* configured);
+    void refuse_unauthenticated(accounts::outcome result, accounts::credentials::form given);
     // Refuses the request if the host is stopping and may end before the answer. Returns whether
     // the request may be sent on.
     bool admit_to_stopping_host();
@@ -241,6 +247,13 @@
     request_metadata m_metadata;
     deployment_pointer m_deployment;
     const route* m_route = nullptr;
+    // The name of the account; empty if the request has none.
+    std::string m_account;
+    // Whether the account was determined, by this host or by the one that relays the request.
+    // Otherwise the caller's credentials are forwarded.
+    bool m_account_determined = false;
+    // Of the account or else of the route; 0 is the most urgent.
+    std::uint32_t m_priority = 0;
     std::string m_service;
     time_point m_arrived{};
     time_point m_deadline{};
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -170,8 +170,14 @@
     list_position endpoints_position;
     // A view of the configuration that is older than this may lack what is in force.
     milliseconds max_apply_delay{2'000};
-    // For log lines about requests that match no route.
+    // A view of the configuration that is older than this proves no key valid. Empty if a view of
+    // any age does.
+    std::optional<milliseconds> max_revocation_delay;
+    // For log lines about requests that match no route, and about requests whose key was not
+    // accepted.
     line_budget unrouted_log_budget;
+    line_budget account_log_budget;
+    accounts::authentication_counts authentications;
     // Limits that replicas advertise, and the budget for log lines about them.
     request_limits limits;
     line_budget limit_log_budget;
--- a/include/cicadaport/serving/wire.h
+++ b/include/cicadaport/serving/wire.h
@@ -5,6 +5,7 @@
 // platform's names and formats.
 #pragma once
 
+#include "cicadaport/accounts/authentication.h"
 #include "cicadaport/serving/deployment.h"
 #include "cicadaport/serving/endpoint_table.h"
 #include "cicadaport/transport/message_reader.h"
@@ -37,6 +38,11 @@
     std::string resumed_request;
     // Set by a host that relays the request: how many replicas it may still be sent to.
     std::optional<std::uint32_t> attempts_left;
+    // Set by a host that relays the request: whether that host has determined the account, and the
+    // account's name; empty if the request has none. Callers can set them too, so they count only
+    // in relayed requests.
+    bool is_account_determined = false;
+    std::string account;
 };
 
 // The KV cache entries of a prompt that one engine has prefilled for another.
@@ -66,6 +72,10 @@
     // request may still be sent to.
     std::optional<std::string> resumed_request;
     std::optional<std::uint32_t> attempts_left;
+    // The name of the account for which the request runs; empty if it has none.
+    std::string account;
+    // For another host: whether the account was determined, so that it need not be again.
+    bool is_account_determined = false;
 };
 
 // What an answer's head states in the platform's own fields.
@@ -184,6 +194,10 @@
     // Parses a request's head. Throws `invalid_request`.
     virtual request_metadata read_request(const transport::message_head& head) const = 0;
 
+    // Returns what a request states about its caller, and removes it from the head together with
+    // the account that the caller claims, so that neither reaches a replica or another host.
+    virtual accounts::credentials take_credentials(transport::message_head& head) const = 0;
+
     // Returns the bytes of the request that is sent to an endpoint.
     virtual std::string run_request(const transport::message_head& head, std::string_view body,
                                     const run_parameters& parameters) const = 0;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -26,6 +26,19 @@
     add(name, value);
 }
 
+std::vector<std::string> field_list::take(std::string_view name)
+{
+    std::vector<std::string> out;
+    std::erase_if(m_fields, [&](field& each) {
+        const bool taken = boost::beast::iequals(each.name, name);
+        if (taken) {
+            out.push_back(std::move(each.value));
+        }
+        return taken;
+    });
+    return out;
+}
+
 target_view::target_view(std::string_view target)
 {
     const auto parsed = boost::urls::parse_origin_form(target);
--- a/src/serving/deployment.cpp
+++ b/src/serving/deployment.cpp
@@ -5,8 +5,9 @@
 namespace cicadaport::serving {
 
 deployment::deployment(std::uint64_t version, std::vector<route> routes,
-                       std::vector<service> services, caller_limits limits)
-    : m_version{version}, m_routes{std::move(routes)}, m_limits{limits}
+                       std::vector<service> services, caller_limits limits,
+                       accounts::key_set_pointer keys)
+    : m_version{version}, m_routes{std::move(routes)}, m_limits{limits}, m_keys{std::move(keys)}
 {
     for (std::size_t index = 0; index < m_routes.size(); ++index) {
         m_by_host[m_routes[index].host].push_back(index);
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -1,6 +1,5 @@
 #include "cicadaport/serving/exchange.h"
 
-#include "cicadaport/serving/request_digest.h"
 #include "cicadaport/telemetry/exception_log.h"
 #include "internal/exchange_constants.h"
 #include "internal/silent_run.h"
@@ -13,46 +12,14 @@
 
 using transport::exchange_failure;
 
-// An endpoint stops at the deadline and then reports that. The host waits this much longer
-// for the report.
-constexpr milliseconds deadline_grace{30};
 // Unsent bytes to a slow caller above which reading from the endpoint pauses.
 constexpr std::size_t max_unsent_bytes = 128 * 1024;
 
-// Callers of a quarantined prompt are asked to wait for at most this time.
-constexpr milliseconds max_quarantine_retry_after{60'000};
-
-// Retry-After time when this host is stopping: other hosts can take the request at once.
-constexpr milliseconds retry_after_stop{50};
-
 // Larger answers, and larger events of a stream, are aborted.
 constexpr std::size_t max_answer_bytes = 8 * 1024 * 1024;
 constexpr std::size_t max_event_bytes = 1024 * 1024;
 
-constexpr std::size_t max_logged_path_length = 120;
-
 constexpr unsigned first_final_status = 200;
-constexpr unsigned status_not_found = 404;
-constexpr unsigned status_bad_request = 400;
-
-milliseconds to_ms(clock::duration time)
-{
-    return std::chrono::duration_cast<milliseconds>(time);
-}
-
-// Returns the ids of the segments that other requests may share: all but the last one.
-std::vector<segment_id> shared_segments_of(const std::vector<prompt_segment>& prompt)
-{
-    std::vector<segment_id> out;
-    for (std::size_t index = 0; index + 1 < prompt.size(); ++index) {
-        if (out.size() == prompt_quarantine::max_segments_per_request) {
-            spdlog::warn("prompt_segments_not_considered count={}", prompt.size() - index - 1);
-            break;
-        }
-        out.push_back(prompt[index].id);
-    }
-    return out;
-}
 
 } // namespace
 
@@ -89,93 +56,6 @@
     fail(status_bad_gateway, "the host could not handle the request");
 }
 
-bool exchange::find_route()
-{
-    try {
-        m_metadata = m_host.wire.read_request(m_head);
-    }
-    catch (const invalid_request& error) {
-        fail(status_bad_request, error.what());
-        return false;
-    }
-    m_deployment = m_host.deployed;
-    if (m_deployment == nullptr) {
-        reject(retry_after_no_endpoint, "no configuration yet");
-        return false;
-    }
-    m_route = m_deployment->find_route(m_metadata.host, m_metadata.path);
-    if (m_route == nullptr) {
-        log_unrouted();
-        const auto age = m_host.configuration_position.age(m_arrived);
-        if (age && *age <= m_host.max_apply_delay) {
-            fail(status_not_found, "no such route");
-        }
-        else {
-            reject(retry_after_no_endpoint, "no such route when the configuration was last read");
-        }
-        return false;
-    }
-    const auto point = std::uniform_real_distribution<double>{0, 1}(m_host.random);
-    m_service = deployment::pick_service(*m_route, point);
-    m_deadline = m_arrived +
-                 std::min(m_metadata.time_left.value_or(m_route->time_limit), m_route->time_limit);
-    m_host.budget.count_request(m_service, m_arrived);
-    if (m_route->has_prompt) {
-        m_size = m_host.sizes.classify(m_route->name, m_metadata.prompt_tokens);
-        m_shared_segments = shared_segments_of(m_metadata.prompt);
-    }
-    return true;
-}
-
-bool exchange::admit_to_stopping_host()
-{
-    const auto& stop = m_host.stop;
-    const auto deadline = m_deadline + deadline_grace;
-    if (!stop || (m_is_relayed ? stop->outlasts(deadline) : stop->admits(m_arrived, deadline))) {
-        return true;
-    }
-    if (m_host.stop_log_budget.try_acquire(m_arrived)) {
-        spdlog::info("request_refused_by_stop id={} route={} received_ms={} time_left_ms={} "
-                     "host_ends_ms={} passed_over={}",
-                     m_metadata.id, m_route->name, to_ms(m_arrived - stop->requested_at()).count(),
-                     to_ms(m_deadline - m_arrived).count(),
-                     to_ms(stop->ends_at() - m_arrived).count(),
-                     m_host.stop_log_budget.take_suppressed_count());
-    }
-    reject(retry_after_stop, "the host is stopping");
-    return false;
-}
-
-std::span<const segment_id> exchange::suspects()
-{
-    if (m_suspects.empty()) {
-        m_suspects = m_shared_segments;
-        m_suspects.push_back(request_digest(m_head, m_metadata, m_body));
-    }
-    return m_suspects;
-}
-
-bool exchange::reject_if_quarantined()
-{
-    if (!m_host.crashes.has_suspects()) {
-        return false;
-    }
-    const auto evidence = m_host.crashes.max_evidence(suspects());
-    if (m_admitted_evidence && evidence <= *m_admitted_evidence) {
-        return false;
-    }
-    m_admitted_evidence = evidence;
-    const auto rejected = m_host.crashes.check(suspects(), m_metadata.id);
-    if (!rejected) {
-        return false;
-    }
-    ++m_host.counts.quarantined;
-    const auto left = to_ms(rejected->retry_at - m_host.timers.now());
-    reject(std::clamp(left, retry_after_no_endpoint, max_quarantine_retry_after),
-           "replicas crash on this request");
-    return true;
-}
-
 void exchange::cancel(const segment_verdict& verdict)
 {
     const auto keep = shared_from_this();
@@ -201,17 +81,6 @@
     }
 }
 
-void exchange::log_unrouted() const
-{
-    if (m_host.unrouted_log_budget.try_acquire(m_arrived)) {
-        spdlog::info("request_unrouted id={} host={} path={} version={} passed_over={} {}",
-                     m_metadata.id, m_metadata.host,
-                     std::string_view{m_metadata.path}.substr(0, max_logged_path_length),
-                     m_deployment->version(), m_host.unrouted_log_budget.take_suppressed_count(),
-                     to_fields(m_host.configuration_position, m_arrived));
-    }
-}
-
 milliseconds exchange::remaining_time() const
 {
     return to_ms(m_deadline - m_host.timers.now());
@@ -583,6 +452,9 @@
             const auto identity = m_host.wire.make_request_id_field(m_metadata.id);
             fields.add(identity.name, identity.value);
         }
+        if (status == status_unauthorized) {
+            fields.add("WWW-Authenticate", "Bearer");
+        }
         m_caller->answer(status, fields, reason);
     }
     log_end(fmt::format("failed_{}", status), reason);
--- a/src/serving/exchange_placement.cpp
+++ b/src/serving/exchange_placement.cpp
@@ -63,7 +63,7 @@
     prompt_query query;
     query.prompt = &m_metadata.prompt;
     query.prompt_tokens = m_metadata.prompt_tokens;
-    query.urgency = std::min(m_route->priority * urgency_step, late_urgency - 1);
+    query.urgency = std::min(m_priority * urgency_step, late_urgency - 1);
     if (target.engines) {
         query.bytes_per_token = target.engines->bytes_per_token;
         query.link_mbps = target.engines->link_mbps;
@@ -211,6 +211,7 @@
 {
     auto complete = parameters;
     complete.endpoint = to->report.id;
+    complete.account = m_account;
     complete.time_left = std::max(remaining_time(), milliseconds{1});
     begin_attempt(what, to);
     if (what == step::running) {
--- a/src/serving/exchange_relay.cpp
+++ b/src/serving/exchange_relay.cpp
@@ -46,6 +46,8 @@
     run_parameters parameters;
     parameters.time_left = std::max(remaining_time(), milliseconds{1});
     parameters.attempts_left = max_attempts() - m_attempts;
+    parameters.account = m_account;
+    parameters.is_account_determined = m_account_determined;
     parameters.after_event = m_events.last_event_id();
     if (parameters.after_event) {
         parameters.resumed_request = begun_as();
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -85,6 +85,7 @@
         m_state.memory.set_max_memory(
             m_settings.max_memory.value_or(memory_budget::default_max_memory));
         m_state.max_apply_delay = m_settings.max_apply_delay;
+        m_state.max_revocation_delay = m_settings.max_revocation_delay;
         m_state.origins.set_store(m_settings.store_address);
         std::signal(SIGPIPE, SIG_IGN);
         m_signals.add(SIGTERM);
