duties: reports of usage, from the counts to the platform's interface

Cause: the platform is to get one report of usage per window from one host at a time. Change: a client that records each call in the store and makes it under a permit; counts of runs per account and window, announced to the first three hosts of the subject's order in fields 20 to 23 of host_news; the median time of day of the fleet; the decision who reports when. Measured: cicadaport-host builds; not run yet.

--- a/include/cicadaport/duties/subject_authority.h
+++ b/include/cicadaport/duties/subject_authority.h
@@ -72,6 +72,8 @@
     void request(std::string content, time_point now);
     // Ends the request and the permit.
     void withdraw();
+    // Ends the request; a permit is kept for further calls with the same content.
+    void end_request() { m_requested.reset(); }
     // Asks for the newest record to be read, if it is not known.
     void request_newest() { m_wants_newest = true; }
 
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -197,6 +197,9 @@
     void end_prefill();
 
     void record_event();
+    // Counts the run of a request without a stream for its account. A stream is counted with its
+    // first event.
+    void record_usage();
     void record_decode_wait();
     // Records that the engine has the prompt's KV cache. A handle can be used once.
     void record_kv_transfer();
@@ -242,6 +245,8 @@
     deployment_pointer m_deployment;
     const route* m_route = nullptr;
     std::string m_service;
+    // The name of the account of the request; empty if the request has no account.
+    std::string m_account;
     time_point m_arrived{};
     time_point m_deadline{};
     transport::timer_queue::handle m_deadline_timer;
--- a/include/cicadaport/serving/host_directory.h
+++ b/include/cicadaport/serving/host_directory.h
@@ -17,6 +17,7 @@
 #include "cicadaport/serving/request_limits.h"
 
 #include <compare>
+#include <limits>
 #include <map>
 #include <random>
 #include <vector>
@@ -39,6 +40,20 @@
     std::vector<peer_address> relays;
 };
 
+// A host that receives what concerns a duty.
+struct duty_recipient {
+    host_number number = 0;
+    peer_address at;
+};
+
+// The order in which hosts perform the duty of a subject.
+struct duty_order {
+    // This host's rank; the last possible one if it must not act.
+    std::size_t own_rank = std::numeric_limits<std::size_t>::max();
+    // The other hosts among the first of the order.
+    std::vector<duty_recipient> first;
+};
+
 class host_directory {
 public:
     // A host of the own zone that is silent for this long has stopped or is partitioned. Three
@@ -124,6 +139,12 @@
     // compute the same order.
     std::size_t rank_among_known(time_point now) const;
 
+    // Returns the rendezvous order of the known hosts for a subject, given by its digest, with the
+    // other hosts among the first `count`. Hosts without a path to replicas are stopping or cut
+    // off and are left out. All hosts that know each other compute the same order.
+    duty_order order_of_hosts(std::uint32_t subject, std::size_t count, bool own_may_act,
+                              time_point now) const;
+
     // Returns the number of cells into which the fleet is divided, a power of two.
     std::uint64_t cell_count() const noexcept;
 
--- a/include/cicadaport/serving/host_process.h
+++ b/include/cicadaport/serving/host_process.h
@@ -6,9 +6,11 @@
 #pragma once
 
 #include "cicadaport/serving/caller_connection.h"
+#include "cicadaport/serving/duty_settings.h"
 #include "cicadaport/serving/feed_follower.h"
 #include "cicadaport/serving/peer_gossip.h"
 #include "cicadaport/serving/stage_director.h"
+#include "cicadaport/serving/usage_director.h"
 
 #include <cstdint>
 #include <functional>
@@ -17,21 +19,6 @@
 
 namespace cicadaport::serving {
 
-// Settings of the duties towards the platform that one host performs at a time.
-struct duty_settings {
-    // Address of the platform's interface for duties.
-    http::address address;
-    bool reports_usage = false;
-    bool scales = false;
-    // Maximum number of calls per second of all hosts together.
-    double calls_per_second = 50;
-    // Length of a usage window, and the time after its end within which its report is due.
-    milliseconds usage_window{5'000};
-    milliseconds usage_due{10'000};
-    // Two hosts must not act in turn for one subject within this time.
-    milliseconds lease_time{3'000};
-};
-
 // Settings of a host.
 struct host_settings {
     std::string name;
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -3,6 +3,7 @@
 // Not thread safe: used only on the event loop.
 #pragma once
 
+#include "cicadaport/duties/usage_ledger.h"
 #include "cicadaport/serving/attempt_budget.h"
 #include "cicadaport/serving/crash_monitor.h"
 #include "cicadaport/serving/late_admission.h"
@@ -196,6 +197,8 @@
     liveness_checker liveness;
     request_counts counts;
     store_counts store_calls;
+    // Runs by account; counts nothing unless this host takes part in reporting usage.
+    duties::usage_ledger usage;
     // Not owned. Null while this host sends no gossip.
     gossip_sender* gossip = nullptr;
     std::uint64_t last_work_id = 0;
--- a/include/cicadaport/serving/peer_gossip.h
+++ b/include/cicadaport/serving/peer_gossip.h
@@ -9,6 +9,7 @@
 // Not thread safe: used only on the event loop of its host.
 #pragma once
 
+#include "cicadaport/serving/duty_news.h"
 #include "cicadaport/serving/host_directory.h"
 #include "cicadaport/serving/host_state.h"
 
@@ -45,6 +46,9 @@
     static constexpr std::size_t greeted_known_count = 2;
 
     using page_handler = std::function<void(const shared_page&)>;
+    using duty_news_source = std::function<duty_news()>;
+    using duty_news_handler =
+        std::function<void(host_number sender, const peer_address& from, const duty_news&)>;
 
     // `on_page` receives the pages that other hosts have read.
     peer_gossip(host_state& host, peer_settings settings, page_handler on_page);
@@ -55,6 +59,13 @@
 
     void set_seed_ips(std::vector<std::string> ips) { m_settings.seed_ips = std::move(ips); }
 
+    // Lets greetings carry what `source` returns, and passes on what other hosts send about duties.
+    void set_duty_news(duty_news_source source, duty_news_handler on_news);
+    void send_duty_news(const peer_address& to, const duty_news& news);
+    // Returns the order in which hosts perform the duty of a subject, with the first `count` hosts.
+    duty_order order_of_hosts(const std::string& subject, std::size_t count,
+                              bool own_may_act) const;
+
     void announce_work_start(std::uint64_t id, const engine_work& work) override;
     void announce_work_end(std::uint64_t id) override;
     void announce_page(const shared_page& page) override;
@@ -93,10 +104,15 @@
     void pass_on(protocol::host_news& gossip, const udp_address& from);
     void broadcast(protocol::host_news& gossip, const gossip_routes& routes);
     void send(const std::string& bytes, const peer_address& to);
+    static void add_duty_news(protocol::host_news& gossip, const duty_news& news);
+    void handle_duty_news(host_number sender, const udp_address& from, std::string_view datagram);
 
     host_state& m_host;
     peer_settings m_settings;
     page_handler m_on_page;
+    // Null if this host performs no duties.
+    duty_news_source m_duty_news;
+    duty_news_handler m_on_duty_news;
     boost::asio::ip::udp::socket m_socket;
     host_number m_own_number;
     std::unique_ptr<protocol::host_news> m_batch;
--- a/include/cicadaport/serving/wire.h
+++ b/include/cicadaport/serving/wire.h
@@ -5,6 +5,7 @@
 // platform's names and formats.
 #pragma once
 
+#include "cicadaport/duties/usage_ledger.h"
 #include "cicadaport/serving/deployment.h"
 #include "cicadaport/serving/endpoint_table.h"
 #include "cicadaport/transport/message_reader.h"
@@ -154,6 +155,17 @@
     std::uint64_t expected_orders = 0;
 };
 
+// Calls to the platform that one host makes at a time.
+enum class duty_kind { usage_report, scale };
+
+struct duty_call {
+    duty_kind kind = duty_kind::usage_report;
+    // The host that makes the call.
+    std::string holder;
+    std::uint64_t fencing_token = 0;
+    std::string body;
+};
+
 // Thrown when an answer of the store can't be used.
 class store_error : public std::runtime_error {
 public:
@@ -234,6 +246,21 @@
                                                      std::string_view body) const = 0;
     virtual std::string order_request(const http::address& to, const stage_order& order) const = 0;
 
+    // Requests to the store about the records of duties, of which each partition has its own. The
+    // answers are parsed by `read_newest` and `read_append`. The append is carried out if the
+    // partition ends at `at`.
+    virtual std::string newest_duties_request(std::uint32_t partition,
+                                              const std::string& after_key) const = 0;
+    virtual std::string append_duty_request(std::uint32_t partition, const feed_entry& record,
+                                            std::uint64_t at) const = 0;
+    // Returns the request that makes a call of a duty.
+    virtual std::string duty_request(const http::address& to, const duty_call& call) const = 0;
+    // Returns the body of a report of usage, and the window of such a body; nothing if it can't be
+    // parsed.
+    virtual std::string usage_report(std::uint64_t window,
+                                     const duties::account_counts& counts) const = 0;
+    virtual std::optional<std::uint64_t> read_reported_window(std::string_view report) const = 0;
+
     // Parse entries of the store's lists. If a value can't be parsed, the reason is logged
     // and the result is empty.
     virtual deployment_pointer read_deployment(const feed_entry& entry) const = 0;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -314,6 +314,9 @@
         m_first_event = now;
         record_origin();
         record_decode_wait();
+        if (m_step == step::running) {
+            m_host.usage.record_run(m_account, now);
+        }
     }
     else {
         m_longest_pause = std::max(m_longest_pause, now - m_last_event);
@@ -322,6 +325,24 @@
     m_last_event = now;
 }
 
+void exchange::record_usage()
+{
+    // The host that a request is relayed to counts it.
+    if (m_account.empty() || m_route->streamed || m_step != step::running) {
+        return;
+    }
+    if (!m_route->has_prompt) {
+        if (may_have_run()) {
+            m_host.usage.record_run(m_account, m_sent);
+        }
+    }
+    else if (m_served) {
+        // An engine begins to run a request with its first token, which is close to the end of an
+        // answer that is no stream.
+        m_host.usage.record_run(m_account, m_host.timers.now());
+    }
+}
+
 void exchange::record_decode_wait()
 {
     if (m_kv_cache && m_endpoint != nullptr) {
@@ -595,6 +616,7 @@
     m_caller = nullptr;
     m_deadline_timer.cancel();
     if (m_route != nullptr) {
+        record_usage();
         release_silent_run();
         if (m_route->has_prompt) {
             m_host.sizes.record_outcome(m_route->name, m_size, m_served);
--- a/src/serving/host_directory.cpp
+++ b/src/serving/host_directory.cpp
@@ -6,6 +6,15 @@
 #include <iterator>
 
 namespace cicadaport::serving {
+namespace {
+
+std::uint64_t rendezvous_weight(std::uint32_t key, const peer_address& at)
+{
+    constexpr unsigned port_bits = 16;
+    return hash_number(hash_number(key) ^ (std::uint64_t{at.ip} << port_bits | at.port));
+}
+
+} // namespace
 
 host_number host_directory::record_message(const peer_address& at, host_number number,
                                            std::uint32_t zone, time_point now)
@@ -122,8 +131,7 @@
         return {max_hosts, max_hosts - 1};
     }
     const auto weight_of = [endpoint](const peer_address& at) {
-        constexpr unsigned port_bits = 16;
-        return hash_number(hash_number(endpoint) ^ (std::uint64_t{at.ip} << port_bits | at.port));
+        return rendezvous_weight(endpoint, at);
     };
     const auto may_send = [&](host_number number) {
         // The cell of a host is unknown until its first message.
@@ -170,6 +178,43 @@
                       [this](const auto& each) { return each.second.number < m_number; }));
 }
 
+duty_order host_directory::order_of_hosts(std::uint32_t subject, std::size_t count,
+                                          bool own_may_act, time_point now) const
+{
+    struct ranked_host {
+        std::uint64_t weight = 0;
+        duty_recipient host;
+    };
+    std::vector<ranked_host> all;
+    all.reserve(m_known.size());
+    for (const auto& [at, known] : m_known) {
+        if (known.has_path) {
+            all.push_back({rendezvous_weight(subject, at), {known.number, at}});
+        }
+    }
+    const auto own = rendezvous_weight(subject, m_own);
+    duty_order out;
+    if (own_may_act && now - m_started >= settling_time) {
+        out.own_rank = static_cast<std::size_t>(std::count_if(
+            all.begin(), all.end(), [own](const auto& each) { return each.weight > own; }));
+    }
+    // A host that has not settled yet has its place among the first ones.
+    const auto others =
+        own_may_act && static_cast<std::size_t>(std::count_if(
+                           all.begin(), all.end(),
+                           [own](const auto& each) { return each.weight > own; })) < count
+            ? count - 1
+            : count;
+    const auto taken = std::min(others, all.size());
+    std::partial_sort(
+        all.begin(), all.begin() + static_cast<std::ptrdiff_t>(taken), all.end(),
+        [](const auto& left, const auto& right) { return left.weight > right.weight; });
+    for (std::size_t index = 0; index < taken; ++index) {
+        out.first.push_back(all[index].host);
+    }
+    return out;
+}
+
 std::uint64_t host_directory::cell_count() const noexcept
 {
     std::uint64_t count = 1;
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -86,6 +86,11 @@
             m_settings.max_memory.value_or(memory_budget::default_max_memory));
         m_state.max_apply_delay = m_settings.max_apply_delay;
         m_state.origins.set_store(m_settings.store_address);
+        if (m_settings.duties) {
+            m_duty_client.emplace(m_state, m_settings.store_address, m_settings.store_partitions,
+                                  *m_settings.duties, m_settings.name);
+            m_usage.emplace(m_state, m_gossip, *m_duty_client, *m_settings.duties);
+        }
         std::signal(SIGPIPE, SIG_IGN);
         m_signals.add(SIGTERM);
         m_signals.add(SIGINT);
@@ -116,6 +121,9 @@
         m_endpoints.start();
         m_gossip.start();
         m_director.start();
+        if (m_usage) {
+            m_usage->start();
+        }
         run_housekeeping();
         spdlog::info("host_started name={} zone={} max_caller_connections={} "
                      "max_host_connections={}",
@@ -347,7 +355,7 @@
     void log_late_loop()
     {
         const auto used = base::process_usage::now();
-        const auto before = std::exchange(m_usage, used);
+        const auto before = std::exchange(m_process_usage, used);
         const auto late =
             std::chrono::duration_cast<milliseconds>(m_state.timers.take_max_lateness());
         if (late >= late_loop_threshold) {
@@ -383,7 +391,10 @@
             m_state.store_calls.origin_reads, m_state.store_calls.appends,
             m_state.origins.known_count(), m_state.crashes.suspect_count(),
             m_state.crashes.quarantined_count(), m_connections.size(), m_state.memory.held(),
-            m_usage.peak_memory / bytes_per_kilobyte);
+            m_process_usage.peak_memory / bytes_per_kilobyte);
+        if (m_usage) {
+            m_usage->log_counts();
+        }
     }
 
     std::int64_t age_ms(const list_position& of) const
@@ -433,6 +444,9 @@
     void end()
     {
         close_listeners();
+        if (m_usage) {
+            m_usage->announce_last();
+        }
         log_counts();
         spdlog::info("host_stopped cut={}", requests_in_flight());
         const auto all = m_connections;
@@ -460,6 +474,8 @@
     feed_follower m_endpoints;
     peer_gossip m_gossip;
     stage_director m_director;
+    std::optional<duty_client> m_duty_client;
+    std::optional<usage_director> m_usage;
     asio::signal_set m_signals;
     asio::signal_set m_settings_signal;
     std::optional<listener> m_readiness;
@@ -468,7 +484,7 @@
     transport::timer_queue::handle m_housekeeping;
     transport::timer_queue::handle m_stop_check;
     unsigned m_housekeeping_count = 0;
-    base::process_usage m_usage;
+    base::process_usage m_process_usage;
     time_point m_usage_at{};
 };
 
--- a/src/serving/peer_gossip.cpp
+++ b/src/serving/peer_gossip.cpp
@@ -409,6 +409,9 @@
     out.mutable_own()->set_ip(own.ip);
     out.mutable_own()->set_port(own.port);
     out.set_cut_off(m_host.paths.is_cut_off() || m_host.is_stopping());
+    if (m_duty_news) {
+        add_duty_news(out, m_duty_news());
+    }
     return out;
 }
 
@@ -556,6 +559,7 @@
              now - milliseconds{each.asked_ms()}});
     }
     handle_crashes(gossip, now);
+    handle_duty_news(sender, from, datagram);
     for (const auto& each : gossip.streams()) {
         m_host.origins.apply_announced({each.stream(), each.origin()});
     }
