--- a/test/duties/subject_authority_test.cpp
+++ b/test/duties/subject_authority_test.cpp
@@ -68,7 +68,7 @@
     subject_authority b{"b", lease};
 };
 
-TEST_F(subject_authority_test, GrantsAPermitForHalfALeaseFromWhenTheAppendWasSent)
+TEST_F(subject_authority_test, grants_a_permit_for_half_a_lease_from_when_the_append_was_sent)
 {
     a.request("x", start);
     const auto read = a.next(start);
@@ -90,7 +90,7 @@
 }
 
 // Guards against an acknowledgement that arrives after its permit has ended, as after a freeze.
-TEST_F(subject_authority_test, GrantsNothingForAnAcknowledgementThatComesTooLate)
+TEST_F(subject_authority_test, grants_nothing_for_an_acknowledgement_that_comes_too_late)
 {
     a.request("x", start);
     a.begin(a.next(start), start);
@@ -102,7 +102,7 @@
     EXPECT_EQ(a.next(start + 12s).what, step::append);
 }
 
-TEST_F(subject_authority_test, NeedsANewAppendForALaterOrOtherCall)
+TEST_F(subject_authority_test, needs_a_new_append_for_a_later_or_other_call)
 {
     a.request("x", start);
     run(a, "a", start, start);
@@ -119,7 +119,7 @@
 }
 
 // Guards against a holder that regards a lost answer as an acknowledgement.
-TEST_F(subject_authority_test, ReadsAgainAfterALostAnswerAndIsNotGrantedByItsOwnRecord)
+TEST_F(subject_authority_test, reads_again_after_a_lost_answer_and_is_not_granted_by_its_own_record)
 {
     a.request("x", start);
     a.begin(a.next(start), start);
@@ -142,7 +142,7 @@
 }
 
 // Guards against an append that the store carries out after the host has read the partition.
-TEST_F(subject_authority_test, ReadsAgainIfItsOwnAppendWasCarriedOutLate)
+TEST_F(subject_authority_test, reads_again_if_its_own_append_was_carried_out_late)
 {
     a.request("x", start);
     a.begin(a.next(start), start);
@@ -162,7 +162,8 @@
     EXPECT_EQ(a.next(start + 700ms).what, step::read);
 }
 
-TEST_F(subject_authority_test, ReplacesARecordOfAnotherHostOnlyAfterTheLeaseAndTheMargin)
+TEST_F(subject_authority_test,
+       replaces_a_record_of_another_host_only_after_the_lease_and_the_margin)
 {
     a.request("x", start);
     run(a, "a", start, start);
@@ -176,7 +177,7 @@
 }
 
 // Guards against a successor whose time runs although the holder has appended again.
-TEST_F(subject_authority_test, WaitsAgainIfTheOtherHostHasAppendedMeanwhile)
+TEST_F(subject_authority_test, waits_again_if_the_other_host_has_appended_meanwhile)
 {
     a.request("x", start);
     run(a, "a", start, start);
@@ -190,7 +191,7 @@
     EXPECT_EQ(b.next(start + 4s).at, start + 4s + lease + subject_authority::margin);
 }
 
-TEST_F(subject_authority_test, KeepsItsTimeIfOnlyAnotherSubjectOfThePartitionWasAppended)
+TEST_F(subject_authority_test, keeps_its_time_if_only_another_subject_of_the_partition_was_appended)
 {
     a.request("x", start);
     run(a, "a", start, start);
@@ -202,7 +203,7 @@
     EXPECT_EQ(b.current_permit(allowed)->fencing_token, 10U);
 }
 
-TEST_F(subject_authority_test, CountsTheTimeOfARecordFromItsAnnouncement)
+TEST_F(subject_authority_test, counts_the_time_of_a_record_from_its_announcement)
 {
     a.request("x", start);
     run(a, "a", start, start);
@@ -212,7 +213,7 @@
     EXPECT_EQ(b.current_permit(start + 5s)->fencing_token, 9U);
 }
 
-TEST_F(subject_authority_test, ReadsBeforeItAppendsAfterAnAnnouncementOfANewerRecord)
+TEST_F(subject_authority_test, reads_before_it_appends_after_an_announcement_of_a_newer_record)
 {
     a.request("x", start);
     run(a, "a", start, start);
@@ -222,7 +223,7 @@
 }
 
 // Guards against a process that takes over the permit of an earlier process of its host.
-TEST_F(subject_authority_test, WaitsAfterARestartForTheLeaseOfTheEarlierProcess)
+TEST_F(subject_authority_test, waits_after_a_restart_for_the_lease_of_the_earlier_process)
 {
     a.request("x", start);
     run(a, "a", start, start);
@@ -233,7 +234,7 @@
 }
 
 // Guards against falling tokens if the store's partition begins again.
-TEST_F(subject_authority_test, GrantsNoTokenThatIsNotAboveAllEarlierOnes)
+TEST_F(subject_authority_test, grants_no_token_that_is_not_above_all_earlier_ones)
 {
     a.request("x", start);
     run(a, "a", start, start);
@@ -253,7 +254,7 @@
 // Three hosts that all want to act all the time, with lost answers, appends that are carried out
 // late, freezes and refusals. Guards the rules of the page: tokens rise, no token has two holders,
 // and no holder acts again within a lease of another one's call between.
-TEST_F(subject_authority_test, KeepsTheRulesUnderRandomFaults)
+TEST_F(subject_authority_test, keeps_the_rules_under_random_faults)
 {
     struct host {
         std::string name;
