--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -203,6 +203,9 @@
     void end_prefill();
 
     void record_event();
+    // Counts the run of a request without a stream for its account. A stream is counted with its
+    // first event.
+    void record_usage();
     void record_decode_wait();
     // Records that the engine has the prompt's KV cache. A handle can be used once.
     void record_kv_transfer();
--- a/test/platform/stand_ins.h
+++ b/test/platform/stand_ins.h
@@ -606,4 +606,135 @@
     scripted_server m_server;
 };
 
+// A fake of the platform's interface for duties. It records all calls that it receives, also those
+// that it does not answer.
+class standin_duty_interface {
+public:
+    enum class state {
+        accepting,
+        // Calls are taken, but the connection is reset instead of a response.
+        losing_answers,
+        // Calls are taken and get no response.
+        silent,
+        // Calls are answered with status 503.
+        refusing,
+    };
+
+    struct call {
+        // The usage of all accounts is one subject, each service in a zone another one.
+        std::string subject;
+        std::string holder;
+        std::uint64_t token = 0;
+        std::string body;
+        std::chrono::steady_clock::time_point at;
+        bool accepted = false;
+    };
+
+    explicit standin_duty_interface(std::chrono::milliseconds lease)
+        : m_lease{lease}, m_server{[this](const received_request& each) { return answer(each); }}
+    {
+    }
+
+    http::address address() const { return m_server.address(); }
+    void set(state to) { m_state = to; }
+
+    std::vector<call> calls() const
+    {
+        const std::lock_guard lock{m_mutex};
+        return m_calls;
+    }
+
+    // Returns the counts that were accepted, by window.
+    std::map<std::uint64_t, nlohmann::json> reports() const
+    {
+        std::map<std::uint64_t, nlohmann::json> out;
+        for (const auto& each : calls()) {
+            if (each.subject == "usage" && each.accepted) {
+                const auto body = nlohmann::json::parse(each.body);
+                out[body.at("window-index").get<std::uint64_t>()] = body.at("counts");
+            }
+        }
+        return out;
+    }
+
+    // Returns the rules that the calls so far have violated.
+    std::vector<std::string> violations() const
+    {
+        std::vector<std::string> out;
+        std::map<std::string, std::uint64_t> last_token;
+        std::map<std::pair<std::string, std::uint64_t>, std::string> holders;
+        std::map<std::string, std::string> last_holder;
+        std::map<std::pair<std::string, std::string>, std::chrono::steady_clock::time_point> acted;
+        std::map<std::uint64_t, nlohmann::json> counts;
+        for (const auto& each : calls()) {
+            const auto what = each.subject + " " + each.holder + " " + std::to_string(each.token);
+            auto& token = last_token[each.subject];
+            if (each.token < token) {
+                out.push_back("the token falls: " + what);
+            }
+            token = std::max(token, each.token);
+            if (holders.try_emplace({each.subject, each.token}, each.holder).first->second !=
+                each.holder) {
+                out.push_back("two holders of one token: " + what);
+            }
+            auto& holder = last_holder[each.subject];
+            const auto before = acted.find({each.subject, each.holder});
+            if (!holder.empty() && holder != each.holder && before != acted.end() &&
+                each.at - before->second <= m_lease) {
+                out.push_back("two holders in turns within a lease: " + what);
+            }
+            holder = each.holder;
+            acted[{each.subject, each.holder}] = each.at;
+            if (each.subject == "usage") {
+                const auto body = nlohmann::json::parse(each.body);
+                const auto window = body.at("window-index").get<std::uint64_t>();
+                if (counts.try_emplace(window, body.at("counts")).first->second !=
+                    body.at("counts")) {
+                    out.push_back("two reports of one window: " + what);
+                }
+            }
+        }
+        return out;
+    }
+
+private:
+    scripted_response answer(const received_request& request)
+    {
+        const auto now = m_state.load();
+        call made;
+        made.subject = "usage";
+        if (request.path() == "/scale") {
+            const auto body = nlohmann::json::parse(request.body);
+            made.subject = "scale " + body.at("service").get<std::string>() + " " +
+                           body.at("zone").get<std::string>();
+        }
+        made.holder = request.field("Duty-Holder");
+        made.token = std::stoull(request.field("Fencing-Token"));
+        made.body = request.body;
+        made.at = std::chrono::steady_clock::now();
+        made.accepted = now != state::refusing;
+        {
+            const std::lock_guard lock{m_mutex};
+            m_calls.push_back(made);
+        }
+        switch (now) {
+        case state::losing_answers:
+            return {"", scripted_response::then::reset};
+        case state::silent:
+            return {};
+        case state::refusing:
+            return make_response(503, "", "");
+        case state::accepting:
+            break;
+        }
+        return make_response(200, "", "{}");
+    }
+
+    std::chrono::milliseconds m_lease;
+    mutable std::mutex m_mutex;
+    std::vector<call> m_calls;
+    std::atomic<state> m_state{state::accepting};
+    scripted_server m_server;
+};
+
 } // namespace cicadaport::platform::testing
