--- a/include/cicadaport/duties/scaling_plan.h
+++ b/include/cicadaport/duties/scaling_plan.h
@@ -72,12 +72,18 @@
     static constexpr std::chrono::seconds pressure_interval{5};
     static constexpr std::uint64_t min_unserved = 3;
     static constexpr double unserved_share = 0.05;
+    // They do so only above this utilization: below it, requests are late for other reasons than a
+    // lack of replicas.
+    static constexpr double min_pressure_utilization = 0.3;
     static constexpr double pressure_step = 1.25;
     static constexpr double max_pressure = 2;
 
     // Follows the view without giving orders, while another host decides.
     void follow(const scaling_view& view, time_point now);
 
+    // Returns whether the host that decides should have given orders for what the view shows.
+    bool has_due_orders(const scaling_view& view, time_point now) const;
+
     // Returns the orders to give now, usually none. To be called several times a second.
     // `record_outcome()` must be called for each of them.
     std::vector<scaling_order> decide(const scaling_view& view, time_point now);
@@ -135,7 +141,10 @@
     // Cheapest first.
     std::vector<zone> m_zones;
     demand_window m_demand;
-    std::uint32_t m_first_total = 0;
+    // Replicas, and ordinary ones of them, that are kept while the demand is not known: those of
+    // the start, and later those that the known demand needed last.
+    std::uint32_t m_held_total = 0;
+    std::uint32_t m_held_ordinary = 0;
     std::optional<time_point> m_acting_since;
     time_point m_last_lowered{};
     std::uint64_t m_requests = 0;
--- a/include/cicadaport/duties/scaling_view.h
+++ b/include/cicadaport/duties/scaling_view.h
@@ -41,15 +41,14 @@
     std::map<std::string, double> zone_prices;
 };
 
-// The replicas of one kind in one zone, as the platform lists them.
+// The replicas of one kind in one zone, as the platform lists them. Draining ones do not count:
+// they take no requests.
 struct replica_counts {
     // Replicas that take requests, and those of them that are in each stage. Both stage counts are
     // zero if the service has no stages.
     std::uint32_t serving = 0;
     std::uint32_t prefill = 0;
     std::uint32_t decode = 0;
-    // Replicas that take no new requests and are about to end.
-    std::uint32_t draining = 0;
 };
 
 struct zone_view {
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -69,6 +69,10 @@
     std::uint64_t refused = 0;
     // Those of the refused ones whose prompts have a quarantined segment.
     std::uint64_t quarantined = 0;
+    // Those of the refused ones that no engine could serve in time.
+    std::uint64_t refused_for_load = 0;
+    // Prompts whose first event was sent after the latency objective.
+    std::uint64_t late = 0;
     std::uint64_t failed = 0;
     std::uint64_t cut = 0;
     std::uint64_t client_disconnects = 0;
--- a/src/duties/scaling_plan.cpp
+++ b/src/duties/scaling_plan.cpp
@@ -106,7 +106,9 @@
     if (is_first) {
         return;
     }
+    const auto serving = sum([](const record& of, replica_kind) { return of.serving; });
     if (unserved >= min_unserved &&
+        m_demand.peak(now, urgent_window) >= min_pressure_utilization * serving &&
         static_cast<double>(unserved) >= unserved_share * static_cast<double>(requests)) {
         m_pressure = std::min(m_pressure * pressure_step, max_pressure);
         m_last_unserved = now;
@@ -135,8 +137,9 @@
                           now);
         }
     }
-    if (m_first_total == 0) {
-        m_first_total = sum([](const record& of, replica_kind) { return of.serving; });
+    if (m_held_total == 0) {
+        m_held_total = sum([](const record& of, replica_kind) { return of.serving; });
+        m_held_ordinary = rounded_up(ordinary_share_of_total * m_held_total);
     }
 }
 
@@ -149,6 +152,12 @@
             known.desired = known.serving;
         }
     }
+    if (m_demand.is_known(now)) {
+        m_held_total = sum([](const record& of, replica_kind) { return of.serving; });
+        m_held_ordinary = sum([](const record& of, replica_kind kind) {
+            return kind == replica_kind::ordinary ? of.serving : 0;
+        });
+    }
 }
 
 bool scaling_plan::offers_reclaimable(const scaling_terms& terms) const
@@ -169,7 +178,7 @@
     auto out = std::max(rounded_up(demand / target_utilization), lowest_total(terms));
     if (!m_demand.is_known(now)) {
         // Too little is known of the demand to remove anything for it.
-        out = std::max(out, m_first_total);
+        out = std::max(out, m_held_total);
     }
     const auto ordinary = wanted_ordinary(terms, out, now);
     const auto zones = static_cast<std::uint32_t>(std::max<std::size_t>(m_zones.size(), 1));
@@ -191,12 +200,11 @@
     if (!offers_reclaimable(terms)) {
         return total;
     }
-    const auto share =
-        m_demand.is_known(now)
-            ? ordinary_share_of_peak * m_demand.peak(now)
-            : std::max(ordinary_share_of_total * m_first_total,
-                       m_demand.has_demand() ? ordinary_share_of_peak * m_demand.peak(now) : 0);
-    return std::min(total, std::max(rounded_up(share), lowest_total(terms)));
+    auto out = rounded_up(ordinary_share_of_peak * m_demand.peak(now));
+    if (!m_demand.is_known(now)) {
+        out = std::max(out, m_held_ordinary);
+    }
+    return std::min(total, std::max(out, lowest_total(terms)));
 }
 
 void scaling_plan::spread(replica_kind kind, std::uint32_t total, const scaling_terms& terms,
@@ -258,6 +266,10 @@
     m_basis.ordinary_target = sum([](const record& of, replica_kind kind) {
         return kind == replica_kind::ordinary ? of.target : 0;
     });
+    if (m_demand.is_known(now)) {
+        m_held_total = total;
+        m_held_ordinary = ordinary;
+    }
     m_basis.serving = sum([](const record& of, replica_kind) { return of.serving; });
     m_basis.pending = sum([](const record& of, replica_kind) { return of.pending(); });
 }
@@ -433,6 +445,13 @@
     return out;
 }
 
+bool scaling_plan::has_due_orders(const scaling_view& view, time_point now) const
+{
+    auto other = *this;
+    other.m_acting_since = time_point{};
+    return !other.decide(view, now).empty();
+}
+
 void scaling_plan::record_outcome(const scaling_order& order, order_outcome outcome, time_point now)
 {
     const auto found = std::find_if(m_zones.begin(), m_zones.end(),
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -285,6 +285,8 @@
             const fractional_milliseconds observed = m_host.timers.now() - m_sent;
             m_host.engines.record_time(m_endpoint->report.id, m_plan.prefill_latency, observed);
         }
+        const bool is_late = m_host.timers.now() - m_arrived > m_route->latency_objective;
+        m_host.counts.late += m_route->has_prompt && is_late ? 1 : 0;
         m_caller->begin(m_begun_status, m_answer->fields);
     }
     record_event();
--- a/src/serving/exchange_placement.cpp
+++ b/src/serving/exchange_placement.cpp
@@ -136,6 +136,7 @@
     const bool admitted = query.urgency == late_urgency ? m_host.late.admits(m_route->name, prompt)
                                                         : late_admission::can_be_served(prompt);
     if (!admitted) {
+        ++m_host.counts.refused_for_load;
         reject(retry_after_overload, "no engine in time");
     }
     return !admitted;
--- a/test/duties/fleet_simulation.h
+++ b/test/duties/fleet_simulation.h
@@ -276,7 +276,7 @@
             added.name = each.name;
             for (std::size_t kind = 0; kind < replica_kind_count; ++kind) {
                 const auto& of = each.kinds.at(kind);
-                added.replicas.at(kind) = {of.serving(), of.prefill, of.decode, of.draining};
+                added.replicas.at(kind) = {of.serving(), of.prefill, of.decode};
             }
         }
         return out;
--- a/test/duties/scaling_plan_test.cpp
+++ b/test/duties/scaling_plan_test.cpp
@@ -167,6 +167,8 @@
     fleet.knows_demand = false;
     const auto after = fleet.run(plan, normal_load(20, 8));
     EXPECT_GE(after.min_serving + 1, before.serving);
+    EXPECT_LE(after.serving, before.serving + before.serving / 4)
+        << "and does not go back to the replicas of the start";
 }
 
 TEST(scaling_plan_test, uses_other_zones_after_a_refusal_and_ordinary_replicas_if_urgent)
@@ -221,6 +223,29 @@
     }
 }
 
+TEST(scaling_plan_test, says_that_orders_are_due_while_another_host_does_not_give_them)
+{
+    scaling_plan plan;
+    scaling_view view;
+    view.terms = terms();
+    for (const auto* name : {"a", "b", "c", "d"}) {
+        view.zones.push_back({name, {}});
+        view.zones.back().of(replica_kind::ordinary) = {23, 11, 12};
+    }
+    plan.follow(view, start);
+    EXPECT_TRUE(plan.has_due_orders(view, start));
+    for (auto& each : view.zones) {
+        each.of(replica_kind::reclaimable) = {21, 10, 11};
+    }
+    plan.follow(view, start + 5s);
+    EXPECT_TRUE(plan.has_due_orders(view, start + 5s)) << "ordinary replicas are surplus";
+    for (auto& each : view.zones) {
+        each.of(replica_kind::ordinary) = {3, 1, 2};
+    }
+    plan.follow(view, start + 10s);
+    EXPECT_FALSE(plan.has_due_orders(view, start + 10s));
+}
+
 TEST(scaling_plan_test, orders_only_ordinary_replicas_where_no_others_are_offered)
 {
     auto without = terms();
@@ -243,7 +268,7 @@
     view.knows_demand = true;
     for (const auto* name : {"a", "b", "c", "d"}) {
         view.zones.push_back({name, {}});
-        view.zones.back().of(replica_kind::ordinary) = {23, 11, 12, 0};
+        view.zones.back().of(replica_kind::ordinary) = {23, 11, 12};
     }
     auto now = start;
     for (int i = 0; i < 400; ++i, now += 250ms) {
@@ -252,7 +277,7 @@
             auto& zone = *std::find_if(view.zones.begin(), view.zones.end(),
                                        [&](const auto& each) { return each.name == order.zone; });
             auto& of = zone.of(order.kind);
-            of = {order.desired, order.desired / 2, order.desired - order.desired / 2, 0};
+            of = {order.desired, order.desired / 2, order.desired - order.desired / 2};
             plan.record_outcome(order, order_outcome::accepted, now);
             const auto both = zone.replicas[0].serving + zone.replicas[1].serving;
             EXPECT_LE(both, 25U);
