duties: scaling obeys lowered limits; a replica that leaves convicts no prompt

Cause: limits of a zone may become lower than what runs. When a zone's reclaimable replicas end at once, the segments that their prompts share would have been quarantined as if they had crashed them. Change: the plan removes replicas beyond a zone's limit; an interrupted answer of a replica that was announced to leave suspects no segment. The tests of serving and platform were not run.

--- a/include/cicadaport/duties/scaling_plan.h
+++ b/include/cicadaport/duties/scaling_plan.h
@@ -116,7 +116,7 @@
     };
 
     void observe(const scaling_view& view, time_point now);
-    zone& zone_named(const std::string& name, const scaling_terms& terms);
+    zone& zone_named(const std::string& name);
     void update_record(record& known, replica_kind kind, std::uint32_t serving,
                        const scaling_terms& terms, time_point now);
     void update_pressure(const scaling_view& view, time_point now);
--- a/include/cicadaport/serving/scaling_director.h
+++ b/include/cicadaport/serving/scaling_director.h
@@ -1,7 +1,7 @@
 // Orders changes of the number of a service's replicas, as decided by the plan for it.
 //
 // Every host follows what the plan sees, so that each can take over. The first host in the order of
-// hosts gives the orders; how a host gets the authority to send them is not decided here.
+// hosts gives the orders; `scaling_authority` decides whether they may be sent.
 //
 // Runs on the event loop.
 #pragma once
@@ -16,8 +16,8 @@
 
 namespace cicadaport::serving {
 
-// Sends orders for the number of replicas to the platform.
-class scaling_order_sender {
+// Sends orders for the number of replicas to the platform, as far as this host may.
+class scaling_authority {
 public:
     struct result {
         duties::order_outcome outcome = duties::order_outcome::unknown;
@@ -27,7 +27,10 @@
     };
     using completion = std::function<void(const result&)>;
 
-    virtual ~scaling_order_sender() = default;
+    virtual ~scaling_authority() = default;
+
+    // Returns this host's rank in the order of hosts for a service.
+    virtual std::size_t rank(const std::string& service) const = 0;
 
     // Sends an order before `give_up_at` or not at all, and calls `on_done` exactly once. There is
     // at most one order for each service and zone at a time.
@@ -59,9 +62,9 @@
     // Demand is known once this host has heard the others for this long.
     static constexpr milliseconds min_heard_time{2'000};
 
-    // `sender` must outlive the director.
-    scaling_director(host_state& host, scaling_order_sender& sender)
-        : m_host{host}, m_sender{sender}
+    // `authority` must outlive the director.
+    scaling_director(host_state& host, scaling_authority& authority)
+        : m_host{host}, m_authority{authority}
     {
     }
 
@@ -84,14 +87,13 @@
     void evaluate();
     void evaluate(const service& of);
     bool is_view_current() const;
-    std::size_t rank() const;
     void add_order(const std::string& service, const duties::scaling_order& order);
     void send_next(const std::string& service, const std::string& zone);
     void handle_result(const std::string& service, const duties::scaling_order& order,
-                       time_point sent, const scaling_order_sender::result& result);
+                       time_point sent, const scaling_authority::result& result);
 
     host_state& m_host;
-    scaling_order_sender& m_sender;
+    scaling_authority& m_authority;
     std::map<std::string, service_state> m_services;
     scaling_counts m_counts;
     line_budget m_log_budget;
--- a/src/duties/scaling_plan.cpp
+++ b/src/duties/scaling_plan.cpp
@@ -56,21 +56,16 @@
     return out;
 }
 
-scaling_plan::zone& scaling_plan::zone_named(const std::string& name, const scaling_terms& terms)
+scaling_plan::zone& scaling_plan::zone_named(const std::string& name)
 {
     const auto found = std::find_if(m_zones.begin(), m_zones.end(),
                                     [&](const zone& each) { return each.name == name; });
     if (found != m_zones.end()) {
         return *found;
     }
-    zone added;
+    auto& added = m_zones.emplace_back();
     added.name = name;
-    const auto price = terms.zone_prices.find(name);
-    added.price = price != terms.zone_prices.end() ? price->second : 1;
-    const auto place = std::find_if(m_zones.begin(), m_zones.end(), [&](const zone& each) {
-        return std::tie(added.price, added.name) < std::tie(each.price, each.name);
-    });
-    return *m_zones.insert(place, std::move(added));
+    return added;
 }
 
 void scaling_plan::update_record(record& known, replica_kind kind, std::uint32_t serving,
@@ -123,11 +118,14 @@
     m_demand.record(view, now);
     update_pressure(view, now);
     for (const auto& [name, price] : view.terms.zone_prices) {
-        zone_named(name, view.terms);
+        zone_named(name).price = price;
     }
     for (const auto& each : view.zones) {
-        zone_named(each.name, view.terms);
+        zone_named(each.name);
     }
+    std::sort(m_zones.begin(), m_zones.end(), [](const zone& left, const zone& right) {
+        return std::tie(left.price, left.name) < std::tie(right.price, right.name);
+    });
     for (auto& each : m_zones) {
         const auto listed = std::find_if(view.zones.begin(), view.zones.end(),
                                          [&](const zone_view& of) { return of.name == each.name; });
@@ -405,7 +403,12 @@
         });
     };
     const auto staying = sum([](const record& of, replica_kind) { return of.staying(); });
-    if (surplus(replica_kind::ordinary) <
+    // The limits of a zone may have become lower than what runs.
+    const bool is_beyond_limit = std::any_of(m_zones.begin(), m_zones.end(), [&](const zone& each) {
+        return each.records[0].desired + each.records[1].desired > terms.max_replicas;
+    });
+    if (!is_beyond_limit &&
+        surplus(replica_kind::ordinary) <
             std::max(1.0, ordinary_excess_ratio * m_basis.ordinary_target) &&
         staying <= excess_ratio * m_basis.target) {
         return {};
--- a/src/serving/exchange_failures.cpp
+++ b/src/serving/exchange_failures.cpp
@@ -104,8 +104,10 @@
 {
     const bool is_beginning = m_run_first_event == time_point{} ||
                               m_host.timers.now() - m_run_first_event < answer_beginning_time;
-    const auto suspected =
-        is_beginning && !m_run_survived ? suspects() : std::span<const segment_id>{};
+    // A replica that was announced to leave ends without a fault of its prompts. When a zone's
+    // reclaimable replicas end at once, their prompts' common segments would seem to crash them.
+    const bool is_suspicious = is_beginning && !m_run_survived && !m_endpoint->gone;
+    const auto suspected = is_suspicious ? suspects() : std::span<const segment_id>{};
     m_host.crashes.handle_interrupted_answer(*m_endpoint, suspected, m_metadata.id);
 }
 
--- a/src/serving/scaling_director.cpp
+++ b/src/serving/scaling_director.cpp
@@ -88,11 +88,6 @@
     return age && *age <= max_list_age;
 }
 
-std::size_t scaling_director::rank() const
-{
-    return m_host.gossip != nullptr ? m_host.gossip->rank_among_known_hosts() : 0;
-}
-
 void scaling_director::evaluate()
 {
     // Scheduled first, so that an exception does not end the series.
@@ -113,7 +108,7 @@
     const auto now = m_host.timers.now();
     auto& state = m_services[of.name];
     const auto view = make_scaling_view(m_host, of, now);
-    const auto own_rank = rank();
+    const auto own_rank = m_authority.rank(of.name);
     const bool may_act = !m_host.is_stopping() && own_rank <= duties::acting_turn::max_rank;
     const bool is_due = may_act && !state.acts && state.plan.has_due_orders(view, now);
     const bool acts = state.turn.may_act(
@@ -165,14 +160,14 @@
     waiting.pop_front();
     state.is_sending[zone] = true;
     const auto now = m_host.timers.now();
-    m_sender.send(service, order, now + order_timeout,
-                  [this, service, order, now](const scaling_order_sender::result& result) {
-                      handle_result(service, order, now, result);
-                  });
+    m_authority.send(service, order, now + order_timeout,
+                     [this, service, order, now](const scaling_authority::result& result) {
+                         handle_result(service, order, now, result);
+                     });
 }
 
 void scaling_director::handle_result(const std::string& service, const duties::scaling_order& order,
-                                     time_point sent, const scaling_order_sender::result& result)
+                                     time_point sent, const scaling_authority::result& result)
 {
     using duties::order_outcome;
     auto& state = m_services[service];
--- a/test/duties/fleet_simulation.h
+++ b/test/duties/fleet_simulation.h
@@ -115,6 +115,12 @@
         return out;
     }
 
+    void set_limits(std::uint32_t min, std::uint32_t max)
+    {
+        m_terms.min_replicas = min;
+        m_terms.max_replicas = max;
+    }
+
     // Hides what the rule sees of the demand.
     bool knows_demand = true;
 
