serving: scaling under the authority of its subjects

Cause: the director of scaling had no way to send its orders. Change: duty_scaling sends each order under the authority of its service and zone and takes the order of hosts from gossip; host_duties owns what a host does for duties; scaling starts if the settings name autoscaler.

--- a/include/cicadaport/serving/wire.h
+++ b/include/cicadaport/serving/wire.h
@@ -5,6 +5,7 @@
 // platform's names and formats.
 #pragma once
 
+#include "cicadaport/duties/scaling_view.h"
 #include "cicadaport/duties/usage_ledger.h"
 #include "cicadaport/serving/deployment.h"
 #include "cicadaport/serving/endpoint_table.h"
@@ -253,6 +254,9 @@
                                               const std::string& after_key) const = 0;
     virtual std::string append_duty_request(std::uint32_t partition, const feed_entry& record,
                                             std::uint64_t at) const = 0;
+    // Returns the body of an order for the number of replicas.
+    virtual std::string scale_order(const std::string& service,
+                                    const duties::scaling_order& order) const = 0;
     // Returns the request that makes a call of a duty.
     virtual std::string duty_request(const http::address& to, const duty_call& call) const = 0;
     // Returns the body of a report of usage, and the window of such a body; nothing if it can't be
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -1,5 +1,7 @@
 #include "cicadaport/serving/host_process.h"
 
+#include "internal/descriptor_limit.h"
+#include "internal/host_duties.h"
 #include "internal/listener.h"
 #include "internal/readiness_connection.h"
 
@@ -9,13 +11,8 @@
 #include <boost/asio/signal_set.hpp>
 #include <spdlog/spdlog.h>
 
-#include <sys/resource.h>
-
 #include <algorithm>
-#include <cerrno>
 #include <csignal>
-#include <cstring>
-#include <limits>
 #include <thread>
 
 namespace cicadaport::serving {
@@ -42,20 +39,6 @@
 constexpr int leaving_interval_divisor = 20;
 constexpr int leaving_interval_factor = 8;
 
-// Returns how many descriptors the process may have: by its settings and by the kernel.
-std::uint64_t max_descriptors(const host_settings& settings)
-{
-    auto out = std::numeric_limits<std::uint64_t>::max();
-    ::rlimit limit{};
-    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) {
-        spdlog::warn("descriptor_limit_unknown error=\"{}\"", std::strerror(errno));
-    }
-    else if (limit.rlim_cur != RLIM_INFINITY) {
-        out = limit.rlim_cur;
-    }
-    return std::min<std::uint64_t>(out, settings.max_descriptors.value_or(out));
-}
-
 } // namespace
 
 class host_process::implementation {
@@ -87,9 +70,7 @@
         m_state.max_apply_delay = m_settings.max_apply_delay;
         m_state.origins.set_store(m_settings.store_address);
         if (m_settings.duties) {
-            m_duty_client.emplace(m_state, m_settings.store_address, m_settings.store_partitions,
-                                  *m_settings.duties, m_settings.name);
-            m_usage.emplace(m_state, m_gossip, *m_duty_client, *m_settings.duties);
+            m_duties.emplace(m_state, m_gossip, m_settings);
         }
         std::signal(SIGPIPE, SIG_IGN);
         m_signals.add(SIGTERM);
@@ -121,8 +102,8 @@
         m_endpoints.start();
         m_gossip.start();
         m_director.start();
-        if (m_usage) {
-            m_usage->start();
+        if (m_duties) {
+            m_duties->start();
         }
         run_housekeeping();
         spdlog::info("host_started name={} zone={} max_caller_connections={} "
@@ -369,21 +350,23 @@
         m_usage_at = m_state.timers.now();
     }
 
-    void log_counts() const
+    void log_counts()
     {
         constexpr std::uint64_t bytes_per_kilobyte = 1'024;
         const auto& counts = m_state.counts;
         spdlog::info(
-            "requests answered={} refused={} quarantined={} failed={} cut={} callers_left={} "
+            "requests answered={} refused={} refused_for_load={} late={} quarantined={} failed={} "
+            "cut={} callers_left={} "
             "further_attempts={} handed_over={} relayed={} connections_opened={} peers={} "
             "replicas={} "
             "configuration={} configuration_age_ms={} endpoints_age_ms={} store_pages={} "
             "store_configuration_reads={} store_endpoint_reads={} store_order_reads={} "
             "store_origin_reads={} store_appends={} known_streams={} suspected_segments={} "
             "quarantined_segments={} caller_connections={} held_bytes={} peak_memory_kb={}",
-            counts.answered, counts.refused, counts.quarantined, counts.failed, counts.cut,
-            counts.client_disconnects, counts.retries, counts.handed_over, counts.relayed,
-            m_state.connections.opened(), m_gossip.peer_count(), m_state.endpoints.size(),
+            counts.answered, counts.refused, counts.refused_for_load, counts.late,
+            counts.quarantined, counts.failed, counts.cut, counts.client_disconnects,
+            counts.retries, counts.handed_over, counts.relayed, m_state.connections.opened(),
+            m_gossip.peer_count(), m_state.endpoints.size(),
             m_state.deployed != nullptr ? m_state.deployed->version() : 0,
             age_ms(m_state.configuration_position), age_ms(m_state.endpoints_position),
             m_state.store_calls.pages, m_state.store_calls.configuration_reads,
@@ -392,8 +375,8 @@
             m_state.origins.known_count(), m_state.crashes.suspect_count(),
             m_state.crashes.quarantined_count(), m_connections.size(), m_state.memory.held(),
             m_process_usage.peak_memory / bytes_per_kilobyte);
-        if (m_usage) {
-            m_usage->log_counts();
+        if (m_duties) {
+            m_duties->log_counts();
         }
     }
 
@@ -444,8 +427,8 @@
     void end()
     {
         close_listeners();
-        if (m_usage) {
-            m_usage->announce_last();
+        if (m_duties) {
+            m_duties->announce_last();
         }
         log_counts();
         spdlog::info("host_stopped cut={}", requests_in_flight());
@@ -474,8 +457,7 @@
     feed_follower m_endpoints;
     peer_gossip m_gossip;
     stage_director m_director;
-    std::optional<duty_client> m_duty_client;
-    std::optional<usage_director> m_usage;
+    std::optional<host_duties> m_duties;
     asio::signal_set m_signals;
     asio::signal_set m_settings_signal;
     std::optional<listener> m_readiness;
--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -467,6 +467,14 @@
     EXPECT_DOUBLE_EQ(scale->zone_prices.at("z"), 0.85);
 }
 
+TEST(wire_test, an_order_for_replicas_names_the_kind_only_if_it_is_reclaimable)
+{
+    EXPECT_EQ(adapter.scale_order("s", {"a", duties::replica_kind::ordinary, 6}),
+              R"({"desired":6,"service":"s","zone":"a"})");
+    EXPECT_EQ(adapter.scale_order("s", {"a", duties::replica_kind::reclaimable, 0}),
+              R"({"desired":0,"service":"s","spot":true,"zone":"a"})");
+}
+
 TEST(wire_test, an_invalid_configuration_yields_no_deployment)
 {
     EXPECT_EQ(adapter.read_deployment({"config", "{}"}), nullptr);
