balancing: the pace of each engine, learned from all hosts' streams

Cause: streams were placed by their number per engine, so engines of 0.7 times the usual speed got as many as engines of 1.7 times. Each host learned the speed of engines only from its own requests. The decode engine of a prompt was chosen before its prefill, when the streams of prompts in prefill were not known yet. Change: balancing::decode_model predicts the time between events on an engine by its streams; balancing::replica_speed averages by time with bounded steps, so a hiccup of 0.6 s changes little. Conclusion: without observations, placement is as before.

--- /dev/null
+++ b/include/cicadaport/balancing/decode_model.h
@@ -0,0 +1,79 @@
+// Predicts the time between two events of a stream on an engine that runs several streams.
+//
+// Each step of an engine generates one token of each of its streams and takes longer the more
+// streams there are: interval = idle interval of the engine x (1 + load factor x streams). The
+// load factor is common to all engines. The idle interval is learned for each engine, because
+// engines run at different speeds. The load factor is learned from the differences between
+// observations of the same engine; comparing engines would mistake a fast engine with many
+// streams for an engine whose streams cost nothing.
+//
+// Pure: times are passed in. Not thread safe.
+#pragma once
+
+#include "cicadaport/balancing/replica_speed.h"
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+
+namespace cicadaport::balancing {
+
+class decode_model {
+public:
+    // Load factor before any observation, and its bounds. Engines of the deployments have 0 to
+    // 0.03.
+    static constexpr double initial_load_factor = 0.01;
+    static constexpr double max_load_factor = 0.1;
+
+    // Adds the mean interval between the events of one stream, and the mean number of streams,
+    // including this one, that ran on the engine meanwhile.
+    void record(std::uint32_t engine, double streams, fractional_milliseconds interval,
+                time_point now);
+
+    // Returns the predicted interval with `streams` streams on the engine; nothing before the
+    // first observation of any engine.
+    std::optional<fractional_milliseconds> interval(std::uint32_t engine, double streams,
+                                                    time_point now) const;
+
+    // Returns how many streams the engine runs at this interval; nothing before the first
+    // observation of any engine.
+    std::optional<double> streams_at(std::uint32_t engine, fractional_milliseconds interval,
+                                     time_point now) const;
+
+    // Returns the speed of the engine relative to the average; 1 if it is not known.
+    double speed(std::uint32_t engine, time_point now) const;
+
+    double load_factor() const noexcept { return m_load_factor; }
+
+    // Returns the estimate of the engine's idle interval in milliseconds, or null.
+    const replica_speed* find(std::uint32_t engine) const;
+
+    void forget(std::uint32_t engine) { m_engines.erase(engine); }
+
+private:
+    struct record_of_engine {
+        replica_speed idle_interval;
+        // Means of the observed streams and intervals, to compare observations with.
+        double mean_streams = 0;
+        double mean_interval = 0;
+        double count = 0;
+    };
+
+    // Returns the predicted idle interval of the engine in milliseconds.
+    double idle_interval(std::uint32_t engine, time_point now) const;
+    void learn_load_factor(record_of_engine& of, double streams, double interval);
+
+    std::unordered_map<std::uint32_t, record_of_engine> m_engines;
+    // Idle interval common to all engines, in milliseconds; 0 before the first observation.
+    double m_common_interval = 0;
+    double m_observation_count = 0;
+    double m_load_factor = initial_load_factor;
+    // Sums over observations, with newer ones weighted more: squared differences of the number of
+    // streams, their products with relative differences of the interval, and these products
+    // multiplied by the mean number of streams.
+    double m_squares = 0;
+    double m_products = 0;
+    double m_scaled_products = 0;
+};
+
+} // namespace cicadaport::balancing
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -188,13 +188,18 @@
     void enforce_answer_limit(std::size_t bytes, std::size_t max_bytes);
     void release_endpoint();
     // Ends what is recorded for a run at an endpoint.
-    void end_run_work(const endpoint& at, std::uint64_t decode_work);
+    void end_run_work(const endpoint& at, std::uint64_t decode_work,
+                      fractional_milliseconds event_interval);
     void release_held_kv_cache();
     void begin_prefill(const endpoint& engine);
     // Records that an engine will have the prompt in its KV cache after `prefill_latency`.
     // Returns how many of the prompt's tokens are not in the engine's KV cache yet.
     double record_prompt_at(const endpoint& engine, fractional_milliseconds prefill_latency);
-    void end_prefill();
+    // `time_ratio` is that of the engine, as observed; 0 if it was not.
+    void end_prefill(double time_ratio = 0);
+    // Returns the mean interval between the events of the current run; 0 if it shows nothing about
+    // the replica.
+    fractional_milliseconds observed_event_interval() const;
 
     void record_event();
     void record_decode_wait();
@@ -290,6 +295,10 @@
     // crash its replica.
     time_point m_run_first_event{};
     bool m_run_survived = false;
+    // Number of events up to the first of the current run, and whether reading from the replica has
+    // paused for the caller.
+    std::size_t m_run_first_count = 0;
+    bool m_caller_was_blocked = false;
     time_point m_last_event{};
     clock::duration m_longest_pause{0};
     // Silence before this time does not count against the stream.
--- a/include/cicadaport/serving/fleet_work.h
+++ b/include/cicadaport/serving/fleet_work.h
@@ -31,6 +31,14 @@
     double added_tokens = 0;
 };
 
+// A piece of work that has ended.
+struct ended_work {
+    std::uint32_t engine = 0;
+    bool is_prefill = false;
+    // Mean number of streams that ran on the engine during the work.
+    double mean_streams = 0;
+};
+
 // Returns the number that identifies an engine between hosts.
 std::uint32_t engine_number(const std::string& id);
 
@@ -43,7 +51,8 @@
     static constexpr std::chrono::milliseconds demand_time_constant{1'500};
 
     void begin(host_number host, std::uint64_t id, const engine_work& work, time_point now);
-    void end(host_number host, std::uint64_t id, time_point now);
+    // Returns the ended work; nothing if its begin is not known.
+    std::optional<ended_work> end(host_number host, std::uint64_t id, time_point now);
 
     // Removes the work of a host that is no longer heard from.
     void forget(host_number host, time_point now);
@@ -66,11 +75,18 @@
         std::uint32_t engine = 0;
         bool is_prefill = false;
         time_point expires{};
+        time_point began{};
+        // The engine's stream time at the begin.
+        fractional_milliseconds stream_time{0};
     };
     struct engine_record {
         engine_queue queue;
         std::size_t active_streams = 0;
+        // Total time of all streams until `counted_until`.
+        fractional_milliseconds stream_time{0};
+        time_point counted_until{};
     };
+    static fractional_milliseconds count_stream_time(engine_record& of, time_point now);
     using host_items = std::unordered_map<std::uint64_t, item>;
 
     static engine_queue::work_id item_id(host_number host, std::uint64_t id) noexcept;
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -25,7 +25,8 @@
 public:
     virtual ~gossip_sender() = default;
     virtual void announce_work_start(std::uint64_t id, const engine_work& work) = 0;
-    virtual void announce_work_end(std::uint64_t id) = 0;
+    // `observed` is what engine_placement::record_result() takes.
+    virtual void announce_work_end(std::uint64_t id, bool is_prefill, double observed) = 0;
     // Announces records that this host has read from one of the store's lists.
     virtual void announce_page(const shared_page& page) = 0;
     // Returns from how many other hosts gossip was received recently.
@@ -102,8 +103,17 @@
     // average; true before the first response.
     bool has_many(const std::string& route) const;
 
+    // Returns the average number of events, and the number that a tenth of the responses exceed;
+    // 1 before the first response.
+    double usual(const std::string& route) const;
+    double long_response(const std::string& route) const;
+
 private:
-    std::unordered_map<std::string, double> m_mean;
+    struct record {
+        double mean = 0;
+        double long_response = 0;
+    };
+    std::unordered_map<std::string, record> m_routes;
 };
 
 struct host_state {
@@ -113,7 +123,8 @@
     // Counts work given to an engine, on this host and on the other hosts, until `end_work()`
     // is called with the returned id.
     std::uint64_t begin_work(const engine_work& work);
-    void end_work(std::uint64_t id);
+    // `observed` is what engine_placement::record_result() takes.
+    void end_work(std::uint64_t id, double observed = 0);
 
     // Returns the engines of a service to which this host may give work: those of its cell,
     // or all engines if the cell lacks a stage. Valid until the next call.
--- a/include/cicadaport/serving/peer_gossip.h
+++ b/include/cicadaport/serving/peer_gossip.h
@@ -56,7 +56,7 @@
     void set_seed_ips(std::vector<std::string> ips) { m_settings.seed_ips = std::move(ips); }
 
     void announce_work_start(std::uint64_t id, const engine_work& work) override;
-    void announce_work_end(std::uint64_t id) override;
+    void announce_work_end(std::uint64_t id, bool is_prefill, double observed) override;
     void announce_page(const shared_page& page) override;
     void announce_stage_change(std::uint32_t engine, engine_stage to, milliseconds time) override;
     void announce_limit(const limit_statement& said) override;
@@ -88,6 +88,7 @@
     void add_known_hosts(protocol::host_news& greeting);
     void receive();
     void handle_datagram(const udp_address& from, std::string_view datagram);
+    void handle_ended_work(const protocol::host_news& gossip, time_point now);
     void handle_crashes(const protocol::host_news& gossip, time_point now);
     void handle_page(const protocol::host_news& gossip, time_point now);
     void pass_on(protocol::host_news& gossip, const udp_address& from);
--- a/include/cicadaport/serving/placement.h
+++ b/include/cicadaport/serving/placement.h
@@ -14,6 +14,7 @@
 // Pure: times and randomness are passed in. Not thread safe.
 #pragma once
 
+#include "cicadaport/balancing/decode_model.h"
 #include "cicadaport/serving/deployment.h"
 #include "cicadaport/serving/endpoint_health.h"
 #include "cicadaport/serving/engine_kv_cache.h"
@@ -41,7 +42,7 @@
     // Round-trip time added to each message between availability zones.
     fractional_milliseconds cross_zone_delay{2};
     // Cost of each stream on the engine, which lengthens the steps of the others
-    // slightly.
+    // slightly. It applies until the pace of engines has been observed.
     fractional_milliseconds per_stream{0.5};
     // Cost of a failed request, multiplied by the failure fraction of the engine.
     fractional_milliseconds failure{300};
@@ -53,6 +54,13 @@
     // slot.
     fractional_milliseconds mixed_engine_penalty{300};
     fractional_milliseconds no_free_slot_penalty{1'000};
+    // Penalty for decoding on an engine that also prefills, in addition to the predicted time of
+    // the stream: a prefill stalls the stream for longer than the pause objective allows.
+    fractional_milliseconds stalled_stream_penalty{3'000};
+    // Cost of a stream whose predicted pace misses the one that its route needs, multiplied by the
+    // ratio of both, and the largest such ratio that is told apart.
+    fractional_milliseconds missed_pace{10'000};
+    double max_missed_pace_ratio = 4;
     // A pause beyond this fraction of the pause objective is penalized by `pause_weight`
     // times the excess.
     double pause_objective_fraction = 0.7;
@@ -96,6 +104,11 @@
     fractional_milliseconds pause_objective{150};
     // Whether the response has several events, so that pauses between them matter.
     bool has_many_events = true;
+    // Number of events of a usual and of a long response of the route.
+    double usual_events = 1;
+    double long_events = 1;
+    // Time from now until the response must be complete; 0 if it is not limited.
+    fractional_milliseconds time_left{0};
 };
 
 // The engines that serve a prompt, and the predicted times.
@@ -150,8 +163,6 @@
     endpoint_health health;
     // Health of the KV transfers from this engine to others.
     endpoint_health kv_transfer_health;
-    // Moving average of the ratio of observed to predicted time.
-    double time_ratio = 1;
     // Time from the decode request of a prefilled prompt to its first event, and the
     // pause between events.
     recent_average decode_start_delay;
@@ -191,19 +202,28 @@
                          fractional_milliseconds prefill_latency);
     // Records work that another host has sent to an engine.
     void record_work(const engine_work& work, time_point now);
+    // Records what this or another host observed of work that has ended: the time ratio of a
+    // prefill, or the milliseconds between the events of a stream. 0 means nothing.
+    void record_result(const ended_work& work, double observed, time_point now);
 
     // Returns the digest of the shared prompt prefix that is announced to other hosts; 0
     // if the prefix is too short.
     static std::uint32_t shared_prefix_digest(const std::vector<prompt_segment>& prompt);
 
-    // Records the observed prefill time of a plan, to correct later predictions.
-    void record_prefill_time(const std::string& engine, const prompt_plan& plan,
-                             fractional_milliseconds observed);
-    // Same, for a time that is not that of a prefill engine alone.
-    void record_time(const std::string& engine, fractional_milliseconds predicted,
-                     fractional_milliseconds observed);
+    // Learns from the observed prefill time of a plan. Returns the time ratio of the engine, to be
+    // recorded with the end of the work.
+    double learn_prefill_time(const std::string& engine, const prompt_plan& plan,
+                              fractional_milliseconds observed, time_point now);
+    // Returns the time ratio of an engine that shows in an observed time: the ratio to the time
+    // that is predicted without regard to the engine's speed.
+    double observed_time_ratio(const std::string& engine, fractional_milliseconds predicted,
+                               fractional_milliseconds observed, time_point now) const;
+    // Returns the expected ratio of an engine's prefill time to the time that is predicted without
+    // regard to its speed.
+    double time_ratio(std::uint32_t engine, time_point now) const;
 
     const prefill_model& model() const noexcept { return m_prefill_model; }
+    const balancing::decode_model& pace() const noexcept { return m_pace; }
 
     // Marks the engine as changing its stage: it takes no work until `until`.
     void begin_stage_change(std::uint32_t engine, engine_stage to, time_point until)
@@ -219,6 +239,8 @@
     {
         m_engines.erase(engine);
         m_kv_cache.forget(engine_number(engine));
+        m_pace.forget(engine_number(engine));
+        m_time_ratios.erase(engine_number(engine));
     }
 
 private:
@@ -262,7 +284,17 @@
 
     decode_engine_choice best_decode_engine(const prompt_query& query,
                                             const endpoint& prefill_engine,
-                                            const std::vector<endpoint_pointer>& engines) const;
+                                            fractional_milliseconds prefill_latency,
+                                            const std::vector<endpoint_pointer>& engines,
+                                            const std::set<const endpoint*>& decode_only) const;
+    // Returns the interval between events that a stream needs which begins after `delay`.
+    fractional_milliseconds needed_interval(const prompt_query& query,
+                                            fractional_milliseconds delay) const;
+    // Returns the predicted time of a stream on an engine that runs `streams` others, with the
+    // penalty for a pace that misses `needed`; nothing before any pace was observed.
+    std::optional<fractional_milliseconds> stream_cost(const prompt_query& query,
+                                                       std::uint32_t engine, std::size_t streams,
+                                                       fractional_milliseconds needed) const;
     // Additional cost of an engine in another availability zone.
     fractional_milliseconds zone_cost(const prompt_query& query, const endpoint& engine) const;
     // Transfer time of the KV cache entries for this many tokens.
@@ -280,6 +312,8 @@
     fleet_work& m_work;
     engine_costs m_costs;
     prefill_model m_prefill_model;
+    balancing::decode_model m_pace;
+    std::unordered_map<std::uint32_t, balancing::replica_speed> m_time_ratios;
     std::unordered_map<std::string, engine_state> m_engines;
     struct stage_transition {
         engine_stage to = engine_stage::none;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -276,15 +276,17 @@
     }
     if (m_run_first_event == time_point{}) {
         m_answer_timer.cancel();
-        end_prefill();
+        double time_ratio = 0;
+        if (!m_answer_started && m_route->has_prompt && !m_kv_cache) {
+            const auto now = m_host.timers.now();
+            time_ratio = m_host.engines.observed_time_ratio(
+                m_endpoint->report.id, m_plan.prefill_latency, now - m_sent, now);
+        }
+        end_prefill(time_ratio);
     }
     if (!m_answer_started) {
         m_answer_started = true;
         m_begun_status = m_answer->status;
-        if (m_route->has_prompt && !m_kv_cache) {
-            const fractional_milliseconds observed = m_host.timers.now() - m_sent;
-            m_host.engines.record_time(m_endpoint->report.id, m_plan.prefill_latency, observed);
-        }
         m_caller->begin(m_begun_status, m_answer->fields);
     }
     record_event();
@@ -305,6 +307,7 @@
     health_of_endpoint().record_activity(now);
     if (m_run_first_event == time_point{}) {
         m_run_first_event = now;
+        m_run_first_count = m_events.count();
         m_host.crashes.remove_pending(*this);
     }
     else if (now - m_run_first_event >= answer_beginning_time) {
@@ -413,8 +416,8 @@
 
 void exchange::handle_prefill_answer()
 {
-    const fractional_milliseconds observed = m_host.timers.now() - m_sent;
-    end_prefill();
+    const auto now = m_host.timers.now();
+    const fractional_milliseconds observed = now - m_sent;
     if (!is_success(m_answer->status)) {
         handle_prefill_failure();
         return;
@@ -431,18 +434,15 @@
         m_plan.prefix_transfer_time.count(), (m_plan.prefill_latency - m_plan.prefill_time).count(),
         m_plan.prefill_latency.count(), observed.count());
     auto& state = m_host.engines.state(m_endpoint->report.id);
-    state.health.record_success(m_host.timers.now());
-    m_host.engines.record_prefill_time(m_endpoint->report.id, m_plan, observed);
+    state.health.record_success(now);
+    end_prefill(m_host.engines.learn_prefill_time(m_endpoint->report.id, m_plan, observed, now));
     m_kv_cache = prompt_kv_cache{m_address, std::move(*handle)};
     if (reject_if_quarantined()) {
         return;
     }
-    const auto& decode_engine = *m_plan.decode_engine;
-    if (decode_engine.gone || !m_host.accepts_request(decode_engine, true)) {
-        place();
-        return;
-    }
-    send_run(m_plan.decode_engine, m_kv_cache);
+    // Other streams have begun during the prefill, so the decode engine is chosen again. Otherwise
+    // all hosts would choose the same engine until the first of these prefills ends.
+    place();
 }
 
 void exchange::handle_run_answer()
@@ -532,6 +532,7 @@
 
 void exchange::on_caller_blocked()
 {
+    m_caller_was_blocked = true;
     if (m_connection != nullptr) {
         m_connection->pause_reading();
     }
--- a/src/serving/exchange_failures.cpp
+++ b/src/serving/exchange_failures.cpp
@@ -272,10 +272,11 @@
     }
 }
 
-void exchange::end_run_work(const endpoint& at, std::uint64_t decode_work)
+void exchange::end_run_work(const endpoint& at, std::uint64_t decode_work,
+                            fractional_milliseconds event_interval)
 {
     if (decode_work != 0) {
-        m_host.end_work(decode_work);
+        m_host.end_work(decode_work, event_interval.count());
     }
     if (!m_route->has_prompt) {
         auto& in_flight = m_host.replicas.state(at.report.id).in_flight;
@@ -287,7 +288,7 @@
 {
     m_answer_timer.cancel();
     if (m_step == step::running) {
-        end_run_work(*m_endpoint, std::exchange(m_decode_work, 0));
+        end_run_work(*m_endpoint, std::exchange(m_decode_work, 0), observed_event_interval());
     }
     m_step = step::idle;
     m_host.crashes.remove_pending(*this);
--- a/src/serving/exchange_placement.cpp
+++ b/src/serving/exchange_placement.cpp
@@ -75,6 +75,9 @@
     query.excluded_from_decode = &m_other_versions;
     query.pause_objective = m_route->pause_objective;
     query.has_many_events = m_host.events.has_many(m_route->name);
+    query.usual_events = m_host.events.usual(m_route->name);
+    query.long_events = m_host.events.long_response(m_route->name);
+    query.time_left = remaining_time();
     query.can_use_prefill_engine = !m_kv_transfer_attempted && !m_events.last_event_id();
     return query;
 }
@@ -248,11 +251,22 @@
                : 0;
 }
 
-void exchange::end_prefill()
+void exchange::end_prefill(double time_ratio)
 {
     if (m_prefill_work != 0) {
-        m_host.end_work(std::exchange(m_prefill_work, 0));
+        m_host.end_work(std::exchange(m_prefill_work, 0), time_ratio);
     }
 }
 
+fractional_milliseconds exchange::observed_event_interval() const
+{
+    // Fewer intervals say little about the pace of an engine.
+    constexpr std::size_t min_interval_count = 4;
+    const auto count = m_events.count() - std::min(m_run_first_count, m_events.count());
+    if (m_run_first_event == time_point{} || m_caller_was_blocked || count < min_interval_count) {
+        return fractional_milliseconds{0};
+    }
+    return fractional_milliseconds{m_last_event - m_run_first_event} / static_cast<double>(count);
+}
+
 } // namespace cicadaport::serving
--- a/src/serving/exchange_silence.cpp
+++ b/src/serving/exchange_silence.cpp
@@ -134,7 +134,7 @@
         return;
     }
     const auto run = std::exchange(m_silent_run, nullptr)->take();
-    end_run_work(*run.endpoint, run.decode_work);
+    end_run_work(*run.endpoint, run.decode_work, fractional_milliseconds{0});
     run.connection->abandon();
 }
 
--- a/src/serving/fleet_work.cpp
+++ b/src/serving/fleet_work.cpp
@@ -34,10 +34,13 @@
 {
     const bool is_prefill = work.prefill_time > fractional_milliseconds{0};
     auto& items = m_hosts[host];
-    if (!items.emplace(id, item{work.engine, is_prefill, now + stream_ttl}).second) {
+    const auto [added, is_new] =
+        items.emplace(id, item{work.engine, is_prefill, now + stream_ttl, now});
+    if (!is_new) {
         return;
     }
     auto& engine = m_engines[work.engine];
+    added->second.stream_time = count_stream_time(engine, now);
     if (!is_prefill) {
         ++engine.active_streams;
         ++m_active_streams;
@@ -49,22 +52,41 @@
     m_demand_at = now;
 }
 
-void fleet_work::end(host_number host, std::uint64_t id, time_point now)
+fractional_milliseconds fleet_work::count_stream_time(engine_record& of, time_point now)
+{
+    const fractional_milliseconds passed = now - of.counted_until;
+    of.stream_time += static_cast<double>(of.active_streams) * passed;
+    of.counted_until = now;
+    return of.stream_time;
+}
+
+std::optional<ended_work> fleet_work::end(host_number host, std::uint64_t id, time_point now)
 {
     const auto known = m_hosts.find(host);
     if (known == m_hosts.end()) {
-        return;
+        return std::nullopt;
     }
     const auto found = known->second.find(id);
-    if (found != known->second.end()) {
-        remove_item(host, id, found->second, now);
-        known->second.erase(found);
+    if (found == known->second.end()) {
+        return std::nullopt;
     }
+    const auto& which = found->second;
+    ended_work out{which.engine, which.is_prefill, 0};
+    auto& engine = m_engines[which.engine];
+    const fractional_milliseconds time = now - which.began;
+    const auto stream_time = count_stream_time(engine, now) - which.stream_time;
+    out.mean_streams = time > fractional_milliseconds{0}
+                           ? stream_time / time
+                           : static_cast<double>(engine.active_streams);
+    remove_item(host, id, which, now);
+    known->second.erase(found);
+    return out;
 }
 
 void fleet_work::remove_item(host_number host, std::uint64_t id, const item& which, time_point now)
 {
     auto& engine = m_engines[which.engine];
+    count_stream_time(engine, now);
     if (which.is_prefill) {
         engine.queue.remove(item_id(host, id), now);
     }
--- a/src/serving/host_state.cpp
+++ b/src/serving/host_state.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/post.hpp>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace cicadaport::serving {
 namespace {
 
@@ -30,15 +32,37 @@
 void event_counts::learn(const std::string& route, std::size_t events)
 {
     constexpr double smoothing_fraction = 0.1;
+    // The estimate of the quantile rises by nine times as much as it falls, relative to itself, so
+    // that it rests where one of ten responses is longer.
+    constexpr double quantile_rise = 0.09;
+    constexpr double quantile_fall = 0.01;
     const auto count = static_cast<double>(events);
-    const auto [found, added] = m_mean.emplace(route, count);
-    found->second += added ? 0 : smoothing_fraction * (count - found->second);
+    const auto [found, added] = m_routes.try_emplace(route, record{count, count});
+    if (added) {
+        return;
+    }
+    auto& known = found->second;
+    known.mean += smoothing_fraction * (count - known.mean);
+    known.long_response *= count > known.long_response ? 1 + quantile_rise : 1 - quantile_fall;
+    known.long_response = std::max(known.long_response, known.mean);
 }
 
 bool event_counts::has_many(const std::string& route) const
 {
-    const auto found = m_mean.find(route);
-    return found == m_mean.end() || found->second > max_short_response_events;
+    const auto found = m_routes.find(route);
+    return found == m_routes.end() || found->second.mean > max_short_response_events;
+}
+
+double event_counts::usual(const std::string& route) const
+{
+    const auto found = m_routes.find(route);
+    return found == m_routes.end() ? 1 : std::max(found->second.mean, 1.0);
+}
+
+double event_counts::long_response(const std::string& route) const
+{
+    const auto found = m_routes.find(route);
+    return found == m_routes.end() ? 1 : std::max(found->second.long_response, 1.0);
 }
 
 host_state::host_state(boost::asio::io_context& with_context, const wire_format& with_wire,
@@ -294,11 +318,14 @@
     return id;
 }
 
-void host_state::end_work(std::uint64_t id)
+void host_state::end_work(std::uint64_t id, double observed)
 {
-    fleet.end(0, id, timers.now());
+    const auto ended = fleet.end(0, id, timers.now());
+    if (ended) {
+        engines.record_result(*ended, observed, timers.now());
+    }
     if (gossip != nullptr) {
-        gossip->announce_work_end(id);
+        gossip->announce_work_end(id, ended && ended->is_prefill, ended ? observed : 0);
     }
 }
 
--- a/src/serving/peer_gossip.cpp
+++ b/src/serving/peer_gossip.cpp
@@ -30,6 +30,10 @@
 constexpr std::size_t max_stream_count = 64;
 // Prefill times are sent in units of 0.1 ms.
 constexpr double units_per_ms = 10;
+// Time ratios are sent in thousandths. Larger observations are sent as the largest: they are
+// bounded by the time limit of a route.
+constexpr double units_per_ratio = 1'000;
+constexpr double max_observed_units = 1e6;
 
 std::uint32_t to_units(fractional_milliseconds time)
 {
@@ -168,9 +172,12 @@
     schedule_flush();
 }
 
-void peer_gossip::announce_work_end(std::uint64_t id)
+void peer_gossip::announce_work_end(std::uint64_t id, bool is_prefill, double observed)
 {
     m_batch->add_ended(id);
+    m_batch->add_observed(static_cast<std::uint32_t>(
+        std::clamp(std::round(observed * (is_prefill ? units_per_ratio : units_per_ms)), 0.0,
+                   max_observed_units)));
     schedule_flush();
 }
 
@@ -339,6 +346,20 @@
     m_on_page(page);
 }
 
+void peer_gossip::handle_ended_work(const protocol::host_news& gossip, time_point now)
+{
+    // Hosts of an older build send no observations.
+    const bool has_observations = gossip.observed_size() == gossip.ended_size();
+    for (int index = 0; index < gossip.ended_size(); ++index) {
+        const auto ended = m_host.fleet.end(gossip.sender(), gossip.ended(index), now);
+        if (ended && has_observations) {
+            const double units = gossip.observed(index);
+            m_host.engines.record_result(
+                *ended, units / (ended->is_prefill ? units_per_ratio : units_per_ms), now);
+        }
+    }
+}
+
 void peer_gossip::handle_crashes(const protocol::host_news& gossip, time_point now)
 {
     for (const auto& each : gossip.crashes()) {
@@ -537,9 +558,7 @@
         m_host.fleet.begin(sender, each.id(), work, now);
         m_host.engines.record_work(work, now);
     }
-    for (const auto id : gossip.ended()) {
-        m_host.fleet.end(sender, id, now);
-    }
+    handle_ended_work(gossip, now);
     for (const auto& each : gossip.paused()) {
         m_host.engines.begin_stage_change(
             each.engine(), each.to_prefill() ? engine_stage::prefill : engine_stage::decode,
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -11,10 +11,9 @@
 
 constexpr double bits_per_byte = 8;
 constexpr double bits_per_ms_per_mbps = 1'000;
-// Bounds of the time ratio of an engine, and the weight of a new observation.
-constexpr double min_time_ratio = 0.7;
+// Bounds of an observed time ratio. Engines differ in speed up to 2.5 times.
+constexpr double min_time_ratio = 0.4;
 constexpr double max_time_ratio = 8;
-constexpr double observation_weight = 0.2;
 // An engine with a shorter predicted wait counts as idle.
 constexpr fractional_milliseconds max_idle_wait{1};
 
@@ -133,7 +132,7 @@
     out.nominal = time;
     out.tokens = uncached_tokens;
     out.pairs = pairs;
-    out.time = time / speed_ratio * m_engines[engine.report.id].time_ratio;
+    out.time = time / speed_ratio * time_ratio(engine_number(engine.report.id), query.now);
     if (out.is_transferred) {
         out.prefix_transfer_time =
             m_costs.transfer_setup + transfer_time(query, available_tokens - own_tokens);
@@ -215,37 +214,74 @@
             !query.excluded_from_decode->contains(engine.report.id));
 }
 
+fractional_milliseconds engine_placement::needed_interval(const prompt_query& query,
+                                                          fractional_milliseconds delay) const
+{
+    const auto by_pauses = m_costs.pause_objective_fraction * query.pause_objective;
+    if (query.time_left <= fractional_milliseconds{0}) {
+        return by_pauses;
+    }
+    const auto by_time = (query.time_left - delay) / std::max(query.long_events, 1.0);
+    // Once the time is used up, the engines are told apart by their pace alone.
+    return std::clamp(by_time, fractional_milliseconds{1},
+                      std::max(by_pauses, fractional_milliseconds{1}));
+}
+
+std::optional<fractional_milliseconds>
+engine_placement::stream_cost(const prompt_query& query, std::uint32_t engine, std::size_t streams,
+                              fractional_milliseconds needed) const
+{
+    const auto interval = m_pace.interval(engine, static_cast<double>(streams) + 1, query.now);
+    if (!interval) {
+        return std::nullopt;
+    }
+    auto cost = query.usual_events * *interval;
+    if (*interval > needed) {
+        cost += m_costs.missed_pace * std::min(*interval / needed, m_costs.max_missed_pace_ratio);
+    }
+    return cost;
+}
+
 engine_placement::decode_engine_choice
 engine_placement::best_decode_engine(const prompt_query& query, const endpoint& prefill_engine,
-                                     const std::vector<endpoint_pointer>& engines) const
+                                     fractional_milliseconds prefill_latency,
+                                     const std::vector<endpoint_pointer>& engines,
+                                     const std::set<const endpoint*>& decode_only) const
 {
-    const auto decode_only = decode_only_engines(engines);
+    const auto needed = needed_interval(query, prefill_latency);
     const auto transfer = transfer_time(query, query.prompt_tokens);
     decode_engine_choice out{nullptr, unusable_cost};
     for (const auto& each : engines) {
         if (!may_decode(query, *each)) {
             continue;
         }
-        const auto streams = m_work.active_streams(engine_number(each->report.id));
-        auto cost = static_cast<double>(streams) * m_costs.per_stream + zone_cost(query, *each) +
-                    penalty_of(query, *each);
+        const auto number = engine_number(each->report.id);
+        const auto streams = m_work.active_streams(number);
+        const auto stream = stream_cost(query, number, streams, needed);
+        auto cost = stream.value_or(static_cast<double>(streams) * m_costs.per_stream) +
+                    zone_cost(query, *each) + penalty_of(query, *each);
         if (const auto known = m_engines.find(each->report.id); known != m_engines.end()) {
             const auto& state = known->second;
-            const auto pause = state.pause.at(query.now);
-            const auto in_time = m_costs.pause_objective_fraction * query.pause_objective;
             cost += state.decode_start_delay.at(query.now);
-            cost += m_costs.pause_weight * std::max(pause - in_time, fractional_milliseconds{0});
+            if (!stream) {
+                const auto pause = state.pause.at(query.now);
+                const auto in_time = m_costs.pause_objective_fraction * query.pause_objective;
+                cost +=
+                    m_costs.pause_weight * std::max(pause - in_time, fractional_milliseconds{0});
+            }
         }
         const bool near = each->report.availability_zone == prefill_engine.report.availability_zone;
         cost += near ? transfer : 2 * transfer;
-        cost += m_costs.queued_prefill_weight *
-                m_work.wait(engine_number(each->report.id), late_urgency, query.now);
+        cost += m_costs.queued_prefill_weight * m_work.wait(number, late_urgency, query.now);
         if (streams >= each->report.slots) {
             // A running stream would be preempted.
             cost += m_costs.no_free_slot_penalty;
         }
         if (!decode_only.contains(each.get())) {
             cost += m_costs.mixed_engine_penalty;
+            if (stream && query.has_many_events) {
+                cost += m_costs.stalled_stream_penalty;
+            }
         }
         if (cost < out.cost) {
             out = {each, cost};
@@ -258,7 +294,9 @@
 engine_placement::choose_decode_engine(const prompt_query& query, const endpoint& prefill_engine,
                                        const std::vector<endpoint_pointer>& engines)
 {
-    return best_decode_engine(query, prefill_engine, engines).decode_engine;
+    return best_decode_engine(query, prefill_engine, fractional_milliseconds{0}, engines,
+                              decode_only_engines(engines))
+        .decode_engine;
 }
 
 prompt_plan engine_placement::choose(const prompt_query& query,
@@ -287,8 +325,11 @@
             cost += stall_cost;
         }
         if (!is_prefill_engine) {
-            const auto streams = m_work.active_streams(engine_number(each->report.id));
+            const auto number = engine_number(each->report.id);
+            const auto streams = m_work.active_streams(number);
             cost += static_cast<double>(streams) * m_costs.per_stalled_stream;
+            cost += stream_cost(query, number, streams, needed_interval(query, prefill_latency))
+                        .value_or(fractional_milliseconds{0});
         }
         if (cost < (is_prefill_engine ? best_split_cost : best_single_cost)) {
             auto& plan = is_prefill_engine ? split_plan : single_plan;
@@ -307,7 +348,8 @@
     if (!query.can_use_prefill_engine || !split_plan.prefill_engine) {
         return single_plan;
     }
-    const auto choice = best_decode_engine(query, *split_plan.prefill_engine, engines);
+    const auto choice = best_decode_engine(query, *split_plan.prefill_engine,
+                                           split_plan.prefill_latency, engines, decode_only);
     if (!choice.decode_engine) {
         return single_plan;
     }
@@ -363,24 +405,44 @@
     }
 }
 
-void engine_placement::record_prefill_time(const std::string& engine, const prompt_plan& plan,
-                                           fractional_milliseconds observed)
+void engine_placement::record_result(const ended_work& work, double observed, time_point now)
+{
+    if (!(observed > 0)) {
+        return;
+    }
+    if (work.is_prefill) {
+        m_time_ratios[work.engine].record(std::clamp(observed, min_time_ratio, max_time_ratio),
+                                          now);
+    }
+    else {
+        m_pace.record(work.engine, work.mean_streams, fractional_milliseconds{observed}, now);
+    }
+}
+
+double engine_placement::learn_prefill_time(const std::string& engine, const prompt_plan& plan,
+                                            fractional_milliseconds observed, time_point now)
 {
     const auto wait = plan.prefill_latency - plan.prefill_time;
     if (wait < max_idle_wait) {
         m_prefill_model.learn(plan.prefilled_tokens, plan.prefilled_pairs,
                               observed - plan.prefix_transfer_time);
     }
-    record_time(engine, plan.prefill_latency, observed);
+    return observed_time_ratio(engine, plan.prefill_latency, observed, now);
+}
+
+double engine_placement::observed_time_ratio(const std::string& engine,
+                                             fractional_milliseconds predicted,
+                                             fractional_milliseconds observed, time_point now) const
+{
+    const auto seen = time_ratio(engine_number(engine), now) *
+                      (observed / std::max(predicted, fractional_milliseconds{1}));
+    return std::clamp(seen, min_time_ratio, max_time_ratio);
 }
 
-void engine_placement::record_time(const std::string& engine, fractional_milliseconds predicted,
-                                   fractional_milliseconds observed)
+double engine_placement::time_ratio(std::uint32_t engine, time_point now) const
 {
-    auto& time_ratio = m_engines[engine].time_ratio;
-    const auto seen = time_ratio * (observed / std::max(predicted, fractional_milliseconds{1}));
-    time_ratio +=
-        observation_weight * (std::clamp(seen, min_time_ratio, max_time_ratio) - time_ratio);
+    const auto found = m_time_ratios.find(engine);
+    return found == m_time_ratios.end() ? 1 : found->second.value_now(1, now);
 }
 
 endpoint_pointer replica_placement::choose(const std::vector<endpoint_pointer>& replicas,
--- a/test/platform/feed_follower_test.cpp
+++ b/test/platform/feed_follower_test.cpp
@@ -23,7 +23,7 @@
 class other_hosts final : public serving::gossip_sender {
 public:
     void announce_work_start(std::uint64_t, const serving::engine_work&) override {}
-    void announce_work_end(std::uint64_t) override {}
+    void announce_work_end(std::uint64_t, bool, double) override {}
     void announce_page(const shared_page& page) override { announced.push_back(page); }
     std::size_t peer_count() const noexcept override { return 5; }
     std::uint64_t cell_count() const noexcept override { return 1; }
--- a/test/serving/placement_test.cpp
+++ b/test/serving/placement_test.cpp
@@ -218,7 +218,9 @@
         query.prompt_tokens = prompt.front().tokens;
         const auto plan = placement.choose(query, engines);
         ASSERT_NE(plan.prefill_engine, nullptr);
-        placement.record_prefill_time(plan.prefill_engine->report.id, plan, observed(plan));
+        const auto& id = plan.prefill_engine->report.id;
+        const auto ratio = placement.learn_prefill_time(id, plan, observed(plan), start);
+        placement.record_result({engine_number(id), true, 0}, ratio, start);
     }
     prompt = {{999, 30'000}};
     query.prompt_tokens = 30'000;
@@ -315,6 +317,100 @@
     EXPECT_GT(placement.decode_only_engines(engines).size(), before);
 }
 
+// Engines of deployment A: d0 and d1 run at 1.7 times the usual speed, the others at 0.7 times.
+class uneven_engines_test : public engine_placement_test {
+protected:
+    uneven_engines_test()
+    {
+        for (auto& each : engines) {
+            each->report.slots = 128;
+        }
+        query.pause_objective = 400ms;
+        query.usual_events = 35;
+        query.long_events = 60;
+        query.time_left = 9s;
+        for (int count = 0; count < 400; ++count) {
+            for (int index = 0; index < 6; ++index) {
+                const double streams = 20 + (count * 7 + index) % 60;
+                placement.record_result(
+                    {engine_number("d" + std::to_string(index)), false, streams},
+                    interval(index, streams), query.now);
+            }
+            query.now += 50ms;
+        }
+    }
+
+    static double interval(int index, double streams)
+    {
+        return 11 * (3.41 + 0.097 * streams) / (index < 2 ? 1.7 : 0.7);
+    }
+
+    void add_stream(const std::string& id)
+    {
+        engine_work work;
+        work.engine = engine_number(id);
+        fleet.begin(0, ++last, work, query.now);
+    }
+
+    std::size_t streams_of(int index) const
+    {
+        return fleet.active_streams(engine_number("d" + std::to_string(index)));
+    }
+};
+
+// With a cost for each stream but none for the pace, slow engines got as many streams as fast ones,
+// and their streams did not complete in time.
+TEST_F(uneven_engines_test, no_engine_gets_more_streams_than_it_carries_at_the_needed_pace)
+{
+    for (int count = 0; count < 250; ++count) {
+        add_stream(placement.choose_decode_engine(query, *engines.front(), engines)->report.id);
+    }
+    for (int index = 0; index < 6; ++index) {
+        const auto predicted = interval(index, static_cast<double>(streams_of(index)));
+        EXPECT_LE(predicted * query.long_events, 1.2 * query.time_left.count()) << index;
+    }
+    EXPECT_GT(streams_of(0), 2 * streams_of(5));
+}
+
+TEST_F(uneven_engines_test, a_response_that_only_fast_engines_complete_in_time_goes_to_one)
+{
+    // The fast engines run more streams than the slow ones.
+    for (int count = 0; count < 60; ++count) {
+        for (int index = 0; index < 6; ++index) {
+            if (index < 2 || count < 45) {
+                add_stream("d" + std::to_string(index));
+            }
+        }
+    }
+    const auto chosen = placement.choose_decode_engine(query, *engines.front(), engines);
+    EXPECT_TRUE(chosen->report.id == "d0" || chosen->report.id == "d1") << chosen->report.id;
+}
+
+TEST_F(uneven_engines_test, the_prefill_speed_that_another_host_observed_is_used)
+{
+    for (int count = 0; count < 20; ++count) {
+        placement.record_result({engine_number("p0"), true, 0}, 1.6, query.now);
+        placement.record_result({engine_number("p1"), true, 0}, 1.6, query.now);
+        placement.record_result({engine_number("p2"), true, 0}, 0.6, query.now);
+    }
+    EXPECT_EQ(placement.choose(query, engines).prefill_engine->report.id, "p2");
+    EXPECT_LT(placement.time_ratio(engine_number("p2"), query.now), 0.7);
+}
+
+TEST(fleet_work_test, reports_the_mean_number_of_streams_during_a_stream)
+{
+    fleet_work fleet;
+    engine_work work;
+    work.engine = 1;
+    fleet.begin(0, 1, work, start);
+    fleet.begin(0, 2, work, start + 1s);
+    fleet.end(0, 2, start + 3s);
+    const auto ended = fleet.end(0, 1, start + 4s);
+    ASSERT_TRUE(ended);
+    EXPECT_DOUBLE_EQ(ended->mean_streams, 1.5);
+    EXPECT_FALSE(fleet.end(0, 1, start + 4s)) << "it has ended already";
+}
+
 TEST(replica_placement_test, stays_in_its_availability_zone_while_there_are_free_slots)
 {
     replica_placement placement;
