serving: decode capacity by pace, fast engines decode, late streams are refused

Cause: stage division counted slots (128 on deployment A) although a slow engine carries about 70 streams at the pace that they need, and orders to prefill took fast engines as readily as slow ones. Prompts were accepted whose stream could not end before the time limit of the route. Change: stage_view.slots is at most the number of streams that decode engines carry at the needed pace. Engines 1.3 times as fast as the average count as fast: the first to only decode, the last to be ordered to prefill, the first to be ordered to decode. can_be_served also asks whether first event plus a usual response fit into the time left; order_sent tells whether the engine is fast. Engines of equal speed: no engine counts as fast with noise of 30% per observation (test). Conclusion: no exchange of engines between stages while the numbers suffice; that is not built.

--- a/include/cicadaport/balancing/decode_model.h
+++ b/include/cicadaport/balancing/decode_model.h
@@ -40,15 +40,21 @@
     std::optional<double> streams_at(std::uint32_t engine, fractional_milliseconds interval,
                                      time_point now) const;
 
-    // Returns the speed of the engine relative to the average; 1 if it is not known.
-    double speed(std::uint32_t engine, time_point now) const;
+    // Speed relative to the average above which an engine counts as fast. Prefill between the steps
+    // and noise make engines of equal speed differ by less.
+    static constexpr double fast_speed = 1.3;
+
+    // Returns the speed of the engine relative to that of an average engine; nothing if it was not
+    // observed. Unlike a prediction it does not fade: the speed is that of the hardware.
+    std::optional<double> speed(std::uint32_t engine) const;
+    bool is_fast(std::uint32_t engine) const { return speed(engine).value_or(1) >= fast_speed; }
 
     double load_factor() const noexcept { return m_load_factor; }
 
     // Returns the estimate of the engine's idle interval in milliseconds, or null.
     const replica_speed* find(std::uint32_t engine) const;
 
-    void forget(std::uint32_t engine) { m_engines.erase(engine); }
+    void forget(std::uint32_t engine);
 
 private:
     struct record_of_engine {
@@ -66,6 +72,8 @@
     std::unordered_map<std::uint32_t, record_of_engine> m_engines;
     // Idle interval common to all engines, in milliseconds; 0 before the first observation.
     double m_common_interval = 0;
+    // Sum of the idle intervals of all engines.
+    double m_total_interval = 0;
     double m_observation_count = 0;
     double m_load_factor = initial_load_factor;
     // Sums over observations, with newer ones weighted more: squared differences of the number of
--- a/include/cicadaport/serving/deployment.h
+++ b/include/cicadaport/serving/deployment.h
@@ -104,6 +104,7 @@
 
     std::uint64_t version() const noexcept { return m_version; }
     const caller_limits& limits() const noexcept { return m_limits; }
+    const std::vector<route>& routes() const noexcept { return m_routes; }
 
     // Returns the route of `host` with the longest prefix that matches `path`, or null.
     const route* find_route(std::string_view host, std::string_view path) const;
--- a/include/cicadaport/serving/late_admission.h
+++ b/include/cicadaport/serving/late_admission.h
@@ -26,6 +26,10 @@
     fractional_milliseconds first_event{0};
     // How long the client waits for the first event before it disconnects.
     fractional_milliseconds patience{0};
+    // Predicted time from the first event to the end of a usual response, and the time from now at
+    // which the response must be complete; 0 if they are not known.
+    fractional_milliseconds stream_time{0};
+    fractional_milliseconds time_left{0};
 };
 
 class late_admission {
@@ -41,10 +45,13 @@
     // Records the predicted prefill time of a prompt on a route.
     void record_prefill_time(const std::string& route, fractional_milliseconds prefill_time);
 
-    // Returns whether an engine can send the first event before the client disconnects.
+    // Returns whether an engine can send the first event before the client disconnects, and a usual
+    // response before the request's time is over.
     static bool can_be_served(const prompt_prediction& prompt) noexcept
     {
-        return prompt.first_event <= usable_fraction * prompt.patience;
+        const bool completes = prompt.time_left <= fractional_milliseconds{0} ||
+                               prompt.first_event + prompt.stream_time <= prompt.time_left;
+        return completes && prompt.first_event <= usable_fraction * prompt.patience;
     }
 
     // Returns whether a prompt that will miss its latency objective is admitted.
--- a/include/cicadaport/serving/placement.h
+++ b/include/cicadaport/serving/placement.h
@@ -131,8 +131,10 @@
     double prefilled_pairs = 0;
     // Time within `prefill_time` for transferring the prompt prefix.
     fractional_milliseconds prefix_transfer_time{0};
-    // Time from now to the first event.
+    // Time from now to the first event, and from there to the end of a usual response; the latter
+    // is 0 before any pace was observed.
     fractional_milliseconds first_event{0};
+    fractional_milliseconds stream_time{0};
     // Urgency of the request at the engines.
     std::uint32_t urgency = 0;
 };
@@ -182,8 +184,8 @@
     {
     }
 
-    // Returns the decode engines that only decode. The result is the same on all hosts
-    // that know of the same work.
+    // Returns the decode engines that only decode: fast ones before the others. The result is the
+    // same on all hosts that know of the same work and the same speeds.
     std::set<const endpoint*>
     decode_only_engines(const std::vector<endpoint_pointer>& engines) const;
 
@@ -222,6 +224,12 @@
     // regard to its speed.
     double time_ratio(std::uint32_t engine, time_point now) const;
 
+    // Returns whether the engine is known to be faster than most, from its streams or, if it had
+    // none, from its prefill times.
+    bool is_fast(std::uint32_t engine) const;
+    // Returns how many streams the engine runs at the pace that the query needs, at most its slots.
+    double stream_capacity(const prompt_query& query, const endpoint& engine) const;
+
     const prefill_model& model() const noexcept { return m_prefill_model; }
     const balancing::decode_model& pace() const noexcept { return m_pace; }
 
@@ -290,6 +298,8 @@
     // Returns the interval between events that a stream needs which begins after `delay`.
     fractional_milliseconds needed_interval(const prompt_query& query,
                                             fractional_milliseconds delay) const;
+    // Returns the predicted time of a usual response on an engine; 0 before any pace was observed.
+    fractional_milliseconds stream_time(const prompt_query& query, const endpoint& engine) const;
     // Returns the predicted time of a stream on an engine that runs `streams` others, with the
     // penalty for a pace that misses `needed`; nothing before any pace was observed.
     std::optional<fractional_milliseconds> stream_cost(const prompt_query& query,
--- a/include/cicadaport/serving/stage_director.h
+++ b/include/cicadaport/serving/stage_director.h
@@ -52,6 +52,8 @@
     using change_pointer = std::shared_ptr<change>;
 
     void evaluate();
+    // Returns a query with the pace that the streams of a service need at most.
+    prompt_query longest_stream_of(const std::string& service) const;
     stage_view view_of(const std::string& service);
     // Returns the stage to which the engine is changing, or else its present stage.
     engine_stage stage_of(const endpoint& engine) const;
--- a/src/balancing/decode_model.cpp
+++ b/src/balancing/decode_model.cpp
@@ -30,7 +30,9 @@
     auto& known = m_engines[engine];
     learn_load_factor(known, streams, observed);
     const auto idle = observed / (1 + m_load_factor * streams);
+    m_total_interval -= known.idle_interval.value();
     known.idle_interval.record(idle, now);
+    m_total_interval += known.idle_interval.value();
     m_observation_count = std::min(m_observation_count + 1, max_common_count);
     m_common_interval += (idle - m_common_interval) / m_observation_count;
 }
@@ -86,9 +88,22 @@
     return std::max(ratio - 1, 0.0) / std::max(m_load_factor, min_load_factor);
 }
 
-double decode_model::speed(std::uint32_t engine, time_point now) const
+std::optional<double> decode_model::speed(std::uint32_t engine) const
 {
-    return m_observation_count == 0 ? 1 : m_common_interval / idle_interval(engine, now);
+    const auto* const known = find(engine);
+    if (known == nullptr) {
+        return std::nullopt;
+    }
+    return m_total_interval / static_cast<double>(m_engines.size()) / known->value();
+}
+
+void decode_model::forget(std::uint32_t engine)
+{
+    const auto found = m_engines.find(engine);
+    if (found != m_engines.end()) {
+        m_total_interval -= found->second.idle_interval.value();
+        m_engines.erase(found);
+    }
 }
 
 const replica_speed* decode_model::find(std::uint32_t engine) const
--- a/src/serving/exchange_placement.cpp
+++ b/src/serving/exchange_placement.cpp
@@ -133,6 +133,8 @@
     prompt.wait = m_plan.prefill_latency - m_plan.prefill_time;
     prompt.prefill_time = m_plan.prefill_time;
     prompt.first_event = m_plan.first_event;
+    prompt.stream_time = m_plan.stream_time;
+    prompt.time_left = remaining_time();
     prompt.patience = std::min<fractional_milliseconds>(
         remaining_time(), m_arrived + m_route->caller_patience - query.now);
     m_host.late.record_prefill_time(m_route->name, prompt.prefill_time);
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -26,15 +26,18 @@
 constexpr double failure_cost = 4;
 constexpr double last_resort_cost = 1'000;
 
-// Returns the engines for which `fits` is true, in the same order on all hosts.
+// Returns the engines for which `fits` is true, in the same order on all hosts: those that are fast
+// according to `pace` first.
 template <typename Fits>
 std::vector<const endpoint*> in_common_order(const std::vector<endpoint_pointer>& engines,
-                                             Fits fits)
+                                             const balancing::decode_model& pace, Fits fits)
 {
-    std::vector<std::pair<std::uint64_t, const endpoint*>> ordered;
+    std::vector<std::pair<std::pair<bool, std::uint64_t>, const endpoint*>> ordered;
+    ordered.reserve(engines.size());
     for (const auto& each : engines) {
         if (fits(*each)) {
-            ordered.emplace_back(hash_number(engine_number(each->report.id)), each.get());
+            const auto number = engine_number(each->report.id);
+            ordered.emplace_back(std::pair{!pace.is_fast(number), hash_number(number)}, each.get());
         }
     }
     std::sort(ordered.begin(), ordered.end());
@@ -150,8 +153,9 @@
 std::set<const endpoint*>
 engine_placement::decode_only_engines(const std::vector<endpoint_pointer>& engines) const
 {
-    const auto decoding = in_common_order(
-        engines, [](const endpoint& each) { return each.report.stage != engine_stage::prefill; });
+    const auto decoding = in_common_order(engines, m_pace, [](const endpoint& each) {
+        return each.report.stage != engine_stage::prefill;
+    });
     double slots = 1;
     for (const auto* each : decoding) {
         slots = std::max<double>(slots, each->report.slots);
@@ -227,6 +231,15 @@
                       std::max(by_pauses, fractional_milliseconds{1}));
 }
 
+fractional_milliseconds engine_placement::stream_time(const prompt_query& query,
+                                                      const endpoint& engine) const
+{
+    const auto number = engine_number(engine.report.id);
+    const auto streams = static_cast<double>(m_work.active_streams(number)) + 1;
+    return query.usual_events *
+           m_pace.interval(number, streams, query.now).value_or(fractional_milliseconds{0});
+}
+
 std::optional<fractional_milliseconds>
 engine_placement::stream_cost(const prompt_query& query, std::uint32_t engine, std::size_t streams,
                               fractional_milliseconds needed) const
@@ -345,6 +358,9 @@
             plan.first_event = prefill_latency + distance + m_costs.first_event;
         }
     }
+    if (single_plan.decode_engine) {
+        single_plan.stream_time = stream_time(query, *single_plan.decode_engine);
+    }
     if (!query.can_use_prefill_engine || !split_plan.prefill_engine) {
         return single_plan;
     }
@@ -354,6 +370,7 @@
         return single_plan;
     }
     split_plan.decode_engine = choice.decode_engine;
+    split_plan.stream_time = stream_time(query, *choice.decode_engine);
     split_plan.first_event +=
         transfer_time(query, query.prompt_tokens) + m_costs.kv_transfer_overhead;
     const auto split_cost = best_split_cost + choice.cost + m_costs.kv_transfer_overhead;
@@ -439,6 +456,32 @@
     return std::clamp(seen, min_time_ratio, max_time_ratio);
 }
 
+bool engine_placement::is_fast(std::uint32_t engine) const
+{
+    if (m_pace.find(engine) != nullptr) {
+        return m_pace.is_fast(engine);
+    }
+    const auto known = m_time_ratios.find(engine);
+    if (known == m_time_ratios.end()) {
+        return false;
+    }
+    double sum = 0;
+    for (const auto& each : m_time_ratios) {
+        sum += each.second.value();
+    }
+    const auto mean = sum / static_cast<double>(m_time_ratios.size());
+    return mean >= balancing::decode_model::fast_speed * known->second.value();
+}
+
+double engine_placement::stream_capacity(const prompt_query& query, const endpoint& engine) const
+{
+    const auto needed = needed_interval(query, fractional_milliseconds{0});
+    const double slots = engine.report.slots;
+    return std::min(
+        slots,
+        m_pace.streams_at(engine_number(engine.report.id), needed, query.now).value_or(slots));
+}
+
 double engine_placement::time_ratio(std::uint32_t engine, time_point now) const
 {
     const auto found = m_time_ratios.find(engine);
--- a/src/serving/stage_director.cpp
+++ b/src/serving/stage_director.cpp
@@ -73,15 +73,51 @@
     return m_ledger.changing_to(engine.report.id, now) || m_host.engines.changing_to(engine, now);
 }
 
+prompt_query stage_director::longest_stream_of(const std::string& service) const
+{
+    prompt_query out;
+    out.now = m_host.timers.now();
+    out.pause_objective = milliseconds::max();
+    auto interval = fractional_milliseconds::max();
+    for (const auto& each : m_host.deployed->routes()) {
+        const bool serves =
+            std::any_of(each.shares.begin(), each.shares.end(),
+                        [&](const auto& share) { return share.service == service; });
+        if (!each.has_prompt || !serves || !m_host.events.has_many(each.name)) {
+            continue;
+        }
+        out.pause_objective =
+            std::min<fractional_milliseconds>(out.pause_objective, each.pause_objective);
+        const auto events = m_host.events.long_response(each.name);
+        const auto longest = fractional_milliseconds{each.time_limit - each.latency_objective} /
+                             std::max(events, 1.0);
+        if (longest < interval) {
+            interval = longest;
+            out.time_left = each.time_limit - each.latency_objective;
+            out.long_events = events;
+        }
+    }
+    return out;
+}
+
 stage_view stage_director::view_of(const std::string& service)
 {
     stage_view out;
     const auto now = m_host.timers.now();
+    const auto query = longest_stream_of(service);
+    double streams = 0;
     for (const auto& each : m_host.engines_of(service)) {
         const auto stage = stage_of(*each);
         out.prefill += stage == engine_stage::prefill ? 1 : 0;
-        out.decode += stage == engine_stage::decode ? 1 : 0;
         out.slots = std::max<double>(out.slots, each->report.slots);
+        if (stage == engine_stage::decode) {
+            ++out.decode;
+            streams += m_host.engines.stream_capacity(query, *each);
+        }
+    }
+    if (out.decode > 0) {
+        // Streams beyond the pace that they need are lost, as if the engine had no slot for them.
+        out.slots = std::min(out.slots, std::max(streams / static_cast<double>(out.decode), 1.0));
     }
     out.prefill_load = m_host.fleet.prefill_demand(now);
     out.active_streams = static_cast<double>(m_host.fleet.active_streams());
@@ -166,6 +202,10 @@
                     m_host.fleet.wait(number, late_urgency, now).count();
         constexpr double decode_only_cost = 1e6;
         cost += decode_only.contains(each.get()) ? decode_only_cost : 0;
+        // More than the streams and the wait in milliseconds of an engine that is not overloaded.
+        constexpr double misplaced_cost = 1e4;
+        const bool wants_fast = wanted.to == engine_stage::decode;
+        cost += m_host.engines.is_fast(number) == wants_fast ? 0 : misplaced_cost;
         candidates.push_back({each, cost});
     }
     const auto max_concurrent_changes =
@@ -249,8 +289,9 @@
             spdlog::warn("order_not_sent engine={} token={}", each.engine, each.fencing_token);
             continue;
         }
-        spdlog::info("order_sent engine={} to={} token={} expected={}", each.engine,
-                     to_string(each.to), each.fencing_token, each.expected_orders);
+        spdlog::info("order_sent engine={} to={} token={} expected={} fast={}", each.engine,
+                     to_string(each.to), each.fencing_token, each.expected_orders,
+                     m_host.engines.is_fast(engine_number(each.engine)));
         const auto* configured = m_host.deployed->find_service(current->service);
         const auto pause = drain_time + (configured != nullptr && configured->engines
                                              ? configured->engines->switch_time
--- a/test/balancing/decode_model_test.cpp
+++ b/test/balancing/decode_model_test.cpp
@@ -46,7 +46,8 @@
 {
     EXPECT_FALSE(model.interval(1, 10, now));
     EXPECT_FALSE(model.streams_at(1, 100ms, now));
-    EXPECT_EQ(model.speed(1, now), 1);
+    EXPECT_FALSE(model.speed(1));
+    EXPECT_FALSE(model.is_fast(1));
 }
 
 TEST_F(decode_model_test, learns_the_pace_of_fast_and_slow_engines_at_any_number_of_streams)
@@ -59,7 +60,7 @@
                 << engine << " with " << streams;
         }
     }
-    EXPECT_GT(model.speed(0, now), 2 * model.speed(11, now));
+    EXPECT_GT(*model.speed(0), 2 * *model.speed(11));
 }
 
 TEST_F(decode_model_test, a_hiccup_does_not_make_an_engine_slow)
@@ -101,6 +102,31 @@
     EXPECT_EQ(*model.streams_at(11, 1ms, now), 0) << "an engine can't be faster than when idle";
 }
 
+TEST_F(decode_model_test, tells_fast_engines_from_slow_ones_long_after_they_were_observed)
+{
+    observe(20s);
+    for (std::uint32_t engine = 0; engine < 12; ++engine) {
+        EXPECT_EQ(model.is_fast(engine), engine < 4) << engine;
+    }
+    model.forget(0);
+    EXPECT_FALSE(model.is_fast(0));
+    EXPECT_TRUE(model.is_fast(1));
+}
+
+// Otherwise a fleet of equal engines would be divided by noise.
+TEST_F(decode_model_test, no_engine_of_equal_ones_counts_as_fast)
+{
+    for (int count = 0; count < 2'000; ++count) {
+        const double streams = std::uniform_real_distribution<>{5, 60}(random);
+        const double noise = std::uniform_real_distribution<>{0.7, 1.3}(random);
+        model.record(count % 12, streams, noise * true_interval(streams, 1), now);
+        now += 10ms;
+        for (std::uint32_t engine = 0; engine < 12 && count > 200; ++engine) {
+            ASSERT_FALSE(model.is_fast(engine)) << engine << " after " << count;
+        }
+    }
+}
+
 TEST_F(decode_model_test, ignores_values_that_are_not_times)
 {
     model.record(1, 1, fractional_milliseconds{-1}, now);
--- a/test/serving/late_admission_test.cpp
+++ b/test/serving/late_admission_test.cpp
@@ -25,6 +25,19 @@
     EXPECT_TRUE(admission.admits(route, prompt(0ms, patience / 2)));
 }
 
+// Streams that could not complete before the time limit of their route were begun and then cut.
+TEST(late_admission_test, a_prompt_whose_response_completes_too_late_is_rejected)
+{
+    auto late = prompt(100ms, 100ms);
+    late.stream_time = 9s;
+    late.time_left = 9'100ms;
+    EXPECT_FALSE(late_admission::can_be_served(late));
+    late.time_left = 9'300ms;
+    EXPECT_TRUE(late_admission::can_be_served(late));
+    late.time_left = 0ms;
+    EXPECT_TRUE(late_admission::can_be_served(late)) << "the time is not limited";
+}
+
 TEST(late_admission_test, the_bound_on_the_wait_leaves_time_for_the_largest_prompts_of_the_route)
 {
     late_admission admission;
--- a/test/serving/placement_test.cpp
+++ b/test/serving/placement_test.cpp
@@ -386,6 +386,39 @@
     EXPECT_TRUE(chosen->report.id == "d0" || chosen->report.id == "d1") << chosen->report.id;
 }
 
+TEST_F(uneven_engines_test, fast_engines_are_the_first_to_only_decode)
+{
+    const auto decode_only = placement.decode_only_engines(engines);
+    for (const auto& each : engines) {
+        const auto& id = each->report.id;
+        if (id == "d0" || id == "d1") {
+            EXPECT_TRUE(decode_only.contains(each.get())) << id;
+        }
+    }
+    EXPECT_TRUE(placement.is_fast(engine_number("d0")));
+    EXPECT_FALSE(placement.is_fast(engine_number("d2")));
+}
+
+TEST_F(uneven_engines_test, the_decode_capacity_is_what_an_engine_carries_at_the_needed_pace)
+{
+    const auto fast = placement.stream_capacity(query, *engines.at(3));
+    const auto slow = placement.stream_capacity(query, *engines.at(5));
+    EXPECT_EQ(fast, 128) << "its slots are the limit";
+    EXPECT_LT(slow, 100);
+    EXPECT_GT(slow, 30);
+}
+
+TEST_F(uneven_engines_test, a_prefill_engine_is_fast_by_its_prefill_times)
+{
+    for (int count = 0; count < 20; ++count) {
+        placement.record_result({engine_number("p0"), true, 0}, 1.4, query.now);
+        placement.record_result({engine_number("p1"), true, 0}, 1.4, query.now);
+        placement.record_result({engine_number("p2"), true, 0}, 0.6, query.now);
+    }
+    EXPECT_TRUE(placement.is_fast(engine_number("p2")));
+    EXPECT_FALSE(placement.is_fast(engine_number("p0")));
+}
+
 TEST_F(uneven_engines_test, the_prefill_speed_that_another_host_observed_is_used)
 {
     for (int count = 0; count < 20; ++count) {
