--- a/include/cicadaport/serving/deployment.h
+++ b/include/cicadaport/serving/deployment.h
@@ -109,6 +109,7 @@
 
     std::uint64_t version() const noexcept { return m_version; }
     const caller_limits& limits() const noexcept { return m_limits; }
+    const std::vector<route>& routes() const noexcept { return m_routes; }
 
     // Returns the accounts and their keys; null if callers need no key.
     const accounts::key_set* keys() const noexcept { return m_keys.get(); }
