serving: bounds what one caller's connection makes the host hold and do

Cause: each request was within its limits and their number was not bounded. The host read on while it answered, parsed heads were not counted (a line of 4 bytes takes 65), and a connection was served until its input was used up. Change: one request of a connection in each turn of the event loop. Parsed heads and received bytes count in memory_budget; a head of 64 KB or more that does not fit gets 503 with Retry-After and has not run. Reading pauses above limits.pipelined-bytes, above limits.unread-answer-bytes, and for what is pipelined while more than half of the budget is held. limits.header-lines bounds the lines of a head (431). A request that gets 400 closes its connection.

--- a/include/cicadaport/serving/caller_connection.h
+++ b/include/cicadaport/serving/caller_connection.h
@@ -59,17 +59,29 @@
     void begin(unsigned status, const http::field_list& fields) override;
     void write(std::string_view piece) override;
     void finish() override;
+    void close_after_answer() override;
     void cut() override;
     std::size_t unsent() const override { return m_connection->unsent(); }
 
     std::string memory_fields() const override;
     void release_memory() override;
 
-    // Returns whether the next request may be read: the last one was answered, and its caller has
+    // Returns whether input may be read as a request: the last one was answered, and its caller has
     // taken most of the answer.
-    bool can_read_requests() const noexcept;
-    void read_requests();
+    bool can_read_request() const noexcept;
+    // Reads at most one request, so that the event loop serves other connections before the next.
+    void read_request();
+    // Pauses reading while what has arrived can't be used yet, else resumes it.
+    void update_reading();
+    void log_paused_reading(std::string_view reason);
     void reject_message();
+    // Refuses the request whose head has arrived, because what it takes in memory is not available.
+    void reject_for_memory();
+    void refuse_for_memory();
+    // Returns the bytes that are held for requests that are not being answered.
+    std::size_t request_bytes() const noexcept;
+    // Records how many bytes the connection holds.
+    void update_memory();
     // Answers a request that has not arrived whole, and closes the connection.
     void reject_unfinished(unsigned status, std::string_view reason,
                            const http::field_list& fields = {});
@@ -102,6 +114,8 @@
     transport::message_reader m_reader;
     peer m_from;
     std::string m_body;
+    // Bytes of memory that the fields of the request take that is being read.
+    std::size_t m_head_bytes = 0;
     // Bytes of the request that is being read.
     memory_budget::reservation m_memory;
     std::shared_ptr<exchange> m_exchange;
@@ -111,6 +125,7 @@
     // When the connection began to wait for the next request.
     time_point m_waiting_since{};
     bool m_closing = false;
+    bool m_pause_reported = false;
     bool m_request_started = false;
     // The phase of the request whose timeout is set.
     read_phase m_timed_phase = read_phase::idle;
--- a/include/cicadaport/serving/caller_port.h
+++ b/include/cicadaport/serving/caller_port.h
@@ -22,6 +22,10 @@
     virtual void write(std::string_view piece) = 0;
     virtual void finish() = 0;
 
+    // Closes the connection once the answer that follows has been sent. For a request that can't be
+    // used: what its caller sends next is unlikely to be better.
+    virtual void close_after_answer() = 0;
+
     // Aborts an answer that has begun, so that the caller sees that it is incomplete.
     virtual void cut() = 0;
 
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -69,6 +69,8 @@
 
     // Records how many bytes the exchange holds.
     void update_memory();
+    // Returns how many bytes the caller's request takes.
+    std::size_t request_bytes() const noexcept { return m_head.memory_bytes + m_body.capacity(); }
     bool find_route();
     // Refuses the request if the host is stopping and may end before the answer. Returns whether
     // the request may be sent on.
--- a/include/cicadaport/serving/host_process.h
+++ b/include/cicadaport/serving/host_process.h
@@ -58,6 +58,8 @@
     // deployment does not limit them.
     std::optional<std::uint64_t> max_memory;
     std::optional<std::uint32_t> max_descriptors;
+    // What one connection of a caller may make the host hold.
+    connection_bounds caller_bounds;
     // Empty if the platform offers no interface for duties.
     std::optional<duty_settings> duties;
     // Number of partitions of a topic in the platform's store.
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "cicadaport/serving/attempt_budget.h"
+#include "cicadaport/serving/connection_bounds.h"
 #include "cicadaport/serving/crash_monitor.h"
 #include "cicadaport/serving/late_admission.h"
 #include "cicadaport/serving/line_budget.h"
@@ -75,6 +76,7 @@
     std::uint64_t retries = 0;
     std::uint64_t handed_over = 0;
     std::uint64_t relayed = 0;
+    caller_counts callers;
 };
 
 // Calls to the platform's store, for logs and metrics.
@@ -182,6 +184,9 @@
     line_budget reachability_log_budget;
     // For log lines about connections that were ended or refused at their limit.
     line_budget connection_log_budget;
+    // For log lines about callers that send more than they may.
+    line_budget caller_log_budget;
+    connection_bounds caller_bounds;
     attempt_budget budget;
     fleet_work fleet;
     engine_placement engines;
--- a/include/cicadaport/serving/memory_budget.h
+++ b/include/cicadaport/serving/memory_budget.h
@@ -90,6 +90,15 @@
     std::uint64_t held() const noexcept { return m_held; }
     bool is_exceeded() const noexcept { return m_held > m_limit; }
 
+    // Returns whether `bytes` more may be held by a new holder. Always true for a small one.
+    bool admits(std::size_t bytes) const noexcept
+    {
+        return bytes < min_releasable_bytes || m_held + bytes <= m_limit;
+    }
+
+    // Returns whether so much is held that peers should be made to wait rather than to send on.
+    bool is_scarce() const noexcept { return m_held > m_limit / 2; }
+
     // Returns the largest of the holders that may be ended; null if there is none.
     const reservation* largest() const noexcept;
 
--- a/include/cicadaport/transport/message_reader.h
+++ b/include/cicadaport/transport/message_reader.h
@@ -10,6 +10,7 @@
 #include "cicadaport/http/message.h"
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -23,6 +24,8 @@
     // Also bounds the extensions of one chunk and the trailer.
     std::uint32_t head_bytes = 32 * 1024;
     std::uint64_t body_bytes = 64ULL * 1024 * 1024;
+    // Header fields of one head. Each takes more memory than its bytes.
+    std::uint32_t head_lines = std::numeric_limits<std::uint32_t>::max();
 };
 
 // The start line and the header fields of a message.
@@ -33,9 +36,11 @@
     // Set for responses only.
     unsigned status = 0;
     http::field_list fields;
+    // Bytes of memory that the fields take, of which a short line has many times its length.
+    std::size_t memory_bytes = 0;
 };
 
-enum class parse_problem { none, malformed, head_too_large, body_too_large };
+enum class parse_problem { none, malformed, head_too_large, too_many_lines, body_too_large };
 
 class message_reader {
 public:
--- a/include/cicadaport/transport/tcp_connection.h
+++ b/include/cicadaport/transport/tcp_connection.h
@@ -66,8 +66,9 @@
     std::string_view input() const noexcept;
     void consume(std::size_t count) noexcept;
 
-    // Calls `on_input()` from the event loop for bytes that were not consumed. Like every call of
-    // the observer it does not come after `close()` or `abort()`.
+    // Calls `on_input()` from the event loop for bytes that were not consumed, once until then also
+    // if further bytes arrive. Like every call of the observer it does not come after `close()` or
+    // `abort()`.
     void report_input_later();
 
     // Returns whether bytes have arrived that were not consumed yet, also if they were not read.
@@ -128,6 +129,7 @@
     std::string m_sending;
     std::string m_queued;
     bool m_paused = false;
+    bool m_report_pending = false;
     bool m_leaves_unread = false;
     bool m_waiting = false;
     bool m_connected = false;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -95,6 +95,7 @@
         m_metadata = m_host.wire.read_request(m_head);
     }
     catch (const invalid_request& error) {
+        m_caller->close_after_answer();
         fail(status_bad_request, error.what());
         return false;
     }
--- a/src/serving/exchange_failures.cpp
+++ b/src/serving/exchange_failures.cpp
@@ -27,9 +27,9 @@
 }
 
 // Returns whether more of the `held` bytes were received from the endpoint than from the caller.
-bool is_mostly_answer(std::size_t held, std::size_t body) noexcept
+bool is_mostly_answer(std::size_t held, std::size_t request) noexcept
 {
-    return held > 2 * body;
+    return held > 2 * request;
 }
 
 } // namespace
@@ -316,13 +316,13 @@
 
 void exchange::update_memory()
 {
-    m_memory.resize(m_body.capacity() + m_answer_body.capacity() + m_events.pending_bytes());
+    m_memory.resize(request_bytes() + m_answer_body.capacity() + m_events.pending_bytes());
 }
 
 std::string exchange::memory_fields() const
 {
     return fmt::format("holder={} id={} endpoint={}",
-                       is_mostly_answer(m_memory.bytes(), m_body.capacity()) ? "answer" : "request",
+                       is_mostly_answer(m_memory.bytes(), request_bytes()) ? "answer" : "request",
                        m_metadata.id, m_endpoint != nullptr ? m_endpoint->report.id : "");
 }
 
@@ -330,7 +330,7 @@
 {
     const auto keep = shared_from_this();
     if (m_connection != nullptr && m_caller != nullptr &&
-        is_mostly_answer(m_memory.bytes(), m_body.capacity())) {
+        is_mostly_answer(m_memory.bytes(), request_bytes())) {
         m_answer_body.clear();
         m_answer_body.shrink_to_fit();
         m_events.restart();
@@ -343,7 +343,8 @@
         give_up(retry_after_overload, "the host has no memory for the request");
     }
     if (m_caller == nullptr) {
-        // A request that goes on at a silent replica may need its body again.
+        // A request that goes on at a silent replica may need its head and its body again.
+        m_head = {};
         m_body.clear();
         m_body.shrink_to_fit();
         update_memory();
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -85,6 +85,7 @@
         m_state.memory.set_max_memory(
             m_settings.max_memory.value_or(memory_budget::default_max_memory));
         m_state.max_apply_delay = m_settings.max_apply_delay;
+        m_state.caller_bounds = m_settings.caller_bounds;
         m_state.origins.set_store(m_settings.store_address);
         std::signal(SIGPIPE, SIG_IGN);
         m_signals.add(SIGTERM);
@@ -372,7 +373,7 @@
             "configuration={} configuration_age_ms={} endpoints_age_ms={} store_pages={} "
             "store_configuration_reads={} store_endpoint_reads={} store_order_reads={} "
             "store_origin_reads={} store_appends={} known_streams={} suspected_segments={} "
-            "quarantined_segments={} caller_connections={} held_bytes={} peak_memory_kb={}",
+            "quarantined_segments={} caller_connections={} held_bytes={} peak_memory_kb={} {}",
             counts.answered, counts.refused, counts.quarantined, counts.failed, counts.cut,
             counts.client_disconnects, counts.retries, counts.handed_over, counts.relayed,
             m_state.connections.opened(), m_gossip.peer_count(), m_state.endpoints.size(),
@@ -383,7 +384,7 @@
             m_state.store_calls.origin_reads, m_state.store_calls.appends,
             m_state.origins.known_count(), m_state.crashes.suspect_count(),
             m_state.crashes.quarantined_count(), m_connections.size(), m_state.memory.held(),
-            m_usage.peak_memory / bytes_per_kilobyte);
+            m_usage.peak_memory / bytes_per_kilobyte, to_fields(counts.callers));
     }
 
     std::int64_t age_ms(const list_position& of) const
--- a/src/transport/message_reader.cpp
+++ b/src/transport/message_reader.cpp
@@ -18,6 +18,8 @@
     message_head head;
     std::string body;
     bool head_complete = false;
+    std::uint32_t max_lines = std::numeric_limits<std::uint32_t>::max();
+    std::uint32_t lines = 0;
     parse_problem problem = parse_problem::none;
 };
 
@@ -67,6 +69,12 @@
             error = beast::http::error::bad_transfer_encoding;
             return;
         }
+        if (++m_into.lines > m_into.max_lines) {
+            m_into.problem = parse_problem::too_many_lines;
+            error = beast::http::error::header_limit;
+            return;
+        }
+        m_into.head.memory_bytes += sizeof(http::field) + name.size() + value.size();
         m_into.head.fields.add(std::string_view{name}, std::string_view{value});
     }
 
@@ -101,6 +109,7 @@
         m_parser.header_limit(limits.head_bytes);
         m_parser.body_limit(limits.body_bytes);
         m_parser.eager(true);
+        max_lines = limits.head_lines;
     }
 
     std::size_t feed(std::string_view bytes) override
@@ -114,7 +123,7 @@
             if (error == beast::http::error::need_more) {
                 break;
             }
-            if (error) {
+            if (error && problem == parse_problem::none) {
                 problem = problem_of(error);
             }
             if (count == 0) {
--- a/src/transport/tcp_connection.cpp
+++ b/src/transport/tcp_connection.cpp
@@ -159,7 +159,11 @@
 
 void tcp_connection::report_input_later()
 {
+    if (std::exchange(m_report_pending, true)) {
+        return;
+    }
     asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->m_report_pending = false;
         self->guard([&] {
             if (self->m_observer != nullptr && !self->input().empty()) {
                 self->m_observer->on_input();
@@ -222,7 +226,7 @@
         return;
     }
     m_input.append(buffer.data(), count);
-    if (m_observer != nullptr) {
+    if (m_observer != nullptr && !m_report_pending) {
         m_observer->on_input();
     }
     wait_for_input();
--- a/test/platform/untrusted/untrusted_clients_test.cpp
+++ b/test/platform/untrusted/untrusted_clients_test.cpp
@@ -109,15 +109,42 @@
         }
     }
 
-    void expect_unharmed_host()
+    // Lets the clients send until the host has taken nothing for a while, and reads its peak memory
+    // before their connections end.
+    void send_all_unread(const std::string& bytes)
+    {
+        constexpr auto quiet_time = 500ms;
+        std::vector<std::unique_ptr<unread_client>> all;
+        for (std::size_t number = 0; number < clients; ++number) {
+            all.push_back(std::make_unique<unread_client>(host->callers, bytes));
+        }
+        auto last_progress = std::chrono::steady_clock::now();
+        eventually([&] {
+            for (const auto& each : all) {
+                if (each->send()) {
+                    last_progress = std::chrono::steady_clock::now();
+                }
+            }
+            return std::chrono::steady_clock::now() - last_progress > quiet_time || !is_alive();
+        });
+        peak_descriptors = std::max(peak_descriptors, host->descriptors());
+        expect_bounded_memory();
+    }
+
+    void expect_bounded_memory()
     {
-        EXPECT_TRUE(serves_an_ordinary_request()) << host->log_end();
-        ASSERT_TRUE(is_alive()) << host->log_end();
-        EXPECT_LE(peak_descriptors, max_descriptors);
 // Sanitizers keep memory that the program has freed.
 #if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
         EXPECT_LE(host->peak_memory(), memory_mb * bytes_per_mb);
 #endif
+    }
+
+    void expect_unharmed_host()
+    {
+        EXPECT_TRUE(serves_an_ordinary_request()) << host->log_end();
+        ASSERT_TRUE(is_alive()) << host->log_end();
+        EXPECT_LE(peak_descriptors, max_descriptors);
+        expect_bounded_memory();
         RecordProperty("peak_memory", std::to_string(host->peak_memory()));
         RecordProperty("peak_descriptors", std::to_string(peak_descriptors));
     }
@@ -155,6 +182,22 @@
     expect_unharmed_host();
 }
 
+// What such clients held grew until they had sent everything.
+TEST_F(untrusted_clients_test, the_memory_of_a_host_is_bounded_while_many_requests_wait)
+{
+    constexpr int requests = 20'000;
+    send_all_unread(repeated(request("GET", "/safe/x", "pipelined"), requests));
+    expect_unharmed_host();
+}
+
+TEST_F(untrusted_clients_test, the_memory_of_a_host_is_bounded_while_heads_of_many_lines_wait)
+{
+    constexpr int requests = 200;
+    send_all_unread(
+        repeated(request("GET", "/safe/x", "many", repeated("a:\r\n", lines_per_head)), requests));
+    expect_unharmed_host();
+}
+
 // Each of these requests is answered at once, and a connection was served until its input was used.
 TEST_F(untrusted_clients_test, a_host_survives_many_pipelined_requests_without_fields)
 {
--- a/test/serving/memory_budget_test.cpp
+++ b/test/serving/memory_budget_test.cpp
@@ -12,6 +12,24 @@
     void release_memory() override {}
 };
 
+// A request that is not small must not be taken on if the limit would be exceeded by it.
+TEST(memory_budget_test, admits_small_holders_always_and_large_ones_within_the_limit)
+{
+    memory_budget budget{[] {}};
+    fake_holder holder;
+    budget.set_max_memory(8 * large);
+    ASSERT_EQ(budget.limit(), 2 * large);
+    memory_budget::reservation held{budget, holder};
+    EXPECT_FALSE(budget.is_scarce());
+    held.resize(large + 1);
+    EXPECT_TRUE(budget.is_scarce());
+    EXPECT_TRUE(budget.admits(large - 1));
+    EXPECT_FALSE(budget.admits(large));
+    EXPECT_TRUE(budget.admits(memory_budget::min_releasable_bytes - 1));
+    held.resize(3 * large);
+    EXPECT_TRUE(budget.admits(memory_budget::min_releasable_bytes - 1));
+}
+
 TEST(memory_budget_test, names_the_largest_holder_that_is_not_small)
 {
     memory_budget budget{[] {}};
--- a/test/transport/message_reader_test.cpp
+++ b/test/transport/message_reader_test.cpp
@@ -84,6 +84,27 @@
     EXPECT_EQ(long_body.problem(), parse_problem::body_too_large);
 }
 
+// The bytes of a head say little about the memory that its lines take.
+TEST(message_reader_test, bounds_the_lines_of_a_head_and_counts_their_memory)
+{
+    constexpr std::uint32_t max_lines = 4;
+    const auto head = [](std::uint32_t lines) {
+        std::string out = "GET / HTTP/1.1\r\n";
+        for (std::uint32_t line = 0; line < lines; ++line) {
+            out += "a:\r\n";
+        }
+        return out + "\r\n";
+    };
+    message_reader allowed{message_kind::request, {1'024, 8, max_lines}};
+    allowed.feed(head(max_lines));
+    ASSERT_TRUE(allowed.complete());
+    EXPECT_GE(allowed.head().memory_bytes, max_lines * sizeof(http::field));
+    message_reader refused{message_kind::request, {1'024, 8, max_lines}};
+    refused.feed(head(max_lines + 1));
+    EXPECT_EQ(refused.problem(), parse_problem::too_many_lines);
+    EXPECT_FALSE(refused.complete());
+}
+
 // A peer that sent an endless chunk extension or trailer took all memory of the process.
 TEST(message_reader_test, bounds_the_input_that_it_leaves_unread)
 {
