--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -69,6 +69,8 @@
 
     // Records how many bytes the exchange holds.
     void update_memory();
+    // Returns how many bytes the caller's request takes.
+    std::size_t request_bytes() const noexcept { return m_head.memory_bytes + m_body.capacity(); }
     bool find_route();
     // Determines the account of the request. Returns false, with the request answered, if its key
     // does not allow it to run.
