--- a/include/cicadaport/accounts/authentication.h
+++ b/include/cicadaport/accounts/authentication.h
@@ -72,6 +72,8 @@
     std::uint64_t stale_view = 0;
     // Requests whose account another host has determined.
     std::uint64_t relayed = 0;
+    // Requests shed because more than the fair share of their account was admitted.
+    std::uint64_t over_share = 0;
 
     void count(outcome of) noexcept;
 };
--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -236,6 +236,9 @@
     // Rejects a placed prompt if its first event would come after the caller has given up,
     // or if late admission sheds it. Returns whether the prompt was rejected.
     bool reject_if_late(const prompt_query& query);
+    // Records once what the request asks for its account. Returns whether the request is late and
+    // its account has had its fair share. `work` is the predicted time of its prefill.
+    bool is_over_share(fractional_milliseconds work, bool is_late);
     bool may_have_run() const noexcept { return m_attempt_may_have_run || m_earlier_may_have_run; }
 
     host_state& m_host;
@@ -252,6 +255,8 @@
     // Whether the account was determined, by this host or by the one that relays the request.
     // Otherwise the caller's credentials are forwarded.
     bool m_account_determined = false;
+    // Whether the request was recorded as work that its account asks for.
+    bool m_demand_recorded = false;
     // Of the account or else of the route; 0 is the most urgent.
     std::uint32_t m_priority = 0;
     std::string m_service;
--- a/include/cicadaport/serving/feed_follower.h
+++ b/include/cicadaport/serving/feed_follower.h
@@ -73,6 +73,8 @@
     milliseconds random_delay(milliseconds most) const;
     void apply_newest();
     void apply_records();
+    // Announces records to the other hosts, but none that may hold keys of callers.
+    void announce(shared_page page) const;
     // Returns the entries that this host has not seen yet.
     std::vector<feed_entry> unseen_entries(std::vector<feed_entry> entries) const;
     // Records that the view shows the list as of `at`, unless it is already newer.
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -3,6 +3,7 @@
 // Not thread safe: used only on the event loop.
 #pragma once
 
+#include "cicadaport/accounts/fair_admission.h"
 #include "cicadaport/serving/attempt_budget.h"
 #include "cicadaport/serving/crash_monitor.h"
 #include "cicadaport/serving/late_admission.h"
@@ -137,6 +138,9 @@
     // Returns whether a replica accepts a request now. `is_engine` tells an engine from a
     // replica of a plain service.
     bool accepts_request(const endpoint& replica, bool is_engine);
+    // Logs how many accounts and keys are in force, and the numbers of requests by outcome, if the
+    // configuration has accounts.
+    void log_accounts() const;
     // Logs how many requests were sent to each rate-limited replica.
     void log_limit_usage();
     // Deletes the state of replicas that are no longer offered. An unexpired backoff is kept,
@@ -195,6 +199,7 @@
     event_counts events;
     size_fairness sizes;
     late_admission late;
+    accounts::fair_admission fairness;
     std::mt19937_64 random;
     crash_monitor crashes;
     stream_origin_tracker origins;
--- a/include/cicadaport/serving/wire.h
+++ b/include/cicadaport/serving/wire.h
@@ -252,6 +252,9 @@
     // and the result is empty.
     virtual deployment_pointer read_deployment(const feed_entry& entry) const = 0;
     virtual std::optional<endpoint_report> read_endpoint(const feed_entry& entry) const = 0;
+
+    // Returns whether an entry may contain callers' keys, which are sent to no other host.
+    virtual bool may_hold_keys(const feed_entry& entry) const = 0;
 };
 
 } // namespace cicadaport::serving
--- a/src/serving/exchange_placement.cpp
+++ b/src/serving/exchange_placement.cpp
@@ -15,6 +15,14 @@
 // Difference in urgency between two adjacent route priorities.
 constexpr std::uint32_t urgency_step = 2;
 
+// Returns the work that a prompt costs its account. A prompt whose prefix is in the KV cache also
+// occupies an engine.
+double work_of(fractional_milliseconds prefill_time)
+{
+    constexpr fractional_milliseconds least{1};
+    return std::max(prefill_time, least).count();
+}
+
 } // namespace
 
 void exchange::place()
@@ -133,14 +141,34 @@
     prompt.patience = std::min<fractional_milliseconds>(
         remaining_time(), m_arrived + m_route->caller_patience - query.now);
     m_host.late.record_prefill_time(m_route->name, prompt.prefill_time);
-    const bool admitted = query.urgency == late_urgency ? m_host.late.admits(m_route->name, prompt)
-                                                        : late_admission::can_be_served(prompt);
+    const bool is_late = query.urgency == late_urgency;
+    const bool over_share = is_over_share(prompt.prefill_time, is_late);
+    const bool admitted = (is_late ? m_host.late.admits(m_route->name, prompt)
+                                   : late_admission::can_be_served(prompt)) &&
+                          !over_share;
+    if (admitted && m_account_determined) {
+        m_host.fairness.record_admission(m_account, work_of(prompt.prefill_time), query.now);
+    }
     if (!admitted) {
         reject(retry_after_overload, "no engine in time");
     }
     return !admitted;
 }
 
+bool exchange::is_over_share(fractional_milliseconds work, bool is_late)
+{
+    if (!m_account_determined) {
+        return false;
+    }
+    const auto now = m_host.timers.now();
+    if (!std::exchange(m_demand_recorded, true)) {
+        m_host.fairness.record_demand(m_account, work_of(work), now);
+    }
+    const bool out = is_late && m_host.fairness.is_over_share(m_account, now);
+    m_host.authentications.over_share += out ? 1 : 0;
+    return out;
+}
+
 void exchange::send_prefill(const prompt_plan& plan)
 {
     m_kv_transfer_attempted = true;
--- a/src/serving/feed_follower.cpp
+++ b/src/serving/feed_follower.cpp
@@ -221,9 +221,7 @@
     if (!page.entries.empty()) {
         shared.entries = m_actions.on_added(page.entries);
     }
-    if (m_host.gossip != nullptr) {
-        m_host.gossip->announce_page(shared);
-    }
+    announce(shared);
     if (!reaches_end) {
         schedule_read_after(shared.to > shared.from ? milliseconds{0}
                                                     : feed_times::initial_backoff);
@@ -238,6 +236,21 @@
     schedule_next_read();
 }
 
+void feed_follower::announce(shared_page page) const
+{
+    if (m_host.gossip == nullptr) {
+        return;
+    }
+    if (m_feed == feed::configuration &&
+        std::any_of(page.entries.begin(), page.entries.end(),
+                    [this](const auto& each) { return m_host.wire.may_hold_keys(each); })) {
+        // The other hosts learn the end of the list and read the records from the store.
+        page.entries.clear();
+        page.to = page.from;
+    }
+    m_host.gossip->announce_page(page);
+}
+
 std::vector<feed_entry> feed_follower::unseen_entries(std::vector<feed_entry> entries) const
 {
     std::erase_if(entries,
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -240,6 +240,7 @@
             if (newer) {
                 m_state.deployed = std::move(read);
                 m_state.origins.set_longest_request(m_state.deployed->longest_time_limit());
+                m_state.log_accounts();
             }
             return;
         }
@@ -340,6 +341,7 @@
         m_state.origins.run_housekeeping();
         if (++m_housekeeping_count % log_counts_every == 0) {
             log_counts();
+            m_state.log_accounts();
         }
     }
 
--- a/src/serving/host_state.cpp
+++ b/src/serving/host_state.cpp
@@ -284,6 +284,19 @@
     return out;
 }
 
+void host_state::log_accounts() const
+{
+    const auto* keys = deployed != nullptr ? deployed->keys() : nullptr;
+    if (keys != nullptr) {
+        spdlog::info("accounts version={} accounts={} keys={} accepted={} anonymous={} "
+                     "unknown_key={} stale_view={} relayed={} over_share={}",
+                     deployed->version(), keys->account_count(), keys->key_count(),
+                     authentications.accepted, authentications.anonymous,
+                     authentications.unknown_key, authentications.stale_view,
+                     authentications.relayed, authentications.over_share);
+    }
+}
+
 std::uint64_t host_state::begin_work(const engine_work& work)
 {
     const auto id = ++last_work_id;
--- a/test/accounts/authentication_test.cpp
+++ b/test/accounts/authentication_test.cpp
@@ -12,7 +12,7 @@
     return {credentials::form::key, hash_key(text)};
 }
 
-class authentication : public testing::Test {
+class authentication_test : public testing::Test {
 protected:
     decision decide(const credentials& given, bool allows_anonymous = false)
     {
@@ -27,7 +27,7 @@
 };
 
 // Guards against an account that gets another account's requests.
-TEST_F(authentication, each_key_of_an_account_is_accepted_for_that_account)
+TEST_F(authentication_test, each_key_of_an_account_is_accepted_for_that_account)
 {
     EXPECT_EQ(decide(key("a-key")).holder->name, "large");
     EXPECT_EQ(decide(key("second-key")).holder->name, "large");
@@ -36,7 +36,7 @@
 }
 
 // Guards against requests that run without a key, or with one that no account holds.
-TEST_F(authentication, without_a_known_key_a_request_is_refused)
+TEST_F(authentication_test, without_a_known_key_a_request_is_refused)
 {
     for (const auto& each : {key("A-KEY"), key("a-ke"), key("a-key2"), credentials{},
                              credentials{credentials::form::malformed, {}}}) {
@@ -46,7 +46,7 @@
 }
 
 // Guards against the refusal of a key that a newer configuration has added.
-TEST_F(authentication, a_view_that_is_too_old_proves_no_key_unknown)
+TEST_F(authentication_test, a_view_that_is_too_old_proves_no_key_unknown)
 {
     m_age = apply_delay;
     EXPECT_EQ(decide(key("new-key")).result, outcome::unknown_key);
@@ -58,7 +58,7 @@
 }
 
 // Guards against a 401 on a route that needs no key.
-TEST_F(authentication, a_route_for_anonymous_callers_refuses_no_key_and_knows_the_known_ones)
+TEST_F(authentication_test, a_route_for_anonymous_callers_refuses_no_key_and_knows_the_known_ones)
 {
     EXPECT_EQ(decide(key("a-key"), true).holder->name, "large");
     EXPECT_EQ(decide(key("x"), true).result, outcome::anonymous);
@@ -67,7 +67,7 @@
 }
 
 // Guards against requests with a revoked key on a host that is cut off from the store.
-TEST_F(authentication, under_strict_revocation_an_old_view_proves_no_key_valid)
+TEST_F(authentication_test, under_strict_revocation_an_old_view_proves_no_key_valid)
 {
     m_max_revocation_delay = milliseconds{5'000};
     m_age = milliseconds{5'000};
