--- a/src/serving/duty_news.cpp
+++ b/src/serving/duty_news.cpp
@@ -91,14 +91,15 @@
 
 bool read_usage(std::string_view message, duty_news& into)
 {
-    auto& [window, counts] = into.usage.emplace_back();
+    auto& usage = into.usage.emplace_back();
     std::string part;
     return for_each_field(message, [&](std::uint32_t tag, CodedInputStream& in) {
         if (tag == tag_of(1, number_type)) {
-            return in.ReadVarint64(&window);
+            return in.ReadVarint64(&usage.first);
         }
-        return tag == tag_of(2, bytes_type) ? read_bytes(in, part) && read_account(part, counts)
-                                            : format::SkipField(&in, tag);
+        return tag == tag_of(2, bytes_type)
+                   ? read_bytes(in, part) && read_account(part, usage.second)
+                   : format::SkipField(&in, tag);
     });
 }
 
