--- a/test/serving/host_directory_test.cpp
+++ b/test/serving/host_directory_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gmock/gmock.h>
 
+#include <map>
 #include <set>
 
 namespace cicadaport::serving {
@@ -197,5 +198,60 @@
     EXPECT_EQ(directory.place_for(1, false, start + 31s).hosts, 1U);
 }
 
+// Guards against two hosts that both regard themselves as the first to act.
+TEST(host_directory_test, all_hosts_compute_the_same_order_for_a_subject)
+{
+    constexpr std::uint32_t count = 20;
+    constexpr std::uint32_t subject = 5;
+    std::set<std::size_t> ranks;
+    std::map<std::size_t, peer_address> by_rank;
+    std::vector<duty_order> orders;
+    for (std::uint32_t own = 1; own <= count; ++own) {
+        host_directory directory{at(own), own, own_zone, start - 1min};
+        for (std::uint32_t other = 1; other <= count; ++other) {
+            directory.record_message(at(other), other, own_zone, start);
+        }
+        orders.push_back(directory.order_of_hosts(subject, 3, true, start));
+        ranks.insert(orders.back().own_rank);
+        by_rank[orders.back().own_rank] = at(own);
+    }
+    EXPECT_THAT(ranks, SizeIs(count));
+    for (const auto& each : orders) {
+        std::set<peer_address> expected;
+        for (std::size_t rank = 0; rank < 3; ++rank) {
+            if (rank != each.own_rank) {
+                expected.insert(by_rank[rank]);
+            }
+        }
+        std::set<peer_address> first;
+        for (const auto& host : each.first) {
+            first.insert(host.at);
+        }
+        EXPECT_EQ(first, expected);
+    }
+}
+
+TEST(host_directory_test, a_host_that_has_not_settled_or_may_not_act_has_the_last_rank)
+{
+    constexpr auto last = std::numeric_limits<std::size_t>::max();
+    host_directory directory{at(1), own_number, own_zone, start};
+    EXPECT_EQ(directory.order_of_hosts(5, 3, true, start + 1s).own_rank, last);
+    EXPECT_EQ(directory.order_of_hosts(5, 3, false, start + 5s).own_rank, last);
+    EXPECT_EQ(directory.order_of_hosts(5, 3, true, start + 5s).own_rank, 0U);
+}
+
+// Guards against a stopping host that keeps a duty to itself.
+TEST(host_directory_test, hosts_that_stop_are_left_out_of_the_order)
+{
+    host_directory directory{at(1), own_number, own_zone, start - 1min};
+    for (std::uint32_t other = 2; other <= 9; ++other) {
+        directory.record_message(at(other), other, own_zone, start);
+        directory.record_reachability(at(other), false);
+    }
+    const auto order = directory.order_of_hosts(5, 3, true, start);
+    EXPECT_EQ(order.own_rank, 0U);
+    EXPECT_THAT(order.first, IsEmpty());
+}
+
 } // namespace
 } // namespace cicadaport::serving
