--- a/src/serving/scaling_director.cpp
+++ b/src/serving/scaling_director.cpp
@@ -116,7 +116,10 @@
         is_due || (state.acts && state.plan.has_due_orders(view, now)), digest_of(view), now);
     if (acts != state.acts) {
         m_counts.takeovers += acts ? 1 : 0;
-        spdlog::info("scaling_turn service={} acts={} rank={}", of.name, acts, own_rank);
+        if (m_log_budget.try_acquire(now)) {
+            spdlog::info("scaling_turn service={} acts={} rank={} passed_over={}", of.name, acts,
+                         own_rank, m_log_budget.take_suppressed_count());
+        }
         state.acts = acts;
     }
     if (!acts) {
