serving: a test that replicas which leave convict no prompt segment

Change: 12 prompts with a common segment end with engines that were announced to leave. Conclusion: the loss of a zone's reclaimable replicas quarantines no shared segment.

--- a/test/platform/crashing_prompt_test.cpp
+++ b/test/platform/crashing_prompt_test.cpp
@@ -115,6 +115,52 @@
     EXPECT_LE(engine_fleet->crash_count(), 3U);
 }
 
+// When a zone's replicas are reclaimed, they end with answers to prompts that share segments.
+TEST_F(crashing_prompt_test, replicas_that_were_announced_to_leave_convict_no_segment)
+{
+    std::mutex mutex;
+    std::map<std::string, http::address> listed;
+    crashing_engines engine_fleet{
+        engines,
+        [&](const std::string& previous_id, const std::string& id, const http::address& at) {
+            const std::lock_guard lock{mutex};
+            if (!previous_id.empty()) {
+                store.put(std::string{testing::replicas_topic}, previous_id, "");
+                listed.erase(previous_id);
+            }
+            listed.emplace(id, at);
+            list_replica(id, at, "e", R"(,"stage":"decode")");
+        }};
+    engine_fleet.delay_deadly(4s);
+    start_fleet();
+    std::vector<std::thread> callers;
+    // With different first segments they are spread over the engines.
+    constexpr int waiting = 12;
+    for (int number = 0; number < waiting; ++number) {
+        callers.emplace_back([&, number] {
+            const auto id = "d" + std::to_string(number);
+            testing::caller{host(number)}.ask(
+                prompt_request(id, "c" + std::to_string(number) + ":1000," +
+                                       std::string{testing::deadly_segment}));
+        });
+    }
+    EXPECT_TRUE(testing::eventually([&] { return engine_fleet.deadly_count() == waiting; }));
+    {
+        const std::lock_guard lock{mutex};
+        for (const auto& [id, at] : listed) {
+            list_replica(id, at, "e", R"(,"stage":"decode")", "draining", 2);
+        }
+    }
+    for (auto& each : callers) {
+        each.join();
+    }
+    engine_fleet.delay_deadly(0s);
+    EXPECT_TRUE(testing::eventually([&] {
+        testing::caller{host(0)}.ask(deadly_request(waiting));
+        return engine_fleet.deadly_count() >= waiting + 2;
+    })) << "one further crash is no reason for a quarantine";
+}
+
 TEST_F(crashing_prompt_test, crashes_without_a_common_segment_refuse_no_prompt)
 {
     const auto engine_fleet = make_engines();
