--- a/include/cicadaport/balancing/decode_model.h
+++ b/include/cicadaport/balancing/decode_model.h
@@ -21,8 +21,10 @@
 class decode_model {
 public:
     // Load factor before any observation, and its bounds. Engines of the deployments have 0 to
-    // 0.03.
+    // 0.03. The lower bound keeps streams spread over engines whose streams cost nothing until
+    // their slots are full: 30 streams count as much as a difference in speed of 9%.
     static constexpr double initial_load_factor = 0.01;
+    static constexpr double min_load_factor = 0.003;
     static constexpr double max_load_factor = 0.1;
 
     // Adds the mean interval between the events of one stream, and the mean number of streams,
@@ -30,6 +32,9 @@
     void record(std::uint32_t engine, double streams, fractional_milliseconds interval,
                 time_point now);
 
+    // Returns whether any engine was observed.
+    bool is_known() const noexcept { return m_observation_count > 0; }
+
     // Returns the predicted interval with `streams` streams on the engine; nothing before the
     // first observation of any engine.
     std::optional<fractional_milliseconds> interval(std::uint32_t engine, double streams,
--- a/include/cicadaport/serving/placement.h
+++ b/include/cicadaport/serving/placement.h
@@ -61,6 +61,10 @@
     // ratio of both, and the largest such ratio that is told apart.
     fractional_milliseconds missed_pace{10'000};
     double max_missed_pace_ratio = 4;
+    // Age of what is known of other hosts' streams: the batching of announcements and their way.
+    // Streams that begin meanwhile raise the predicted time on engines by about as much, so an
+    // engine is chosen at random among those whose costs differ by less.
+    fractional_milliseconds information_age{60};
     // A pause beyond this fraction of the pause objective is penalized by `pause_weight`
     // times the excess.
     double pause_objective_fraction = 0.7;
@@ -109,6 +113,8 @@
     double long_events = 1;
     // Time from now until the response must be complete; 0 if it is not limited.
     fractional_milliseconds time_left{0};
+    // Source of random numbers if other hosts choose at the same time; null otherwise.
+    std::mt19937_64* random = nullptr;
 };
 
 // The engines that serve a prompt, and the predicted times.
@@ -272,6 +278,10 @@
     double known_cached_tokens(const prompt_prefixes& of, const endpoint& engine,
                                const prompt_query& query, bool ready_only) const;
 
+    // Returns the same engines as decode_only_engines(), ordered by address.
+    std::vector<const endpoint*>
+    find_decode_only(const std::vector<endpoint_pointer>& engines) const;
+
     struct decode_engine_choice {
         endpoint_pointer decode_engine;
         fractional_milliseconds cost{0};
@@ -294,7 +304,7 @@
                                             const endpoint& prefill_engine,
                                             fractional_milliseconds prefill_latency,
                                             const std::vector<endpoint_pointer>& engines,
-                                            const std::set<const endpoint*>& decode_only) const;
+                                            const std::vector<const endpoint*>& decode_only) const;
     // Returns the interval between events that a stream needs which begins after `delay`.
     fractional_milliseconds needed_interval(const prompt_query& query,
                                             fractional_milliseconds delay) const;
@@ -309,13 +319,18 @@
     fractional_milliseconds zone_cost(const prompt_query& query, const endpoint& engine) const;
     // Transfer time of the KV cache entries for this many tokens.
     static fractional_milliseconds transfer_time(const prompt_query& query, double tokens);
+    // Returns the state of the engine; null if there is none.
+    const engine_state* find_state(const endpoint& engine) const;
     // Whether the engine has not failed this request and has not asked for backoff.
-    bool may_use(const prompt_query& query, const endpoint& engine) const;
+    static bool may_use(const prompt_query& query, const endpoint& engine,
+                        const engine_state* known);
     // Whether the engine may also generate the response.
-    bool may_decode(const prompt_query& query, const endpoint& engine) const;
+    static bool may_decode(const prompt_query& query, const endpoint& engine,
+                           const engine_state* known);
     // Penalty for an engine that fails or changes its stage, which is used only as a last
     // resort.
-    fractional_milliseconds penalty_of(const prompt_query& query, const endpoint& engine) const;
+    fractional_milliseconds penalty_of(const prompt_query& query, const endpoint& engine,
+                                       const engine_state* known) const;
     prefill_cost estimate_prefill_cost(const prompt_query& query, const endpoint& engine,
                                        const prompt_prefixes& shared);
 
--- a/include/cicadaport/serving/stage_director.h
+++ b/include/cicadaport/serving/stage_director.h
@@ -51,7 +51,11 @@
     };
     using change_pointer = std::shared_ptr<change>;
 
+    static constexpr milliseconds speed_log_interval{10'000};
+
     void evaluate();
+    // Logs how many engines are known to be fast, every `speed_log_interval`.
+    void log_speeds();
     // Returns a query with the pace that the streams of a service need at most.
     prompt_query longest_stream_of(const std::string& service) const;
     stage_view view_of(const std::string& service);
@@ -77,6 +81,7 @@
     order_ledger m_ledger;
     transport::timer_queue::handle m_evaluation_timer;
     transport::timer_queue::handle m_start_timer;
+    time_point m_speeds_logged{};
     bool m_busy = false;
 };
 
--- a/src/balancing/decode_model.cpp
+++ b/src/balancing/decode_model.cpp
@@ -52,7 +52,7 @@
         const auto squares = std::max(m_squares - m_scaled_products, 0.0);
         m_load_factor = std::clamp((m_products + prior_squares * initial_load_factor) /
                                        (squares + prior_squares),
-                                   0.0, max_load_factor);
+                                   min_load_factor, max_load_factor);
     }
     of.count = std::min(of.count + 1, max_mean_count);
     of.mean_streams += (streams - of.mean_streams) / of.count;
@@ -83,9 +83,8 @@
     if (m_observation_count == 0) {
         return std::nullopt;
     }
-    constexpr double min_load_factor = 1e-4;
     const auto ratio = interval.count() / idle_interval(engine, now);
-    return std::max(ratio - 1, 0.0) / std::max(m_load_factor, min_load_factor);
+    return std::max(ratio - 1, 0.0) / m_load_factor;
 }
 
 std::optional<double> decode_model::speed(std::uint32_t engine) const
--- a/src/serving/exchange_placement.cpp
+++ b/src/serving/exchange_placement.cpp
@@ -78,6 +78,8 @@
     query.usual_events = m_host.events.usual(m_route->name);
     query.long_events = m_host.events.long_response(m_route->name);
     query.time_left = remaining_time();
+    const bool alone = m_host.gossip == nullptr || m_host.gossip->peer_count() == 0;
+    query.random = alone ? nullptr : &m_host.random;
     query.can_use_prefill_engine = !m_kv_transfer_attempted && !m_events.last_event_id();
     return query;
 }
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -11,44 +11,12 @@
 
 constexpr double bits_per_byte = 8;
 constexpr double bits_per_ms_per_mbps = 1'000;
-// Bounds of an observed time ratio. Engines differ in speed up to 2.5 times.
-constexpr double min_time_ratio = 0.4;
-constexpr double max_time_ratio = 8;
-// An engine with a shorter predicted wait counts as idle.
-constexpr fractional_milliseconds max_idle_wait{1};
 
 // Costs that exceed any wait: for stalling streams, and for an engine that fails.
 constexpr fractional_milliseconds stall_cost{std::chrono::seconds{30}};
 constexpr fractional_milliseconds last_resort{std::chrono::seconds{60}};
 constexpr fractional_milliseconds unusable_cost{std::numeric_limits<double>::max()};
 
-// Cost of a replica that fails all requests, in requests in flight per slot.
-constexpr double failure_cost = 4;
-constexpr double last_resort_cost = 1'000;
-
-// Returns the engines for which `fits` is true, in the same order on all hosts: those that are fast
-// according to `pace` first.
-template <typename Fits>
-std::vector<const endpoint*> in_common_order(const std::vector<endpoint_pointer>& engines,
-                                             const balancing::decode_model& pace, Fits fits)
-{
-    std::vector<std::pair<std::pair<bool, std::uint64_t>, const endpoint*>> ordered;
-    ordered.reserve(engines.size());
-    for (const auto& each : engines) {
-        if (fits(*each)) {
-            const auto number = engine_number(each->report.id);
-            ordered.emplace_back(std::pair{!pace.is_fast(number), hash_number(number)}, each.get());
-        }
-    }
-    std::sort(ordered.begin(), ordered.end());
-    std::vector<const endpoint*> out;
-    out.reserve(ordered.size());
-    for (const auto& [weight, each] : ordered) {
-        out.push_back(each);
-    }
-    return out;
-}
-
 } // namespace
 
 engine_placement::prompt_prefixes
@@ -153,12 +121,23 @@
 std::set<const endpoint*>
 engine_placement::decode_only_engines(const std::vector<endpoint_pointer>& engines) const
 {
-    const auto decoding = in_common_order(engines, m_pace, [](const endpoint& each) {
-        return each.report.stage != engine_stage::prefill;
-    });
+    const auto found = find_decode_only(engines);
+    return {found.begin(), found.end()};
+}
+
+std::vector<const endpoint*>
+engine_placement::find_decode_only(const std::vector<endpoint_pointer>& engines) const
+{
+    // Ordered in the same way on all hosts: fast engines first.
+    std::vector<std::tuple<bool, std::uint64_t, const endpoint*>> decoding;
+    decoding.reserve(engines.size());
     double slots = 1;
-    for (const auto* each : decoding) {
-        slots = std::max<double>(slots, each->report.slots);
+    for (const auto& each : engines) {
+        if (each->report.stage != engine_stage::prefill) {
+            const auto number = engine_number(each->report.id);
+            decoding.emplace_back(!m_pace.is_fast(number), hash_number(number), each.get());
+            slots = std::max<double>(slots, each->report.slots);
+        }
     }
     const auto needed =
         static_cast<double>(m_work.active_streams()) / (slots * m_costs.target_slot_fraction);
@@ -166,7 +145,15 @@
     // At least two, so that the loss of one engine does not end all streams.
     const auto count = std::min(
         decoding.size(), static_cast<std::size_t>(std::ceil(std::max({2.0, needed, min_count}))));
-    return {decoding.begin(), decoding.begin() + static_cast<std::ptrdiff_t>(count)};
+    std::nth_element(decoding.begin(), decoding.begin() + static_cast<std::ptrdiff_t>(count),
+                     decoding.end());
+    std::vector<const endpoint*> out;
+    out.reserve(count);
+    for (std::size_t index = 0; index < count; ++index) {
+        out.push_back(std::get<const endpoint*>(decoding[index]));
+    }
+    std::sort(out.begin(), out.end());
+    return out;
 }
 
 fractional_milliseconds engine_placement::zone_cost(const prompt_query& query,
@@ -184,18 +171,23 @@
                : fractional_milliseconds{0};
 }
 
+const engine_state* engine_placement::find_state(const endpoint& engine) const
+{
+    const auto found = m_engines.find(engine.report.id);
+    return found == m_engines.end() ? nullptr : &found->second;
+}
+
 fractional_milliseconds engine_placement::penalty_of(const prompt_query& query,
-                                                     const endpoint& engine) const
+                                                     const endpoint& engine,
+                                                     const engine_state* known) const
 {
     if (changing_to(engine, query.now)) {
         return last_resort;
     }
-    const auto found = m_engines.find(engine.report.id);
-    if (found == m_engines.end()) {
+    if (known == nullptr) {
         return fractional_milliseconds{0};
     }
-    const auto& [health, kv_transfer_health] =
-        std::tie(found->second.health, found->second.kv_transfer_health);
+    const auto& [health, kv_transfer_health] = std::tie(known->health, known->kv_transfer_health);
     if (health.is_ejected(query.now) || kv_transfer_health.is_ejected(query.now)) {
         return last_resort;
     }
@@ -203,17 +195,17 @@
            m_costs.failure;
 }
 
-bool engine_placement::may_use(const prompt_query& query, const endpoint& engine) const
+bool engine_placement::may_use(const prompt_query& query, const endpoint& engine,
+                               const engine_state* known)
 {
-    const auto known = m_engines.find(engine.report.id);
-    const bool left_alone =
-        known != m_engines.end() && known->second.health.is_backing_off(query.now);
+    const bool left_alone = known != nullptr && known->health.is_backing_off(query.now);
     return !left_alone && !query.excluded->contains(engine.report.id);
 }
 
-bool engine_placement::may_decode(const prompt_query& query, const endpoint& engine) const
+bool engine_placement::may_decode(const prompt_query& query, const endpoint& engine,
+                                  const engine_state* known)
 {
-    return engine.report.stage != engine_stage::prefill && may_use(query, engine) &&
+    return engine.report.stage != engine_stage::prefill && may_use(query, engine, known) &&
            (query.excluded_from_decode == nullptr ||
             !query.excluded_from_decode->contains(engine.report.id));
 }
@@ -259,25 +251,31 @@
 engine_placement::best_decode_engine(const prompt_query& query, const endpoint& prefill_engine,
                                      fractional_milliseconds prefill_latency,
                                      const std::vector<endpoint_pointer>& engines,
-                                     const std::set<const endpoint*>& decode_only) const
+                                     const std::vector<const endpoint*>& decode_only) const
 {
     const auto needed = needed_interval(query, prefill_latency);
     const auto transfer = transfer_time(query, query.prompt_tokens);
     decode_engine_choice out{nullptr, unusable_cost};
+    const bool at_random = query.random != nullptr && m_pace.is_known();
+    std::vector<std::pair<fractional_milliseconds, const endpoint_pointer*>> costs;
+    costs.reserve(at_random ? engines.size() : 0);
     for (const auto& each : engines) {
-        if (!may_decode(query, *each)) {
+        if (each->report.stage == engine_stage::prefill) {
+            continue;
+        }
+        const auto* const state = find_state(*each);
+        if (!may_decode(query, *each, state)) {
             continue;
         }
         const auto number = engine_number(each->report.id);
         const auto streams = m_work.active_streams(number);
         const auto stream = stream_cost(query, number, streams, needed);
         auto cost = stream.value_or(static_cast<double>(streams) * m_costs.per_stream) +
-                    zone_cost(query, *each) + penalty_of(query, *each);
-        if (const auto known = m_engines.find(each->report.id); known != m_engines.end()) {
-            const auto& state = known->second;
-            cost += state.decode_start_delay.at(query.now);
+                    zone_cost(query, *each) + penalty_of(query, *each, state);
+        if (state != nullptr) {
+            cost += state->decode_start_delay.at(query.now);
             if (!stream) {
-                const auto pause = state.pause.at(query.now);
+                const auto pause = state->pause.at(query.now);
                 const auto in_time = m_costs.pause_objective_fraction * query.pause_objective;
                 cost +=
                     m_costs.pause_weight * std::max(pause - in_time, fractional_milliseconds{0});
@@ -290,16 +288,35 @@
             // A running stream would be preempted.
             cost += m_costs.no_free_slot_penalty;
         }
-        if (!decode_only.contains(each.get())) {
+        if (!std::binary_search(decode_only.begin(), decode_only.end(), each.get())) {
             cost += m_costs.mixed_engine_penalty;
             if (stream && query.has_many_events) {
                 cost += m_costs.stalled_stream_penalty;
             }
         }
+        if (at_random) {
+            costs.emplace_back(cost, &each);
+        }
         if (cost < out.cost) {
             out = {each, cost};
         }
     }
+    if (at_random && out.decode_engine) {
+        // Weights fall to 0 at the level to which the streams that are not known yet are expected
+        // to raise the costs.
+        const auto level = out.cost + m_costs.information_age;
+        fractional_milliseconds total{0};
+        for (const auto& [cost, engine] : costs) {
+            total += std::max(level - cost, fractional_milliseconds{0});
+        }
+        auto rest = std::uniform_real_distribution<double>{0, 1}(*query.random) * total;
+        for (const auto& [cost, engine] : costs) {
+            rest -= std::max(level - cost, fractional_milliseconds{0});
+            if (rest < fractional_milliseconds{0}) {
+                return {*engine, cost};
+            }
+        }
+    }
     return out;
 }
 
@@ -308,7 +325,7 @@
                                        const std::vector<endpoint_pointer>& engines)
 {
     return best_decode_engine(query, prefill_engine, fractional_milliseconds{0}, engines,
-                              decode_only_engines(engines))
+                              find_decode_only(engines))
         .decode_engine;
 }
 
@@ -317,23 +334,27 @@
 {
     auto shared = prefixes_of(*query.prompt);
     find_prefix_source(shared, query, engines);
-    const auto decode_only = decode_only_engines(engines);
+    const auto decode_only = find_decode_only(engines);
     prompt_plan single_plan;
     prompt_plan split_plan;
     auto best_single_cost = unusable_cost;
     auto best_split_cost = unusable_cost;
     for (const auto& each : engines) {
         const bool is_prefill_engine = each->report.stage == engine_stage::prefill;
-        if (is_prefill_engine ? !may_use(query, *each) : !may_decode(query, *each)) {
+        const auto* const state = find_state(*each);
+        if (is_prefill_engine ? !may_use(query, *each, state) : !may_decode(query, *each, state)) {
             continue;
         }
         const auto wait = m_work.wait(engine_number(each->report.id), query.urgency, query.now);
         const auto prefill = estimate_prefill_cost(query, *each, shared);
         const auto prefill_latency = wait + prefill.time;
         const auto distance = zone_cost(query, *each);
-        auto cost = prefill_latency + prefill.repeated_cost + distance + penalty_of(query, *each) +
+        auto cost = prefill_latency + prefill.repeated_cost + distance +
+                    penalty_of(query, *each, state) +
                     m_costs.spread * rendezvous_weight(shared, *each);
-        if (!is_prefill_engine && (query.has_many_events || decode_only.contains(each.get()))) {
+        if (!is_prefill_engine &&
+            (query.has_many_events ||
+             std::binary_search(decode_only.begin(), decode_only.end(), each.get()))) {
             // Prefill would stall the streams of the engine, or this one.
             cost += stall_cost;
         }
@@ -341,8 +362,10 @@
             const auto number = engine_number(each->report.id);
             const auto streams = m_work.active_streams(number);
             cost += static_cast<double>(streams) * m_costs.per_stalled_stream;
-            cost += stream_cost(query, number, streams, needed_interval(query, prefill_latency))
-                        .value_or(fractional_milliseconds{0});
+            if (cost < best_single_cost) {
+                cost += stream_cost(query, number, streams, needed_interval(query, prefill_latency))
+                            .value_or(fractional_milliseconds{0});
+            }
         }
         if (cost < (is_prefill_engine ? best_split_cost : best_single_cost)) {
             auto& plan = is_prefill_engine ? split_plan : single_plan;
@@ -422,98 +445,4 @@
     }
 }
 
-void engine_placement::record_result(const ended_work& work, double observed, time_point now)
-{
-    if (!(observed > 0)) {
-        return;
-    }
-    if (work.is_prefill) {
-        m_time_ratios[work.engine].record(std::clamp(observed, min_time_ratio, max_time_ratio),
-                                          now);
-    }
-    else {
-        m_pace.record(work.engine, work.mean_streams, fractional_milliseconds{observed}, now);
-    }
-}
-
-double engine_placement::learn_prefill_time(const std::string& engine, const prompt_plan& plan,
-                                            fractional_milliseconds observed, time_point now)
-{
-    const auto wait = plan.prefill_latency - plan.prefill_time;
-    if (wait < max_idle_wait) {
-        m_prefill_model.learn(plan.prefilled_tokens, plan.prefilled_pairs,
-                              observed - plan.prefix_transfer_time);
-    }
-    return observed_time_ratio(engine, plan.prefill_latency, observed, now);
-}
-
-double engine_placement::observed_time_ratio(const std::string& engine,
-                                             fractional_milliseconds predicted,
-                                             fractional_milliseconds observed, time_point now) const
-{
-    const auto seen = time_ratio(engine_number(engine), now) *
-                      (observed / std::max(predicted, fractional_milliseconds{1}));
-    return std::clamp(seen, min_time_ratio, max_time_ratio);
-}
-
-bool engine_placement::is_fast(std::uint32_t engine) const
-{
-    if (m_pace.find(engine) != nullptr) {
-        return m_pace.is_fast(engine);
-    }
-    const auto known = m_time_ratios.find(engine);
-    if (known == m_time_ratios.end()) {
-        return false;
-    }
-    double sum = 0;
-    for (const auto& each : m_time_ratios) {
-        sum += each.second.value();
-    }
-    const auto mean = sum / static_cast<double>(m_time_ratios.size());
-    return mean >= balancing::decode_model::fast_speed * known->second.value();
-}
-
-double engine_placement::stream_capacity(const prompt_query& query, const endpoint& engine) const
-{
-    const auto needed = needed_interval(query, fractional_milliseconds{0});
-    const double slots = engine.report.slots;
-    return std::min(
-        slots,
-        m_pace.streams_at(engine_number(engine.report.id), needed, query.now).value_or(slots));
-}
-
-double engine_placement::time_ratio(std::uint32_t engine, time_point now) const
-{
-    const auto found = m_time_ratios.find(engine);
-    return found == m_time_ratios.end() ? 1 : found->second.value_now(1, now);
-}
-
-endpoint_pointer replica_placement::choose(const std::vector<endpoint_pointer>& replicas,
-                                           std::string_view availability_zone,
-                                           const std::set<std::string>& excluded,
-                                           std::uint32_t max_in_flight, time_point now,
-                                           std::mt19937_64& random)
-{
-    endpoint_pointer best;
-    double best_cost = std::numeric_limits<double>::max();
-    for (const auto& each : replicas) {
-        const auto& known = m_replicas[each->report.id];
-        if (excluded.contains(each->report.id) || known.health.is_backing_off(now)) {
-            continue;
-        }
-        const auto slots = std::max(each->report.slots, 1U);
-        // One request of this host per slot costs as much as another zone.
-        auto cost = static_cast<double>(known.in_flight) / slots;
-        cost += each->report.availability_zone == availability_zone ? 0 : 1;
-        const bool avoided = known.health.is_ejected(now) || known.in_flight >= max_in_flight;
-        cost += avoided ? last_resort_cost : failure_cost * known.health.failure_fraction();
-        cost += std::uniform_real_distribution<double>{0, 0.05}(random);
-        if (cost < best_cost) {
-            best_cost = cost;
-            best = each;
-        }
-    }
-    return best;
-}
-
 } // namespace cicadaport::serving
--- a/src/serving/stage_director.cpp
+++ b/src/serving/stage_director.cpp
@@ -40,6 +40,7 @@
     if (m_busy || m_host.is_stopping() || m_host.deployed == nullptr) {
         return;
     }
+    log_speeds();
     for (const auto& [name, each] : m_host.deployed->services()) {
         if (!each.engines || decide(name).engines == 0) {
             continue;
@@ -59,6 +60,35 @@
     return std::max(base_start_delay, hosts * start_delay_per_host);
 }
 
+void stage_director::log_speeds()
+{
+    const auto now = m_host.timers.now();
+    const auto& pace = m_host.engines.pace();
+    if (!pace.is_known() || now - m_speeds_logged < speed_log_interval) {
+        return;
+    }
+    m_speeds_logged = now;
+    for (const auto& [name, each] : m_host.deployed->services()) {
+        if (!each.engines) {
+            continue;
+        }
+        std::size_t observed = 0;
+        std::size_t fast = 0;
+        std::size_t fast_prefill = 0;
+        const auto& engines = m_host.engines_of(name);
+        for (const auto& engine : engines) {
+            const auto number = engine_number(engine->report.id);
+            const bool is_fast = m_host.engines.is_fast(number);
+            observed += pace.find(number) != nullptr ? 1 : 0;
+            fast += is_fast ? 1 : 0;
+            fast_prefill += is_fast && engine->report.stage == engine_stage::prefill ? 1 : 0;
+        }
+        spdlog::info("engine_speeds service={} engines={} observed={} fast={} fast_prefill={} "
+                     "load_factor={:.4f}",
+                     name, engines.size(), observed, fast, fast_prefill, pace.load_factor());
+    }
+}
+
 engine_stage stage_director::stage_of(const endpoint& engine) const
 {
     const auto now = m_host.timers.now();
--- a/test/balancing/decode_model_test.cpp
+++ b/test/balancing/decode_model_test.cpp
@@ -127,6 +127,18 @@
     }
 }
 
+// Otherwise all streams would go to the engine with the least noise until its slots are full.
+TEST_F(decode_model_test, streams_count_even_if_they_do_not_lengthen_the_steps)
+{
+    for (int count = 0; count < 2'000; ++count) {
+        const double streams = std::uniform_real_distribution<>{1, 32}(random);
+        model.record(count % 12, streams, fractional_milliseconds{46.5}, now);
+        now += 10ms;
+    }
+    EXPECT_GT(*model.interval(1, 30, now), 1.05 * *model.interval(1, 1, now));
+    EXPECT_NEAR(model.interval(1, 30, now)->count(), 46.5, 4.65);
+}
+
 TEST_F(decode_model_test, ignores_values_that_are_not_times)
 {
     model.record(1, 1, fractional_milliseconds{-1}, now);
--- a/test/serving/placement_test.cpp
+++ b/test/serving/placement_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 namespace cicadaport::serving {
 namespace {
 
@@ -386,6 +388,20 @@
     EXPECT_TRUE(chosen->report.id == "d0" || chosen->report.id == "d1") << chosen->report.id;
 }
 
+// Hosts that all chose the best engine by the same old information overloaded engines in turns.
+TEST_F(uneven_engines_test, hosts_that_choose_at_the_same_moment_spread_over_the_best_engines)
+{
+    std::mt19937_64 random{1};
+    query.random = &random;
+    std::map<std::string, int> chosen;
+    for (int host = 0; host < 200; ++host) {
+        ++chosen[placement.choose_decode_engine(query, *engines.front(), engines)->report.id];
+    }
+    ASSERT_EQ(chosen.size(), 2U) << "only the two fast engines are close to the best";
+    EXPECT_GT(chosen["d0"], 50);
+    EXPECT_GT(chosen["d1"], 50);
+}
+
 TEST_F(uneven_engines_test, fast_engines_are_the_first_to_only_decode)
 {
     const auto decode_only = placement.decode_only_engines(engines);
