--- a/include/cicadaport/duties/scaling_plan.h
+++ b/include/cicadaport/duties/scaling_plan.h
@@ -32,8 +32,9 @@
 
 class scaling_plan {
 public:
-    // Utilization of all replicas at the demand for which capacity is planned.
-    static constexpr double target_utilization = 0.55;
+    // Utilization of all replicas at the demand for which capacity is planned, which includes a
+    // burst.
+    static constexpr double target_utilization = 0.75;
     // Utilization of the rest after the loss of one zone's reclaimable replicas.
     static constexpr double max_utilization_after_loss = 0.85;
     // Ordinary replicas carry this share of the recent peak by themselves, so that the service
@@ -57,6 +58,9 @@
     static constexpr double max_step_share = 1.0 / 3;
     // Time between two steps down.
     static constexpr std::chrono::seconds hold_time{15};
+    // No order is given before the list of replicas has not grown for this time: replicas register
+    // one after the other when a deployment starts.
+    static constexpr std::chrono::milliseconds settle_time{1'500};
     // The list shows the effect of an order after less than this time.
     static constexpr std::chrono::seconds list_delay{2};
     // An order whose effect does not show within the boot time and this time is given again.
@@ -144,6 +148,8 @@
     // Replicas, and ordinary ones of them, that are kept while the demand is not known: those of
     // the start, and later those that the known demand needed last.
     std::uint32_t m_held_total = 0;
+    bool m_has_ordered = false;
+    time_point m_settled_at{};
     std::uint32_t m_held_ordinary = 0;
     std::optional<time_point> m_acting_since;
     time_point m_last_lowered{};
--- a/src/duties/scaling_plan.cpp
+++ b/src/duties/scaling_plan.cpp
@@ -135,9 +135,11 @@
                           now);
         }
     }
-    if (m_held_total == 0) {
-        m_held_total = sum([](const record& of, replica_kind) { return of.serving; });
+    const auto serving = sum([](const record& of, replica_kind) { return of.serving; });
+    if (!m_has_ordered && !m_demand.has_demand() && serving > m_held_total) {
+        m_held_total = serving;
         m_held_ordinary = rounded_up(ordinary_share_of_total * m_held_total);
+        m_settled_at = now + settle_time;
     }
 }
 
@@ -439,12 +441,17 @@
     }
     observe(view, now);
     set_targets(view.terms, now);
+    if (now < m_settled_at) {
+        m_basis.reason = "none";
+        return {};
+    }
     auto out = raise(view.terms, now);
     m_basis.reason = out.empty() ? "none" : "lack";
     if (out.empty()) {
         out = lower(view, now);
         m_basis.reason = out.empty() ? "none" : "surplus";
     }
+    m_has_ordered = m_has_ordered || !out.empty();
     return out;
 }
 
--- a/src/serving/scaling_director.cpp
+++ b/src/serving/scaling_director.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // Share of an engine's slots up to which its streams keep their pace.
-constexpr double usable_slot_fraction = 0.5;
+constexpr double usable_slot_fraction = 0.8;
 
 duties::scaling_terms terms_of(const scale_terms& from)
 {
