--- a/include/cicadaport/duties/scaling_plan.h
+++ b/include/cicadaport/duties/scaling_plan.h
@@ -148,7 +148,8 @@
     // Replicas, and ordinary ones of them, that are kept while the demand is not known: those of
     // the start, and later those that the known demand needed last.
     std::uint32_t m_held_total = 0;
-    bool m_has_ordered = false;
+    // Whether the list of replicas was complete at the start, as far as can be told.
+    bool m_is_settled = false;
     time_point m_settled_at{};
     std::uint32_t m_held_ordinary = 0;
     std::optional<time_point> m_acting_since;
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -3,8 +3,8 @@
 // Not thread safe: used only on the event loop.
 #pragma once
 
-#include "cicadaport/duties/usage_ledger.h"
 #include "cicadaport/accounts/fair_admission.h"
+#include "cicadaport/duties/usage_ledger.h"
 #include "cicadaport/serving/attempt_budget.h"
 #include "cicadaport/serving/connection_bounds.h"
 #include "cicadaport/serving/crash_monitor.h"
--- a/src/duties/scaling_plan.cpp
+++ b/src/duties/scaling_plan.cpp
@@ -136,11 +136,17 @@
         }
     }
     const auto serving = sum([](const record& of, replica_kind) { return of.serving; });
-    if (!m_has_ordered && !m_demand.has_demand() && serving > m_held_total) {
+    if (m_is_settled) {
+        return;
+    }
+    if (serving > m_held_total) {
         m_held_total = serving;
         m_held_ordinary = rounded_up(ordinary_share_of_total * m_held_total);
         m_settled_at = now + settle_time;
     }
+    else if (m_held_total > 0 && now >= m_settled_at) {
+        m_is_settled = true;
+    }
 }
 
 void scaling_plan::follow(const scaling_view& view, time_point now)
@@ -441,7 +447,7 @@
     }
     observe(view, now);
     set_targets(view.terms, now);
-    if (now < m_settled_at) {
+    if (!m_is_settled) {
         m_basis.reason = "none";
         return {};
     }
@@ -451,7 +457,6 @@
         out = lower(view, now);
         m_basis.reason = out.empty() ? "none" : "surplus";
     }
-    m_has_ordered = m_has_ordered || !out.empty();
     return out;
 }
 
--- a/test/platform/memory_test.cpp
+++ b/test/platform/memory_test.cpp
@@ -4,6 +4,8 @@
 
 #include "cicadaport/base/large_blocks.h"
 
+#include <malloc.h>
+
 #include <fstream>
 
 namespace cicadaport::platform {
@@ -26,6 +28,8 @@
         settings.max_memory = max_memory;
         list_replica("i-1", replica.address());
         start();
+        // The peak is that of the whole process. Free memory of earlier tests does not count.
+        ::malloc_trim(0);
         reset_peak();
     }
 
