--- a/include/cicadaport/duties/scaling_plan.h
+++ b/include/cicadaport/duties/scaling_plan.h
@@ -37,9 +37,10 @@
     static constexpr double target_utilization = 0.75;
     // Utilization of the rest after the loss of one zone's reclaimable replicas.
     static constexpr double max_utilization_after_loss = 0.85;
-    // Ordinary replicas carry this share of the recent peak by themselves, so that the service
-    // goes on, with refusals, when all reclaimable replicas are lost.
-    static constexpr double ordinary_share_of_peak = 1.0 / 3;
+    // Ordinary replicas carry this share of the recent peak by themselves, so that the most urgent
+    // requests are served when all reclaimable replicas are lost. The loss of one zone's is covered
+    // by `max_utilization_after_loss`, at a fraction of the price.
+    static constexpr double ordinary_share_of_peak = 1.0 / 4;
     // The same before any demand was seen, as a share of the replicas.
     static constexpr double ordinary_share_of_total = 0.1;
     // Minimum number of replicas of each of the two stages.
