duties: an incomplete list of replicas orders none; demand is averaged over a second

The peak of demand was that of moments of 0.3 s, which queue. Change: a list that has lost more than half of the ordinary replicas at once is not acted upon for up to 10 s; the peak is that of means over a second. Tests: scaling_plan_test.orders_nothing_for_a_list_that_has_lost_ordinary_replicas_at_once.

--- a/include/cicadaport/duties/demand_window.h
+++ b/include/cicadaport/duties/demand_window.h
@@ -31,7 +31,8 @@
         return m_first_demand && now - *m_first_demand >= min_known_time;
     }
 
-    // Returns the highest demand of the last `time`.
+    // Returns the highest demand of the last `time`, averaged over a second: what exceeds the
+    // capacity for less than that is queued.
     double peak(time_point now, clock::duration time = length) const;
     // Return the highest demand for each stage.
     double prefill_peak() const;
@@ -43,7 +44,6 @@
 private:
     struct bucket {
         time_point begin{};
-        double peak = 0;
         double prefill_peak = 0;
         double decode_peak = 0;
         double prefill_sum = 0;
--- a/include/cicadaport/duties/scaling_plan.h
+++ b/include/cicadaport/duties/scaling_plan.h
@@ -62,6 +62,11 @@
     // No order is given before the list of replicas has not grown for this time: replicas register
     // one after the other when a deployment starts.
     static constexpr std::chrono::milliseconds settle_time{1'500};
+    // Ordinary replicas are not reclaimed, so a list that has lost more than half of them at once
+    // is taken for incomplete, for at most this time. Entries that expire while the store is away
+    // are back within about 2 s of its return.
+    static constexpr double min_listed_fraction = 0.5;
+    static constexpr std::chrono::seconds max_doubt{10};
     // The list shows the effect of an order after less than this time.
     static constexpr std::chrono::seconds list_delay{2};
     // An order whose effect does not show within the boot time and this time is given again.
@@ -121,6 +126,8 @@
     };
 
     void observe(const scaling_view& view, time_point now);
+    // Returns whether the list of replicas is taken for incomplete.
+    bool is_list_doubtful(const scaling_view& view, time_point now);
     zone& zone_named(const std::string& name);
     void update_record(record& known, replica_kind kind, std::uint32_t serving,
                        const scaling_terms& terms, time_point now);
@@ -152,6 +159,7 @@
     // Whether the list of replicas was complete at the start, as far as can be told.
     bool m_is_settled = false;
     time_point m_settled_at{};
+    std::optional<time_point> m_doubtful_since;
     std::uint32_t m_held_ordinary = 0;
     std::optional<time_point> m_acting_since;
     time_point m_last_lowered{};
--- a/src/duties/demand_window.cpp
+++ b/src/duties/demand_window.cpp
@@ -31,7 +31,6 @@
         m_buckets.emplace_back().begin = now;
     }
     auto& last = m_buckets.back();
-    last.peak = std::max(last.peak, total);
     last.prefill_peak = std::max(last.prefill_peak, view.prefill_demand);
     last.decode_peak = std::max(last.decode_peak, view.decode_demand);
     last.prefill_sum += view.prefill_demand;
@@ -43,7 +42,8 @@
 {
     double out = 0;
     for (const auto& each : m_buckets) {
-        out = now - each.begin <= time ? std::max(out, each.peak) : out;
+        const auto mean = (each.prefill_sum + each.decode_sum) / each.samples;
+        out = now - each.begin <= time ? std::max(out, mean) : out;
     }
     return out;
 }
--- a/src/duties/scaling_plan.cpp
+++ b/src/duties/scaling_plan.cpp
@@ -113,6 +113,25 @@
     }
 }
 
+bool scaling_plan::is_list_doubtful(const scaling_view& view, time_point now)
+{
+    std::uint32_t listed = 0;
+    for (const auto& each : view.zones) {
+        listed += each.of(replica_kind::ordinary).serving;
+    }
+    const auto expected = sum([](const record& of, replica_kind kind) {
+        return kind == replica_kind::ordinary ? of.staying() : 0;
+    });
+    if (listed >= min_listed_fraction * expected) {
+        m_doubtful_since.reset();
+        return false;
+    }
+    if (!m_doubtful_since) {
+        m_doubtful_since = now;
+    }
+    return now - *m_doubtful_since < max_doubt;
+}
+
 void scaling_plan::observe(const scaling_view& view, time_point now)
 {
     m_demand.record(view, now);
@@ -126,6 +145,9 @@
     std::sort(m_zones.begin(), m_zones.end(), [](const zone& left, const zone& right) {
         return std::tie(left.price, left.name) < std::tie(right.price, right.name);
     });
+    if (is_list_doubtful(view, now)) {
+        return;
+    }
     for (auto& each : m_zones) {
         const auto listed = std::find_if(view.zones.begin(), view.zones.end(),
                                          [&](const zone_view& of) { return of.name == each.name; });
@@ -447,7 +469,7 @@
     }
     observe(view, now);
     set_targets(view.terms, now);
-    if (!m_is_settled) {
+    if (!m_is_settled || (m_doubtful_since && now - *m_doubtful_since < max_doubt)) {
         m_basis.reason = "none";
         return {};
     }
--- a/test/duties/scaling_plan_test.cpp
+++ b/test/duties/scaling_plan_test.cpp
@@ -234,6 +234,31 @@
     EXPECT_LE(fleet.run(plan, events).serving, 36U);
 }
 
+// When the list of replicas was incomplete after an outage of the store, ordinary replicas were
+// ordered in place of those that still served.
+TEST(scaling_plan_test, orders_nothing_for_a_list_that_has_lost_ordinary_replicas_at_once)
+{
+    scaling_plan plan;
+    scaling_view view;
+    view.terms = terms();
+    view.knows_demand = true;
+    view.prefill_demand = 20;
+    for (const auto* name : {"a", "b", "c", "d"}) {
+        view.zones.push_back({name, {}});
+        view.zones.back().of(replica_kind::ordinary) = {10, 5, 5};
+        view.zones.back().of(replica_kind::reclaimable) = {10, 5, 5};
+    }
+    plan.follow(view, start);
+    plan.follow(view, start + 2s);
+    auto incomplete = view;
+    for (auto& each : incomplete.zones) {
+        each = {each.name, {}};
+    }
+    EXPECT_TRUE(plan.decide(incomplete, start + 3s).empty());
+    EXPECT_TRUE(plan.decide(incomplete, start + 7s).empty());
+    EXPECT_FALSE(plan.decide(incomplete, start + 20s).empty()) << "they may really be gone";
+}
+
 // The first of 90 replicas to register were taken for all of them, and the fleet was reduced to
 // eight before its traffic began.
 TEST(scaling_plan_test, waits_until_the_replicas_have_registered)
