--- a/test/platform/scaling_director_test.cpp
+++ b/test/platform/scaling_director_test.cpp
@@ -84,6 +84,12 @@
     list_replicas("a", false, 20);
     list_replicas("b", false, 20);
     director.start();
+    EXPECT_TRUE(authority.orders.empty()) << "other replicas may still register";
+    constexpr std::chrono::seconds longest_wait{20};
+    for (const auto begun = host.timers.now();
+         authority.orders.empty() && host.timers.now() - begun < longest_wait;) {
+        context.run_one_for(longest_wait);
+    }
     ASSERT_EQ(authority.orders.size(), 2U);
     for (const auto& each : authority.orders) {
         EXPECT_EQ(each.kind, replica_kind::reclaimable);
