--- a/include/cicadaport/serving/placement.h
+++ b/include/cicadaport/serving/placement.h
@@ -61,10 +61,10 @@
     // ratio of both, and the largest such ratio that is told apart.
     fractional_milliseconds missed_pace{10'000};
     double max_missed_pace_ratio = 4;
-    // Age of what is known of other hosts' streams: 8 ms of batching and the way. With 60 ms, streams
-    // of engines of equal speed were spread almost at random.
-    // Streams that begin meanwhile raise the predicted time on engines by about as much, so an
-    // engine is chosen at random among those whose costs differ by less.
+    // Age of what is known of other hosts' streams: 8 ms of batching and the way. With 60 ms,
+    // streams of engines of equal speed were spread almost at random. Streams that begin meanwhile
+    // raise the predicted time on engines by about as much, so an engine is chosen at random among
+    // those whose costs differ by less.
     fractional_milliseconds information_age{10};
     // A pause beyond this fraction of the pause objective is penalized by `pause_weight`
     // times the excess.
