serving: duties use the shared checks of a status and of a duration

Cause: duty_client and usage_director each had an own copy of is_success(), and duty_client one of to_ms(), which stand in internal/exchange_constants.h. Change: both use these. Behaviour is unchanged.

--- a/src/serving/duty_client.cpp
+++ b/src/serving/duty_client.cpp
@@ -1,6 +1,7 @@
 #include "cicadaport/serving/duty_client.h"
 
 #include "cicadaport/serving/duty_news.h"
+#include "internal/exchange_constants.h"
 
 #include <spdlog/spdlog.h>
 #include <xxhash.h>
@@ -13,21 +14,9 @@
 using step = duties::subject_authority::step;
 
 constexpr unsigned status_condition_failed = 412;
-constexpr unsigned first_success = 200;
-constexpr unsigned first_redirect = 300;
 // A permit that lasts for less than this is not used: connecting takes a part of it.
 constexpr milliseconds min_useful_permit{20};
 
-bool is_accepted(unsigned status)
-{
-    return status >= first_success && status < first_redirect;
-}
-
-std::int64_t ms_between(time_point from, time_point to)
-{
-    return std::chrono::duration_cast<milliseconds>(to - from).count();
-}
-
 } // namespace
 
 duty_client::duty_client(host_state& host, http::address store, std::uint32_t partitions,
@@ -254,7 +243,7 @@
                       spdlog::info("duty_call subject={} token={} status={} took_ms={} "
                                    "permit_left_ms={}",
                                    subject, under.fencing_token, answer ? answer->status : 0,
-                                   ms_between(sent, now), ms_between(now, under.expires));
+                                   to_ms(now - sent).count(), to_ms(under.expires - now).count());
                   }
                   if (answer) {
                       end(subject,
@@ -283,7 +272,7 @@
         ++m_counts.unanswered;
         break;
     case duty_outcome::result::answered:
-        ++(is_accepted(outcome.status) ? m_counts.accepted : m_counts.refused);
+        ++(is_success(outcome.status) ? m_counts.accepted : m_counts.refused);
         break;
     }
     if (!reason.empty() && m_log_budget.try_acquire(m_host.timers.now())) {
--- a/src/serving/internal/exchange_constants.h
+++ b/src/serving/internal/exchange_constants.h
@@ -1,4 +1,4 @@
-// Constants and functions that the parts of `exchange` share.
+// Constants and functions that the parts of `exchange` and the duties share.
 #pragma once
 
 #include "cicadaport/serving/deployment.h"
--- a/src/serving/usage_director.cpp
+++ b/src/serving/usage_director.cpp
@@ -1,5 +1,7 @@
 #include "cicadaport/serving/usage_director.h"
 
+#include "internal/exchange_constants.h"
+
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -13,8 +15,6 @@
 // Bytes of an account's count besides its name.
 constexpr std::size_t count_overhead_bytes = 12;
 
-constexpr unsigned first_success = 200;
-constexpr unsigned first_redirect = 300;
 constexpr unsigned first_server_error = 500;
 constexpr unsigned status_request_timeout = 408;
 constexpr unsigned status_too_many_requests = 429;
@@ -24,11 +24,6 @@
     return std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now());
 }
 
-bool is_accepted(unsigned status)
-{
-    return status >= first_success && status < first_redirect;
-}
-
 bool may_be_repeated(unsigned status)
 {
     return status >= first_server_error || status == status_request_timeout ||
@@ -259,7 +254,7 @@
         m_failing_since.reset();
         const auto after_end = std::chrono::duration_cast<milliseconds>(
             *m_host.usage.clock().at(now) - m_host.usage.end_of(of.window));
-        const bool accepted = is_accepted(outcome.status);
+        const bool accepted = is_success(outcome.status);
         m_windows_reported += accepted ? 1 : 0;
         m_runs_reported += accepted ? of.runs : 0;
         spdlog::info("{} window={} token={} status={} accounts={} runs={} hosts={} repeat={} "
