duties: one place tells whether the list of replicas is doubtful

Cause: is_list_doubtful() changed state, and decide() repeated its comparison of times. Change: check_list() records since when the list is doubtful, is_list_doubtful() only answers. Behaviour is unchanged.

--- a/include/cicadaport/duties/scaling_plan.h
+++ b/include/cicadaport/duties/scaling_plan.h
@@ -126,8 +126,10 @@
     };
 
     void observe(const scaling_view& view, time_point now);
+    // Records since when the list of replicas lacks ordinary ones that were not ordered away.
+    void check_list(const scaling_view& view, time_point now);
     // Returns whether the list of replicas is taken for incomplete.
-    bool is_list_doubtful(const scaling_view& view, time_point now);
+    bool is_list_doubtful(time_point now) const;
     zone& zone_named(const std::string& name);
     void update_record(record& known, replica_kind kind, std::uint32_t serving,
                        const scaling_terms& terms, time_point now);
--- a/src/duties/scaling_plan.cpp
+++ b/src/duties/scaling_plan.cpp
@@ -26,24 +26,6 @@
 
 } // namespace
 
-std::string_view to_string(replica_kind kind)
-{
-    return kind == replica_kind::ordinary ? "ordinary" : "reclaimable";
-}
-
-std::string_view to_string(order_outcome outcome)
-{
-    switch (outcome) {
-    case order_outcome::accepted:
-        return "accepted";
-    case order_outcome::unavailable:
-        return "unavailable";
-    case order_outcome::unknown:
-        break;
-    }
-    return "unknown";
-}
-
 template <typename Value>
 std::uint32_t scaling_plan::sum(Value value)
 {
@@ -113,7 +95,7 @@
     }
 }
 
-bool scaling_plan::is_list_doubtful(const scaling_view& view, time_point now)
+void scaling_plan::check_list(const scaling_view& view, time_point now)
 {
     std::uint32_t listed = 0;
     for (const auto& each : view.zones) {
@@ -124,12 +106,15 @@
     });
     if (listed >= min_listed_fraction * expected) {
         m_doubtful_since.reset();
-        return false;
     }
-    if (!m_doubtful_since) {
+    else if (!m_doubtful_since) {
         m_doubtful_since = now;
     }
-    return now - *m_doubtful_since < max_doubt;
+}
+
+bool scaling_plan::is_list_doubtful(time_point now) const
+{
+    return m_doubtful_since && now - *m_doubtful_since < max_doubt;
 }
 
 void scaling_plan::observe(const scaling_view& view, time_point now)
@@ -145,7 +130,8 @@
     std::sort(m_zones.begin(), m_zones.end(), [](const zone& left, const zone& right) {
         return std::tie(left.price, left.name) < std::tie(right.price, right.name);
     });
-    if (is_list_doubtful(view, now)) {
+    check_list(view, now);
+    if (is_list_doubtful(now)) {
         return;
     }
     for (auto& each : m_zones) {
@@ -469,7 +455,7 @@
     }
     observe(view, now);
     set_targets(view.terms, now);
-    if (!m_is_settled || (m_doubtful_since && now - *m_doubtful_since < max_doubt)) {
+    if (!m_is_settled || is_list_doubtful(now)) {
         m_basis.reason = "none";
         return {};
     }
