--- a/test/platform/revocation_test.cpp
+++ b/test/platform/revocation_test.cpp
@@ -51,6 +51,16 @@
         ASSERT_TRUE(becomes("k1", 401));
     }
 
+    // Lists a second replica and returns whether requests reach it.
+    bool becomes_used(scripted_server& other)
+    {
+        list_replica("i-2", other.address());
+        return eventually([&] {
+            status_of("kb");
+            return !other.requests().empty();
+        });
+    }
+
     std::atomic<bool> sent{false};
     scripted_server replica{answer};
 };
@@ -95,11 +105,7 @@
     waiting.send(request("POST", "/once/x", "r1", with_key("k1")));
     ASSERT_TRUE(eventually([&] { return !received(replica, "r1").empty(); }));
     revoke();
-    list_replica("i-2", other.address());
-    ASSERT_TRUE(eventually([&] {
-        status_of("kb");
-        return !other.requests().empty();
-    }));
+    ASSERT_TRUE(becomes_used(other));
     sent = true;
     EXPECT_EQ(waiting.receive().status, 200U);
     expect_account(other, "r1", "a");
@@ -126,11 +132,7 @@
     reading.send(request("GET", "/going/x", "r1", with_key("k1")));
     ASSERT_TRUE(eventually([&] { return !received(replica, "r1").empty(); }));
     revoke();
-    list_replica("i-2", other.address());
-    ASSERT_TRUE(eventually([&] {
-        status_of("kb");
-        return !other.requests().empty();
-    }));
+    ASSERT_TRUE(becomes_used(other));
     sent = true;
     const auto whole = reading.receive();
     EXPECT_EQ(whole.body, events(1, 4));
