--- a/review/standins-2/platform_2.py
+++ b/review/standins-2/platform_2.py
@@ -43,13 +43,14 @@
 
 
 def free_ports(count):
-    """Returns ports that are free on all loopback addresses used here."""
+    """Returns ports that are free on the loopback addresses of the hosts."""
     found = []
     for port in range(20000 + os.getpid() * 7 % 9000, 31000):
         try:
             for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                with socket.socket(socket.AF_INET, kind) as probe:
-                    probe.bind(("0.0.0.0", port))
+                for number in range(1, 4):
+                    with socket.socket(socket.AF_INET, kind) as probe:
+                        probe.bind((f"127.0.0.{number}", port))
             found.append(port)
         except OSError:
             continue
