--- /dev/null
+++ b/include/cicadaport/history/store_history.h
@@ -0,0 +1,85 @@
+// Tells which history of the store an answer belongs to.
+//
+// A store may return from an older copy of its data. What was acknowledged after the copy was made
+// is lost then, and its offsets are given out again, so an offset names a record only within one
+// history of the store. The store numbers its histories with an epoch that rises with each return.
+// It may also state no epoch; then a return shows only where a list does not continue what was read
+// from it.
+//
+// Whatever rests on an offset, on the end of a list or on an acknowledged write is kept together
+// with the `generation()` in which it was learned, and is learned anew when that has changed.
+//
+// Performs no I/O; answers and times are passed in. Not thread safe.
+#pragma once
+
+#include "cicadaport/base/boot_clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace cicadaport::history {
+
+using time_point = base::boot_clock::time_point;
+
+// What an answer of the store states about its epoch.
+struct epoch_statement {
+    // Whether the answer states an epoch at all.
+    bool is_stated = false;
+    // The epoch; empty if the statement can't be parsed.
+    std::optional<std::uint64_t> epoch;
+};
+
+class store_history {
+public:
+    enum class relation {
+        // The answer states no epoch, or one that can't be parsed.
+        unknown,
+        // The answer belongs to the known history, or is the first to state an epoch.
+        current,
+        // The store has returned: the answer belongs to a later history than any before.
+        newer,
+        // The answer belongs to a history that has ended. It must not be used.
+        older,
+    };
+
+    // Records what an answer of the store states, and returns how it relates to what was known.
+    // Calls the functions passed to `on_return()` if the store has returned.
+    relation observe(const epoch_statement& stated, time_point now);
+
+    // Records that a list does not continue what was read from it although no later epoch was
+    // stated.
+    void record_unannounced_return(time_point now);
+
+    using subscription = std::shared_ptr<const std::function<void()>>;
+
+    // Has `action` called after each return that this process learns of, until the result is
+    // destroyed.
+    [[nodiscard]] subscription on_return(std::function<void()> action);
+
+    // Returns the number of returns that this process has learned of.
+    std::uint64_t generation() const noexcept { return m_generation; }
+
+    // Returns the epoch of the known history; empty if the store has stated none.
+    std::optional<std::uint64_t> epoch() const noexcept { return m_epoch; }
+
+    // Returns since when this process has known the present history: the time of the last return,
+    // or of the first answer that stated an epoch. Empty if there was neither: a store that states
+    // no epoch and has not returned has one history.
+    std::optional<time_point> known_since() const noexcept { return m_known_since; }
+
+private:
+    void begin_generation(time_point now);
+
+    std::optional<std::uint64_t> m_epoch;
+    std::uint64_t m_generation = 0;
+    std::optional<time_point> m_known_since;
+    std::vector<std::weak_ptr<const std::function<void()>>> m_actions;
+};
+
+std::string_view to_string(store_history::relation relation);
+
+} // namespace cicadaport::history
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -156,6 +156,12 @@
     // Returns whether a replica accepts a request now. `is_engine` tells an engine from a
     // replica of a plain service.
     bool accepts_request(const endpoint& replica, bool is_engine);
+    // Records which history of the store an answer belongs to. Returns false if that history has
+    // ended, so that the answer must not be used.
+    bool accept_store_answer(const history::epoch_statement& stated);
+    // Records that a list does not continue what was read from it although the store has stated no
+    // later epoch. `evidence` says what was seen.
+    void record_unannounced_return(feed of, std::string_view evidence);
     // Logs how many accounts and keys are in force, and the numbers of requests by outcome, if the
     // configuration has accounts.
     void log_accounts() const;
@@ -187,6 +193,9 @@
     // Null until the first configuration has been read.
     deployment_pointer deployed;
     endpoint_table endpoints;
+    // Which history of the store is known. What is read from the store belongs to one history.
+    history::store_history store_history;
+    line_budget epoch_log_budget;
     // Positions in the lists from which `deployed` and `endpoints` are read.
     list_position configuration_position;
     list_position endpoints_position;
--- a/include/cicadaport/serving/list_position.h
+++ b/include/cicadaport/serving/list_position.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "cicadaport/base/boot_clock.h"
+#include "cicadaport/history/record_digest.h"
 
 #include <chrono>
 #include <cstdint>
@@ -22,6 +23,13 @@
 struct list_position {
     // Offset of the first record that is not known.
     std::uint64_t offset = 0;
+    // Digest of the record before `offset`.
+    history::record_digest last_record;
+    // End of the list in the last answer of the store to this host, whatever it had read before.
+    std::uint64_t stated_end = 0;
+    // Number of the returns of the store that this host had learned of when it began to read the
+    // known part of the list.
+    std::uint64_t generation = 0;
     // Time at which the known view of the list was current; empty before the first read.
     std::optional<time_point> known_at;
     list_reader read_by = list_reader::nobody;
--- a/include/cicadaport/serving/single_call.h
+++ b/include/cicadaport/serving/single_call.h
@@ -9,6 +9,8 @@
 struct call_response {
     unsigned status = 0;
     answer_metadata metadata;
+    // What the answer states about the store's history; meaningful for calls to the store only.
+    history::epoch_statement epoch;
     std::string body;
 };
 
--- a/include/cicadaport/serving/wire.h
+++ b/include/cicadaport/serving/wire.h
@@ -8,6 +8,8 @@
 #include "cicadaport/accounts/authentication.h"
 #include "cicadaport/duties/scaling_view.h"
 #include "cicadaport/duties/usage_ledger.h"
+#include "cicadaport/history/record_digest.h"
+#include "cicadaport/history/store_history.h"
 #include "cicadaport/serving/deployment.h"
 #include "cicadaport/serving/endpoint_table.h"
 #include "cicadaport/transport/message_reader.h"
@@ -107,6 +109,21 @@
 // of the other lists the newest entry of each key stays.
 enum class feed { configuration, endpoints, orders, stream_origins };
 
+constexpr std::string_view to_string(feed which) noexcept
+{
+    switch (which) {
+    case feed::configuration:
+        return "configuration";
+    case feed::endpoints:
+        return "endpoints";
+    case feed::orders:
+        return "orders";
+    case feed::stream_origins:
+        break;
+    }
+    return "stream_origins";
+}
+
 // One entry of a list. An entry without a value removes its key.
 struct feed_entry {
     feed_entry(std::string with_key, std::optional<std::string> with_value,
@@ -142,6 +159,11 @@
     // be read from the store.
     std::uint64_t list_end = 0;
     std::vector<feed_entry> entries;
+    // The epoch of the store in which it was read; empty if the store has stated none.
+    std::optional<std::uint64_t> epoch;
+    // Digests of the record before `from` and of the one before `list_end`.
+    history::record_digest record_before;
+    history::record_digest last_record;
     // When the read started.
     time_point read_at{};
 };
@@ -232,6 +254,9 @@
     // Requests to the store, as bytes, and parsers of its answers. The parsers throw
     // `store_error`.
     virtual std::string newest_request(feed of, const std::string& after_key) const = 0;
+    // Returns what an answer of the store states about the history that it belongs to.
+    virtual history::epoch_statement
+    read_store_epoch(const transport::message_head& head) const = 0;
     virtual std::string read_request(feed of, std::uint64_t from) const = 0;
     virtual feed_page read_newest(unsigned status, std::string_view body) const = 0;
     virtual feed_page read_records(unsigned status, std::string_view body,
--- a/src/serving/feed_follower.cpp
+++ b/src/serving/feed_follower.cpp
@@ -17,11 +17,6 @@
 // A backlog of several records is read in full up to this size, in bytes.
 constexpr std::uint64_t max_backlog_bytes = 256ULL * 1024;
 
-std::string_view to_string(feed which)
-{
-    return which == feed::configuration ? "configuration" : "endpoints";
-}
-
 // Returns whether a record makes all earlier ones of its key irrelevant. Of endpoints, earlier
 // records tell which versions were listed.
 bool supersedes_earlier_records(feed which)
@@ -101,6 +96,7 @@
 {
     m_status = head.status;
     m_body_size = body_size_of(head);
+    m_host.accept_store_answer(m_host.wire.read_store_epoch(head));
 }
 
 void feed_follower::on_body(std::string_view piece)
@@ -214,6 +210,7 @@
     shared.list_end = std::max(shared.to, page.list_end);
     shared.read_at = m_requested_at;
     m_position.offset = shared.to;
+    m_position.stated_end = page.list_end;
     const bool reaches_end = shared.to >= page.list_end;
     if (reaches_end) {
         update_known_at(m_requested_at, list_reader::this_host);
--- a/src/serving/host_state.cpp
+++ b/src/serving/host_state.cpp
@@ -308,6 +308,44 @@
     return out;
 }
 
+bool host_state::accept_store_answer(const history::epoch_statement& stated)
+{
+    const auto before = store_history.epoch();
+    const auto related = store_history.observe(stated, timers.now());
+    switch (related) {
+    case history::store_history::relation::newer:
+        spdlog::warn("store_returned epoch_before={} epoch={} generation={} "
+                     "effect=\"all lists are read anew\" configuration_{} endpoints_{}",
+                     *before, *stated.epoch, store_history.generation(),
+                     to_fields(configuration_position, timers.now()),
+                     to_fields(endpoints_position, timers.now()));
+        return true;
+    case history::store_history::relation::older:
+    case history::store_history::relation::unknown:
+        if ((stated.is_stated || before) && epoch_log_budget.try_acquire(timers.now())) {
+            spdlog::warn("store_epoch_{} stated={} known={} effect=\"the known one is kept\" "
+                         "passed_over={}",
+                         !stated.is_stated ? "missing"
+                         : stated.epoch    ? "older"
+                                           : "unreadable",
+                         stated.epoch.value_or(0), before.value_or(0),
+                         epoch_log_budget.take_suppressed_count());
+        }
+        return related != history::store_history::relation::older;
+    case history::store_history::relation::current:
+        break;
+    }
+    return true;
+}
+
+void host_state::record_unannounced_return(feed of, std::string_view evidence)
+{
+    store_history.record_unannounced_return(timers.now());
+    spdlog::warn("store_returned_unannounced feed={} evidence=\"{}\" generation={} "
+                 "effect=\"all lists are read anew\"",
+                 to_string(of), evidence, store_history.generation());
+}
+
 void host_state::log_accounts() const
 {
     const auto* keys = deployed != nullptr ? deployed->keys() : nullptr;
--- a/src/serving/single_call.cpp
+++ b/src/serving/single_call.cpp
@@ -48,6 +48,7 @@
     {
         m_answer.status = head.status;
         m_answer.metadata = m_host.wire.read_answer(head);
+        m_answer.epoch = m_host.wire.read_store_epoch(head);
     }
     void on_body(std::string_view piece) override
     {
