serving: a list whose offsets were given out again is read anew

Seen by callers: 404 on routes of acknowledged versions, on all hosts, until the next write; replicas that took the place of a lost entry got nothing. Cause: a follower reads on from its offset. After the store has returned from an older copy and new records have filled the gap, that offset lies in the middle of another history: the records before it are never read, the read is empty and the view counts as new. A list that ended before the offset counted as read to its end, and pages of hosts with different histories fitted each other's offsets. Ruled out: a lagging list (one process read two records at one offset), lost gossip (one host alone shows it). Change: positions belong to a generation of the store's history. A later epoch, an end or a record that does not continue what is known, and a 410 for a known offset begin a new one, in which each list is read as a whole, and once more after its writers could write again; replicas that are missing in between are kept. After an interruption the last known record is read once more. Pages carry the epoch and the digests of the records at their borders; a page of another history moves no position.

--- a/include/cicadaport/serving/feed_follower.h
+++ b/include/cicadaport/serving/feed_follower.h
@@ -12,6 +12,12 @@
 // expired, the follower reads the whole list again. A failed call is retried with growing
 // backoff; what was read before stays in force meanwhile.
 //
+// The store may return from an older copy of its data and give offsets out again. A follower then
+// reads the whole list anew. It learns of a return from the epoch in the store's answers, or from a
+// list that does not continue what it has read: after an interruption of its contact with the
+// store, and when another host announces something else, it reads its last record once more.
+// What was read before stays in force meanwhile.
+//
 // A call fails when its response stalls, not when it is long: a host that is far behind may need
 // longer for the records than for any other response. Of a large backlog of configurations only
 // the newest one is read.
@@ -19,6 +25,7 @@
 // Not thread safe: used only on the event loop of its host.
 #pragma once
 
+#include "cicadaport/history/announced_page.h"
 #include "cicadaport/serving/feed_times.h"
 #include "cicadaport/serving/host_state.h"
 #include "cicadaport/transport/stall_timer.h"
@@ -27,12 +34,25 @@
 
 namespace cicadaport::serving {
 
+// What a list that was read as a whole tells.
+enum class list_state {
+    complete,
+    // The store has just returned from an older copy. Entries that were written after the copy was
+    // made may be missing until their writers write them again.
+    refilling,
+};
+
 class feed_follower final : public transport::answer_observer {
 public:
+    // After a return of the store the whole list is read once more when its writers have had this
+    // time to write again what the store has lost.
+    static constexpr milliseconds refill_time{2'500};
+
     // Called when entries of the list have been read.
     struct callbacks {
-        // Receives the whole list: at the start, and after unread records have expired.
-        std::function<void(const std::vector<feed_entry>&)> on_full_list;
+        // Receives the whole list: at the start, after unread records have expired, and twice after
+        // a return of the store.
+        std::function<void(const std::vector<feed_entry>&, list_state)> on_full_list;
         // Receives appended entries. Returns those that may be new to another host, whether or
         // not this host knew them before.
         std::function<std::vector<feed_entry>(const std::vector<feed_entry>&)> on_added;
@@ -58,6 +78,20 @@
     void on_failure(transport::exchange_failure failure) override;
 
     void send_request();
+    void connect();
+    // Returns the offset from which records are requested: one before the first unknown record if
+    // the known ones have to be verified.
+    std::uint64_t next_requested_offset() const noexcept;
+    // Returns whether the known part of the list must be verified before it is read on.
+    bool needs_verification() const noexcept;
+    // Returns false if the store has returned since the call was made, and reads the list anew.
+    bool is_answer_current();
+    // Called when the store has returned, also if this follower has noticed it.
+    void handle_return();
+    // Returns why the answer does not continue the known part of the list; empty if it does.
+    std::string_view find_discontinuity(const feed_page& page) const;
+    // Reads the last known record once more, soon.
+    void verify_soon();
     // Returns whether the response that is being received is a large backlog of which only the
     // newest record matters.
     bool is_superseded_backlog() const;
@@ -72,7 +106,16 @@
     // of them read at the same time.
     milliseconds random_delay(milliseconds most) const;
     void apply_newest();
+    void finish_full_list();
+    // Reads the whole list once more after its writers had time to write again.
+    void read_refilled_list();
     void apply_records();
+    void read_on(bool reaches_end, bool has_progressed);
+    // Returns the part of the list that this host knows.
+    history::known_part known_part() const noexcept;
+    // Returns whether a page of another host belongs to the history that this host knows. If not,
+    // logs it, and has the list read from the store if the page may be the newer one.
+    bool is_same_history(const shared_page& page);
     // Announces records to the other hosts, but none that may hold keys of callers.
     void announce(shared_page page) const;
     // Returns the entries that this host has not seen yet.
@@ -94,8 +137,13 @@
     // How far the list has been read; shared with the rest of the host.
     list_position& m_position;
     time_point m_requested_at{};
-    // The offset of the first requested record.
+    // The offset of the first requested record, and the position when it was requested.
     std::uint64_t m_requested_offset = 0;
+    std::uint64_t m_offset_at_request = 0;
+    history::record_digest m_last_record_at_request;
+    history::epoch_statement m_epoch;
+    // Whether the known part of the list may belong to a history that has ended.
+    bool m_in_doubt = false;
     // Since when records that another host has read have been missing here.
     std::optional<time_point> m_gap_since;
     unsigned m_status = 0;
@@ -106,6 +154,11 @@
     bool m_reading_full_list = true;
     std::vector<feed_entry> m_full_list;
     std::optional<std::uint64_t> m_first_appended_offset;
+    // Number of the returns that were known when the full list was begun.
+    std::uint64_t m_full_list_generation = 0;
+    transport::timer_queue::handle m_refill_timer;
+    line_budget m_page_log_budget;
+    history::store_history::subscription m_return_subscription;
     bool m_has_read = false;
 };
 
--- a/src/serving/feed_follower.cpp
+++ b/src/serving/feed_follower.cpp
@@ -1,5 +1,7 @@
 #include "cicadaport/serving/feed_follower.h"
 
+#include "internal/feed_records.h"
+
 #include <spdlog/spdlog.h>
 
 #include <charconv>
@@ -12,18 +14,11 @@
 // host, about three hosts read where one would be enough.
 constexpr milliseconds delay_per_host{8};
 constexpr int interval_to_delay_ratio = 4;
-// The datagrams of one page arrive within a few milliseconds.
-constexpr milliseconds max_gap_delay{100};
+// Maximum delay of the reads with which hosts follow a return of the store.
+constexpr milliseconds max_return_delay{500};
 // A backlog of several records is read in full up to this size, in bytes.
 constexpr std::uint64_t max_backlog_bytes = 256ULL * 1024;
 
-// Returns whether a record makes all earlier ones of its key irrelevant. Of endpoints, earlier
-// records tell which versions were listed.
-bool supersedes_earlier_records(feed which)
-{
-    return which == feed::configuration;
-}
-
 std::optional<std::uint64_t> body_size_of(const transport::message_head& head)
 {
     const auto text = head.fields.find("Content-Length");
@@ -48,6 +43,7 @@
                                                                                   actions)},
       m_response_timer{host.timers}, m_position{position_of(host, which)}
 {
+    m_return_subscription = m_host.store_history.on_return([this] { handle_return(); });
 }
 
 feed_follower::~feed_follower()
@@ -57,11 +53,32 @@
     }
 }
 
+bool feed_follower::needs_verification() const noexcept
+{
+    const bool is_reconnecting = m_connection == nullptr || !m_connection->is_reusable();
+    return m_has_read && !m_reading_full_list && m_position.offset > 0 &&
+           (m_in_doubt || is_reconnecting);
+}
+
+std::uint64_t feed_follower::next_requested_offset() const noexcept
+{
+    return needs_verification() ? m_position.offset - 1 : m_position.offset;
+}
+
 void feed_follower::send_request()
 {
+    const bool is_outdated =
+        !m_reading_full_list && m_position.generation != m_host.store_history.generation();
+    if (is_outdated || (needs_verification() && !m_position.last_record)) {
+        start_full_read(milliseconds{0});
+        return;
+    }
     m_requested_at = m_host.timers.now();
     m_position.call_started_at = m_requested_at;
-    m_requested_offset = m_position.offset;
+    m_requested_offset = next_requested_offset();
+    m_offset_at_request = m_position.offset;
+    m_last_record_at_request = m_position.last_record;
+    m_in_doubt = false;
     m_body_size.reset();
     m_body.clear();
     auto& calls = m_host.store_calls;
@@ -72,31 +89,36 @@
         m_reading_full_list
             ? m_host.wire.newest_request(m_feed, m_full_list.empty() ? std::string{}
                                                                      : m_full_list.back().key)
-            : m_host.wire.read_request(m_feed, m_position.offset);
+            : m_host.wire.read_request(m_feed, m_requested_offset);
     m_response_timer.start(m_times.response_timeout, [this] {
         m_connection->abandon();
         failed("the store's response stalled");
     });
     if (m_connection == nullptr || !m_connection->is_reusable()) {
-        // Enough for whole pages of a large list.
-        constexpr std::uint64_t most_bytes = 16ULL * 1024 * 1024;
-        transport::message_limits limits;
-        limits.body_bytes = most_bytes;
-        m_connection =
-            std::make_shared<transport::exchange_connection>(m_host.context, m_host.timers, limits);
-        transport::exchange_connection::times times;
-        times.connect = m_times.response_timeout;
-        times.socket.peer_silence = m_times.response_timeout;
-        m_connection->connect(m_store, times);
+        connect();
     }
     m_connection->send(request, *this);
 }
 
+void feed_follower::connect()
+{
+    // Enough for whole pages of a large list.
+    constexpr std::uint64_t most_bytes = 16ULL * 1024 * 1024;
+    transport::message_limits limits;
+    limits.body_bytes = most_bytes;
+    m_connection =
+        std::make_shared<transport::exchange_connection>(m_host.context, m_host.timers, limits);
+    transport::exchange_connection::times times;
+    times.connect = m_times.response_timeout;
+    times.socket.peer_silence = m_times.response_timeout;
+    m_connection->connect(m_store, times);
+}
+
 void feed_follower::on_head(transport::message_head head)
 {
     m_status = head.status;
     m_body_size = body_size_of(head);
-    m_host.accept_store_answer(m_host.wire.read_store_epoch(head));
+    m_epoch = m_host.wire.read_store_epoch(head);
 }
 
 void feed_follower::on_body(std::string_view piece)
@@ -115,7 +137,7 @@
         return false;
     }
     const auto end = m_host.wire.read_list_end(m_status, m_body);
-    return end && *end > m_requested_offset + 1;
+    return end && *end > m_offset_at_request + 1;
 }
 
 void feed_follower::skip_backlog()
@@ -133,14 +155,54 @@
 {
     m_reading_full_list = true;
     m_full_list.clear();
+    m_full_list_generation = m_host.store_history.generation();
     m_first_appended_offset.reset();
     schedule_read_after(pause);
 }
 
+bool feed_follower::is_answer_current()
+{
+    if (!m_host.accept_store_answer(m_epoch)) {
+        failed("the answer belongs to an ended history of the store");
+        return false;
+    }
+    const auto generation = m_reading_full_list ? m_full_list_generation : m_position.generation;
+    if (generation != m_host.store_history.generation()) {
+        start_full_read(milliseconds{0});
+        return false;
+    }
+    return true;
+}
+
+void feed_follower::handle_return()
+{
+    m_refill_timer.cancel();
+    // A call in progress is followed by a full read when it ends.
+    if (!m_position.call_started_at) {
+        start_full_read(random_delay(max_return_delay));
+    }
+}
+
+std::string_view feed_follower::find_discontinuity(const feed_page& page) const
+{
+    if (page.list_end < m_offset_at_request) {
+        return "the list ends before known records";
+    }
+    const bool is_verifying = m_requested_offset < m_offset_at_request;
+    if (is_verifying && find_digest(page.entries, m_requested_offset) != m_last_record_at_request) {
+        return "the last known record differs";
+    }
+    return {};
+}
+
 void feed_follower::on_complete()
 {
     m_response_timer.cancel();
+    const bool is_current = is_answer_current();
     m_position.call_started_at.reset();
+    if (!is_current) {
+        return;
+    }
     const bool read_full_list = m_reading_full_list;
     const bool had_read = m_has_read;
     try {
@@ -153,6 +215,10 @@
     }
     catch (const store_error& error) {
         if (error.what_kind() == store_error::kind::expired) {
+            const auto first = m_host.wire.read_first_offset(m_status, m_body);
+            if (!m_reading_full_list && first && *first <= m_requested_offset) {
+                m_host.record_unannounced_return(m_feed, "the store does not have a known offset");
+            }
             spdlog::info("feed_begins_anew feed={} reason=\"{}\" {}", to_string(m_feed),
                          error.what(), to_fields(m_position, m_host.timers.now()));
             start_full_read(feed_times::initial_backoff);
@@ -166,7 +232,8 @@
             start_full_read(feed_times::initial_backoff);
         }
         else {
-            m_position.offset = m_requested_offset;
+            m_position.offset = m_offset_at_request;
+            m_position.last_record = m_last_record_at_request;
         }
         m_has_read = had_read;
         failed(error.what());
@@ -188,19 +255,59 @@
         schedule_read_after(milliseconds{0});
         return;
     }
+    finish_full_list();
+}
+
+void feed_follower::finish_full_list()
+{
+    const bool has_returned = m_has_read && m_position.generation != m_full_list_generation;
+    m_position.generation = m_full_list_generation;
     m_position.offset = *std::exchange(m_first_appended_offset, std::nullopt);
+    m_position.stated_end = m_position.offset;
+    m_position.last_record =
+        m_position.offset > 0 ? find_digest(m_full_list, m_position.offset - 1) : std::nullopt;
     m_position.known_at = m_requested_at;
     m_position.read_by = list_reader::this_host;
     m_reading_full_list = false;
     m_has_read = true;
-    m_actions.on_full_list(std::exchange(m_full_list, {}));
+    if (has_returned) {
+        m_position.announced_end = 0;
+        m_refill_timer = m_host.timers.call_at(m_host.timers.now() + refill_time,
+                                               [this] { read_refilled_list(); });
+        // Hosts that have not noticed the return compare their last record with this one.
+        shared_page page;
+        page.of = m_feed;
+        page.from = page.to = page.list_end = m_position.offset;
+        page.record_before = page.last_record = m_position.last_record;
+        page.read_at = m_requested_at;
+        announce(page);
+    }
+    m_actions.on_full_list(std::exchange(m_full_list, {}),
+                           m_refill_timer.is_set() ? list_state::refilling : list_state::complete);
     schedule_next_read();
 }
 
+void feed_follower::read_refilled_list()
+{
+    if (m_position.call_started_at) {
+        m_response_timer.cancel();
+        m_connection->abandon();
+        m_position.call_started_at.reset();
+    }
+    start_full_read(random_delay(max_return_delay));
+}
+
 void feed_follower::apply_records()
 {
     auto page = m_host.wire.read_records(m_status, m_body, m_requested_offset);
     succeeded();
+    m_position.stated_end = page.list_end;
+    if (const auto evidence = find_discontinuity(page); !evidence.empty()) {
+        m_host.record_unannounced_return(m_feed, evidence);
+        return;
+    }
+    const auto last_read =
+        page.next_offset > 0 ? find_digest(page.entries, page.next_offset - 1) : std::nullopt;
     // Some of these records may have arrived by gossip since the request was sent.
     page.entries = unseen_entries(std::move(page.entries));
     shared_page shared;
@@ -209,19 +316,27 @@
     shared.to = std::max(m_position.offset, page.next_offset);
     shared.list_end = std::max(shared.to, page.list_end);
     shared.read_at = m_requested_at;
+    shared.record_before = m_position.last_record;
+    if (page.next_offset > m_position.offset) {
+        m_position.last_record = last_read;
+    }
     m_position.offset = shared.to;
-    m_position.stated_end = page.list_end;
     const bool reaches_end = shared.to >= page.list_end;
     if (reaches_end) {
         update_known_at(m_requested_at, list_reader::this_host);
+        shared.last_record = shared.list_end == shared.to ? m_position.last_record : std::nullopt;
     }
     if (!page.entries.empty()) {
         shared.entries = m_actions.on_added(page.entries);
     }
     announce(shared);
+    read_on(reaches_end, shared.to > shared.from);
+}
+
+void feed_follower::read_on(bool reaches_end, bool has_progressed)
+{
     if (!reaches_end) {
-        schedule_read_after(shared.to > shared.from ? milliseconds{0}
-                                                    : feed_times::initial_backoff);
+        schedule_read_after(has_progressed ? milliseconds{0} : feed_times::initial_backoff);
         return;
     }
     if (m_position.offset < std::exchange(m_position.announced_end, m_position.offset)) {
@@ -233,21 +348,6 @@
     schedule_next_read();
 }
 
-void feed_follower::announce(shared_page page) const
-{
-    if (m_host.gossip == nullptr) {
-        return;
-    }
-    if (m_feed == feed::configuration &&
-        std::any_of(page.entries.begin(), page.entries.end(),
-                    [this](const auto& each) { return m_host.wire.may_hold_keys(each); })) {
-        // The other hosts learn the end of the list and read the records from the store.
-        page.entries.clear();
-        page.to = page.from;
-    }
-    m_host.gossip->announce_page(page);
-}
-
 std::vector<feed_entry> feed_follower::unseen_entries(std::vector<feed_entry> entries) const
 {
     std::erase_if(entries,
@@ -255,28 +355,6 @@
     return entries;
 }
 
-void feed_follower::apply(const shared_page& page)
-{
-    if (m_reading_full_list || page.of != m_feed) {
-        return;
-    }
-    if (page.from <= m_position.offset && m_position.offset < page.to) {
-        const auto added = unseen_entries(page.entries);
-        m_position.offset = page.to;
-        m_position.read_by = list_reader::other_host;
-        m_actions.on_added(added);
-    }
-    // A page that ends before an announced end may come from a host that was suspended in
-    // between, so it does not count as fresh.
-    if (m_position.offset >= page.list_end && page.list_end >= m_position.announced_end) {
-        update_known_at(page.read_at, list_reader::other_host);
-    }
-    m_position.announced_end = std::max(m_position.announced_end, page.list_end);
-    if (!m_position.call_started_at) {
-        schedule_next_read();
-    }
-}
-
 void feed_follower::update_known_at(time_point at, list_reader by)
 {
     if (!m_position.known_at || at > *m_position.known_at) {
@@ -354,6 +432,7 @@
                      to_string(m_feed), reason, m_body.size(),
                      to_fields(m_position, m_host.timers.now()));
     }
+    m_in_doubt = m_has_read;
     // Before its first complete read a host serves no requests, so it retries without growing
     // backoff.
     const auto grown =
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -1,6 +1,7 @@
 #include "cicadaport/serving/host_process.h"
 
 #include "internal/descriptor_limit.h"
+#include "internal/feed_records.h"
 #include "internal/host_duties.h"
 #include "internal/listener.h"
 #include "internal/readiness_connection.h"
@@ -171,25 +172,26 @@
 private:
     feed_follower::callbacks configuration_callbacks()
     {
-        const auto apply = [this](const std::vector<feed_entry>& entries) {
-            apply_configuration(entries);
-            return entries;
-        };
-        return {apply, apply};
+        return {[this](const std::vector<feed_entry>& entries, list_state) {
+                    apply_configuration(entries);
+                },
+                [this](const std::vector<feed_entry>& entries) {
+                    apply_configuration(entries);
+                    return entries;
+                }};
     }
 
     feed_follower::callbacks endpoint_callbacks()
     {
-        return {[this](const std::vector<feed_entry>& entries) {
-                    std::vector<std::string> ids;
-                    ids.reserve(entries.size());
-                    for (const auto& each : entries) {
-                        ids.push_back(each.key);
+        return {[this](const std::vector<feed_entry>& entries, list_state state) {
+                    if (state == list_state::complete) {
+                        m_state.endpoints.keep_only(keys_of(entries), m_state.timers.now());
                     }
-                    m_state.endpoints.keep_only(ids, m_state.timers.now());
                     m_state.origins.handle_whole_list();
                     apply_endpoints(entries);
-                    spdlog::info("endpoints_read count={} {}", m_state.endpoints.size(),
+                    spdlog::info("endpoints_read listed={} count={} refilling={} {}",
+                                 entries.size(), m_state.endpoints.size(),
+                                 state == list_state::refilling,
                                  to_fields(m_state.endpoints_position, m_state.timers.now()));
                 },
                 [this](const std::vector<feed_entry>& entries) {
--- a/src/serving/peer_gossip.cpp
+++ b/src/serving/peer_gossip.cpp
@@ -317,6 +317,9 @@
         parts.front().set_from(page.from);
         parts.front().set_to(page.from);
     }
+    if (page.record_before) {
+        parts.front().set_record_before(*page.record_before);
+    }
     const auto age = std::chrono::duration_cast<milliseconds>(m_host.timers.now() - page.read_at);
     const auto routes = m_directory.routes_for_heartbeat(++m_greetings);
     for (auto& each : parts) {
@@ -325,6 +328,12 @@
         each.set_feed(static_cast<std::uint32_t>(page.of));
         each.set_end(page.list_end);
         each.set_age_ms(static_cast<std::uint32_t>(age.count()));
+        if (page.epoch) {
+            each.set_epoch(*page.epoch);
+        }
+        if (page.last_record) {
+            each.set_last_record(*page.last_record);
+        }
         *gossip.mutable_feed() = std::move(each);
         broadcast(gossip, routes);
     }
@@ -339,6 +348,10 @@
     page.to = told.to();
     page.list_end = told.end();
     page.read_at = now - milliseconds{told.age_ms()};
+    page.epoch = told.has_epoch() ? std::optional{told.epoch()} : std::nullopt;
+    page.record_before =
+        told.has_record_before() ? std::optional{told.record_before()} : std::nullopt;
+    page.last_record = told.has_last_record() ? std::optional{told.last_record()} : std::nullopt;
     for (const auto& each : told.records()) {
         page.entries.emplace_back(
             each.key(), each.dropped() ? std::nullopt : std::optional{each.value()}, each.offset());
--- a/test/platform/feed_follower_test.cpp
+++ b/test/platform/feed_follower_test.cpp
@@ -60,7 +60,9 @@
         follower = std::make_unique<serving::feed_follower>(
             host, store.address(), serving::feed::endpoints,
             serving::feed_times::within(interval, 2s, 3s),
-            serving::feed_follower::callbacks{apply, apply});
+            serving::feed_follower::callbacks{[apply](const std::vector<feed_entry>& entries,
+                                                      serving::list_state) { apply(entries); },
+                                              apply});
     }
 
     // Runs the event loop until `done`.
@@ -273,7 +275,9 @@
         follower = std::make_unique<serving::feed_follower>(
             host, store.address(), serving::feed::configuration,
             serving::feed_times::within(interval, 2s, 3s),
-            serving::feed_follower::callbacks{apply, apply});
+            serving::feed_follower::callbacks{[apply](const std::vector<feed_entry>& entries,
+                                                      serving::list_state) { apply(entries); },
+                                              apply});
     }
 
     void publish(char version) { store.put("keyed.op", "config", std::string(250'000, version)); }
--- a/test/platform/stand_ins.h
+++ b/test/platform/stand_ins.h
@@ -303,6 +303,26 @@
         m_topics[topic].first = m_topics[topic].records.size();
     }
 
+    // Loses the last `count` records of a topic, as a store that returns from an older copy does.
+    // Their offsets are given out again.
+    void lose_records(const std::string& topic, std::size_t count)
+    {
+        const std::lock_guard lock{m_mutex};
+        auto& records = m_topics[topic].records;
+        records.resize(records.size() - std::min(count, records.size()));
+    }
+
+    // All answers state this epoch from now on; the text may be no number. Without a text they
+    // state none.
+    void state_epoch(std::optional<std::string> text)
+    {
+        const std::lock_guard lock{m_mutex};
+        m_epoch_field = text ? "Store-Era: " + *text + "\r\n" : "";
+    }
+
+    // Reads from beyond the end of a topic are answered without records instead of with 410.
+    void allow_reads_beyond_end(bool allowed) { m_allows_reads_beyond_end = allowed; }
+
     // All calls are answered with this status until it is set to 0.
     void refuse(unsigned status) { m_refusal = status; }
 
@@ -390,10 +410,27 @@
 
     scripted_response respond(const received_request& request)
     {
-        auto out = answer(request);
+        auto out = with_epoch(answer(request));
         return m_bytes_per_s > 0 && !out.later ? paced(std::move(out), m_bytes_per_s) : out;
     }
 
+    scripted_response with_epoch(scripted_response out) const
+    {
+        if (out.later) {
+            out.later = [this, later = std::move(out.later)]() {
+                auto there = later();
+                return there ? std::optional{with_epoch(std::move(*there))} : std::nullopt;
+            };
+            return out;
+        }
+        const std::lock_guard lock{m_mutex};
+        const auto end_of_status_line = out.bytes.find("\r\n");
+        if (end_of_status_line != std::string::npos) {
+            out.bytes.insert(end_of_status_line + 2, m_epoch_field);
+        }
+        return out;
+    }
+
     scripted_response answer(const received_request& request)
     {
         if (m_refusal != 0) {
@@ -431,7 +468,7 @@
     scripted_response read(const topic_log& topic, const received_request& request)
     {
         const auto from = std::stoull(request.parameter("from"));
-        if (from < topic.first) {
+        if (from < topic.first || (from > topic.records.size() && !m_allows_reads_beyond_end)) {
             return expired(topic);
         }
         auto out = make_response(200, "", records(topic, from));
@@ -519,6 +556,8 @@
 
     mutable std::mutex m_mutex;
     std::map<std::string, topic_log> m_topics;
+    std::string m_epoch_field;
+    std::atomic<bool> m_allows_reads_beyond_end{false};
     std::atomic<unsigned> m_refusal{0};
     std::atomic<bool> m_lose_appends{false};
     std::atomic<bool> m_miss_wakeups{false};
@@ -569,9 +608,8 @@
             break;
         }
         scripted_response out;
-        out.later = [this, call = std::make_shared<pending_response>(m_store.answer(request))] {
-            return pass(*call);
-        };
+        out.later = [this, call = std::make_shared<pending_response>(m_store.with_epoch(
+                               m_store.answer(request)))] { return pass(*call); };
         return out;
     }
 
