docs: how hosts notice a return of the store, and what they do until lists are complete

Change: the requests line has the epoch and the number of returns; the configuration is read once after a return, since its newest record is the only one that matters.

--- a/include/cicadaport/serving/feed_follower.h
+++ b/include/cicadaport/serving/feed_follower.h
@@ -44,14 +44,14 @@
 
 class feed_follower final : public transport::answer_observer {
 public:
-    // After a return of the store the whole list is read once more when its writers have had this
+    // After a return of the store the list of endpoints is read once more when they have had this
     // time to write again what the store has lost.
     static constexpr milliseconds refill_time{2'500};
 
     // Called when entries of the list have been read.
     struct callbacks {
-        // Receives the whole list: at the start, after unread records have expired, and twice after
-        // a return of the store.
+        // Receives the whole list: at the start, after unread records have expired, and after a
+        // return of the store; then the list of endpoints a second time.
         std::function<void(const std::vector<feed_entry>&, list_state)> on_full_list;
         // Receives appended entries. Returns those that may be new to another host, whether or
         // not this host knew them before.
--- a/src/serving/feed_follower.cpp
+++ b/src/serving/feed_follower.cpp
@@ -272,8 +272,10 @@
     m_has_read = true;
     if (has_returned) {
         m_position.announced_end = 0;
-        m_refill_timer = m_host.timers.call_at(m_host.timers.now() + refill_time,
-                                               [this] { read_refilled_list(); });
+        if (!supersedes_earlier_records(m_feed)) {
+            m_refill_timer = m_host.timers.call_at(m_host.timers.now() + refill_time,
+                                                   [this] { read_refilled_list(); });
+        }
         // Hosts that have not noticed the return compare their last record with this one.
         shared_page page;
         page.of = m_feed;
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -365,7 +365,8 @@
             "cut={} callers_left={} "
             "further_attempts={} handed_over={} relayed={} connections_opened={} peers={} "
             "replicas={} "
-            "configuration={} configuration_age_ms={} endpoints_age_ms={} store_pages={} "
+            "configuration={} configuration_age_ms={} endpoints_age_ms={} store_epoch={} "
+            "store_returns={} store_pages={} "
             "store_configuration_reads={} store_endpoint_reads={} store_order_reads={} "
             "store_origin_reads={} store_appends={} known_streams={} suspected_segments={} "
             "quarantined_segments={} caller_connections={} held_bytes={} peak_memory_kb={} {}",
@@ -375,6 +376,7 @@
             m_gossip.peer_count(), m_state.endpoints.size(),
             m_state.deployed != nullptr ? m_state.deployed->version() : 0,
             age_ms(m_state.configuration_position), age_ms(m_state.endpoints_position),
+            m_state.store_history.epoch().value_or(0), m_state.store_history.generation(),
             m_state.store_calls.pages, m_state.store_calls.configuration_reads,
             m_state.store_calls.endpoint_reads, m_state.store_calls.order_reads,
             m_state.store_calls.origin_reads, m_state.store_calls.appends,
