--- a/src/serving/list_position.cpp
+++ b/src/serving/list_position.cpp
@@ -33,12 +33,12 @@
 std::string to_fields(const list_position& of, time_point now)
 {
     constexpr milliseconds never{-1};
-    return fmt::format("offset={} told_end={} stated_end={} generation={} age_ms={} read_by={} "
-                       "failures={} asking_ms={}",
-                       of.offset, of.announced_end, of.stated_end, of.generation,
-                       of.age(now).value_or(never).count(), to_string(of.read_by), of.failures,
-                       of.call_started_at ? since(*of.call_started_at, now).count()
-                                          : never.count());
+    return fmt::format("offset={} told_end={} age_ms={} read_by={} failures={} asking_ms={} "
+                       "stated_end={} generation={}",
+                       of.offset, of.announced_end, of.age(now).value_or(never).count(),
+                       to_string(of.read_by), of.failures,
+                       of.call_started_at ? since(*of.call_started_at, now).count() : never.count(),
+                       of.stated_end, of.generation);
 }
 
 } // namespace cicadaport::serving
