serving: an entry of the list that can't be used hides no replica

Cause: the table took over the entry's sequence and dropped the replica; the replica's own entries counted as older until it started again. An entry that can't be parsed removed the replica until its next one. Change: reports of services that the configuration does not name are deferred and change nothing; the newest one is applied once a configuration names its service. What can't be parsed changes nothing; only a removed key removes. The application of entries is a unit of its own, endpoint_feed.

--- a/include/cicadaport/serving/endpoint_table.h
+++ b/include/cicadaport/serving/endpoint_table.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -73,12 +74,27 @@
     // report does not add it again.
     static constexpr std::chrono::seconds removed_endpoint_ttl{120};
 
+    // Maximum number of reports that are deferred. A replica reports again within seconds.
+    static constexpr std::size_t max_deferred_count = 4'096;
+
+    // Sets the services that the configuration names; until then all services count as named.
+    // A report of another service may come from anybody who writes to the list. It is deferred: it
+    // changes nothing that is known of the replica until its service is named. Applies the deferred
+    // reports of services that are named now, and returns them.
+    std::vector<endpoint_report> name_services(std::set<std::string> names, time_point now);
+
+    // Returns whether a report of the service is applied, not deferred.
+    bool is_named(const std::string& service) const
+    {
+        return !m_services || m_services->contains(service);
+    }
+
     // Applies a report. A report older than the known one changes nothing, since reports of one
     // incarnation may arrive out of order. Returns whether the report contains a change, as opposed
     // to showing only that the replica still reports.
     bool apply(const endpoint_report& report, time_point now);
 
-    // Removes a replica that the platform no longer lists, or whose listed report is unusable.
+    // Removes a replica that the platform no longer lists.
     // Returns whether the replica was in the table.
     bool remove(const std::string& id, time_point now);
 
@@ -106,6 +122,7 @@
     std::vector<endpoint_pointer> take_dropped() { return std::exchange(m_dropped, {}); }
 
     std::size_t size() const noexcept { return m_current.size(); }
+    std::size_t deferred_count() const noexcept { return m_deferred.size(); }
 
 private:
     struct last_known {
@@ -123,6 +140,9 @@
     std::map<std::string, endpoint_pointer> m_current;
     std::map<std::string, std::vector<endpoint_pointer>> m_by_service;
     std::map<std::string, last_known> m_known;
+    std::optional<std::set<std::string>> m_services;
+    // By id.
+    std::map<std::string, endpoint_report> m_deferred;
     std::vector<endpoint_pointer> m_dropped;
 };
 
--- a/src/serving/endpoint_table.cpp
+++ b/src/serving/endpoint_table.cpp
@@ -4,8 +4,31 @@
 
 namespace cicadaport::serving {
 
+std::vector<endpoint_report> endpoint_table::name_services(std::set<std::string> names,
+                                                           time_point now)
+{
+    m_services = std::move(names);
+    std::vector<endpoint_report> out;
+    for (const auto& [id, report] : m_deferred) {
+        if (is_named(report.service)) {
+            out.push_back(report);
+        }
+    }
+    for (const auto& each : out) {
+        apply(each, now);
+    }
+    return out;
+}
+
 bool endpoint_table::apply(const endpoint_report& report, time_point now)
 {
+    if (!is_named(report.service)) {
+        if (m_deferred.size() < max_deferred_count || m_deferred.contains(report.id)) {
+            m_deferred.insert_or_assign(report.id, report);
+        }
+        return false;
+    }
+    m_deferred.erase(report.id);
     auto& known = m_known[report.id];
     const bool older =
         report.incarnation < known.incarnation ||
@@ -40,6 +63,7 @@
 
 bool endpoint_table::remove(const std::string& id, time_point now)
 {
+    m_deferred.erase(id);
     m_known[id].at = now;
     return drop(id);
 }
@@ -67,6 +91,9 @@
     for (const auto& id : missing) {
         remove(id, now);
     }
+    std::erase_if(m_deferred, [&](const auto& each) {
+        return std::find(ids.begin(), ids.end(), each.first) == ids.end();
+    });
 }
 
 const std::vector<endpoint_pointer>& endpoint_table::serving(const std::string& service) const
--- a/src/serving/host_process.cpp
+++ b/src/serving/host_process.cpp
@@ -1,7 +1,7 @@
 #include "cicadaport/serving/host_process.h"
 
 #include "internal/descriptor_limit.h"
-#include "internal/feed_records.h"
+#include "internal/endpoint_feed.h"
 #include "internal/host_duties.h"
 #include "internal/listener.h"
 #include "internal/readiness_connection.h"
@@ -47,6 +47,7 @@
     implementation(settings_source source, const wire_format& wire)
         : m_source{std::move(source)}, m_settings{m_source()}, m_context{1},
           m_state{m_context, wire, m_settings.availability_zone, m_settings.attempts},
+          m_endpoint_feed{m_state},
           m_configuration{m_state, m_settings.store_address, feed::configuration,
                           feed_times::within(m_settings.max_apply_delay / reads_per_apply_delay,
                                              m_settings.max_apply_delay,
@@ -184,34 +185,22 @@
     feed_follower::callbacks endpoint_callbacks()
     {
         return {[this](const std::vector<feed_entry>& entries, list_state state) {
-                    if (state == list_state::complete) {
-                        m_state.endpoints.keep_only(keys_of(entries), m_state.timers.now());
-                    }
-                    m_state.origins.handle_whole_list();
-                    apply_endpoints(entries);
-                    spdlog::info("endpoints_read listed={} count={} refilling={} {}",
-                                 entries.size(), m_state.endpoints.size(),
-                                 state == list_state::refilling,
-                                 to_fields(m_state.endpoints_position, m_state.timers.now()));
+                    m_endpoint_feed.apply_list(entries, state);
                 },
                 [this](const std::vector<feed_entry>& entries) {
-                    const auto taken = apply_endpoints(entries);
-                    log_changes(taken.changed);
-                    return taken.relevant;
+                    return m_endpoint_feed.apply_added(entries);
                 }};
     }
 
-    // Parses an entry. Returns nothing if the parser throws, so that the others are applied.
-    template <typename Result>
-    std::optional<Result> read_entry(const feed_entry& entry,
-                                     Result (wire_format::*parse)(const feed_entry&) const) const
+    // Returns null if the entry holds no configuration that can be read.
+    deployment_pointer read_deployment(const feed_entry& entry) const
     {
         try {
-            return (m_state.wire.*parse)(entry);
+            return m_state.wire.read_deployment(entry);
         }
         catch (const std::exception&) {
             telemetry::log_exception("list_entry");
-            return std::nullopt;
+            return nullptr;
         }
     }
 
@@ -219,7 +208,7 @@
     void apply_configuration(const std::vector<feed_entry>& entries)
     {
         for (auto each = entries.rbegin(); each != entries.rend(); ++each) {
-            auto read = read_entry(*each, &wire_format::read_deployment).value_or(nullptr);
+            auto read = read_deployment(*each);
             if (read == nullptr) {
                 continue;
             }
@@ -233,62 +222,12 @@
                 m_state.deployed = std::move(read);
                 m_state.origins.set_longest_request(m_state.deployed->longest_time_limit());
                 m_state.log_accounts();
+                m_endpoint_feed.handle_configuration();
             }
             return;
         }
     }
 
-    struct endpoint_update {
-        // Entries that changed this host's view.
-        std::vector<feed_entry> changed;
-        // Entries that may change another host's view: all but heartbeats of replicas that are
-        // offered. Another host may lack records that this host has.
-        std::vector<feed_entry> relevant;
-    };
-
-    endpoint_update apply_endpoints(const std::vector<feed_entry>& entries)
-    {
-        const auto now = m_state.timers.now();
-        endpoint_update out;
-        std::vector<endpoint_report> listed;
-        for (const auto& each : entries) {
-            const auto read = read_entry(each, &wire_format::read_endpoint);
-            if (!read) {
-                // What is known of the replica stays in force.
-                continue;
-            }
-            const auto& report = *read;
-            const bool changed = report ? m_state.endpoints.apply(*report, now)
-                                        : m_state.endpoints.remove(each.key, now);
-            if (report) {
-                listed.push_back(*report);
-                m_state.origins.note_report(*report);
-            }
-            if (changed) {
-                out.changed.push_back(each);
-            }
-            if (changed || !report || m_state.endpoints.find(each.key) == nullptr) {
-                out.relevant.push_back(each);
-            }
-        }
-        m_state.forget_removed_replicas();
-        m_state.origins.handle_changed_list();
-        for (const auto& each : listed) {
-            m_state.handle_listed_replica(each);
-        }
-        return out;
-    }
-
-    void log_changes(const std::vector<feed_entry>& changes) const
-    {
-        for (const auto& each : changes) {
-            const auto listed = m_state.endpoints.find(each.key);
-            spdlog::info("endpoint_changed id={} offered={} version={} record={} {}", each.key,
-                         listed != nullptr, listed != nullptr ? listed->report.version : "",
-                         each.offset, to_fields(m_state.endpoints_position, m_state.timers.now()));
-        }
-    }
-
     void wait_for_reload()
     {
         m_settings_signal.async_wait([this](error_code error, int) {
@@ -456,6 +395,7 @@
     host_settings m_settings;
     asio::io_context m_context;
     host_state m_state;
+    endpoint_feed m_endpoint_feed;
     connection_shares m_connection_shares = connection_shares::of(max_descriptors(m_settings));
     // Outlive the connections, which hold them.
     connection_slots m_caller_slots{m_connection_shares.callers};
--- a/test/serving/endpoint_table_test.cpp
+++ b/test/serving/endpoint_table_test.cpp
@@ -132,5 +132,33 @@
     EXPECT_EQ(table.serving("t").size(), 1U);
 }
 
+TEST(endpoint_table_test, defers_reports_of_services_that_are_not_named)
+{
+    endpoint_table table;
+    table.name_services({"s"}, start);
+    table.apply(report("a", 1, 1), start);
+    auto other = report("a", 1, 9);
+    other.service = "t";
+    EXPECT_FALSE(table.apply(other, start));
+    EXPECT_FALSE(table.apply(report("a", 1, 2), start));
+    EXPECT_EQ(table.serving("s").size(), 1U);
+    EXPECT_EQ(table.find("a")->report.sequence, 2) << "the replica's own reports are not older";
+}
+
+TEST(endpoint_table_test, applies_the_newest_deferred_report_once_its_service_is_named)
+{
+    endpoint_table table;
+    table.name_services({}, start);
+    table.apply(report("a", 1, 1), start);
+    table.apply(report("b", 1, 1), start);
+    table.apply(report("a", 2, 1), start);
+    EXPECT_EQ(table.deferred_count(), 2U);
+    table.remove("b", start);
+    EXPECT_EQ(table.name_services({"s"}, start).size(), 1U);
+    ASSERT_EQ(table.serving("s").size(), 1U);
+    EXPECT_EQ(table.serving("s")[0]->report.incarnation, 2);
+    EXPECT_EQ(table.deferred_count(), 0U);
+}
+
 } // namespace
 } // namespace cicadaport::serving
