serving: records that were missed cast doubt on a list, and a return ends calls

Change: records of the list of endpoints that were missed have the last known record read once more, also if they are missed during a call; a return ends the call in progress.

--- a/include/cicadaport/serving/feed_follower.h
+++ b/include/cicadaport/serving/feed_follower.h
@@ -89,6 +89,8 @@
     bool is_answer_current();
     // Called when the store has returned, also if this follower has noticed it.
     void handle_return();
+    // Ends the call in progress, if there is one, without an answer.
+    void abandon_call();
     // Returns why the answer does not continue the known part of the list; empty if it does.
     std::string_view find_discontinuity(const feed_page& page) const;
     // Has the known part of the list verified soon.
@@ -150,7 +152,7 @@
     std::uint64_t m_offset_at_request = 0;
     history::record_digest m_last_record_at_request;
     history::epoch_statement m_epoch;
-    // Whether a call has failed since the known part of the list was verified.
+    // Whether a call has failed, or records were missed, since the known part was verified.
     bool m_in_doubt = false;
     // Whether another host has announced something else than what is known.
     bool m_is_contradicted = false;
--- a/src/serving/feed_follower.cpp
+++ b/src/serving/feed_follower.cpp
@@ -148,9 +148,8 @@
 void feed_follower::on_complete()
 {
     m_response_timer.cancel();
-    const bool is_current = is_answer_current();
     m_position.call_started_at.reset();
-    if (!is_current) {
+    if (!is_answer_current()) {
         return;
     }
     const bool read_full_list = m_reading_full_list;
@@ -256,11 +255,7 @@
 
 void feed_follower::read_refilled_list()
 {
-    if (m_position.call_started_at) {
-        m_response_timer.cancel();
-        m_connection->abandon();
-        m_position.call_started_at.reset();
-    }
+    abandon_call();
     start_full_read(milliseconds{0});
     m_is_reading_refilled = true;
 }
@@ -274,6 +269,11 @@
         m_host.record_unannounced_return(m_feed, evidence);
         return;
     }
+    if (m_in_doubt && can_be_verified() && !m_is_verifying) {
+        // The doubt arose during the call, whose answer doesn't hold the last known record.
+        schedule_read_after(milliseconds{0});
+        return;
+    }
     if (std::exchange(m_needs_full_list, false)) {
         start_full_read(milliseconds{0});
         return;
--- a/src/serving/feed_follower_history.cpp
+++ b/src/serving/feed_follower_history.cpp
@@ -27,9 +27,7 @@
     }
     // The records of the configuration are large, and only the newest one matters.
     const bool is_reconnecting = m_connection == nullptr || !m_connection->is_reusable();
-    const bool has_gap = m_position.offset < m_position.announced_end;
-    return (is_reconnecting || has_gap) && m_position.last_record &&
-           !supersedes_earlier_records(m_feed);
+    return is_reconnecting && m_position.last_record && !supersedes_earlier_records(m_feed);
 }
 
 void feed_follower::prepare_verification()
@@ -43,11 +41,11 @@
 
 bool feed_follower::is_answer_current()
 {
+    const auto generation = m_reading_full_list ? m_full_list_generation : m_position.generation;
     if (!m_host.accept_store_answer(m_epoch)) {
         failed("the answer belongs to an ended history of the store");
         return false;
     }
-    const auto generation = m_reading_full_list ? m_full_list_generation : m_position.generation;
     if (generation != m_host.store_history.generation()) {
         start_full_read(milliseconds{0});
         return false;
@@ -58,9 +56,16 @@
 void feed_follower::handle_return()
 {
     m_refill_timer.cancel();
-    // A call in progress is followed by a full read when it ends.
-    if (!m_position.call_started_at) {
-        start_full_read(random_delay(max_return_delay));
+    abandon_call();
+    start_full_read(random_delay(max_return_delay));
+}
+
+void feed_follower::abandon_call()
+{
+    if (m_position.call_started_at) {
+        m_response_timer.cancel();
+        m_connection->abandon();
+        m_position.call_started_at.reset();
     }
 }
 
@@ -69,8 +74,8 @@
     if (page.list_end < m_offset_at_request) {
         return "the list ends before known records";
     }
-    const bool is_verifying = m_requested_offset < m_offset_at_request;
-    if (is_verifying && find_digest(page.entries, m_requested_offset) != m_last_record_at_request) {
+    if (m_is_verifying &&
+        find_digest(page.entries, m_requested_offset) != m_last_record_at_request) {
         return "the last known record differs";
     }
     return {};
--- a/src/serving/feed_follower_pages.cpp
+++ b/src/serving/feed_follower_pages.cpp
@@ -116,6 +116,10 @@
         m_actions.on_added(page.entries);
         return;
     }
+    if (page.from > m_position.offset && !supersedes_earlier_records(m_feed)) {
+        // The records in between may continue another history than the known one.
+        m_in_doubt = true;
+    }
     if (page.from <= m_position.offset && m_position.offset < page.to) {
         const auto added = entries_to_apply(page);
         m_position.offset = page.to;
