transport: responses with a status outside of 100 to 599 are malformed

Seen by callers: answers with the status 600 and 999 were passed on; 000 and 099 were skipped like interim ones, and the caller got 504 at its time limit. Cause: the HTTP library takes any three digits for a status. Change: the reader of responses refuses others than RFC 9110, section 15, defines. Names, values and lines of fields that are not allowed are pinned for each byte, whole and divided at each byte; the reader refused them before as well.

--- a/include/cicadaport/http/message.h
+++ b/include/cicadaport/http/message.h
@@ -74,6 +74,31 @@
     std::string body;
 };
 
+// Status codes from RFC 9110, section 15; others are malformed.
+constexpr unsigned first_status = 100;
+constexpr unsigned first_final_status = 200;
+constexpr unsigned last_status = 599;
+
+constexpr bool is_valid_status(unsigned status) noexcept
+{
+    return status >= first_status && status <= last_status;
+}
+
+// Returns whether a response is interim, so that the final response follows it.
+constexpr bool is_interim(unsigned status) noexcept
+{
+    return is_valid_status(status) && status < first_final_status;
+}
+
+// Returns whether a response has neither a body nor fields that delimit one (RFC 9110,
+// section 8.6).
+constexpr bool is_bodiless(unsigned status) noexcept
+{
+    constexpr unsigned no_content = 204;
+    constexpr unsigned not_modified = 304;
+    return is_interim(status) || status == no_content || status == not_modified;
+}
+
 // A target split into its path and its decoded query parameters.
 class target_view {
 public:
--- a/src/transport/message_reader.cpp
+++ b/src/transport/message_reader.cpp
@@ -53,8 +53,12 @@
         m_into.head.target = std::string{target};
     }
 
-    void on_response_impl(int code, beast::string_view, int, error_code&) override
+    void on_response_impl(int code, beast::string_view, int, error_code& error) override
     {
+        if (!http::is_valid_status(static_cast<unsigned>(code))) {
+            error = beast::http::error::bad_status;
+            return;
+        }
         m_into.head.status = static_cast<unsigned>(code);
     }
 
--- a/test/transport/message_reader_test.cpp
+++ b/test/transport/message_reader_test.cpp
@@ -143,5 +143,141 @@
     EXPECT_EQ(reader.take_body(), "abc");
 }
 
+// How a reader has judged a response.
+struct response_verdict {
+    bool complete = false;
+    parse_problem problem = parse_problem::none;
+    unsigned status = 0;
+    std::string value;
+    std::string body;
+
+    bool operator==(const response_verdict&) const = default;
+};
+
+// Feeds a response in two reads, divided at `split`, or byte by byte if that is zero, and then the
+// end of the connection.
+response_verdict read_response(std::string_view bytes, std::size_t split)
+{
+    message_reader reader{message_kind::response, {}};
+    response_verdict out;
+    std::string held;
+    while (!bytes.empty() && reader.problem() == parse_problem::none) {
+        const auto size = split == 0 ? 1 : std::exchange(split, bytes.size());
+        held += bytes.substr(0, size);
+        bytes.remove_prefix(std::min(size, bytes.size()));
+        held.erase(0, reader.feed(held));
+    }
+    reader.feed_end();
+    out.complete = reader.complete();
+    out.problem = reader.problem();
+    if (out.complete) {
+        out.status = reader.head().status;
+        out.value = reader.head().fields.find("Name").value_or("");
+        out.body = reader.take_body();
+    }
+    return out;
+}
+
+// Returns the verdict on a response that is whole and has one that does not depend on its reads.
+response_verdict judge_response(const std::string& bytes)
+{
+    const auto whole = read_response(bytes, bytes.size());
+    for (std::size_t split = 0; split < bytes.size(); ++split) {
+        EXPECT_EQ(read_response(bytes, split), whole) << split << " of " << bytes;
+    }
+    return whole;
+}
+
+response_verdict judge_start_line(std::string line)
+{
+    line += "\r\nContent-Length: 0\r\n\r\n";
+    return judge_response(line);
+}
+
+response_verdict judge_field(std::string_view line)
+{
+    std::string bytes = "HTTP/1.1 200 OK\r\n";
+    bytes += line;
+    bytes += "\r\nContent-Length: 2\r\n\r\nok";
+    return judge_response(bytes);
+}
+
+// Regression: responses with a status outside of the range of status codes were complete.
+TEST(message_reader_test, rejects_each_status_outside_of_the_range_of_status_codes)
+{
+    constexpr unsigned statuses = 1'000;
+    for (unsigned status = 0; status < statuses; ++status) {
+        std::string line = "HTTP/1.1 000 X";
+        for (unsigned at = 11, rest = status; rest > 0; --at, rest /= 10) {
+            line[at] = static_cast<char>('0' + rest % 10);
+        }
+        const auto verdict = judge_start_line(line);
+        const bool valid = status >= 100 && status <= 599;
+        EXPECT_EQ(verdict.complete, valid) << line;
+        EXPECT_EQ(verdict.problem, valid ? parse_problem::none : parse_problem::malformed);
+    }
+    for (const std::string line :
+         {"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 2x0 OK",
+          "HTTP/1.1  200 OK", "HTTP/1.1 200", "HTTP/1.1 200 O\x01K", "HTTP/2.0 200 OK",
+          "HTTP/1.1\t200 OK", "http/1.1 200 OK", " HTTP/1.1 200 OK"}) {
+        EXPECT_FALSE(judge_start_line(line).complete) << line;
+    }
+}
+
+TEST(message_reader_test, rejects_each_byte_that_is_not_allowed_in_a_field_name)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    for (int code = 0; code < 256; ++code) {
+        const auto byte = static_cast<char>(code);
+        const bool valid = (byte >= '0' && byte <= '9') || (byte >= 'a' && byte <= 'z') ||
+                           (byte >= 'A' && byte <= 'Z') || marks.find(byte) != marks.npos;
+        for (const std::string before : {"", "Na"}) {
+            for (const std::string after : {"", "me"}) {
+                auto name = before;
+                name += byte;
+                name += after;
+                // A colon ends the name, so that the byte belongs to the value.
+                if (byte != ':' || before.empty()) {
+                    EXPECT_EQ(judge_field(name + ": x").complete, valid) << code << " in " << name;
+                }
+            }
+        }
+    }
+}
+
+TEST(message_reader_test, rejects_a_head_whose_lines_are_not_fields)
+{
+    for (const std::string line :
+         {"One: 1\r\n\r", "One: 1\r\n:", "One: 1\r\n: x", "One: 1\r\nName", "One: 1\r\nName : x",
+          "One: 1\r\nName\t: x", "One: 1\r\nName x"}) {
+        EXPECT_FALSE(judge_field(line).complete) << line;
+    }
+    EXPECT_FALSE(judge_field(" Name: x").complete) << "a blank before the first field";
+    EXPECT_FALSE(judge_response("HTTP/1.1 200 OK\nContent-Length: 2\n\nok").complete);
+}
+
+TEST(message_reader_test, rejects_control_bytes_in_a_field_value_and_keeps_high_ones)
+{
+    for (int code = 0; code < 256; ++code) {
+        const auto byte = static_cast<char>(code);
+        const bool valid = byte == '\t' || (code >= 0x20 && code != 0x7f);
+        std::string value = "a b";
+        value[1] = byte;
+        std::string line = "Name: ";
+        line += value;
+        const auto verdict = judge_field(line);
+        EXPECT_EQ(verdict.complete, valid) << code;
+        EXPECT_EQ(verdict.value, valid ? value : "") << code;
+    }
+}
+
+TEST(message_reader_test, joins_a_folded_field_value_with_a_blank)
+{
+    const auto verdict = judge_field("Name: a\r\n \t b");
+    EXPECT_TRUE(verdict.complete);
+    EXPECT_EQ(verdict.value, "a b");
+    EXPECT_EQ(verdict.body, "ok");
+}
+
 } // namespace
 } // namespace cicadaport::transport
