transport: a reset that a write was told of is no orderly end

Seen by callers: a part of an answer without a length as a whole 200, when its replica reset the connection while the request was being sent. Cause: the kernel reports a reset, or its time limit for unacknowledged bytes, once. A pending write got it; the next read got an end of file, which completes an answer without a length. Change: an end of file behind a write that failed otherwise than by a broken pipe is a failure. While a write is pending on a connection that has ended in both directions, its handler is awaited first. A broken pipe is what a write gets when the reset came after the peer's own end of file.

--- a/include/cicadaport/transport/tcp_connection.h
+++ b/include/cicadaport/transport/tcp_connection.h
@@ -20,7 +20,7 @@
 namespace cicadaport::transport {
 
 enum class connection_end {
-    // The peer closed its side in an orderly way.
+    // The peer closed its side in an orderly way: all that it sent has been received.
     closed,
     // The connection was reset, timed out or was never established.
     failed,
@@ -114,6 +114,9 @@
     void handle_connected(boost::system::error_code failure);
     void wait_for_input();
     void read_input();
+    void handle_end_of_file();
+    // Whether both directions of the connection have ended, in whatever way.
+    bool is_hung_up() noexcept;
     void handle_sent(boost::system::error_code error);
     void end(connection_end how);
     void send_queued();
@@ -134,6 +137,8 @@
     bool m_waiting = false;
     bool m_connected = false;
     bool m_write_failed = false;
+    bool m_write_was_reset = false;
+    bool m_end_awaits_write = false;
     bool m_end_reported = false;
 };
 
--- a/src/transport/tcp_connection.cpp
+++ b/src/transport/tcp_connection.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace cicadaport::transport {
@@ -221,8 +222,12 @@
         wait_for_input();
         return;
     }
+    if (error == asio::error::eof) {
+        handle_end_of_file();
+        return;
+    }
     if (error) {
-        end(error == asio::error::eof ? connection_end::closed : connection_end::failed);
+        end(connection_end::failed);
         return;
     }
     m_input.append(buffer.data(), count);
@@ -232,6 +237,23 @@
     wait_for_input();
 }
 
+// The kernel reports a reset once, to whichever of reading and writing comes first; the other one
+// then gets an end of file or a broken pipe.
+void tcp_connection::handle_end_of_file()
+{
+    // While a write is pending, it may have been told of a reset without its handler having run.
+    m_end_awaits_write = !m_sending.empty() && is_hung_up();
+    if (!m_end_awaits_write) {
+        end(m_write_was_reset ? connection_end::failed : connection_end::closed);
+    }
+}
+
+bool tcp_connection::is_hung_up() noexcept
+{
+    pollfd descriptor{m_socket.native_handle(), 0, 0};
+    return ::poll(&descriptor, 1, 0) > 0 && (descriptor.revents & (POLLHUP | POLLERR)) != 0;
+}
+
 void tcp_connection::end(connection_end how)
 {
     if (m_observer != nullptr) {
@@ -275,7 +297,15 @@
     if (error) {
         // Bytes that the peer sent earlier remain to be read; the reading side reports the end.
         m_write_failed = true;
+        // A reset after the peer's end of file, which has completed the input, is a broken pipe.
+        m_write_was_reset = error != asio::error::broken_pipe;
         m_queued.clear();
+    }
+    if (std::exchange(m_end_awaits_write, false)) {
+        handle_end_of_file();
+        return;
+    }
+    if (m_write_failed) {
         return;
     }
     if (!m_queued.empty()) {
--- a/test/transport/peer.h
+++ b/test/transport/peer.h
@@ -24,6 +24,8 @@
         boost::asio::ip::tcp::socket socket;
         std::string received;
         bool ended = false;
+        // What arrives from now on is left unread.
+        bool stop_reading = false;
 
         void say(std::string_view bytes)
         {
@@ -48,6 +50,7 @@
         accept();
     }
 
+    boost::asio::ip::tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
     http::address address() const { return {"127.0.0.1", m_acceptor.local_endpoint().port()}; }
 
     std::vector<connection_pointer> connections;
@@ -78,7 +81,7 @@
                 }
                 from->received.append(*buffer, 0, count);
                 m_on_input(*from);
-                if (from->socket.is_open()) {
+                if (from->socket.is_open() && !from->stop_reading) {
                     read(from);
                 }
             });
