http: interim answers are skipped wherever answers are read; a 204 has no length

Seen: an interim answer of the store was its answer, so a host behind such a store never became ready; callers got a 204 or a 304 with a Content-Length of 0 (RFC 9110, section 8.6); the entry's server sent chunks behind a 204, which its peer takes for the beginning of the next answer. Cause: each reader of answers had to know interim ones by itself, and only the one of requests did. Change: exchange_connection skips them for all its observers, http::client too (up to 16 heads), which also refuses a status outside of 100 to 599. Answers that allow no body have no fields that delimit one.

--- a/include/cicadaport/transport/exchange_connection.h
+++ b/include/cicadaport/transport/exchange_connection.h
@@ -1,7 +1,7 @@
 // A client connection that carries one request at a time.
 //
-// Responses are matched to requests by identity. A response that does not belong
-// to the request in progress is skipped, and the connection is not reused. A
+// Responses are matched to requests by identity. An interim response, and one that does not
+// belong to the request in progress, is skipped, and the connection is not reused. A
 // connection on which bytes follow a complete response is not reused either.
 //
 // Belongs to one event loop.
@@ -30,7 +30,7 @@
 class answer_observer {
 public:
     virtual ~answer_observer() = default;
-    // Returns whether the response with this head belongs to the request.
+    // Returns whether the final response with this head belongs to the request.
     virtual bool owns(const message_head& head) = 0;
     virtual void on_head(message_head head) = 0;
     virtual void on_body(std::string_view piece) = 0;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -13,6 +13,8 @@
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint64_t response_body_limit = 256ULL * 1024 * 1024;
+// Heads that are read for one response, the final one included.
+constexpr int max_heads = 16;
 
 // Idle connections are dropped after this time, before the peer closes them.
 constexpr std::chrono::seconds max_idle_time{20};
@@ -108,7 +110,6 @@
         : m_owner{std::move(owner)}, m_to{std::move(to)}, m_options{options}, m_connection{
                                                                                   std::move(made)}
     {
-        m_parser.body_limit(response_body_limit);
         if (m_options.cancel != nullptr) {
             m_options.cancel->attach([this] { cancel(); });
         }
@@ -134,26 +135,39 @@
         if (write_error) {
             throw exchange_error{verdict::may_have_run, "send: " + write_error.message()};
         }
-        auto [read_error, got] = co_await beast::http::async_read_header(
-            m_connection->stream, m_connection->buffer, m_parser, as_result);
-        if (read_error) {
-            throw exchange_error{verdict::may_have_run, "receive: " + read_error.message()};
+        // An interim response says nothing about the request; the final one follows it.
+        for (int heads = 0; heads < max_heads; ++heads) {
+            m_parser.emplace();
+            m_parser->body_limit(response_body_limit);
+            auto [read_error, got] = co_await beast::http::async_read_header(
+                m_connection->stream, m_connection->buffer, *m_parser, as_result);
+            if (read_error) {
+                throw exchange_error{verdict::may_have_run, "receive: " + read_error.message()};
+            }
+            const auto status = m_parser->get().result_int();
+            if (!is_valid_status(status)) {
+                throw exchange_error{verdict::may_have_run, "receive: invalid status"};
+            }
+            if (!is_interim(status)) {
+                m_head = internal::head_from_beast(m_parser->get());
+                co_return;
+            }
         }
-        m_head = internal::head_from_beast(m_parser.get());
+        throw exchange_error{verdict::may_have_run, "receive: too many interim responses"};
     }
 
     asio::awaitable<std::optional<std::string>> next()
     {
         constexpr std::size_t piece_size = 4'096;
-        while (!m_parser.is_done()) {
+        while (!m_parser->is_done()) {
             std::string piece(piece_size, '\0');
-            auto& body = m_parser.get().body();
+            auto& body = m_parser->get().body();
             body.data = piece.data();
             body.size = piece.size();
             body.more = true;
             m_connection->stream.expires_after(m_options.response_timeout);
             auto [error, got] = co_await beast::http::async_read_some(
-                m_connection->stream, m_connection->buffer, m_parser, as_result);
+                m_connection->stream, m_connection->buffer, *m_parser, as_result);
             if (error && error != beast::http::error::need_buffer) {
                 throw exchange_error{verdict::may_have_run, "receive: " + error.message()};
             }
@@ -186,7 +200,7 @@
 
     void give_back()
     {
-        if (m_connection && m_parser.get().keep_alive() && !m_options.fresh_connection &&
+        if (m_connection && m_parser->get().keep_alive() && !m_options.fresh_connection &&
             is_clean()) {
             m_owner->keep(m_to, std::move(m_connection));
         }
@@ -197,7 +211,7 @@
     address m_to;
     exchange_options m_options;
     std::unique_ptr<connection> m_connection;
-    beast::http::response_parser<beast::http::buffer_body> m_parser;
+    std::optional<beast::http::response_parser<beast::http::buffer_body>> m_parser;
     response m_head;
 };
 
--- a/src/http/convert.cpp
+++ b/src/http/convert.cpp
@@ -34,8 +34,10 @@
     out.result(message.status);
     copy_fields(message.fields, out);
     out.keep_alive(keep_alive);
-    out.body() = std::move(message.body);
-    out.prepare_payload();
+    if (!is_bodiless(message.status)) {
+        out.body() = std::move(message.body);
+        out.prepare_payload();
+    }
     return out;
 }
 
@@ -46,7 +48,7 @@
     out.result(head.status);
     copy_fields(head.fields, out);
     out.keep_alive(keep_alive);
-    out.chunked(true);
+    out.chunked(!is_bodiless(head.status));
     return out;
 }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -121,6 +121,7 @@
     asio::awaitable<void> begin_stream(response head)
     {
         begin();
+        m_bodiless = is_bodiless(head.status);
         auto wire = internal::to_beast_head(head, m_keep_alive);
         beast::http::response_serializer<beast::http::empty_body> serializer{wire};
         co_await beast::http::async_write_header(m_stream, serializer, asio::use_awaitable);
@@ -128,7 +129,7 @@
 
     asio::awaitable<void> write(std::string_view piece)
     {
-        if (piece.empty()) {
+        if (piece.empty() || m_bodiless) {
             co_return;
         }
         m_stream.expires_after(m_send_timeout);
@@ -138,9 +139,11 @@
 
     asio::awaitable<void> end_stream()
     {
-        m_stream.expires_after(m_send_timeout);
-        const auto last = beast::http::make_chunk_last();
-        co_await asio::async_write(m_stream, last, asio::use_awaitable);
+        if (!m_bodiless) {
+            m_stream.expires_after(m_send_timeout);
+            const auto last = beast::http::make_chunk_last();
+            co_await asio::async_write(m_stream, last, asio::use_awaitable);
+        }
         m_finished = true;
     }
 
@@ -168,6 +171,7 @@
     beast::tcp_stream& m_stream;
     std::chrono::milliseconds m_send_timeout;
     bool m_keep_alive = true;
+    bool m_bodiless = false;
     bool m_started = false;
     bool m_finished = false;
 };
--- a/src/serving/caller_connection_answers.cpp
+++ b/src/serving/caller_connection_answers.cpp
@@ -44,7 +44,7 @@
     const auto again = m_host.wire.make_retry_after_field(retry_after_overload);
     fields.add(again.name, again.value);
     return format_head(status_unavailable, fields,
-                       fmt::format("Content-Length: {}", reason.size())) +
+                       fmt::format("Content-Length: {}\r\n", reason.size())) +
            std::string{reason};
 }
 
@@ -159,19 +159,16 @@
         out += "Connection: close\r\n";
     }
     out += framing;
-    out += "\r\n\r\n";
+    out += "\r\n";
     return out;
 }
 
 void caller_connection::answer(unsigned status, const http::field_list& fields,
                                std::string_view body)
 {
-    constexpr unsigned no_content = 204;
-    constexpr unsigned not_modified = 304;
-    const bool bodiless = status == no_content || status == not_modified;
+    const bool bodiless = http::is_bodiless(status);
     auto bytes = format_head(status, fields,
-                             bodiless ? "Content-Length: 0"
-                                      : fmt::format("Content-Length: {}", body.size()));
+                             bodiless ? "" : fmt::format("Content-Length: {}\r\n", body.size()));
     if (!bodiless) {
         bytes += body;
     }
@@ -182,7 +179,7 @@
 
 void caller_connection::begin(unsigned status, const http::field_list& fields)
 {
-    m_connection->write(format_head(status, fields, "Transfer-Encoding: chunked"));
+    m_connection->write(format_head(status, fields, "Transfer-Encoding: chunked\r\n"));
 }
 
 void caller_connection::write(std::string_view piece)
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -19,8 +19,6 @@
 constexpr std::size_t max_answer_bytes = 8 * 1024 * 1024;
 constexpr std::size_t max_event_bytes = 1024 * 1024;
 
-constexpr unsigned first_final_status = 200;
-
 } // namespace
 
 exchange::exchange(host_state& host, caller_port& caller, transport::message_head head,
@@ -88,9 +86,6 @@
 
 bool exchange::owns(const transport::message_head& head)
 {
-    if (head.status < first_final_status) {
-        return false;
-    }
     const auto metadata = m_host.wire.read_answer(head);
     return metadata.request_id ? *metadata.request_id == m_metadata.id : !is_success(head.status);
 }
--- a/src/transport/exchange_connection.cpp
+++ b/src/transport/exchange_connection.cpp
@@ -138,7 +138,7 @@
 {
     m_head_taken = true;
     m_peer_keeps_alive = m_reader.keeps_connection();
-    if (m_observer->owns(m_reader.head())) {
+    if (!http::is_interim(m_reader.head().status) && m_observer->owns(m_reader.head())) {
         if (const auto idle = idle_time_of(m_reader.head().fields)) {
             m_advertised_idle_timeout = idle;
         }
--- a/test/transport/exchange_connection_test.cpp
+++ b/test/transport/exchange_connection_test.cpp
@@ -80,6 +80,17 @@
     EXPECT_FALSE(connection->is_reusable());
 }
 
+// Regression: an interim response was taken for the response unless its observer knew better, and
+// the final one was left to the next request of the connection.
+TEST_F(exchange_connection_test, skips_interim_responses)
+{
+    exchange("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nContent-Length: 9\r\n\r\n"
+             "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 4\r\n\r\nmine");
+    EXPECT_TRUE(recorder.complete);
+    EXPECT_EQ(recorder.status, 200U);
+    EXPECT_EQ(recorder.body, "mine");
+}
+
 TEST_F(exchange_connection_test, is_not_reused_when_bytes_follow_a_response)
 {
     exchange("HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n");
