--- a/test/platform/stand_ins.h
+++ b/test/platform/stand_ins.h
@@ -62,7 +62,9 @@
 // A fake's response to a request.
 struct scripted_response {
     std::string bytes;
-    enum class then { keep, close, reset } after = then::keep;
+    // `shutdown` closes the sending side first, so that an answer has ended in an orderly way even
+    // if a part of its request is left unread.
+    enum class then { keep, close, reset, shutdown } after = then::keep;
     std::chrono::milliseconds delay{0};
     // If set, polled until it returns a response, which is then sent in place of this one.
     std::function<std::optional<scripted_response>()> later{};
@@ -124,6 +126,9 @@
         m_answer = std::move(answer);
     }
 
+    // Requests are answered as soon as their head has arrived, and their bodies left unread.
+    void answer_early() { m_answers_early = true; }
+
     std::vector<received_request> requests() const
     {
         const std::lock_guard lock{m_mutex};
@@ -214,10 +219,12 @@
                 from->input.append(from->buffer.data(), count);
                 from->input.erase(0, from->reader.feed(from->input));
                 from->body += from->reader.take_body();
-                if (from->reader.complete()) {
+                const bool is_early =
+                    m_answers_early && from->reader.head_complete() && !from->reader.complete();
+                if (from->reader.complete() || is_early) {
                     serve(from);
                 }
-                if (from->socket.is_open()) {
+                if (from->socket.is_open() && !is_early) {
                     read(from);
                 }
             });
@@ -263,6 +270,9 @@
             if (reply.after == scripted_response::then::reset) {
                 from->socket.set_option(boost::asio::socket_base::linger{true, 0}, ignored);
             }
+            if (reply.after == scripted_response::then::shutdown) {
+                from->socket.shutdown(tcp::socket::shutdown_send, ignored);
+            }
             if (reply.after != scripted_response::then::keep) {
                 from->socket.close(ignored);
             }
@@ -278,6 +288,7 @@
     answer_function m_answer;
     std::vector<received_request> m_requests;
     std::atomic<int> m_abandoned{0};
+    std::atomic<bool> m_answers_early{false};
     std::thread m_thread;
 };
 
@@ -579,6 +590,8 @@
         stalled,
         // Calls are answered with status 503 and not passed to the store.
         refusing,
+        // Responses come behind interim ones.
+        interim,
     };
 
     explicit store_proxy(standin_store& store)
@@ -605,6 +618,7 @@
             return make_response(503, "", "");
         case state::open:
         case state::stalled:
+        case state::interim:
             break;
         }
         scripted_response out;
@@ -635,6 +649,9 @@
         if (now < *call.due || m_state == state::stalled) {
             return std::nullopt;
         }
+        if (m_state == state::interim) {
+            call.reply.bytes.insert(0, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\n\r\n");
+        }
         return m_state == state::silent ? scripted_response{}
                                         : scripted_response{call.reply.bytes, call.reply.after};
     }
