transport: a connection whose response ended while reading was paused is read again

Seen by callers: 504 for a request whose replica had answered at once, behind an event of 300 KB that ended its stream on the same connection. Cause: reading pauses while the caller has much to take; the end of the response gave the connection back to the pool as it was, and nobody resumed it. Change: the end of a response resumes reading if its connection can be used again.

--- a/src/transport/exchange_connection.cpp
+++ b/src/transport/exchange_connection.cpp
@@ -160,7 +160,11 @@
     m_reusable = m_reusable && clean && m_peer_keeps_alive && !m_reader.ends_with_connection();
     m_idle_since = m_timers.now();
     auto* observer = std::exchange(m_observer, nullptr);
-    if (!m_reusable) {
+    if (m_reusable) {
+        // Reading may have been paused for this exchange.
+        m_connection->resume_reading();
+    }
+    else {
         abandon();
     }
     observer->on_complete();
--- a/test/platform/misread_answer_test.cpp
+++ b/test/platform/misread_answer_test.cpp
@@ -163,6 +163,26 @@
     }
 }
 
+class large_event_test : public testing::host_test {};
+
+// Regression: behind an event that was larger than what may wait for a caller, and ended its
+// stream, the replica's connection was kept with reading paused.
+TEST_F(large_event_test, that_ends_a_stream_leaves_a_connection_on_which_answers_are_read)
+{
+    constexpr std::size_t event_bytes = 300'000;
+    scripted_server replica{[](const received_request& each) {
+        return each.path() == "/once/x"
+                   ? signed_answer(each, "own")
+                   : stream(each, "s", "id: 1\ndata: " + std::string(event_bytes, 'x') + "\n\n",
+                            end::keep);
+    }};
+    list_replica("i-1", replica.address());
+    start();
+    EXPECT_TRUE(ask(request("POST", "/stream/x", "r1", "", "q")).complete);
+    EXPECT_EQ(ask(request("POST", "/once/x", "r2", "", "q")).status, 200U);
+    EXPECT_EQ(replica.requests().back().earlier_on_connection, 1U) << "the connection was kept";
+}
+
 class interim_store_answer_test : public testing::host_test {};
 
 // Regression: an interim answer of the store was taken for its answer.
--- a/test/transport/exchange_connection_test.cpp
+++ b/test/transport/exchange_connection_test.cpp
@@ -20,7 +20,13 @@
         return !head.fields.find("Id") || *head.fields.find("Id") == "mine";
     }
     void on_head(message_head head) override { status = head.status; }
-    void on_body(std::string_view piece) override { body += piece; }
+    void on_body(std::string_view piece) override
+    {
+        body += piece;
+        if (on_piece) {
+            on_piece();
+        }
+    }
     void on_complete() override { complete = true; }
     void on_failure(exchange_failure why) override { failure = why; }
 
@@ -30,6 +36,7 @@
     std::string body;
     bool complete = false;
     std::optional<exchange_failure> failure;
+    std::function<void()> on_piece;
 };
 
 class exchange_connection_test : public ::testing::Test {
@@ -187,6 +194,20 @@
     EXPECT_FALSE(recorder.ended()) << "an abandoned exchange tells nothing";
 }
 
+// Regression: a connection whose reading was paused at the end of a response kept it paused, and
+// the next response was never read.
+TEST_F(exchange_connection_test, reads_the_next_response_after_one_that_ended_while_paused)
+{
+    recorder.on_piece = [this] { connection->pause_reading(); };
+    exchange("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    ASSERT_TRUE(connection->is_reusable());
+    exchange_recorder next;
+    connection->send(std::string{request}, next);
+    EXPECT_TRUE(run_until(context, [&] { return next.complete; }));
+    server->connections[0]->socket.close();
+    EXPECT_TRUE(run_until(context, [&] { return !connection->is_open(); }));
+}
+
 TEST_F(exchange_connection_test, an_idle_connection_is_dropped_when_bytes_arrive_on_it)
 {
     exchange("HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok");
