--- a/src/transport/exchange_connection.cpp
+++ b/src/transport/exchange_connection.cpp
@@ -138,7 +138,7 @@
 {
     m_head_taken = true;
     m_peer_keeps_alive = m_reader.keeps_connection();
-    if (m_observer->owns(m_reader.head())) {
+    if (!http::is_interim(m_reader.head().status) && m_observer->owns(m_reader.head())) {
         if (const auto idle = idle_time_of(m_reader.head().fields)) {
             m_advertised_idle_timeout = idle;
         }
@@ -160,7 +160,11 @@
     m_reusable = m_reusable && clean && m_peer_keeps_alive && !m_reader.ends_with_connection();
     m_idle_since = m_timers.now();
     auto* observer = std::exchange(m_observer, nullptr);
-    if (!m_reusable) {
+    if (m_reusable) {
+        // Reading may have been paused for this exchange.
+        m_connection->resume_reading();
+    }
+    else {
         abandon();
     }
     observer->on_complete();
--- a/test/transport/exchange_connection_test.cpp
+++ b/test/transport/exchange_connection_test.cpp
@@ -20,7 +20,13 @@
         return !head.fields.find("Id") || *head.fields.find("Id") == "mine";
     }
     void on_head(message_head head) override { status = head.status; }
-    void on_body(std::string_view piece) override { body += piece; }
+    void on_body(std::string_view piece) override
+    {
+        body += piece;
+        if (on_piece) {
+            on_piece();
+        }
+    }
     void on_complete() override { complete = true; }
     void on_failure(exchange_failure why) override { failure = why; }
 
@@ -30,6 +36,7 @@
     std::string body;
     bool complete = false;
     std::optional<exchange_failure> failure;
+    std::function<void()> on_piece;
 };
 
 class exchange_connection_test : public ::testing::Test {
@@ -80,6 +87,17 @@
     EXPECT_FALSE(connection->is_reusable());
 }
 
+// Regression: an interim response was taken for the response unless its observer knew better, and
+// the final one was left to the next request of the connection.
+TEST_F(exchange_connection_test, skips_interim_responses)
+{
+    exchange("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nContent-Length: 9\r\n\r\n"
+             "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 4\r\n\r\nmine");
+    EXPECT_TRUE(recorder.complete);
+    EXPECT_EQ(recorder.status, 200U);
+    EXPECT_EQ(recorder.body, "mine");
+}
+
 TEST_F(exchange_connection_test, is_not_reused_when_bytes_follow_a_response)
 {
     exchange("HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n");
@@ -176,6 +194,20 @@
     EXPECT_FALSE(recorder.ended()) << "an abandoned exchange tells nothing";
 }
 
+// Regression: a connection whose reading was paused at the end of a response kept it paused, and
+// the next response was never read.
+TEST_F(exchange_connection_test, reads_the_next_response_after_one_that_ended_while_paused)
+{
+    recorder.on_piece = [this] { connection->pause_reading(); };
+    exchange("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    ASSERT_TRUE(connection->is_reusable());
+    exchange_recorder next;
+    connection->send(std::string{request}, next);
+    EXPECT_TRUE(run_until(context, [&] { return next.complete; }));
+    server->connections[0]->socket.close();
+    EXPECT_TRUE(run_until(context, [&] { return !connection->is_open(); }));
+}
+
 TEST_F(exchange_connection_test, an_idle_connection_is_dropped_when_bytes_arrive_on_it)
 {
     exchange("HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok");
