transport: a request with a send deadline is not sent on a connection established after it

Cause: the time in which an order may be sent was checked before its connection was established. A process that was suspended in between wrote the order when it went on, however late, if the event loop saw the connection before the call's timer. On an open connection the bytes are written at once; what the kernel holds is discarded with the call (reset) or after 3 s without an acknowledgement. Change: exchange_connection::send() takes a deadline that is checked when the connection is established; call_once_before() passes it on.

--- a/include/cicadaport/serving/single_call.h
+++ b/include/cicadaport/serving/single_call.h
@@ -20,6 +20,12 @@
 void call_once(host_state& host, const http::address& to, std::string request, milliseconds limit,
                std::function<void(std::optional<call_response>)> on_end);
 
+// The same, but nothing is sent at `send_deadline` or later, however long the process is suspended.
+// The deadline must not have passed yet.
+void call_once_before(host_state& host, const http::address& to, std::string request,
+                      time_point send_deadline, milliseconds limit,
+                      std::function<void(std::optional<call_response>)> on_end);
+
 // The same for a response that may be large: the call ends without one if it stalls for
 // `stall_timeout`, however long it takes as a whole.
 void call_for_large_response(host_state& host, const http::address& to, std::string request,
--- a/include/cicadaport/transport/exchange_connection.h
+++ b/include/cicadaport/transport/exchange_connection.h
@@ -58,8 +58,10 @@
     void connect(const http::address& to, times limits);
 
     // Sends a whole request. `observer` must live until `on_complete()`,
-    // `on_failure()` or `abandon()` was called. The connection must be `is_idle()`.
-    void send(std::string request, answer_observer& observer);
+    // `on_failure()` or `abandon()` was called. The connection must be `is_idle()`. Nothing is sent
+    // if the connection is established only at `send_deadline` or later.
+    void send(std::string request, answer_observer& observer,
+              std::optional<time_point> send_deadline = std::nullopt);
 
     // Passes the events of the exchange in progress, if any, to another observer from now on.
     void set_observer(answer_observer& observer) noexcept;
@@ -107,6 +109,7 @@
     timer_queue::handle m_connect_limit;
     answer_observer* m_observer = nullptr;
     std::optional<std::chrono::seconds> m_advertised_idle_timeout;
+    std::optional<time_point> m_send_deadline;
     time_point m_idle_since{};
     std::size_t m_skipped_bytes = 0;
     std::uint64_t m_exchanges = 0;
--- a/src/serving/single_call.cpp
+++ b/src/serving/single_call.cpp
@@ -29,11 +29,11 @@
         m_stall.start(timeout, [this] { give_up(); });
     }
 
-    void start(std::string request)
+    void start(std::string request, std::optional<time_point> send_deadline = std::nullopt)
     {
         m_self = shared_from_this();
         m_connection = m_host.connections.take(m_to, transport::reuse_rule::certain);
-        m_connection->send(std::move(request), *this);
+        m_connection->send(std::move(request), *this, send_deadline);
     }
 
 private:
@@ -93,6 +93,15 @@
     call->start(std::move(request));
 }
 
+void call_once_before(host_state& host, const http::address& to, std::string request,
+                      time_point send_deadline, milliseconds limit,
+                      std::function<void(std::optional<call_response>)> on_end)
+{
+    const auto call = std::make_shared<single_call>(host, to, std::move(on_end));
+    call->limit_duration(limit);
+    call->start(std::move(request), send_deadline);
+}
+
 void call_for_large_response(host_state& host, const http::address& to, std::string request,
                              milliseconds stall_timeout,
                              std::function<void(std::optional<call_response>)> on_end)
--- a/src/transport/exchange_connection.cpp
+++ b/src/transport/exchange_connection.cpp
@@ -43,8 +43,10 @@
                                        [this] { fail(exchange_failure::not_sent); });
 }
 
-void exchange_connection::send(std::string request, answer_observer& observer)
+void exchange_connection::send(std::string request, answer_observer& observer,
+                               std::optional<time_point> send_deadline)
 {
+    m_send_deadline = send_deadline;
     m_observer = &observer;
     m_reader = message_reader{message_kind::response, m_limits};
     m_head_taken = false;
@@ -75,6 +77,10 @@
     m_connected = true;
     m_idle_since = m_timers.now();
     m_connect_limit.cancel();
+    // The process may have been suspended while the connection was established.
+    if (m_send_deadline && m_idle_since >= *m_send_deadline) {
+        fail(exchange_failure::not_sent);
+    }
 }
 
 void exchange_connection::on_input()
--- a/test/transport/exchange_connection_test.cpp
+++ b/test/transport/exchange_connection_test.cpp
@@ -245,5 +245,17 @@
     EXPECT_EQ(called, "ab");
 }
 
+// Regression: the bytes of an order left after its time when the process was suspended while the
+// connection was established.
+TEST_F(exchange_connection_test, sends_nothing_if_the_connection_is_established_after_the_deadline)
+{
+    server = std::make_unique<peer>(context, [](peer::connection&) { ADD_FAILURE() << "sent"; });
+    connection = std::make_shared<exchange_connection>(context, timers, message_limits{});
+    connection->connect(server->address(), {});
+    connection->send(std::string{request}, recorder, timer_queue::now());
+    ASSERT_TRUE(run_until(context, [&] { return recorder.ended(); }));
+    EXPECT_EQ(recorder.failure, exchange_failure::not_sent);
+}
+
 } // namespace
 } // namespace cicadaport::transport
