orders: no two holders order an engine across a return of the store

Cause: the fencing token of an order was the offset of its announcement plus 1, and the announcement excluded others, for good. After the store has returned from an older copy the announcement may be gone while its order is at work, the same offset is given to another host's announcement (the same token from two holders, a lower one after a higher one, turns within the lease), and the ledger took another record at a known offset for the same one. Change: package orders. order_attempt decides each step of a change: all steps belong to one generation of the store's history; nothing is announced until 14 s after the host learned of the history; tokens rise with the epoch (without one, with the returns that the host has seen) and are above all tokens known for the engine; an order of another host that was heard of stops the sending. order_ledger (moved from serving, with its tests) compares offsets within one generation, and a list that does not continue what is known counts as a return. Announcements carry token and holder; earlier builds read them as announcements without a stage. Gossip of stage changes carries the token. A store that states no epoch and has not returned is served as before, with the same calls. Left: without an epoch, an order whose announcement was lost unread and of which a host did not hear excludes nothing on that host (docs/design/platform.md, a test names the schedule).

--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -5,6 +5,7 @@
 
 #include "cicadaport/accounts/fair_admission.h"
 #include "cicadaport/duties/usage_ledger.h"
+#include "cicadaport/orders/order_ledger.h"
 #include "cicadaport/serving/attempt_budget.h"
 #include "cicadaport/serving/connection_bounds.h"
 #include "cicadaport/serving/crash_monitor.h"
@@ -62,9 +63,10 @@
     // Returns since when this host has heard the other hosts without an interruption; empty if it
     // does not hear them now. Announcements from before that time may have been missed.
     virtual std::optional<time_point> heard_since() const = 0;
-    // Announces that an engine changes its stage and takes no work for `time`.
-    virtual void announce_stage_change(std::uint32_t engine, engine_stage to,
-                                       milliseconds time) = 0;
+    // Announces that an engine is sent an order with this fencing token to change its stage, and
+    // takes no work for `time`.
+    virtual void announce_stage_change(std::uint32_t engine, engine_stage to, milliseconds time,
+                                       std::uint64_t token) = 0;
 };
 
 // Outcomes of requests, for logs and metrics.
@@ -233,6 +235,8 @@
     std::mt19937_64 random;
     crash_monitor crashes;
     stream_origin_tracker origins;
+    // The orders that were announced for engines.
+    orders::order_ledger orders;
     replica_paths paths;
     liveness_checker liveness;
     request_counts counts;
--- a/include/cicadaport/serving/peer_gossip.h
+++ b/include/cicadaport/serving/peer_gossip.h
@@ -69,7 +69,8 @@
     void announce_work_start(std::uint64_t id, const engine_work& work) override;
     void announce_work_end(std::uint64_t id, bool is_prefill, double observed) override;
     void announce_page(const shared_page& page) override;
-    void announce_stage_change(std::uint32_t engine, engine_stage to, milliseconds time) override;
+    void announce_stage_change(std::uint32_t engine, engine_stage to, milliseconds time,
+                               std::uint64_t token) override;
     void announce_limit(const limit_statement& said) override;
     void announce_crashes(std::span<const engine_crash> crashes) override;
     void announce_survivals(std::span<const segment_survival> survivals) override;
--- a/include/cicadaport/serving/stage_director.h
+++ b/include/cicadaport/serving/stage_director.h
@@ -1,18 +1,17 @@
 // Sends orders to engines to change their stage, as decided by the stage policy.
 //
-// Every host may do so; the ledger of announced orders decides which host does. Only
-// announced orders are sent, and each only once: an order without a response is not sent
-// again, and its effect shows in the list of replicas.
+// Every host may do so; `orders::order_attempt` and the ledger of announced orders decide which
+// host does. Only announced orders are sent, and each only once: an order without a response is not
+// sent again, and its effect shows in the list of replicas.
 //
 // Runs on the event loop.
 #pragma once
 
+#include "cicadaport/orders/order_attempt.h"
 #include "cicadaport/serving/host_state.h"
-#include "cicadaport/serving/order_ledger.h"
+#include "cicadaport/serving/single_call.h"
 #include "cicadaport/serving/stage_policy.h"
 
-#include <set>
-
 namespace cicadaport::serving {
 
 class stage_director {
@@ -44,12 +43,13 @@
         std::string service;
         stage_change wanted;
         std::vector<endpoint_pointer> engines;
+        // Without fencing tokens.
         std::vector<stage_order> orders;
-        std::uint64_t list_end = 0;
         std::size_t pending_count = 0;
-        time_point announced{};
+        orders::order_attempt attempt;
     };
     using change_pointer = std::shared_ptr<change>;
+    using store_answer = std::optional<call_response>;
 
     static constexpr milliseconds speed_log_interval{10'000};
 
@@ -69,16 +69,22 @@
 
     void begin(const std::string& service);
     void read_announcements(const change_pointer& current, const std::string& after);
+    // Records a page of announcements. Returns the key after which to read on; empty after the last
+    // page. Throws an exception if the page can't be read or ends the change.
+    std::string record_announcements(const change_pointer& current, const call_response& answer);
+    // Records that the store has returned if that is why a change ends. Returns the reason.
+    std::string_view record_refusal(orders::refusal reason);
     void query_engines(const change_pointer& current);
     void announce(const change_pointer& current);
-    void send_orders(const change_pointer& current, std::uint64_t first_offset);
+    void send_orders(const change_pointer& current);
+    void send_order(const change_pointer& current, const stage_order& order,
+                    const endpoint_pointer& engine);
     void abandon_change(std::string_view reason);
 
     host_state& m_host;
     http::address m_store;
     std::string m_holder;
     stage_policy m_policy;
-    order_ledger m_ledger;
     transport::timer_queue::handle m_evaluation_timer;
     transport::timer_queue::handle m_start_timer;
     time_point m_speeds_logged{};
--- a/src/history/fencing_token.cpp
+++ b/src/history/fencing_token.cpp
@@ -4,9 +4,8 @@
 namespace {
 
 constexpr unsigned offset_bits = 32;
-constexpr unsigned token_bits = 53;
 constexpr std::uint64_t max_offset = (1ULL << offset_bits) - 2;
-constexpr std::uint64_t max_epoch = (1ULL << (token_bits - offset_bits)) - 1;
+constexpr std::uint64_t max_epoch = max_fencing_token >> offset_bits;
 
 } // namespace
 
@@ -20,4 +19,19 @@
     return (of_history << offset_bits) + offset + 1;
 }
 
+std::optional<std::uint64_t> fencing_token_above(std::uint64_t known,
+                                                 std::optional<std::uint64_t> epoch,
+                                                 std::uint64_t offset) noexcept
+{
+    // A later record of the epoch that the known token is from has a larger token already.
+    const auto known_epoch = known >> offset_bits;
+    for (const auto& each : {epoch.value_or(0), known_epoch, known_epoch + 1}) {
+        const auto token = fencing_token(each, offset);
+        if (token && *token > known) {
+            return token;
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace cicadaport::history
--- a/src/serving/peer_gossip.cpp
+++ b/src/serving/peer_gossip.cpp
@@ -181,12 +181,14 @@
     schedule_flush();
 }
 
-void peer_gossip::announce_stage_change(std::uint32_t engine, engine_stage to, milliseconds time)
+void peer_gossip::announce_stage_change(std::uint32_t engine, engine_stage to, milliseconds time,
+                                        std::uint64_t token)
 {
     auto& paused = *m_batch->add_paused();
     paused.set_engine(engine);
     paused.set_to_prefill(to == engine_stage::prefill);
     paused.set_time_ms(static_cast<std::uint32_t>(time.count()));
+    paused.set_token(token);
     schedule_flush();
 }
 
@@ -579,6 +581,7 @@
         m_host.engines.begin_stage_change(
             each.engine(), each.to_prefill() ? engine_stage::prefill : engine_stage::decode,
             now + milliseconds{each.time_ms()});
+        m_host.orders.record_sent_order(each.engine(), each.token(), now);
     }
     for (const auto& each : gossip.limits()) {
         if (!std::isfinite(each.per_second()) || each.per_second() < 0) {
--- a/src/serving/stage_director.cpp
+++ b/src/serving/stage_director.cpp
@@ -31,6 +31,11 @@
     return text == "decode" ? std::optional{engine_stage::decode} : std::nullopt;
 }
 
+orders::engine_key key_of(const std::string& engine)
+{
+    return {engine, engine_number(engine)};
+}
+
 } // namespace
 
 void stage_director::evaluate()
@@ -92,15 +97,17 @@
 engine_stage stage_director::stage_of(const endpoint& engine) const
 {
     const auto now = m_host.timers.now();
-    const auto announced = m_ledger.changing_to(engine.report.id, now);
-    return announced ? *announced
-                     : m_host.engines.changing_to(engine, now).value_or(engine.report.stage);
+    if (const auto announced = m_host.orders.changing_to(engine.report.id, now)) {
+        return parse_stage(*announced).value_or(engine_stage::none);
+    }
+    return m_host.engines.changing_to(engine, now).value_or(engine.report.stage);
 }
 
 bool stage_director::is_changing(const endpoint& engine) const
 {
     const auto now = m_host.timers.now();
-    return m_ledger.changing_to(engine.report.id, now) || m_host.engines.changing_to(engine, now);
+    return m_host.orders.changing_to(engine.report.id, now) ||
+           m_host.engines.changing_to(engine, now);
 }
 
 prompt_query stage_director::longest_stream_of(const std::string& service) const
@@ -170,8 +177,14 @@
         m_busy = false;
         return;
     }
-    auto current = std::make_shared<change>();
-    current->service = service;
+    const auto now = m_host.timers.now();
+    if (const auto refused =
+            orders::order_attempt::check_begin(m_host.orders, m_host.store_history, now)) {
+        abandon_change(orders::to_string(*refused));
+        return;
+    }
+    const auto current = std::make_shared<change>(
+        change{service, {}, {}, {}, 0, {m_host.orders, m_host.store_history}});
     read_announcements(current, {});
 }
 
@@ -179,24 +192,15 @@
 {
     ++m_host.store_calls.order_reads;
     call_once(m_host, m_store, m_host.wire.newest_request(feed::orders, after), store_timeout,
-              [this, current, first = after.empty()](const std::optional<call_response>& answer) {
+              [this, current](const store_answer& answer) {
                   if (!answer) {
                       abandon_change("no response from the store");
                       return;
                   }
                   try {
-                      const auto page = m_host.wire.read_newest(answer->status, answer->body);
-                      for (const auto& each : page.entries) {
-                          const auto to = parse_stage(each.value.value_or(""));
-                          m_ledger.record_order(each.key, each.offset,
-                                                to.value_or(engine_stage::none),
-                                                m_host.timers.now());
-                      }
-                      if (first) {
-                          current->list_end = page.next_offset;
-                      }
-                      if (page.more && !page.entries.empty()) {
-                          read_announcements(current, page.entries.back().key);
+                      const auto next = record_announcements(current, *answer);
+                      if (!next.empty()) {
+                          read_announcements(current, next);
                           return;
                       }
                   }
@@ -208,6 +212,34 @@
               });
 }
 
+std::string stage_director::record_announcements(const change_pointer& current,
+                                                 const call_response& answer)
+{
+    if (!m_host.accept_store_answer(answer.epoch)) {
+        throw std::runtime_error{"the answer belongs to an ended history of the store"};
+    }
+    const auto page = m_host.wire.read_newest(answer.status, answer.body);
+    orders::list_page read;
+    read.list_end = page.next_offset;
+    read.is_last = !page.more || page.entries.empty();
+    for (const auto& each : page.entries) {
+        read.orders.push_back({key_of(each.key), each.offset, each.value.value_or("")});
+    }
+    if (const auto refused = current->attempt.read(read, m_host.timers.now())) {
+        throw std::runtime_error{std::string{record_refusal(*refused)}};
+    }
+    return read.is_last ? std::string{} : page.entries.back().key;
+}
+
+std::string_view stage_director::record_refusal(orders::refusal reason)
+{
+    const auto text = orders::to_string(reason);
+    if (reason == orders::refusal::list_contradicts) {
+        m_host.record_unannounced_return(feed::orders, text);
+    }
+    return text;
+}
+
 std::vector<endpoint_pointer> stage_director::engines_to_change(const std::string& service,
                                                                 const stage_change& wanted)
 {
@@ -222,7 +254,7 @@
         }
         const auto stage = each->report.stage;
         const bool fits = stage != engine_stage::none && stage != wanted.to && !is_changing(*each);
-        if (!fits || !m_ledger.can_announce(each->report.id, now) ||
+        if (!fits || !m_host.orders.can_announce(key_of(each->report.id), now) ||
             m_host.engines.state(each->report.id).health.is_ejected(now) ||
             !m_host.accepts_request(*each, true)) {
             continue;
@@ -288,65 +320,88 @@
         abandon_change("no engine accepts an order, or the host is stopping");
         return;
     }
-    std::vector<feed_entry> entries;
+    std::vector<orders::planned_order> planned;
     for (const auto& each : current->orders) {
-        entries.emplace_back(each.engine, std::string{to_string(each.to)});
+        planned.push_back({key_of(each.engine), std::string{to_string(each.to)}, 0, {}});
+    }
+    auto& attempt = current->attempt;
+    if (const auto refused = attempt.announce(std::move(planned), m_holder, m_host.timers.now())) {
+        abandon_change(orders::to_string(*refused));
+        return;
+    }
+    std::vector<feed_entry> entries;
+    for (const auto& each : attempt.planned()) {
+        entries.emplace_back(each.engine.id, each.value);
     }
-    current->announced = m_host.timers.now();
     ++m_host.store_calls.appends;
-    call_once(m_host, m_store, m_host.wire.append_request(feed::orders, entries, current->list_end),
-              store_timeout, [this, current](const std::optional<call_response>& answer) {
-                  const auto offset =
-                      answer ? m_host.wire.read_append(answer->status, answer->body) : std::nullopt;
-                  if (!offset) {
-                      abandon_change("announcing the orders failed");
-                      return;
-                  }
-                  send_orders(current, *offset);
-              });
+    call_once(
+        m_host, m_store, m_host.wire.append_request(feed::orders, entries, attempt.list_end()),
+        store_timeout, [this, current](const store_answer& answer) {
+            const bool is_current = answer && m_host.accept_store_answer(answer->epoch);
+            const auto offset =
+                is_current ? m_host.wire.read_append(answer->status, answer->body) : std::nullopt;
+            if (!offset) {
+                abandon_change("announcing the orders failed");
+                return;
+            }
+            if (const auto refused = current->attempt.acknowledge(*offset, m_host.timers.now())) {
+                abandon_change(record_refusal(*refused));
+                return;
+            }
+            send_orders(current);
+        });
 }
 
-void stage_director::send_orders(const change_pointer& current, std::uint64_t first_offset)
+void stage_director::send_orders(const change_pointer& current)
 {
-    const auto now = m_host.timers.now();
-    auto offset = first_offset;
+    auto planned = current->attempt.planned().begin();
     for (auto& each : current->orders) {
-        m_ledger.record_order(each.engine, offset, each.to, now);
-        // Fencing tokens start at 1.
-        each.fencing_token = ++offset;
+        const auto& announced = *planned++;
+        each.fencing_token = announced.token;
         const auto engine = m_host.endpoints.find(each.engine);
-        if (engine == nullptr || !order_ledger::may_send(current->announced, now)) {
-            spdlog::warn("order_not_sent engine={} token={}", each.engine, each.fencing_token);
+        const auto refused = current->attempt.check_sending(announced, m_host.timers.now());
+        if (engine == nullptr || refused) {
+            spdlog::warn("order_not_sent engine={} token={} reason=\"{}\"", each.engine,
+                         each.fencing_token,
+                         refused ? orders::to_string(*refused) : "the engine is gone");
             continue;
         }
-        spdlog::info("order_sent engine={} to={} token={} expected={} fast={}", each.engine,
-                     to_string(each.to), each.fencing_token, each.expected_orders,
-                     m_host.engines.is_fast(engine_number(each.engine)));
-        const auto* configured = m_host.deployed->find_service(current->service);
-        const auto pause = drain_time + (configured != nullptr && configured->engines
-                                             ? configured->engines->switch_time
-                                             : milliseconds{0});
-        const auto number = engine_number(each.engine);
-        m_host.engines.begin_stage_change(number, each.to, now + pause);
-        if (m_host.gossip != nullptr) {
-            m_host.gossip->announce_stage_change(number, each.to, pause);
-        }
-        m_host.limits.count_call(each.engine);
-        call_once(m_host, engine->report.address,
-                  m_host.wire.order_request(engine->report.address, each), engine_timeout,
-                  [this, engine, now](const std::optional<call_response>& answer) {
-                      spdlog::info("order_answered engine={} status={}", engine->report.id,
-                                   answer ? answer->status : 0);
-                      if (answer) {
-                          m_host.apply_response_terms(*engine, true, answer->status,
-                                                      answer->metadata, "", now);
-                      }
-                  });
+        send_order(current, each, engine);
     }
     m_policy.reset_losses();
     m_busy = false;
 }
 
+void stage_director::send_order(const change_pointer& current, const stage_order& order,
+                                const endpoint_pointer& engine)
+{
+    const auto now = m_host.timers.now();
+    const auto number = engine_number(order.engine);
+    spdlog::info("order_sent engine={} to={} token={} expected={} fast={}", order.engine,
+                 to_string(order.to), order.fencing_token, order.expected_orders,
+                 m_host.engines.is_fast(number));
+    const auto* configured = m_host.deployed->find_service(current->service);
+    const auto pause = drain_time + (configured != nullptr && configured->engines
+                                         ? configured->engines->switch_time
+                                         : milliseconds{0});
+    m_host.engines.begin_stage_change(number, order.to, now + pause);
+    if (m_host.gossip != nullptr) {
+        m_host.gossip->announce_stage_change(number, order.to, pause, order.fencing_token);
+    }
+    m_host.limits.count_call(order.engine);
+    call_once_before(m_host, engine->report.address,
+                     m_host.wire.order_request(engine->report.address, order),
+                     current->attempt.send_deadline(), engine_timeout,
+                     [this, engine, now](const std::optional<call_response>& answer) {
+                         spdlog::info("order_answered engine={} status={}", engine->report.id,
+                                      answer ? answer->status : 0);
+                         if (answer) {
+                             m_host.apply_response_terms(*engine, true, answer->status,
+                                                         answer->metadata, "", now);
+                         }
+                     });
+}
+
 void stage_director::abandon_change(std::string_view reason)
 {
     spdlog::info("stage_change_given_up reason=\"{}\"", reason);
--- a/test/history/fencing_token_test.cpp
+++ b/test/history/fencing_token_test.cpp
@@ -27,6 +27,15 @@
     EXPECT_FALSE(fencing_token({}, 1ULL << 32U));
 }
 
+TEST(fencing_token_test, is_above_the_known_one_in_its_epoch_or_in_the_next)
+{
+    EXPECT_EQ(fencing_token_above(4, {}, 41), 42U);
+    EXPECT_EQ(fencing_token_above(42, {}, 41), fencing_token(1, 41));
+    EXPECT_EQ(fencing_token_above(*fencing_token(3, 5), 2, 6), fencing_token(3, 6));
+    EXPECT_EQ(fencing_token_above(*fencing_token(3, 5), 2, 5), fencing_token(4, 5));
+    EXPECT_FALSE(fencing_token_above(max_fencing_token, 2, 0));
+}
+
 TEST(record_digest_test, tells_records_apart_by_key_value_and_removal)
 {
     EXPECT_EQ(digest_of("a", "x"), digest_of("a", "x"));
--- a/test/platform/feed_follower_test.cpp
+++ b/test/platform/feed_follower_test.cpp
@@ -28,8 +28,8 @@
     std::size_t peer_count() const noexcept override { return 5; }
     std::uint64_t cell_count() const noexcept override { return 1; }
     bool is_in_cell(std::uint32_t) const noexcept override { return true; }
-    void announce_stage_change(std::uint32_t, serving::engine_stage,
-                               std::chrono::milliseconds) override
+    void announce_stage_change(std::uint32_t, serving::engine_stage, std::chrono::milliseconds,
+                               std::uint64_t) override
     {
     }
     serving::fleet_place place_for(std::uint32_t, bool) const override { return {}; }
--- a/test/serving/stage_policy_test.cpp
+++ b/test/serving/stage_policy_test.cpp
@@ -1,4 +1,3 @@
-#include "cicadaport/serving/order_ledger.h"
 #include "cicadaport/serving/stage_policy.h"
 
 #include <gtest/gtest.h>
@@ -118,49 +117,5 @@
     EXPECT_LE(changes, 10);
 }
 
-TEST(order_ledger_test, an_engine_is_not_free_for_the_quiet_time_after_an_announcement)
-{
-    order_ledger ledger;
-    EXPECT_TRUE(ledger.can_announce("e", start));
-    ledger.record_order("e", 4, engine_stage::prefill, start);
-    EXPECT_FALSE(ledger.can_announce("e", start + 13s));
-    EXPECT_TRUE(ledger.can_announce("e", start + order_ledger::exclusive_period));
-    EXPECT_TRUE(ledger.can_announce("other", start));
-}
-
-TEST(order_ledger_test, a_repeated_announcement_does_not_extend_the_quiet_time)
-{
-    order_ledger ledger;
-    ledger.record_order("e", 4, engine_stage::prefill, start);
-    ledger.record_order("e", 4, engine_stage::prefill, start + 10s);
-    EXPECT_TRUE(ledger.can_announce("e", start + order_ledger::exclusive_period));
-    ledger.record_order("e", 5, engine_stage::decode, start + 20s);
-    EXPECT_FALSE(ledger.can_announce("e", start + 21s));
-}
-
-TEST(order_ledger_test, reports_the_stage_that_an_engine_may_be_changing_to)
-{
-    order_ledger ledger;
-    ledger.record_order("e", 4, engine_stage::prefill, start);
-    EXPECT_EQ(ledger.changing_to("e", start + 1s), engine_stage::prefill);
-    EXPECT_FALSE(ledger.changing_to("e", start + order_ledger::stage_change_timeout));
-}
-
-TEST(order_ledger_test, a_host_that_was_frozen_after_its_announcement_sends_nothing)
-{
-    EXPECT_TRUE(order_ledger::may_send(start, start + 800ms));
-    EXPECT_FALSE(order_ledger::may_send(start, start + 5s));
-}
-
-TEST(order_ledger_test, orders_of_two_hosts_are_further_apart_than_a_lease)
-{
-    // The longest lease of the known deployments; one more second covers delivery on a
-    // connection that was opened in time.
-    constexpr auto lease = 3s;
-    EXPECT_GT(order_ledger::exclusive_period, order_ledger::send_timeout + lease + 1s);
-    // Orders without a response are carried out up to 12 s later.
-    EXPECT_GT(order_ledger::exclusive_period, order_ledger::send_timeout + 12s);
-}
-
 } // namespace
 } // namespace cicadaport::serving
