duties: permits, tokens and reports hold within one history of the store

Cause of the class: a permit rests on an acknowledged append, a token is an offset plus 1, and "newest", "delivered" and "announced" are offsets. After a return from an older copy another host's record is gone, so its lease is not waited for; tokens repeat or fall; a window that was reported is reported again with other counts; an announced offset that no longer exists holds up all reports. When the history changes, permits end, the partition is read anew, announced and delivered offsets are dropped, and nothing is appended for a lease and the margin. An append in progress grants nothing. Tokens carry the epoch. Nothing is sent for a window that was due before the return was known and is not known as reported. Records name the epoch that their sender knew: an append of an ended history that the store carries out late, on top of newer records, counts like a return. Gossip of reports names the epoch of its offset. Without an epoch, a shorter partition, a known record that is gone or differs, and an announced one that a later read does not find are a return. Ruled out on the way: that a record which survived may be repeated.

--- a/include/cicadaport/duties/subject_authority.h
+++ b/include/cicadaport/duties/subject_authority.h
@@ -9,6 +9,11 @@
 // and the margin apart, even if a host is frozen, partitioned or killed at any point, or if the
 // store carries out an append late.
 //
+// Offsets and acknowledged records hold within one history of the store. When a new one begins, the
+// permit ends, the partition is read anew, and nothing is appended for a lease and the margin: the
+// record under which another host makes calls may be lost. The same holds when the newest record
+// was sent in another history: the store may have carried it out late, on top of newer ones.
+//
 // Performs no I/O; answers and times are passed in. Not thread safe.
 #pragma once
 
@@ -17,6 +22,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace cicadaport::duties {
 
@@ -28,12 +34,16 @@
     std::string holder;
     std::string content;
     std::uint64_t offset = 0;
+    // The epoch of the store that the holder knew when it sent the record; empty if it knew none.
+    std::optional<std::uint64_t> epoch{};
 };
 
 // The right to make calls for a subject until a time.
 struct permit {
     std::uint64_t fencing_token = 0;
     time_point expires{};
+    // Offset of the record that grants it.
+    std::uint64_t record = 0;
 };
 
 class subject_authority {
@@ -77,11 +87,20 @@
     // Asks for the newest record to be read, if it is not known.
     void request_newest() { m_wants_newest = true; }
 
+    // Records that another history of the store has begun, or that the store has stated its epoch
+    // for the first time. `epoch` is empty if the store states none; `known_since` is when this
+    // host learned of it. An append in progress grants nothing, and a read in progress is repeated.
+    void begin_history(std::optional<std::uint64_t> epoch, time_point known_since);
+
     // Returns what the owner has to do next. The owner reports that it starts a read or an append
     // with `begin()`, and calls exactly one of the handlers when that call ends.
     next_step next(time_point now) const;
     void begin(const next_step& started, time_point now);
 
+    // Returns what shows that the answer to the read in progress does not continue what is known,
+    // so that the store has returned from an older copy; empty if nothing does.
+    std::string_view find_discontinuity(const std::optional<duty_record>& newest,
+                                        std::uint64_t partition_end) const;
     // `newest` is empty if the subject has no record.
     void handle_read_result(std::optional<duty_record> newest, std::uint64_t partition_end,
                             time_point now);
@@ -104,9 +123,16 @@
     // Whether the newest record was read or appended, and no newer one is known of.
     bool knows_newest() const noexcept { return m_partition_end.has_value(); }
     bool is_requested() const noexcept { return m_requested.has_value(); }
+    // Returns since when no record can have been made that the newest one does not continue; empty
+    // if there never was one: the store states no epoch and has not returned.
+    std::optional<time_point> complete_since() const noexcept { return m_complete_since; }
 
 private:
     bool is_own(const duty_record& record) const;
+    // Ends the call in progress. Returns whether it was begun in the present history.
+    bool end_call();
+    void record_token_of(std::uint64_t offset);
+    void record_end(std::uint64_t end);
     // Returns when this host may replace the newest record.
     time_point earliest_append() const;
     void set_newest(std::optional<duty_record> newest, time_point now);
@@ -127,7 +153,17 @@
     // Tokens up to this one have been used or may be used by a holder.
     std::uint64_t m_max_token = 0;
 
+    std::optional<std::uint64_t> m_epoch;
+    std::optional<time_point> m_complete_since;
+    // The largest known end of the partition in the present history.
+    std::uint64_t m_known_end = 0;
+
     step m_running = step::none;
+    // Whether the call in progress was begun before the present history was known.
+    bool m_is_running_outdated = false;
+    // What was known when the read in progress began.
+    std::uint64_t m_end_at_read = 0;
+    std::optional<std::uint64_t> m_announced_at_read;
     time_point m_append_sent{};
     std::string m_append_content;
     // Whether this process has sent an append. An earlier process of the same name may hold a
--- a/include/cicadaport/duties/usage_plan.h
+++ b/include/cicadaport/duties/usage_plan.h
@@ -6,6 +6,11 @@
 // it reports further windows. Windows up to the last recorded one are never reported with other
 // counts, whatever is missing.
 //
+// A store that returns from an older copy may have lost the record of a report that was made, and
+// an append that was sent before may have put another one in its place. The newest record doesn't
+// show then which windows were reported. Of windows that were due by the time at which this host
+// learned of that, nothing is reported, neither its own counts nor those of a record.
+//
 // Performs no I/O. Not thread safe.
 #pragma once
 
@@ -29,6 +34,9 @@
     // Whether the newest record of the subject is known, the window of the report in it, and
     // whether the platform is known to have that report.
     bool knows_newest = false;
+    // Since when no record can have been made that the newest one does not continue; empty if there
+    // never was one.
+    std::optional<time_of_day> complete_since;
     std::optional<std::uint64_t> recorded_window;
     bool is_record_delivered = false;
 };
@@ -56,6 +64,8 @@
 public:
     // The number of hosts in the order that receive counts and may report.
     static constexpr std::size_t rank_count = 3;
+    // The times of day of two hosts differ by at most this.
+    static constexpr milliseconds max_clock_difference{1'000};
 
     // A report is due `due` after the end of its window.
     usage_plan(milliseconds window_length, milliseconds due)
@@ -69,6 +79,14 @@
     // announcements, which are repeated, and for answers of runs that began in the window.
     milliseconds delay_of(std::size_t rank) const;
 
+    // Returns the first window that no host can have reported under a record of an ended history.
+    std::uint64_t first_surely_unreported(std::optional<time_of_day> complete_since) const;
+
+    // Returns whether a report of `window` may be recorded in place of the newest record, of which
+    // `view` tells the window and whether it was delivered. `has_same_body` is whether the newest
+    // record holds the same report.
+    bool may_replace(std::uint64_t window, bool has_same_body, const usage_view& view) const;
+
 private:
     time_of_day end_of(std::uint64_t window) const;
 
--- a/include/cicadaport/serving/duty_client.h
+++ b/include/cicadaport/serving/duty_client.h
@@ -1,7 +1,8 @@
 // Makes calls to the platform's interface for duties under the authority over their subjects.
 //
 // A call is recorded in the store before it is made, and is made only under a permit of the
-// subject's authority. A call without an answer is repeated while its permit lasts.
+// subject's authority. A call without an answer is repeated while its permit lasts. When the store
+// has returned from an older copy of its data, all authorities begin a new history.
 //
 // Runs on the event loop. Must outlive the loop.
 #pragma once
@@ -40,6 +41,9 @@
     result what = result::not_permitted;
     unsigned status = 0;
     std::uint64_t fencing_token = 0;
+    // Offset of the record under which the last call was made; empty if the store has returned
+    // since then.
+    std::optional<std::uint64_t> record;
 };
 
 // Calls and their outcomes, for logs.
@@ -74,10 +78,13 @@
 
     // Reads the subject's newest record if it is not known.
     void read_newest(const std::string& subject);
-    bool knows_newest(const std::string& subject) const;
+    bool knows_newest(const std::string& subject);
     // Returns the subject's newest known record.
     const std::optional<duties::duty_record>& newest(const std::string& subject);
-    // Records that another host has announced a record of the subject.
+    // Returns what `duties::subject_authority::complete_since()` returns for the subject.
+    std::optional<time_point> complete_since(const std::string& subject) const;
+    // Records that another host has announced a record of the subject, at an offset of the present
+    // history.
     void handle_announced_record(const std::string& subject, std::uint64_t offset);
 
     // Called when a record of this host was acknowledged, before its call is made.
@@ -104,15 +111,24 @@
         // The last call was sent and not answered.
         bool is_unanswered = false;
         std::uint64_t last_token = 0;
+        std::optional<std::uint64_t> last_record;
         transport::timer_queue::handle timer;
     };
 
     subject_state& state_of(const std::string& subject);
+    // Passes a change of the store's history on to the authorities. To be called before they are
+    // used.
+    void follow_history();
+    void begin_history(subject_state& state) const;
+    // Returns whether an answer may be used.
+    bool is_current(const std::optional<call_response>& answer);
     // Does what is next for a subject.
     void advance(const std::string& subject);
     void read(const std::string& subject, const std::string& after_key, std::uint64_t end);
     void handle_read(const std::string& subject, const std::string& after_key, std::uint64_t end,
                      const std::optional<call_response>& answer);
+    void finish_read(const std::string& subject, std::optional<duties::duty_record> newest,
+                     std::uint64_t partition_end);
     void append(const std::string& subject, const duties::subject_authority::next_step& step);
     void call(const std::string& subject, const duties::permit& under);
     void end(const std::string& subject, const duty_outcome& outcome, std::string_view reason);
@@ -124,6 +140,10 @@
     duty_settings m_settings;
     std::string m_holder;
     std::function<void(const std::string&, std::uint64_t)> m_on_record;
+    // The history that the authorities know, and how often it has changed.
+    std::uint64_t m_history_changes = 0;
+    std::uint64_t m_generation = 0;
+    std::optional<std::uint64_t> m_epoch;
     std::map<std::string, subject_state> m_subjects;
     duty_counts m_counts;
     line_budget m_log_budget;
--- a/include/cicadaport/serving/duty_news.h
+++ b/include/cicadaport/serving/duty_news.h
@@ -10,11 +10,13 @@
 //     repeated counted_usage usage = 22;
 //     repeated usage_receipt receipts = 23;
 //   }
-//   message reported_usage { uint64 window = 1; uint64 record = 2; bool delivered = 3; }
+//   message reported_usage {
+//     uint64 window = 1; optional uint64 record = 2; bool delivered = 3; optional uint64 epoch = 4;
+//   }
 //   message counted_usage { uint64 window = 1; repeated account_runs accounts = 2; }
 //   message account_runs { string account = 1; uint64 runs = 2; }
 //   message usage_receipt { uint64 window = 1; uint64 runs = 2; }
-//   message duty_record { string holder = 1; bytes content = 2; }
+//   message duty_record { string holder = 1; bytes content = 2; optional uint64 epoch = 3; }
 #pragma once
 
 #include "cicadaport/duties/subject_authority.h"
@@ -31,9 +33,12 @@
 // A report of usage and the offset of its record in the store.
 struct reported_usage {
     std::uint64_t window = 0;
-    std::uint64_t record = 0;
+    // Empty if the record belongs to an ended history of a store that states no epoch.
+    std::optional<std::uint64_t> record;
     // The platform has accepted the report; otherwise it was only recorded.
     bool delivered = false;
+    // The epoch of the store in which `record` is an offset; empty if the store states none.
+    std::optional<std::uint64_t> epoch{};
 };
 
 // How many of the receiver's runs in a window the sender knows.
@@ -54,8 +59,8 @@
 // Returns what a datagram states about duties; nothing is stated if it can't be parsed.
 duty_news decode_duty_news(std::string_view datagram);
 
-// The value of a subject's record in the store.
-std::string encode_duty_record(const std::string& holder, const std::string& content);
+// Returns the value of a subject's record in the store. It does not contain the offset.
+std::string encode_duty_record(const duties::duty_record& record);
 // Returns nothing if the value can't be parsed.
 std::optional<duties::duty_record> decode_duty_record(std::string_view value, std::uint64_t offset);
 
--- a/include/cicadaport/serving/usage_director.h
+++ b/include/cicadaport/serving/usage_director.h
@@ -50,7 +50,15 @@
     void report(std::uint64_t window, time_point give_up_at);
     void repeat(std::uint64_t window, time_point give_up_at);
     void handle_outcome(const duty_outcome& outcome, const report_in_progress& of);
-    void finish_window(std::uint64_t window, std::uint64_t record);
+    // `record` is the offset of the record of its report; empty if it is no offset of the present
+    // history.
+    void finish_window(std::uint64_t window, std::optional<std::uint64_t> record);
+    // Drops what is an offset of an ended history of the store. Windows that are known as reported
+    // stay known.
+    void handle_return();
+    void apply_reported(const reported_usage& reported);
+    // Returns what is known of the newest record; the rest is empty.
+    duties::usage_view view_of_record(const std::optional<duties::duty_record>& newest) const;
     void handle_failure(time_point now);
     void handle_news(host_number sender, const peer_address& from, const duty_news& news);
     duty_news make_greeting_news() const;
@@ -71,7 +79,12 @@
     std::uint64_t m_delivered_end = 0;
     // The record whose report this process has sent without an answer.
     std::optional<std::uint64_t> m_unanswered_record;
+    // The last report that the platform is known to have accepted.
     std::optional<reported_usage> m_reported;
+    // The last window whose report was known when the store returned: announcements of records up
+    // to this one may be offsets of an ended history.
+    std::optional<std::uint64_t> m_last_before_return;
+    history::store_history::subscription m_return_subscription;
     std::optional<report_in_progress> m_in_progress;
     time_point m_paused_until{};
     // Since when the platform accepts no report.
--- a/include/cicadaport/serving/wire.h
+++ b/include/cicadaport/serving/wire.h
@@ -105,9 +105,9 @@
 };
 
 // Lists in the platform's store. Hosts follow the configuration and the endpoints, and
-// write announcements of orders and the origins of streams. Records of stream origins expire;
-// of the other lists the newest entry of each key stays.
-enum class feed { configuration, endpoints, orders, stream_origins };
+// write announcements of orders, records of duties and the origins of streams. Records of stream
+// origins expire; of the other lists the newest entry of each key stays.
+enum class feed { configuration, endpoints, orders, stream_origins, duties };
 
 constexpr std::string_view to_string(feed which) noexcept
 {
@@ -118,6 +118,8 @@
         return "endpoints";
     case feed::orders:
         return "orders";
+    case feed::duties:
+        return "duties";
     case feed::stream_origins:
         break;
     }
--- a/src/duties/subject_authority.cpp
+++ b/src/duties/subject_authority.cpp
@@ -1,5 +1,7 @@
 #include "cicadaport/duties/subject_authority.h"
 
+#include "cicadaport/history/fencing_token.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -21,6 +23,18 @@
     m_wants_newest = false;
 }
 
+void subject_authority::begin_history(std::optional<std::uint64_t> epoch, time_point known_since)
+{
+    m_epoch = epoch;
+    m_complete_since = known_since;
+    m_permit.reset();
+    m_newest.reset();
+    m_partition_end.reset();
+    m_announced_offset.reset();
+    m_known_end = 0;
+    m_is_running_outdated = m_running != step::none;
+}
+
 subject_authority::next_step subject_authority::next(time_point now) const
 {
     next_step out;
@@ -52,6 +66,8 @@
 void subject_authority::begin(const next_step& started, time_point now)
 {
     m_running = started.what;
+    m_end_at_read = m_known_end;
+    m_announced_at_read = m_announced_offset;
     if (started.what == step::append) {
         m_append_sent = now;
         m_append_content = started.content;
@@ -59,11 +75,42 @@
     }
 }
 
+bool subject_authority::end_call()
+{
+    m_running = step::none;
+    return !std::exchange(m_is_running_outdated, false);
+}
+
+std::string_view subject_authority::find_discontinuity(const std::optional<duty_record>& newest,
+                                                       std::uint64_t partition_end) const
+{
+    if (m_is_running_outdated) {
+        return {};
+    }
+    if (partition_end < m_end_at_read) {
+        return "the partition ends before known records";
+    }
+    if (m_newest && (!newest || newest->offset < m_newest->offset)) {
+        return "the newest known record is gone";
+    }
+    if (m_newest && newest->offset == m_newest->offset &&
+        (newest->holder != m_newest->holder || newest->content != m_newest->content)) {
+        return "another record is at a known offset";
+    }
+    if (m_announced_at_read && (!newest || newest->offset < *m_announced_at_read)) {
+        return "a record that another host has announced is gone";
+    }
+    return {};
+}
+
 void subject_authority::handle_read_result(std::optional<duty_record> newest,
                                            std::uint64_t partition_end, time_point now)
 {
-    m_running = step::none;
+    if (!end_call()) {
+        return;
+    }
     m_wants_newest = false;
+    record_end(partition_end);
     set_newest(std::move(newest), now);
     if (m_announced_offset && m_newest && *m_announced_offset > m_newest->offset) {
         // The answer is older than the announcement.
@@ -76,32 +123,40 @@
 
 void subject_authority::handle_append_result(std::uint64_t offset, time_point now)
 {
-    m_running = step::none;
-    const auto token = offset + 1;
-    const bool rises = token > m_max_token;
-    set_newest(duty_record{m_holder, m_append_content, offset}, now);
+    if (!end_call()) {
+        // The condition was met by chance in a history that this host has not read.
+        m_partition_end.reset();
+        return;
+    }
+    const auto token = history::fencing_token(m_epoch, offset);
+    const bool rises = token && *token > m_max_token;
+    set_newest(duty_record{m_holder, m_append_content, offset, m_epoch}, now);
     m_partition_end = offset + 1;
+    record_end(offset + 1);
     if (m_announced_offset && *m_announced_offset > offset) {
         m_partition_end.reset();
     }
+    if (!token) {
+        m_backoff_until = now + failure_backoff;
+    }
     const auto expires = m_append_sent + m_lease_time / 2;
     if (m_requested != m_append_content || now >= expires || !rises) {
         return;
     }
-    m_permit = permit{token, expires};
+    m_permit = permit{*token, expires, offset};
     m_permit_content = std::move(m_append_content);
     m_requested.reset();
 }
 
 void subject_authority::handle_append_refusal(time_point)
 {
-    m_running = step::none;
+    end_call();
     m_partition_end.reset();
 }
 
 void subject_authority::handle_no_answer(time_point now)
 {
-    m_running = step::none;
+    end_call();
     m_partition_end.reset();
     m_backoff_until = now + failure_backoff;
 }
@@ -114,17 +169,28 @@
     }
     m_announced_offset = offset;
     m_announced_at = now;
-    m_max_token = std::max(m_max_token, offset + 1);
+    record_token_of(offset);
     m_partition_end.reset();
 }
 
 void subject_authority::handle_other_append(std::uint64_t offset)
 {
+    record_end(offset + 1);
     if (m_partition_end == offset) {
         m_partition_end = offset + 1;
     }
 }
 
+void subject_authority::record_token_of(std::uint64_t offset)
+{
+    m_max_token = std::max(m_max_token, history::fencing_token(m_epoch, offset).value_or(0));
+}
+
+void subject_authority::record_end(std::uint64_t end)
+{
+    m_known_end = std::max(m_known_end, end);
+}
+
 std::optional<permit> subject_authority::current_permit(time_point now) const
 {
     return m_permit && now < m_permit->expires ? m_permit : std::nullopt;
@@ -137,7 +203,10 @@
 
 time_point subject_authority::earliest_append() const
 {
-    return m_newest && !is_own(*m_newest) ? m_newest_since + m_lease_time + margin : time_point{};
+    const auto wait = m_lease_time + margin;
+    const auto after_other_history = m_complete_since ? *m_complete_since + wait : time_point{};
+    return m_newest && !is_own(*m_newest) ? std::max(m_newest_since + wait, after_other_history)
+                                          : after_other_history;
 }
 
 void subject_authority::set_newest(std::optional<duty_record> newest, time_point now)
@@ -147,9 +216,12 @@
         // A record that was announced earlier and is still the newest has been so since then.
         const bool was_announced = newest && m_announced_offset == newest->offset;
         m_newest_since = was_announced ? m_announced_at : now;
+        if (newest && m_epoch && newest->epoch != m_epoch) {
+            m_complete_since = now;
+        }
     }
     if (newest) {
-        m_max_token = std::max(m_max_token, newest->offset + 1);
+        record_token_of(newest->offset);
     }
     m_newest = std::move(newest);
 }
--- a/src/duties/usage_plan.cpp
+++ b/src/duties/usage_plan.cpp
@@ -24,6 +24,31 @@
     return time_of_day{m_window_length * static_cast<std::int64_t>(window + 1)};
 }
 
+std::uint64_t usage_plan::first_surely_unreported(std::optional<time_of_day> complete_since) const
+{
+    if (!complete_since) {
+        return 0;
+    }
+    // A window is recorded when the first host's delay has passed since its end.
+    const auto recorded_until =
+        complete_since->time_since_epoch() + max_clock_difference - delay_of(0);
+    return recorded_until > milliseconds{0}
+               ? static_cast<std::uint64_t>(recorded_until / m_window_length)
+               : std::uint64_t{0};
+}
+
+bool usage_plan::may_replace(std::uint64_t window, bool has_same_body, const usage_view& view) const
+{
+    const auto first = first_surely_unreported(view.complete_since);
+    if (window < first) {
+        return false;
+    }
+    // A report that may still be made must have reached the platform before it is replaced.
+    return has_same_body || !view.recorded_window ||
+           (*view.recorded_window < window &&
+            (view.is_record_delivered || *view.recorded_window < first));
+}
+
 usage_verdict usage_plan::decide(const usage_view& of) const
 {
     usage_verdict out;
@@ -32,6 +57,7 @@
     out.first_open = std::max<std::uint64_t>(
         of.first_window, late > milliseconds{0} ? static_cast<std::uint64_t>(late / m_window_length)
                                                 : std::uint64_t{0});
+    out.first_open = std::max(out.first_open, first_surely_unreported(of.complete_since));
     const auto done = of.is_record_delivered && of.recorded_window
                           ? std::max(of.last_done.value_or(0), *of.recorded_window)
                           : of.last_done.value_or(0);
@@ -52,7 +78,9 @@
     if (of.now < end_of(next) + delay) {
         return out;
     }
-    if (of.recorded_window && !of.is_record_delivered) {
+    const bool may_be_repeated =
+        of.recorded_window && *of.recorded_window >= first_surely_unreported(of.complete_since);
+    if (may_be_repeated && !of.is_record_delivered) {
         out.what = usage_verdict::kind::repeat;
         out.window = *of.recorded_window;
         return out;
--- a/src/serving/duty_news.cpp
+++ b/src/serving/duty_news.cpp
@@ -4,6 +4,8 @@
 #include <google/protobuf/io/zero_copy_stream_impl_lite.h>
 #include <google/protobuf/wire_format_lite.h>
 
+#include <initializer_list>
+
 namespace cicadaport::serving {
 namespace {
 
@@ -103,31 +105,40 @@
     });
 }
 
-bool read_numbers(std::string_view message, std::uint64_t& first, std::uint64_t& second,
-                  std::uint64_t& third)
+// Reads the numbers in the fields from 1 on. Fields that are absent keep their values.
+bool read_numbers(std::string_view message,
+                  std::initializer_list<std::optional<std::uint64_t>*> numbers)
 {
     return for_each_field(message, [&](std::uint32_t tag, CodedInputStream& in) {
-        return tag == tag_of(1, number_type)   ? in.ReadVarint64(&first)
-               : tag == tag_of(2, number_type) ? in.ReadVarint64(&second)
-               : tag == tag_of(3, number_type) ? in.ReadVarint64(&third)
-                                               : format::SkipField(&in, tag);
+        int field = 0;
+        for (auto* each : numbers) {
+            if (tag == tag_of(++field, number_type)) {
+                return in.ReadVarint64(&each->emplace());
+            }
+        }
+        return format::SkipField(&in, tag);
     });
 }
 
 bool read_reported(std::string_view message, duty_news& into)
 {
     auto& reported = into.reported.emplace();
-    std::uint64_t delivered = 0;
-    const bool whole = read_numbers(message, reported.window, reported.record, delivered);
-    reported.delivered = delivered != 0;
+    std::optional<std::uint64_t> window;
+    std::optional<std::uint64_t> delivered;
+    const bool whole =
+        read_numbers(message, {&window, &reported.record, &delivered, &reported.epoch});
+    reported.window = window.value_or(0);
+    reported.delivered = delivered.value_or(0) != 0;
     return whole;
 }
 
 bool read_receipt(std::string_view message, duty_news& into)
 {
-    auto& receipt = into.receipts.emplace_back();
-    std::uint64_t unused = 0;
-    return read_numbers(message, receipt.window, receipt.runs, unused);
+    std::optional<std::uint64_t> window;
+    std::optional<std::uint64_t> runs;
+    const bool whole = read_numbers(message, {&window, &runs});
+    into.receipts.push_back({window.value_or(0), runs.value_or(0)});
+    return whole;
 }
 
 } // namespace
@@ -141,8 +152,13 @@
     }
     if (news.reported) {
         message_writer reported;
-        reported.number(1, news.reported->window).number(2, news.reported->record);
-        reported.number(3, news.reported->delivered ? 1 : 0);
+        reported.number(1, news.reported->window).number(3, news.reported->delivered ? 1 : 0);
+        if (news.reported->record) {
+            reported.number(2, *news.reported->record);
+        }
+        if (news.reported->epoch) {
+            reported.number(4, *news.reported->epoch);
+        }
         out.bytes(field_reported, reported.text());
     }
     for (const auto& [window, counts] : news.usage) {
@@ -189,10 +205,13 @@
     return whole ? out : duty_news{};
 }
 
-std::string encode_duty_record(const std::string& holder, const std::string& content)
+std::string encode_duty_record(const duties::duty_record& record)
 {
     message_writer out;
-    out.bytes(1, holder).bytes(2, content);
+    out.bytes(1, record.holder).bytes(2, record.content);
+    if (record.epoch) {
+        out.number(3, *record.epoch);
+    }
     return out.text();
 }
 
@@ -201,9 +220,10 @@
     duties::duty_record out;
     out.offset = offset;
     const bool whole = for_each_field(value, [&](std::uint32_t tag, CodedInputStream& in) {
-        return tag == tag_of(1, bytes_type)   ? read_bytes(in, out.holder)
-               : tag == tag_of(2, bytes_type) ? read_bytes(in, out.content)
-                                              : format::SkipField(&in, tag);
+        return tag == tag_of(1, bytes_type)    ? read_bytes(in, out.holder)
+               : tag == tag_of(2, bytes_type)  ? read_bytes(in, out.content)
+               : tag == tag_of(3, number_type) ? in.ReadVarint64(&out.epoch.emplace())
+                                               : format::SkipField(&in, tag);
     });
     return whole ? std::optional{std::move(out)} : std::nullopt;
 }
--- a/src/serving/usage_director.cpp
+++ b/src/serving/usage_director.cpp
@@ -48,6 +48,7 @@
 {
     if (m_reports) {
         m_host.usage.enable(settings.usage_window);
+        m_return_subscription = m_host.store_history.on_return([this] { handle_return(); });
     }
 }
 
@@ -68,7 +69,8 @@
         }
         // A host of the next rank may replace the record a lease after it has learned of it.
         duty_news news;
-        news.reported = reported_usage{m_in_progress->window, offset, false};
+        news.reported =
+            reported_usage{m_in_progress->window, offset, false, m_host.store_history.epoch()};
         const auto order = m_gossip.order_of_hosts(subject, duties::usage_plan::rank_count, true);
         for (const auto& each : order.first) {
             m_gossip.send_duty_news(each.at, news);
@@ -139,20 +141,16 @@
 void usage_director::act(const duty_order& order, time_point now)
 {
     const auto true_now = *m_host.usage.clock().at(now);
-    duties::usage_view view;
+    const auto& newest = m_client.newest(subject);
+    auto view = view_of_record(newest);
     view.now = true_now;
     view.rank = order.own_rank;
     view.last_done = m_last_done;
     view.knows_newest = m_client.knows_newest(subject);
-    const auto& newest = m_client.newest(subject);
-    if (newest) {
-        view.recorded_window = m_host.wire.read_reported_window(newest->content);
-        view.is_record_delivered = newest->offset < m_delivered_end;
-        if (view.recorded_window && m_unanswered_record == newest->offset) {
-            // The platform is slow, or down: the next window must not wait for this one.
-            view.is_record_delivered = true_now >= m_host.usage.end_of(*view.recorded_window + 1) +
-                                                       m_plan.delay_of(order.own_rank);
-        }
+    if (view.recorded_window && m_unanswered_record == newest->offset) {
+        // The platform is slow, or down: the next window must not wait for this one.
+        view.is_record_delivered = true_now >= m_host.usage.end_of(*view.recorded_window + 1) +
+                                                   m_plan.delay_of(order.own_rank);
     }
     const auto verdict = m_plan.decide(view);
     drop_late(verdict.first_open, order.own_rank);
@@ -208,13 +206,13 @@
     request.give_up_at = give_up_at;
     request.may_replace = [this, window,
                            body = request.body](const std::optional<duties::duty_record>& newest) {
-        if (!newest || newest->content == body) {
-            return true;
+        if (m_reported && m_reported->window >= window) {
+            return false;
         }
-        const auto recorded = m_host.wire.read_reported_window(newest->content);
-        // The report of another host must have reached the platform before it is replaced.
-        return !recorded || (*recorded < window && (newest->offset < m_delivered_end ||
-                                                    m_unanswered_record == newest->offset));
+        auto view = view_of_record(newest);
+        view.is_record_delivered =
+            view.is_record_delivered || (newest && m_unanswered_record == newest->offset);
+        return m_plan.may_replace(window, newest && newest->content == body, view);
     };
     m_client.perform(std::move(request), [this, current](const duty_outcome& outcome) {
         handle_outcome(outcome, current);
@@ -233,8 +231,9 @@
     request.kind = duty_kind::usage_report;
     request.body = newest->content;
     request.give_up_at = give_up_at;
-    request.may_replace = [body = request.body](const std::optional<duties::duty_record>& of) {
-        return of && of->content == body;
+    request.may_replace = [this, window,
+                           body = request.body](const std::optional<duties::duty_record>& of) {
+        return of && of->content == body && m_plan.may_replace(window, true, view_of_record(of));
     };
     m_client.perform(std::move(request), [this, current](const duty_outcome& outcome) {
         handle_outcome(outcome, current);
@@ -249,7 +248,7 @@
         m_paused_until = now + retry_interval;
         return;
     }
-    const auto record = outcome.fencing_token - 1;
+    const auto record = outcome.record;
     if (outcome.what == duty_outcome::result::answered && !may_be_repeated(outcome.status)) {
         m_failing_since.reset();
         const auto after_end = std::chrono::duration_cast<milliseconds>(
@@ -270,16 +269,47 @@
     handle_failure(now);
 }
 
-void usage_director::finish_window(std::uint64_t window, std::uint64_t record)
+void usage_director::finish_window(std::uint64_t window, std::optional<std::uint64_t> record)
 {
     m_last_done = std::max(m_last_done.value_or(0), window);
-    m_delivered_end = std::max(m_delivered_end, record + 1);
-    if (!m_reported || m_reported->record <= record) {
-        m_reported = reported_usage{window, record, true};
+    if (record) {
+        m_delivered_end = std::max(m_delivered_end, *record + 1);
+    }
+    if (!m_reported || m_reported->window <= window) {
+        m_reported = reported_usage{window, record, true, m_host.store_history.epoch()};
     }
     m_host.usage.close(window);
 }
 
+void usage_director::handle_return()
+{
+    m_delivered_end = 0;
+    m_unanswered_record.reset();
+    if (m_reported) {
+        m_reported->record.reset();
+    }
+    m_last_before_return = m_last_done;
+    spdlog::warn("duty_usage_history_begins last_done={} effect=\"windows that may have been "
+                 "reported under a lost record are not reported anew\"",
+                 m_last_done.value_or(0));
+}
+
+duties::usage_view
+usage_director::view_of_record(const std::optional<duties::duty_record>& newest) const
+{
+    duties::usage_view out;
+    if (const auto since = m_client.complete_since(subject)) {
+        out.complete_since = m_host.usage.clock().at(*since);
+    }
+    if (newest) {
+        out.recorded_window = m_host.wire.read_reported_window(newest->content);
+        out.is_record_delivered =
+            newest->offset < m_delivered_end ||
+            (out.recorded_window && m_reported && *out.recorded_window <= m_reported->window);
+    }
+    return out;
+}
+
 void usage_director::handle_failure(time_point now)
 {
     m_failing_since = m_failing_since.value_or(now);
@@ -308,10 +338,7 @@
         usage.clock().record(sender, *news.time_of_day, now);
     }
     if (news.reported) {
-        m_client.handle_announced_record(subject, news.reported->record);
-        if (news.reported->delivered) {
-            finish_window(news.reported->window, news.reported->record);
-        }
+        apply_reported(*news.reported);
     }
     duty_news answer;
     for (const auto& [window, counts] : news.usage) {
@@ -328,6 +355,19 @@
     }
 }
 
+void usage_director::apply_reported(const reported_usage& reported)
+{
+    const bool is_of_this_history =
+        reported.record && reported.epoch == m_host.store_history.epoch() &&
+        (!m_last_before_return || reported.window > *m_last_before_return);
+    if (is_of_this_history) {
+        m_client.handle_announced_record(subject, *reported.record);
+    }
+    if (reported.delivered) {
+        finish_window(reported.window, is_of_this_history ? reported.record : std::nullopt);
+    }
+}
+
 duty_news usage_director::make_greeting_news() const
 {
     duty_news out;
--- a/test/duties/subject_authority_test.cpp
+++ b/test/duties/subject_authority_test.cpp
@@ -251,6 +251,68 @@
     EXPECT_FALSE(a.current_permit(start + 5s));
 }
 
+// Regression: after the store had returned without the record of a holder, another host replaced
+// the record before it at once, and acted within a lease of the holder's last call.
+TEST_F(subject_authority_test, appends_nothing_for_a_lease_and_the_margin_after_a_return)
+{
+    a.request("x", start);
+    run(a, "a", start, start);
+    a.begin_history(2, start + 1s);
+    EXPECT_FALSE(a.current_permit(start + 1s)) << "the record of the permit may be lost";
+    store.newest.reset();
+    store.end = 3;
+    a.request("y", start + 1s);
+    run(a, "a", start + 1s, start + 1s);
+    const auto allowed = start + 1s + lease + subject_authority::margin;
+    EXPECT_EQ(a.next(allowed - 1ms).what, step::wait);
+    run(a, "a", allowed, allowed);
+    ASSERT_TRUE(a.current_permit(allowed));
+    EXPECT_GT(a.current_permit(allowed)->fencing_token, 8U);
+    EXPECT_EQ(a.current_permit(allowed)->record, 3U);
+}
+
+TEST_F(subject_authority_test, an_append_that_another_history_acknowledges_grants_nothing)
+{
+    a.request("x", start);
+    a.begin(a.next(start), start);
+    a.handle_read_result(std::nullopt, 7, start);
+    a.begin(a.next(start), start);
+    a.begin_history(2, start);
+    a.handle_append_result(7, start);
+    EXPECT_FALSE(a.current_permit(start));
+    EXPECT_EQ(a.next(start).what, step::read);
+}
+
+// Guards against an append of an ended history that is carried out late and hides a newer record.
+TEST_F(subject_authority_test, waits_again_after_its_own_record_of_an_ended_history)
+{
+    a.request("x", start);
+    run(a, "a", start, start);
+    a.begin_history(2, start + 1s);
+    EXPECT_EQ(a.complete_since(), start + 1s);
+    a.request("y", start + 9s);
+    a.begin(a.next(start + 9s), start + 9s);
+    a.handle_read_result(duty_record{"a", "x", 9}, 10, start + 9s);
+    EXPECT_EQ(a.complete_since(), start + 9s);
+    EXPECT_EQ(a.next(start + 9s).at, start + 9s + lease + subject_authority::margin);
+}
+
+TEST_F(subject_authority_test, finds_what_a_returned_store_has_lost_without_an_epoch)
+{
+    a.request("x", start);
+    run(a, "a", start, start);
+    const duty_record own{"a", "x", 7};
+    a.handle_announced_record(9, start + 1s);
+    a.request("y", start + 1s);
+    a.begin(a.next(start + 1s), start + 1s);
+    const duty_record announced{"b", "z", 9};
+    EXPECT_EQ(a.find_discontinuity(announced, 10), "");
+    EXPECT_NE(a.find_discontinuity(own, 8), "") << "an announced record is gone";
+    EXPECT_NE(a.find_discontinuity(announced, 7), "") << "the partition is shorter";
+    EXPECT_NE(a.find_discontinuity(duty_record{"b", "x", 7}, 10), "") << "another record";
+    EXPECT_NE(a.find_discontinuity(std::nullopt, 10), "");
+}
+
 // Three hosts that all want to act all the time, with lost answers, appends that are carried out
 // late, freezes and refusals. Guards the rules of the page: tokens rise, no token has two holders,
 // and no holder acts again within a lease of another one's call between.
--- a/test/duties/usage_plan_test.cpp
+++ b/test/duties/usage_plan_test.cpp
@@ -92,6 +92,22 @@
     EXPECT_EQ(verdict.window, 1'005U);
 }
 
+// Regression: a window was reported with other counts after the record of its report was lost.
+TEST_F(usage_plan_test, windows_that_were_due_before_a_return_of_the_store_are_not_reported)
+{
+    view.last_done = 998;
+    view.recorded_window = 998;
+    view.complete_since = end + 2s;
+    EXPECT_EQ(at(end + 4s).window, 1'001U) << "may have been reported by a host that is 1 s ahead";
+    EXPECT_FALSE(plan.may_replace(1'000, true, view));
+    view.complete_since = end + 2s - 1ms;
+    EXPECT_EQ(at(end + 4s).window, 1'000U);
+    EXPECT_TRUE(plan.may_replace(1'000, false, view));
+    view.recorded_window = 999;
+    view.is_record_delivered = false;
+    EXPECT_EQ(at(end + 4s).what, kind::report) << "the record of an earlier window is not repeated";
+}
+
 TEST_F(usage_plan_test, windows_that_are_past_their_due_time_are_dropped)
 {
     EXPECT_EQ(at(end + 10s - 1ms).first_open, 1'000U);
--- a/test/platform/usage_report_test.cpp
+++ b/test/platform/usage_report_test.cpp
@@ -329,5 +329,61 @@
     EXPECT_THAT(interface.violations(), ::testing::IsEmpty());
 }
 
+// Regression: the store returned without the record of a report that had been made, and another
+// host reported the window with other counts, under a token that had been used.
+TEST_F(usage_report_test, a_window_whose_record_the_store_has_lost_is_not_reported_again)
+{
+    stores.state_epoch("1");
+    for (const int number : {1, 2, 3}) {
+        start(number);
+    }
+    ASSERT_TRUE(run_until([&] { return interface.reports().size() >= 3; }));
+    interface.set(interface_state::silent);
+    const auto before = interface.calls().size();
+    ASSERT_TRUE(run_until([&] { return interface.calls().size() > before; }));
+    const auto window = interface.reports().rbegin()->first;
+    kill(last_holder());
+    stores.lose_records("keyed.duties", 1);
+    stores.state_epoch("2");
+    for (auto& [number, host] : hosts) {
+        host->state.usage.record_run("first", host->state.timers.now() - settings.usage_window);
+    }
+    interface.set(interface_state::accepting);
+    ASSERT_TRUE(run_until([&] { return interface.reports().rbegin()->first > window + 1; }));
+    EXPECT_THAT(interface.violations(), ::testing::IsEmpty());
+}
+
+// Regression: hosts waited for a record that another host had announced before the store returned
+// without it, and reported nothing more.
+TEST_F(usage_report_test, reports_go_on_after_the_store_has_lost_an_announced_record)
+{
+    stores.state_epoch("1");
+    for (const int number : {1, 2, 3}) {
+        start(number);
+    }
+    ASSERT_TRUE(run_until([&] { return interface.reports().size() >= 4; }));
+    kill(last_holder());
+    stores.lose_records("keyed.duties", stores.appended("keyed.duties"));
+    stores.state_epoch("2");
+    const auto before = interface.reports().size();
+    ASSERT_TRUE(run_until([&] { return interface.reports().size() >= before + 2; }));
+    EXPECT_THAT(interface.violations(), ::testing::IsEmpty());
+}
+
+TEST_F(usage_report_test, a_return_without_an_epoch_is_noticed_by_the_records_of_duties)
+{
+    for (const int number : {1, 2}) {
+        start(number);
+    }
+    ASSERT_TRUE(run_until([&] { return interface.reports().size() >= 3; }));
+    auto& holder = *hosts[last_holder()];
+    ASSERT_EQ(holder.state.store_history.generation(), 0U);
+    stores.lose_records("keyed.duties", 2);
+    const auto before = interface.reports().size();
+    ASSERT_TRUE(run_until([&] { return interface.reports().size() >= before + 2; }));
+    EXPECT_GE(holder.state.store_history.generation(), 1U);
+    EXPECT_THAT(interface.violations(), ::testing::IsEmpty());
+}
+
 } // namespace
 } // namespace cicadaport::platform
--- a/test/serving/duty_news_test.cpp
+++ b/test/serving/duty_news_test.cpp
@@ -37,6 +37,20 @@
     EXPECT_EQ(read.receipts[0].runs, 12U);
 }
 
+TEST(duty_news_test, a_report_is_read_with_its_epoch_or_without_a_record)
+{
+    duty_news news;
+    news.reported = reported_usage{5, 17, true, 3};
+    EXPECT_EQ(decode_duty_news(encode(news)).reported->epoch, 3U);
+    news.reported = reported_usage{5, std::nullopt, true};
+    const auto read = decode_duty_news(encode(news));
+    EXPECT_EQ(read.reported->window, 5U);
+    EXPECT_FALSE(read.reported->record);
+    EXPECT_FALSE(read.reported->epoch);
+    const auto record = decode_duty_record(encode_duty_record({"a", "x", 0, 4}), 5);
+    EXPECT_EQ(record->epoch, 4U);
+}
+
 // Guards against hosts that do not know the fields and drop them when they pass a message on.
 TEST(duty_news_test, a_host_that_does_not_know_the_fields_reads_and_passes_on_the_message)
 {
@@ -66,7 +80,7 @@
 TEST(duty_news_test, a_record_holds_the_holder_and_any_bytes)
 {
     const std::string content{"{\"x\":\"\0\xff\"}", 10};
-    const auto record = decode_duty_record(encode_duty_record("host-1", content), 5);
+    const auto record = decode_duty_record(encode_duty_record({"host-1", content}), 5);
     ASSERT_TRUE(record);
     EXPECT_EQ(record->holder, "host-1");
     EXPECT_EQ(record->content, content);
