serving: the topic of stream origins is read and written anew after a return

Cause: the position in the topic, the appended streams and versions, and the belief that the records reach back as far as streams last hold within one history of the store. After a return the position may lie in the middle of another history, or beyond its end, which was an error for good; what the two writing hosts had appended was not appended again; and a topic that had lost versions counted as complete, so that a stream could go on at another version (rule ORDER). The topic counts as complete only when the present history has been known for as long as streams last; records name the epoch in which that was so, for hosts that start later. A list of replicas of an ended history is not current. Without an epoch, each search reads the last known record once more; a 410 for a known offset, a shorter topic or another record is a return. No test covers the refusal of a list of an ended history, nor the epoch in records for a host that starts later.

--- a/include/cicadaport/serving/stream_origin_tracker.h
+++ b/include/cicadaport/serving/stream_origin_tracker.h
@@ -7,9 +7,15 @@
 // versions that are listed. A host that doesn't know the origin of a stream reads that topic.
 // A stream whose origin can't be determined is not continued.
 //
+// When the store has returned from an older copy, the topic is read from its first record again,
+// the hosts that append write again what they know, and the records don't count as reaching back as
+// far as streams last until they can.
+//
 // Not thread safe: used only on the event loop of its host.
 #pragma once
 
+#include "cicadaport/history/record_digest.h"
+#include "cicadaport/history/store_history.h"
 #include "cicadaport/http/address.h"
 #include "cicadaport/serving/line_budget.h"
 #include "cicadaport/serving/stream_origins.h"
@@ -34,12 +40,14 @@
     static constexpr std::chrono::seconds versions_interval{5};
     // Number of hosts that append.
     static constexpr std::size_t writer_count = 2;
+    // Bounds the size of a record; further streams follow an interval later.
+    static constexpr std::size_t max_streams_per_append = 2'000;
     // A view of the list of replicas is current if it is at most this old, or if the other hosts,
     // which would have announced a change, have been heard without an interruption since.
     static constexpr milliseconds max_view_age{1'500};
 
     // `host` must outlive the tracker.
-    explicit stream_origin_tracker(host_state& host) : m_host{host} {}
+    explicit stream_origin_tracker(host_state& host);
 
     // `gossip` is not owned; null while this host sends no gossip.
     void set_gossip(gossip_sender* gossip) noexcept { m_gossip = gossip; }
@@ -92,10 +100,17 @@
     std::optional<origin_id> find_known(std::span<const service_share> services,
                                         const std::string& begun_as) const;
     bool is_view_current() const;
+    // Forgets what rests on offsets and on acknowledged appends.
+    void handle_return();
+    // Returns whether this host has known the present history of the store for as long as streams
+    // last, or whether it is the only one that it has known.
+    bool is_history_settled(time_point now) const;
+    void begin_read();
     void read_log();
     void handle_page(const std::optional<call_response>& response);
     // Returns whether the read is complete.
     bool apply_page(const call_response& response);
+    void record_return(std::string_view evidence);
     void apply_record(std::string_view bytes);
     void end_read(bool is_complete);
     void log_search(const std::string& begun_as, std::optional<origin_id> origin,
@@ -110,6 +125,8 @@
     std::vector<listed_version> m_written_versions;
     time_point m_versions_written_at{};
     bool m_append_pending = false;
+    // Whether all known streams are to be appended again.
+    bool m_must_rewrite = false;
     transport::timer_queue::handle m_announcement;
     transport::timer_queue::handle m_append_timer;
     // Searches that wait for the read that is in progress, and those for the next one.
@@ -119,6 +136,14 @@
     // The next record to read, and whether this read has found versions.
     std::uint64_t m_offset = 0;
     bool m_found_versions = false;
+    // Digest of the record before `m_offset`, and whether the next page begins with that record.
+    history::record_digest m_last_record;
+    bool m_is_verifying = false;
+    // The store's history when the pending call was made.
+    std::uint64_t m_read_generation = 0;
+    // When records of another history, or of one that may have lost records, were last read.
+    std::optional<time_point> m_incomplete_at;
+    history::store_history::subscription m_return_subscription;
     line_budget m_log_budget;
 };
 
--- a/include/cicadaport/serving/stream_origins.h
+++ b/include/cicadaport/serving/stream_origins.h
@@ -95,6 +95,9 @@
     bool record(const begun_stream& begun, time_point now);
     std::optional<origin_id> find(stream_number stream) const;
     std::size_t size() const noexcept { return m_streams.size(); }
+    // Returns the recorded streams, oldest first.
+    std::vector<begun_stream> streams() const;
+    std::chrono::milliseconds retention() const noexcept { return m_retention; }
 
     void forget_old(time_point now);
 
--- a/src/serving/stream_origin_tracker.cpp
+++ b/src/serving/stream_origin_tracker.cpp
@@ -2,6 +2,7 @@
 
 #include "cicadaport/serving/host_state.h"
 #include "cicadaport/serving/single_call.h"
+#include "internal/feed_records.h"
 
 #include "news.pb.h"
 
@@ -32,6 +33,32 @@
 
 } // namespace
 
+stream_origin_tracker::stream_origin_tracker(host_state& host) : m_host{host}
+{
+    m_return_subscription = m_host.store_history.on_return([this] { handle_return(); });
+}
+
+void stream_origin_tracker::handle_return()
+{
+    const auto now = m_host.timers.now();
+    spdlog::info("stream_origins_begin_anew offset={} streams={} generation={} "
+                 "effect=\"known streams are appended again\"",
+                 m_offset, m_origins.size(), m_host.store_history.generation());
+    m_offset = 0;
+    m_last_record.reset();
+    m_written_versions.clear();
+    m_versions_written_at = {};
+    m_origins.restart_history(now);
+    m_must_rewrite = true;
+    schedule_append();
+}
+
+bool stream_origin_tracker::is_history_settled(time_point now) const
+{
+    const auto& history = m_host.store_history;
+    return history.generation() == 0 || now - *history.known_since() >= m_origins.retention();
+}
+
 void stream_origin_tracker::note_report(const endpoint_report& report)
 {
     m_origins.note_report(report, m_host.timers.now());
@@ -108,12 +135,23 @@
         schedule_append();
         return;
     }
+    const bool must_rewrite = std::exchange(m_must_rewrite, false);
     if (!is_writer()) {
         m_unwritten.clear();
         return;
     }
+    if (must_rewrite) {
+        m_unwritten = m_origins.streams();
+    }
     protocol::stream_origin_record record;
-    for (const auto& each : m_unwritten) {
+    if (m_host.store_history.epoch() && is_history_settled(now)) {
+        record.set_epoch(*m_host.store_history.epoch());
+    }
+    const auto batch_end =
+        m_unwritten.begin() +
+        static_cast<std::ptrdiff_t>(std::min(m_unwritten.size(), max_streams_per_append));
+    std::vector<begun_stream> batch{m_unwritten.begin(), batch_end};
+    for (const auto& each : batch) {
         auto& added = *record.add_streams();
         added.set_stream(each.stream);
         added.set_origin(each.origin);
@@ -127,15 +165,21 @@
     if (versions.empty()) {
         return;
     }
+    m_unwritten.erase(m_unwritten.begin(), batch_end);
+    if (!m_unwritten.empty()) {
+        schedule_append();
+    }
     m_append_pending = true;
     ++m_host.store_calls.appends;
     const std::vector<feed_entry> entries{{"", record.SerializeAsString()}};
     call_once(m_host, m_store,
               m_host.wire.append_request(feed::stream_origins, entries, std::nullopt), call_timeout,
-              [this, versions = std::move(versions),
-               streams = std::exchange(m_unwritten, {})](const auto& response) mutable {
+              [this, versions = std::move(versions), generation = m_host.store_history.generation(),
+               streams = std::move(batch)](const auto& response) mutable {
                   m_append_pending = false;
-                  if (response && m_host.wire.read_append(response->status, response->body)) {
+                  if (response && m_host.accept_store_answer(response->epoch) &&
+                      generation == m_host.store_history.generation() &&
+                      m_host.wire.read_append(response->status, response->body)) {
                       m_written_versions = std::move(versions);
                       m_versions_written_at = m_host.timers.now();
                       return;
@@ -157,6 +201,9 @@
 bool stream_origin_tracker::is_view_current() const
 {
     const auto& position = m_host.endpoints_position;
+    if (position.generation != m_host.store_history.generation()) {
+        return false;
+    }
     const auto age = position.age(m_host.timers.now());
     if (!age || *age <= max_view_age) {
         return age.has_value();
@@ -191,26 +238,40 @@
     auto& waiting = m_is_reading ? m_waiting_for_next : m_waiting;
     waiting.push_back({{services.begin(), services.end()}, begun_as, std::move(on_found)});
     if (!m_is_reading) {
-        m_is_reading = true;
-        m_found_versions = false;
-        read_log();
+        begin_read();
     }
 }
 
+void stream_origin_tracker::begin_read()
+{
+    m_is_reading = true;
+    m_found_versions = false;
+    // Without an epoch, only a known record shows that the topic is still the one that was read.
+    m_is_verifying = m_last_record && !m_host.store_history.epoch();
+    read_log();
+}
+
 void stream_origin_tracker::read_log()
 {
     ++m_host.store_calls.origin_reads;
-    call_for_large_response(m_host, m_store,
-                            m_host.wire.read_request(feed::stream_origins, m_offset), call_timeout,
-                            [this](const auto& response) { handle_page(response); });
+    m_read_generation = m_host.store_history.generation();
+    const auto from = m_is_verifying ? m_offset - 1 : m_offset;
+    call_for_large_response(m_host, m_store, m_host.wire.read_request(feed::stream_origins, from),
+                            call_timeout, [this](const auto& response) { handle_page(response); });
 }
 
 void stream_origin_tracker::handle_page(const std::optional<call_response>& response)
 {
-    if (!response) {
+    if (!response || !m_host.accept_store_answer(response->epoch)) {
         end_read(false);
         return;
     }
+    if (m_read_generation != m_host.store_history.generation()) {
+        m_is_verifying = false;
+        m_found_versions = false;
+        read_log();
+        return;
+    }
     try {
         if (apply_page(*response)) {
             end_read(true);
@@ -227,21 +288,48 @@
 
 bool stream_origin_tracker::apply_page(const call_response& response)
 {
+    const bool is_verifying = std::exchange(m_is_verifying, false);
+    const auto from = is_verifying ? m_offset - 1 : m_offset;
     if (const auto first = m_host.wire.read_first_offset(response.status, response.body)) {
-        if (*first <= m_offset) {
+        if (*first > from) {
+            m_offset = *first;
+            m_last_record.reset();
+        }
+        else if (from > 0) {
+            record_return("the store does not have a known offset");
+        }
+        else {
             throw store_error{store_error::kind::refused, "the first offset is not newer"};
         }
-        m_offset = *first;
         return false;
     }
-    const auto page = m_host.wire.read_records(response.status, response.body, m_offset);
+    const auto page = m_host.wire.read_records(response.status, response.body, from);
+    if (page.list_end < m_offset) {
+        record_return("the topic ends before known records");
+        return false;
+    }
+    if (is_verifying && find_digest(page.entries, from) != m_last_record) {
+        record_return("the last known record differs");
+        return false;
+    }
     for (const auto& each : page.entries) {
-        apply_record(each.value.value_or(""));
+        if (each.offset >= m_offset) {
+            apply_record(each.value.value_or(""));
+        }
+    }
+    if (page.next_offset > m_offset) {
+        m_offset = page.next_offset;
+        m_last_record = find_digest(page.entries, m_offset - 1);
     }
-    m_offset = page.next_offset;
     return page.entries.empty() || m_offset >= page.list_end;
 }
 
+void stream_origin_tracker::record_return(std::string_view evidence)
+{
+    m_found_versions = false;
+    m_host.record_unannounced_return(feed::stream_origins, evidence);
+}
+
 void stream_origin_tracker::apply_record(std::string_view bytes)
 {
     const auto now = m_host.timers.now();
@@ -259,20 +347,26 @@
         m_origins.note_version({each.service(), each.origin()}, now);
         m_found_versions = true;
     }
+    const auto epoch = record.has_epoch() ? std::optional{record.epoch()} : std::nullopt;
+    if (epoch != m_host.store_history.epoch()) {
+        m_incomplete_at = now;
+    }
 }
 
 void stream_origin_tracker::end_read(bool is_complete)
 {
-    if (is_complete && m_found_versions) {
+    const auto now = m_host.timers.now();
+    const bool may_lack_records =
+        !is_history_settled(now) ||
+        (m_incomplete_at && now - *m_incomplete_at < m_origins.retention());
+    if (is_complete && m_found_versions && !may_lack_records) {
         // The records reach back further than streams last.
-        m_origins.confirm_history(m_host.timers.now());
+        m_origins.confirm_history(now);
     }
     m_is_reading = false;
     const auto waiting = std::exchange(m_waiting, std::exchange(m_waiting_for_next, {}));
     if (!m_waiting.empty()) {
-        m_is_reading = true;
-        m_found_versions = false;
-        read_log();
+        begin_read();
     }
     for (const auto& each : waiting) {
         const auto origin = find_known(each.services, each.begun_as);
--- a/src/serving/stream_origins.cpp
+++ b/src/serving/stream_origins.cpp
@@ -185,6 +185,16 @@
     return found != m_streams.end() ? std::optional{found->second} : std::nullopt;
 }
 
+std::vector<begun_stream> stream_origins::streams() const
+{
+    std::vector<begun_stream> out;
+    out.reserve(m_order.size());
+    for (const auto& [began, stream] : m_order) {
+        out.push_back({stream, m_streams.at(stream)});
+    }
+    return out;
+}
+
 void stream_origins::forget_old(time_point now)
 {
     while (!m_order.empty() && now - m_order.front().first > m_retention) {
--- a/test/platform/peer_gossip_test.cpp
+++ b/test/platform/peer_gossip_test.cpp
@@ -168,10 +168,10 @@
     }
 
     // Returns what the first host finds as the origin of a stream that it does not know.
-    std::optional<origin_id> find_origin()
+    std::optional<origin_id> find_origin(const std::string& stream = "unknown")
     {
         std::optional<std::optional<origin_id>> found;
-        hosts[0]->state.origins.find(services, "unknown", [&](auto origin) { found = origin; });
+        hosts[0]->state.origins.find(services, stream, [&](auto origin) { found = origin; });
         EXPECT_TRUE(run_until([&] { return found.has_value(); }));
         return found.value_or(std::nullopt);
     }
@@ -183,6 +183,59 @@
     testing::standin_store store;
 };
 
+// Regression: after the store had returned from an older copy, the topic of origins was read on
+// from the middle of another history.
+TEST_F(unknown_stream_test, is_found_in_a_topic_that_has_grown_to_its_old_length_again)
+{
+    start_with_one_version();
+    ASSERT_EQ(find_origin(), origin_of(replica));
+    const auto length = store.appended("stream-origins");
+    store.lose_records("stream-origins", length);
+    constexpr origin_id other_version = 77;
+    protocol::stream_origin_record record;
+    auto& begun = *record.add_streams();
+    begun.set_stream(number_of_stream("r1"));
+    begun.set_origin(other_version);
+    auto& listed = *record.add_versions();
+    listed.set_service(number_of_service(replica.service));
+    listed.set_origin(origin_of(replica));
+    store.put("stream-origins", "", record.SerializeAsString());
+    for (std::size_t number = 1; number < length; ++number) {
+        store.put("stream-origins", "", protocol::stream_origin_record{}.SerializeAsString());
+    }
+    auto& state = hosts[0]->state;
+    state.origins.handle_whole_list();
+    EXPECT_EQ(find_origin("r1"), other_version);
+    state.endpoints_position.generation = state.store_history.generation();
+    state.endpoints_position.known_at = clock::now();
+    EXPECT_EQ(find_origin("unknown"), std::nullopt) << "the lost records may have listed versions";
+}
+
+// Regression: what hosts had appended was lost with the store's records.
+TEST_F(unknown_stream_test, streams_are_appended_again_in_parts_after_a_return)
+{
+    constexpr std::uint64_t stream_count = 2 * stream_origin_tracker::max_streams_per_append + 1;
+    store.state_epoch("1");
+    start_with_one_version();
+    ASSERT_TRUE(run_until([&] { return hosts[0]->gossip.rank_among_known_hosts() < 2; }));
+    for (std::uint64_t number = 0; number < stream_count; ++number) {
+        hosts[0]->state.origins.apply_announced({number, 7});
+    }
+    const auto before = store.appended("stream-origins");
+    ASSERT_TRUE(run_until([&] { return store.appended("stream-origins") >= before + 3; }));
+    find_origin();
+    store.lose_records("stream-origins", store.appended("stream-origins"));
+    store.state_epoch("2");
+    const auto returned_at = clock::now();
+    find_origin();
+    ASSERT_TRUE(run_until([&] { return store.appended("stream-origins") >= 3; }));
+    EXPECT_GE(clock::now() - returned_at, 2 * stream_origin_tracker::append_interval);
+    protocol::stream_origin_record last;
+    ASSERT_TRUE(last.ParseFromString(store.newest("stream-origins", "")));
+    EXPECT_EQ(last.streams_size(), 1);
+    EXPECT_FALSE(last.has_epoch()) << "the topic does not reach back as far as streams last";
+}
+
 // Regression: the first datagram after a suspension made a list current that another host might
 // have read again meanwhile, with a version on which streams had begun.
 TEST_F(unknown_stream_test, has_no_known_origin_after_a_suspension_until_the_list_is_read)
