serving: tests of stream origins over epochs and over a list of an ended history

Cause: no test covered the epoch in records of stream origins, nor that a list of replicas of an ended history is not current. Change: three tests, and the epoch of the record before the return in the fourth.

--- a/test/platform/peer_gossip_test.cpp
+++ b/test/platform/peer_gossip_test.cpp
@@ -147,8 +147,9 @@
 // Hosts that take up streams whose beginning they have not heard of.
 class unknown_stream_test : public peer_gossip_test {
 protected:
-    // Starts two hosts that list one version, with the record of the versions in the store.
-    void start_with_one_version()
+    // Starts two hosts that list one version, with the record of the versions in the store, which
+    // states the epoch in which it is known to be complete.
+    void start_with_one_version(std::optional<std::uint64_t> epoch = std::nullopt)
     {
         replica.id = "i-1";
         replica.service = "s";
@@ -157,6 +158,9 @@
         auto& listed = *record.add_versions();
         listed.set_service(number_of_service(replica.service));
         listed.set_origin(origin_of(replica));
+        if (epoch) {
+            record.set_epoch(*epoch);
+        }
         store.put("stream-origins", "", record.SerializeAsString());
         start(2);
         auto& state = hosts[0]->state;
@@ -211,6 +215,31 @@
     EXPECT_EQ(find_origin("unknown"), std::nullopt) << "the lost records may have listed versions";
 }
 
+TEST_F(unknown_stream_test, has_a_known_origin_for_a_host_that_starts_with_records_of_this_epoch)
+{
+    store.state_epoch("2");
+    start_with_one_version(2);
+    EXPECT_EQ(find_origin(), origin_of(replica));
+}
+
+// Regression: a host that started after the store had lost records took the rest for all of them.
+TEST_F(unknown_stream_test,
+       has_no_known_origin_for_a_host_that_starts_with_records_of_an_ended_epoch)
+{
+    store.state_epoch("2");
+    start_with_one_version(1);
+    EXPECT_EQ(find_origin(), std::nullopt);
+}
+
+// Regression: a list of an ended history counted as current while other hosts were heard.
+TEST_F(unknown_stream_test, has_no_known_origin_while_the_list_belongs_to_an_ended_history)
+{
+    start_with_one_version();
+    ASSERT_EQ(find_origin(), origin_of(replica));
+    hosts[0]->state.endpoints_position.generation = 7;
+    EXPECT_EQ(find_origin(), std::nullopt);
+}
+
 // Regression: what hosts had appended was lost with the store's records.
 TEST_F(unknown_stream_test, streams_are_appended_again_in_parts_after_a_return)
 {
@@ -223,14 +252,15 @@
     }
     const auto before = store.appended("stream-origins");
     ASSERT_TRUE(run_until([&] { return store.appended("stream-origins") >= before + 3; }));
-    find_origin();
+    protocol::stream_origin_record last;
+    ASSERT_TRUE(last.ParseFromString(store.newest("stream-origins", "")));
+    EXPECT_EQ(last.epoch(), 1U);
     store.lose_records("stream-origins", store.appended("stream-origins"));
     store.state_epoch("2");
     const auto returned_at = clock::now();
     find_origin();
     ASSERT_TRUE(run_until([&] { return store.appended("stream-origins") >= 3; }));
     EXPECT_GE(clock::now() - returned_at, 2 * stream_origin_tracker::append_interval);
-    protocol::stream_origin_record last;
     ASSERT_TRUE(last.ParseFromString(store.newest("stream-origins", "")));
     EXPECT_EQ(last.streams_size(), 1);
     EXPECT_FALSE(last.has_epoch()) << "the topic does not reach back as far as streams last";
