platform: the stand-in store returns from a copy on command

Cause: the stand-in could drop the last records of one topic, but it could not be away for a while and come back as an older whole, so nothing that runs for long could play a return. An answer and the epoch in its head were taken under two locks; a return in between would have made an answer of the old history that states the new epoch, which no store gives. Change: make_copy(), return_to_copy() and set_outage() (refusing, resetting, silent; also for calls that wait for records). An answer and its epoch belong to one state of the topics.

--- a/test/platform/stand_ins.h
+++ b/test/platform/stand_ins.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <thread>
 
 namespace cicadaport::platform::testing {
@@ -323,6 +324,34 @@
     // Reads from beyond the end of a topic are answered without records instead of with 410.
     void allow_reads_beyond_end(bool allowed) { m_allows_reads_beyond_end = allowed; }
 
+    // How calls end while the store is away.
+    enum class outage { none, refusing, resetting, silent };
+
+    // Until it is set to `none`, also calls that wait for records end so.
+    void set_outage(outage kind)
+    {
+        const std::lock_guard lock{m_mutex};
+        m_outage = kind;
+    }
+
+    // Makes a copy of all topics.
+    void make_copy()
+    {
+        const std::lock_guard lock{m_mutex};
+        m_copy = m_topics;
+    }
+
+    // All topics go back to the last copy. Calls that wait for records are reset.
+    void return_to_copy()
+    {
+        const std::lock_guard lock{m_mutex};
+        ++m_returns;
+        for (auto& [name, topic] : m_topics) {
+            const auto copied = m_copy.find(name);
+            topic = copied == m_copy.end() ? topic_log{} : copied->second;
+        }
+    }
+
     // All calls are answered with this status until it is set to 0.
     void refuse(unsigned status) { m_refusal = status; }
 
@@ -362,6 +391,21 @@
         return out;
     }
 
+    // Returns the keys of a topic that have a value.
+    std::set<std::string> keys(const std::string& topic) const
+    {
+        const std::lock_guard lock{m_mutex};
+        std::set<std::string> out;
+        const auto found = m_topics.find(topic);
+        if (found != m_topics.end()) {
+            for (const auto& each : found->second.records) {
+                each.value.empty() ? static_cast<void>(out.erase(each.key))
+                                   : static_cast<void>(out.insert(each.key));
+            }
+        }
+        return out;
+    }
+
     std::size_t appended(const std::string& topic) const
     {
         const std::lock_guard lock{m_mutex};
@@ -410,20 +454,19 @@
 
     scripted_response respond(const received_request& request)
     {
-        auto out = with_epoch(answer(request));
+        auto out = answer(request);
         return m_bytes_per_s > 0 && !out.later ? paced(std::move(out), m_bytes_per_s) : out;
     }
 
-    scripted_response with_epoch(scripted_response out) const
+    // An answer and the epoch that it states belong to one state of the topics.
+    scripted_response answer(const received_request& request)
     {
-        if (out.later) {
-            out.later = [this, later = std::move(out.later)]() {
-                auto there = later();
-                return there ? std::optional{with_epoch(std::move(*there))} : std::nullopt;
-            };
-            return out;
-        }
         const std::lock_guard lock{m_mutex};
+        return with_epoch(answer_without_epoch(request));
+    }
+
+    scripted_response with_epoch(scripted_response out) const
+    {
         const auto end_of_status_line = out.bytes.find("\r\n");
         if (end_of_status_line != std::string::npos) {
             out.bytes.insert(end_of_status_line + 2, m_epoch_field);
@@ -431,12 +474,14 @@
         return out;
     }
 
-    scripted_response answer(const received_request& request)
+    scripted_response answer_without_epoch(const received_request& request)
     {
         if (m_refusal != 0) {
             return make_response(m_refusal, "", "");
         }
-        const std::lock_guard lock{m_mutex};
+        if (m_outage != outage::none) {
+            return answer_of_outage();
+        }
         auto& topic = m_topics[request.parameter("topic")];
         if (request.path() == "/-/log-newest") {
             return newest(topic);
@@ -447,6 +492,15 @@
         return append(topic, request);
     }
 
+    scripted_response answer_of_outage() const
+    {
+        if (m_outage == outage::refusing) {
+            return make_response(503, "", "");
+        }
+        return {"", m_outage == outage::resetting ? scripted_response::then::reset
+                                                  : scripted_response::then::keep};
+    }
+
     static scripted_response newest(const topic_log& topic)
     {
         std::map<std::string, std::size_t> last;
@@ -483,8 +537,15 @@
             return out;
         }
         const auto began = std::chrono::steady_clock::now();
-        out.later = [this, &topic, from, began, wait]() -> std::optional<scripted_response> {
+        out.later = [this, &topic, from, began, wait,
+                     returns = m_returns]() -> std::optional<scripted_response> {
             const std::lock_guard lock{m_mutex};
+            if (m_outage != outage::none) {
+                return with_epoch(answer_of_outage());
+            }
+            if (returns != m_returns) {
+                return scripted_response{"", scripted_response::then::reset};
+            }
             const bool woken = std::any_of(
                 topic.records.begin() +
                     static_cast<std::ptrdiff_t>(std::min<std::size_t>(from, topic.records.size())),
@@ -492,12 +553,12 @@
                     return each.put_at - began >= m_missed_wakeup_time.load();
                 });
             if (from < topic.first) {
-                return expired(topic);
+                return with_epoch(expired(topic));
             }
             if (!woken && std::chrono::steady_clock::now() - began < wait) {
                 return std::nullopt;
             }
-            return make_response(200, "", records(topic, from));
+            return with_epoch(make_response(200, "", records(topic, from)));
         };
         return out;
     }
@@ -556,6 +617,9 @@
 
     mutable std::mutex m_mutex;
     std::map<std::string, topic_log> m_topics;
+    std::map<std::string, topic_log> m_copy;
+    std::size_t m_returns = 0;
+    outage m_outage = outage::none;
     std::string m_epoch_field;
     std::atomic<bool> m_allows_reads_beyond_end{false};
     std::atomic<unsigned> m_refusal{0};
@@ -608,8 +672,9 @@
             break;
         }
         scripted_response out;
-        out.later = [this, call = std::make_shared<pending_response>(m_store.with_epoch(
-                               m_store.answer(request)))] { return pass(*call); };
+        out.later = [this, call = std::make_shared<pending_response>(m_store.answer(request))] {
+            return pass(*call);
+        };
         return out;
     }
 
