--- a/test/platform/stand_ins.h
+++ b/test/platform/stand_ins.h
@@ -162,7 +162,7 @@
             m_restart.expires_after(time);
             m_restart.async_wait([this, on_restart](boost::system::error_code error) {
                 if (!error) {
-                    m_acceptor = tcp::acceptor{m_context, m_endpoint};
+                    listen_again();
                     accept();
                     on_restart();
                 }
@@ -187,6 +187,20 @@
     };
     using session_pointer = std::shared_ptr<session>;
 
+    // Listens at the previous address, or at another port if another process has taken that one.
+    void listen_again()
+    {
+        tcp::acceptor again{m_context, m_endpoint.protocol()};
+        boost::system::error_code taken;
+        again.set_option(tcp::acceptor::reuse_address{true});
+        again.bind(m_endpoint, taken);
+        if (taken) {
+            again.bind({m_endpoint.address(), 0});
+        }
+        again.listen();
+        m_acceptor = std::move(again);
+    }
+
     void accept()
     {
         m_acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
