platform: the soak plays returns of the store from an older copy

Change: the shape `returns`. The store makes a copy, is away for 0.3 to 2.5 s (refusing, resetting or silent), and is back as the copy, singly or twice in a row, beside and during kills, freezes, cuts of single hosts from the store, planned stops and a slow store. The operator writes its newest version again and then new ones, at once or within a second; replicas write their entries again within 2 s. Lists are as long as before, longer or shorter. Some replicas whose entry was lost stay missing. Judged from outside: versions as in the other shapes, a version that was lost counts as acknowledged; a process never goes back behind a version that it has served, also while the store is away; a leaving or missing replica gets no requests; a live replica of the busiest service gets one within 5 s. Engines whose stages never fit for long make hosts send orders; order_judge checks tokens and holders (rule ONE). The other shapes draw and judge as before. A host counts as free of faults from when its process has been spawned: on a busy machine the spawn took up to 47 s, in which time the host had already become subject to checks.

--- a/test/platform/soak/configuration_history.h
+++ b/test/platform/soak/configuration_history.h
@@ -26,6 +26,15 @@
 
     static std::string service_of(std::size_t version) { return version % 2 == 0 ? "t" : "s"; }
 
+    // Adds services, each after a comma, to all versions. To be called before the first one.
+    void add_services(std::string services) { m_more_services = std::move(services); }
+
+    // Puts the newest version into the store again.
+    void write_again(standin_store& store, std::size_t padding) const
+    {
+        store.put("keyed.op", "config", document(sent(), padding));
+    }
+
     // Puts the next version into the store, enlarged by `padding` bytes.
     void publish(standin_store& store, std::size_t padding)
     {
@@ -62,7 +71,7 @@
     }
 
 private:
-    static std::string document(std::size_t version, std::size_t padding)
+    std::string document(std::size_t version, std::size_t padding) const
     {
         std::string routes;
         const auto add = [&](const std::string& name, const std::string& service) {
@@ -95,14 +104,15 @@
             R"({{"name":"g","max-conns":640,"engine":{{"slots":64,"token-kv-bytes":1000,)"
             R"("link-mbps":1000}}}},)"
             R"({{"name":"e","max-conns":640,"engine":{{"slots":64,"token-kv-bytes":1000,)"
-            R"("link-mbps":1000}}}}],)"
+            R"("link-mbps":1000}}}}{}],)"
             R"("limits":{{"idle-timeout-ms":60000}}}})",
-            version, std::string(padding, 'x'), routes);
+            version, std::string(padding, 'x'), routes, m_more_services);
     }
 
     mutable std::mutex m_mutex;
     std::size_t m_sent = 0;
     std::vector<time_point> m_acknowledged;
+    std::string m_more_services;
 };
 
 } // namespace cicadaport::platform::testing
--- a/test/platform/soak/fleet_soak.cpp
+++ b/test/platform/soak/fleet_soak.cpp
@@ -141,7 +141,7 @@
 void fleet_soak::report_replicas(soak_time now)
 {
     for (auto& each : m_replicas) {
-        if (!each.id.empty() && now >= each.next_report) {
+        if (!each.id.empty() && !each.missing && now >= each.next_report) {
             report(each);
         }
     }
@@ -154,6 +154,10 @@
         return;
     }
     auto& first = m_replicas.front();
+    if (first.missing) {
+        m_replicas.splice(m_replicas.end(), m_replicas, m_replicas.begin());
+        return;
+    }
     if (first.id.empty()) {
         {
             // No host has received a limit from the new incarnation.
@@ -228,9 +232,10 @@
         m_store.put(
             "keyed.servers", id,
             fmt::format(R"({{"service":"e","address":"{}","zone":"z1","version":"v1","slots":64,)"
-                        R"("state":"ready","cold-left-ms":0,"stage":"decode","sequence":{},)"
-                        R"("born":1}})",
-                        http::to_string(at), m_engine_reports));
+                        R"("state":"ready","cold-left-ms":0,{}"sequence":{},"born":1}})",
+                        http::to_string(at),
+                        // Without a stage they get no orders.
+                        m_returns != nullptr ? "" : R"("stage":"decode",)", m_engine_reports));
     }
     m_next_engine_report = now + report_interval;
 }
@@ -294,7 +299,8 @@
             // The host was stopped meanwhile, which excuses it.
             served = false;
         }
-        if (!is_deadly && host->is_fault_free(soak_clock::now(), m_options.bounds.contact)) {
+        if (!is_deadly && !has_returned_before(sent) &&
+            host->is_fault_free(soak_clock::now(), m_options.bounds.contact)) {
             const std::lock_guard lock{m_mutex};
             m_crashes->record_sound(sent, served);
         }
@@ -340,9 +346,11 @@
         if (const auto named = at.limit->named()) {
             limit = fmt::format("Server-Limit: {:.2f}\r\n", *named);
         }
+        m_last_arrivals[target] = now;
         const auto left = m_left.find(target);
         const auto& host = *m_by_number.at(number);
-        if (left != m_left.end() && now - left->second > m_options.bounds.leaving &&
+        if (left != m_left.end() &&
+            now - must_know_since(host, target, now) > m_options.bounds.leaving &&
             host.is_fault_free(now, m_options.bounds.contact)) {
             m_result.violations.push_back(
                 fmt::format("{} {} sent a request to {}, which has been leaving since {}",
@@ -357,7 +365,7 @@
 // Publishes versions one at a time and in quick succession.
 void fleet_soak::publish_some(soak_time now)
 {
-    if (now < m_next_version) {
+    if (now < m_next_version || (m_returns != nullptr && m_returns->is_quiet(now))) {
         return;
     }
     m_history.publish(m_store, m_options.padding);
@@ -368,14 +376,17 @@
 void fleet_soak::operate()
 {
     while (!m_done) {
+        std::this_thread::sleep_for(1ms);
         const auto now = soak_clock::now();
+        if (m_returns != nullptr && !operate_returns(now)) {
+            continue;
+        }
         report_replicas(now);
         change_replicas(now);
         change_limits(now);
         report_engines(now);
         crash_engines(now);
         publish_some(now);
-        std::this_thread::sleep_for(1ms);
     }
 }
 
@@ -391,7 +402,8 @@
     }
     out.push_back({fmt::format("a{}", bound), bound, served, "must be served"});
     if (seen > bound) {
-        out.push_back({fmt::format("a{}", seen), seen, served, "was in force and must be served"});
+        out.push_back({fmt::format("a{}", seen), seen, served, "was in force and must be served",
+                       m_returns != nullptr});
     }
     if (bound > configuration_history::kept) {
         out.push_back({fmt::format("a{}", bound - configuration_history::kept), bound,
@@ -417,10 +429,14 @@
     const auto answer =
         through.ask(request_for(what.path, fmt::format("{}-{}", host.number(), ++last)));
     const auto& contact = m_options.bounds.contact;
-    const bool is_checked = host.is_fault_free(sent, contact) &&
-                            host.incarnation() == incarnation && !m_store_has_fault &&
-                            sent - m_store_fault_free_since.load() >= contact &&
-                            host.is_fault_free(soak_clock::now(), contact);
+    const bool is_in_touch = host.is_fault_free(sent, contact) && !m_store_has_fault &&
+                             sent - m_store_fault_free_since.load() >= contact &&
+                             !has_returned_before(sent) &&
+                             host.is_fault_free(soak_clock::now(), contact);
+    const bool is_checked =
+        host.incarnation() == incarnation &&
+        (is_in_touch || (what.is_unconditional && host.runs_undisturbed(sent, contact) &&
+                         host.runs_undisturbed(soak_clock::now(), contact)));
     if (is_checked) {
         const std::lock_guard lock{m_mutex};
         ++m_result.checks;
@@ -728,6 +744,9 @@
 soak_result fleet_soak::run()
 {
     const stall_meter stalls;
+    if (m_options.shape == soak_shape::returns) {
+        prepare_returns();
+    }
     for (std::size_t index = 0; index < plain_replicas * services.size(); ++index) {
         auto& added =
             m_replicas.emplace_back(services[index % services.size()],
@@ -769,6 +788,9 @@
     if (m_options.shape == soak_shape::recorded) {
         plan_recorded();
     }
+    else if (m_options.shape == soak_shape::returns) {
+        plan_returns();
+    }
     else {
         plan_random_faults();
     }
@@ -788,6 +810,7 @@
     }
     m_threads.clear();
     m_engines.reset();
+    finish_returns();
     judge_sound_prompts();
     m_result.checks += m_timed.judge().request_count();
     m_result.stopped = m_timed.judge().stopped_count();
--- a/test/platform/soak/fleet_soak.h
+++ b/test/platform/soak/fleet_soak.h
@@ -8,7 +8,9 @@
 #include "platform/soak/crash_judge.h"
 #include "platform/soak/host_fleet.h"
 #include "platform/soak/limit_judge.h"
+#include "platform/soak/order_engines.h"
 #include "platform/soak/stall_meter.h"
+#include "platform/soak/store_returns.h"
 #include "platform/soak/timed_requests.h"
 
 #include <functional>
@@ -28,6 +30,9 @@
     drawn,
     // Planned stops only, drawn at random.
     stops,
+    // The store returns from older copies of its data, also while other faults last. Hosts send
+    // orders to engines.
+    returns,
 };
 
 struct soak_options {
@@ -56,6 +61,11 @@
     std::size_t crashes = 0;
     // Requests that were in flight at a planned stop or sent after it.
     std::size_t stopped = 0;
+    // How often the store returned, and the replicas that did not write their entry again.
+    std::size_t returns = 0;
+    std::size_t missing = 0;
+    // Orders that arrived at engines.
+    std::size_t orders = 0;
     // One line each.
     std::vector<std::string> violations;
     // The faults that were injected, one line each.
@@ -85,6 +95,8 @@
         std::string id;
         int sequence = 0;
         bool leaving = false;
+        // The store lost the replica's entry, and the replica does not write it again.
+        bool missing = false;
         soak_time next_report{};
         // Guarded by the soak's mutex.
         std::optional<limit_judge> limit;
@@ -97,6 +109,8 @@
         std::size_t version = 0;
         std::function<bool(const caller::answer&)> holds;
         std::string must;
+        // Also holds while the store has a fault.
+        bool is_unconditional = false;
     };
 
     void start_host(fleet_host& host);
@@ -152,6 +166,27 @@
     void plan_all_restarted(milliseconds at);
     void run_schedule();
 
+    // The shape `returns`, in fleet_soak_returns.cpp. Only if `m_returns` is set.
+
+    void prepare_returns();
+    void plan_returns();
+    // Plans a fault of a host that lasts from `from` to `to`, unless it has another one then.
+    void plan_fault_through(fleet_host& host, milliseconds from, milliseconds to);
+    // The lists have gone back; see store_returns::return_function.
+    void write_entries_again(std::size_t entries, soak_time now);
+    // Does what follows from returns. Returns whether the store accepts writes.
+    bool operate_returns(soak_time now);
+    void lose_entry(replica& of, soak_time now);
+    void judge_starved(soak_time now);
+    // Returns since when a host must know that a replica has left. The mutex must be held.
+    soak_time must_know_since(const fleet_host& host, const std::string& id, soak_time now) const;
+    void finish_returns();
+    // Returns whether the store has returned too recently for a check at `at`.
+    bool has_returned_before(soak_time at) const
+    {
+        return m_returns != nullptr && !m_returns->is_stable(at, m_options.bounds.contact);
+    }
+
     // Returns a uniformly distributed time.
     milliseconds draw(milliseconds from, milliseconds to);
 
@@ -189,6 +224,19 @@
     std::optional<crash_judge> m_crashes;
     std::unique_ptr<crashing_engines> m_engines;
     replica* m_limited = nullptr;
+    std::unique_ptr<store_returns> m_returns;
+    std::unique_ptr<order_engines> m_order_engines;
+    // Until when a host has a planned fault.
+    std::map<fleet_host*, milliseconds> m_busy;
+    // When replicas leave the list that the copy listed again.
+    std::multimap<soak_time, std::string> m_removals;
+    // When missing replicas start again.
+    std::multimap<soak_time, replica*> m_restarts;
+    soak_time m_next_starved_check{};
+    // The ids of missing replicas. Guarded by the soak's mutex.
+    std::set<std::string> m_lost_entries;
+    // By replica id. Guarded by the soak's mutex.
+    std::map<std::string, soak_time> m_last_arrivals;
     std::mutex m_mutex;
     soak_result m_result;
 };
--- a/test/platform/soak/host_fleet.h
+++ b/test/platform/soak/host_fleet.h
@@ -89,10 +89,11 @@
         ++m_incarnation;
         // A start after a planned stop is no fault of the process.
         begin_fault(host_fault::stop);
-        end_fault(host_fault::stop);
-        end_fault(host_fault::process);
         m_process.emplace(program, std::vector<std::string>{"--settings", settings.string()},
                           (folder / (m_name + ".log")).string());
+        // On a busy machine the process may begin to run seconds later.
+        end_fault(host_fault::stop);
+        end_fault(host_fault::process);
         m_running = true;
     }
 
@@ -160,6 +161,13 @@
         return m_running && is_free_of(host_fault::store, at, time) &&
                is_free_of(host_fault::process, at, time) && is_free_of(host_fault::stop, at, time);
     }
+    // Returns whether the host's process runs and has had no fault for `time` before `at`, whatever
+    // the store did.
+    bool runs_undisturbed(soak_time at, milliseconds time) const
+    {
+        return m_running && is_free_of(host_fault::process, at, time) &&
+               is_free_of(host_fault::stop, at, time);
+    }
     bool is_free_of(host_fault kind, soak_time at, milliseconds time) const
     {
         return m_faults[static_cast<std::size_t>(kind)].is_free(at, time);
--- a/test/platform/soak/main.cpp
+++ b/test/platform/soak/main.cpp
@@ -15,7 +15,8 @@
     std::string folder;
     const std::map<std::string, soak_shape> shapes{{"recorded", soak_shape::recorded},
                                                    {"drawn", soak_shape::drawn},
-                                                   {"stops", soak_shape::stops}};
+                                                   {"stops", soak_shape::stops},
+                                                   {"returns", soak_shape::returns}};
     bool faulty_peers = false;
     app.add_option("--host", options.host_program, "The host program")->required();
     app.add_option("--folder", folder, "The directory for settings and logs")->required();
@@ -23,7 +24,7 @@
     app.add_option("--seeds", seeds, "The number of seeds, run in sequence")->capture_default_str();
     app.add_option("--seconds", seconds, "Duration of each run, in s")->capture_default_str();
     app.add_option("--hosts", options.hosts, "The number of hosts")->capture_default_str();
-    app.add_option("--shape", options.shape, "recorded, drawn or stops")
+    app.add_option("--shape", options.shape, "recorded, drawn, stops or returns")
         ->transform(CLI::CheckedTransformer(shapes));
     app.add_flag("--faulty-peers", faulty_peers,
                  "Instead of the faults of a shape: callers and replicas that send without end");
@@ -48,10 +49,11 @@
         for (const auto& each : result.violations) {
             fmt::print("seed {} {}\n", options.seed, each);
         }
-        fmt::print("seed={} checks={} limited={} crashes={} stopped={} violations={} "
-                   "stall_ms={}\n",
+        fmt::print("seed={} checks={} limited={} crashes={} stopped={} returns={} missing={} "
+                   "orders={} violations={} stall_ms={}\n",
                    options.seed, result.checks, result.limited, result.crashes, result.stopped,
-                   result.violations.size(), result.longest_stall.count());
+                   result.returns, result.missing, result.orders, result.violations.size(),
+                   result.longest_stall.count());
         std::fflush(stdout);
         passed += result.violations.empty() ? 1 : 0;
     }
