serving: a gap in a list makes a host verify what it has read of it

A host whose own calls have all succeeded, and which no epoch tells of a return, hears from others of records beyond its offset. It read on from its offset, in the middle of a list that had begun anew, and never noticed. A doubt that arose during a call was lost in the same way: the call's answer replaced the last known record before it was compared. Change: announced records that were missed cast doubt on the known ones, so the read that fetches them also reads the last known record. An answer that doesn't hold it is not used if the doubt arose during its call; the read is made once more.

--- a/src/serving/feed_follower.cpp
+++ b/src/serving/feed_follower.cpp
@@ -306,6 +306,11 @@
         m_host.record_unannounced_return(m_feed, evidence);
         return;
     }
+    if (m_in_doubt && m_offset_at_request > 0 && m_requested_offset == m_offset_at_request) {
+        // The doubt arose during the call, whose answer doesn't hold the last known record.
+        schedule_read_after(milliseconds{0});
+        return;
+    }
     const auto last_read =
         page.next_offset > 0 ? find_digest(page.entries, page.next_offset - 1) : std::nullopt;
     // Some of these records may have arrived by gossip since the request was sent.
--- a/src/serving/feed_follower_pages.cpp
+++ b/src/serving/feed_follower_pages.cpp
@@ -82,6 +82,10 @@
     if (m_reading_full_list || page.of != m_feed || !is_same_history(page)) {
         return;
     }
+    if (page.from > m_position.offset) {
+        // The records in between may continue another history than the known one.
+        m_in_doubt = true;
+    }
     if (page.from <= m_position.offset && m_position.offset < page.to) {
         const auto added = unseen_entries(page.entries);
         m_position.offset = page.to;
--- a/test/platform/feed_follower_test.cpp
+++ b/test/platform/feed_follower_test.cpp
@@ -82,6 +82,25 @@
         ASSERT_TRUE(run_until([this] { return follower->has_read(); }));
     }
 
+    // Starts with three records. The store then loses two of them and gets others, i-5 to i-7,
+    // before the follower calls it again.
+    void start_before_return()
+    {
+        for (const auto* key : {"i-1", "i-2", "i-3"}) {
+            store.put(topic, key, "x");
+        }
+        start();
+        store.lose_records(topic, 2);
+        for (const auto* key : {"i-5", "i-6", "i-7"}) {
+            store.put(topic, key, "x");
+        }
+    }
+
+    bool has_applied(const std::string& key) const
+    {
+        return std::find(applied_keys.begin(), applied_keys.end(), key) != applied_keys.end();
+    }
+
     // Returns a page that another host has just read.
     shared_page page(std::uint64_t from, std::uint64_t to, const std::vector<std::string>& keys)
     {
@@ -222,6 +241,24 @@
     EXPECT_EQ(store.reads(topic), before + 2);
 }
 
+// Regression: a host whose own calls had all succeeded read on in the middle of a list that had
+// begun anew, and kept an entry that the store had lost.
+TEST_F(feed_follower_test, verifies_its_last_record_when_announced_records_were_missed)
+{
+    start_before_return();
+    follower->apply(page(4, 5, {"i-8"}));
+    EXPECT_TRUE(run_until([this] { return has_applied("i-5"); }));
+}
+
+TEST_F(feed_follower_test, records_that_are_missed_during_a_read_cast_doubt_on_its_answer)
+{
+    start_before_return();
+    store.delay_reads(200ms);
+    EXPECT_TRUE(run_until([this] { return store.reads(topic) > 0; }));
+    follower->apply(page(4, 5, {"i-8"}));
+    EXPECT_TRUE(run_until([this] { return has_applied("i-5"); }));
+}
+
 TEST_F(feed_follower_test, applies_each_record_once_when_it_is_announced_during_a_read)
 {
     start();
