--- a/include/cicadaport/serving/feed_follower.h
+++ b/include/cicadaport/serving/feed_follower.h
@@ -88,6 +88,8 @@
     bool is_answer_current();
     // Called when the store has returned, also if this follower has noticed it.
     void handle_return();
+    // Ends the call in progress, if there is one, without an answer.
+    void abandon_call();
     // Returns why the answer does not continue the known part of the list; empty if it does.
     std::string_view find_discontinuity(const feed_page& page) const;
     // Reads the last known record once more, soon.
--- a/src/serving/feed_follower.cpp
+++ b/src/serving/feed_follower.cpp
@@ -177,9 +177,16 @@
 void feed_follower::handle_return()
 {
     m_refill_timer.cancel();
-    // A call in progress is followed by a full read when it ends.
-    if (!m_position.call_started_at) {
-        start_full_read(random_delay(max_return_delay));
+    abandon_call();
+    start_full_read(random_delay(max_return_delay));
+}
+
+void feed_follower::abandon_call()
+{
+    if (m_position.call_started_at) {
+        m_response_timer.cancel();
+        m_connection->abandon();
+        m_position.call_started_at.reset();
     }
 }
 
@@ -198,9 +205,8 @@
 void feed_follower::on_complete()
 {
     m_response_timer.cancel();
-    const bool is_current = is_answer_current();
     m_position.call_started_at.reset();
-    if (!is_current) {
+    if (!is_answer_current()) {
         return;
     }
     const bool read_full_list = m_reading_full_list;
@@ -289,11 +295,7 @@
 
 void feed_follower::read_refilled_list()
 {
-    if (m_position.call_started_at) {
-        m_response_timer.cancel();
-        m_connection->abandon();
-        m_position.call_started_at.reset();
-    }
+    abandon_call();
     start_full_read(random_delay(max_return_delay));
 }
 
--- a/test/platform/feed_follower_test.cpp
+++ b/test/platform/feed_follower_test.cpp
@@ -250,6 +250,21 @@
     EXPECT_TRUE(run_until([this] { return has_applied("i-5"); }));
 }
 
+// Regression: after a cut from the store one list was read anew only when its call from during the
+// cut had timed out, though the other list's call had shown the return a second before.
+TEST_F(feed_follower_test, a_return_ends_a_call_that_is_not_answered)
+{
+    store.put(topic, "i-1", "x");
+    start();
+    store.set_outage(testing::standin_store::outage::silent);
+    EXPECT_TRUE(run_until([this] { return store.reads(topic) > 0; }));
+    store.set_outage(testing::standin_store::outage::none);
+    store.put(topic, "i-2", "x");
+    host.record_unannounced_return(serving::feed::configuration, "test");
+    context.run_for(150ms);
+    EXPECT_TRUE(has_applied("i-2"));
+}
+
 TEST_F(feed_follower_test, records_that_are_missed_during_a_read_cast_doubt_on_its_answer)
 {
     start_before_return();
