serving: a failed call for one list makes a host verify the other list too

Two hosts' calls for the configurations failed, and the newest version was still there. They made no call for the list of replicas meanwhile, and read it on in the middle of a list that had begun anew and was longer than before. Change: after a failed call for any list each list is verified with its next read. The new test can't be compiled without the change, so it was not seen to fail.

--- a/include/cicadaport/serving/feed_follower.h
+++ b/include/cicadaport/serving/feed_follower.h
@@ -146,6 +146,8 @@
     history::epoch_statement m_epoch;
     // Whether the known part of the list may belong to a history that has ended.
     bool m_in_doubt = false;
+    // Number of failed calls for any list when records were last requested.
+    std::uint64_t m_failed_list_calls = 0;
     // Since when records that another host has read have been missing here.
     std::optional<time_point> m_gap_since;
     unsigned m_status = 0;
--- a/include/cicadaport/serving/host_state.h
+++ b/include/cicadaport/serving/host_state.h
@@ -195,6 +195,9 @@
     endpoint_table endpoints;
     // Which history of the store is known. What is read from the store belongs to one history.
     history::store_history store_history;
+    // Number of failed calls for the platform's lists. After any of them the store may be in
+    // another history, whichever list the call was for.
+    std::uint64_t failed_list_calls = 0;
     line_budget epoch_log_budget;
     // Positions in the lists from which `deployed` and `endpoints` are read.
     list_position configuration_position;
--- a/src/serving/feed_follower.cpp
+++ b/src/serving/feed_follower.cpp
@@ -57,7 +57,7 @@
 {
     const bool is_reconnecting = m_connection == nullptr || !m_connection->is_reusable();
     return m_has_read && !m_reading_full_list && m_position.offset > 0 &&
-           (m_in_doubt || is_reconnecting);
+           (m_in_doubt || is_reconnecting || m_failed_list_calls != m_host.failed_list_calls);
 }
 
 std::uint64_t feed_follower::next_requested_offset() const noexcept
@@ -79,6 +79,7 @@
     m_offset_at_request = m_position.offset;
     m_last_record_at_request = m_position.last_record;
     m_in_doubt = false;
+    m_failed_list_calls = m_host.failed_list_calls;
     m_body_size.reset();
     m_body.clear();
     auto& calls = m_host.store_calls;
@@ -308,7 +309,8 @@
         m_host.record_unannounced_return(m_feed, evidence);
         return;
     }
-    if (m_in_doubt && m_offset_at_request > 0 && m_requested_offset == m_offset_at_request) {
+    const bool is_in_doubt = m_in_doubt || m_failed_list_calls != m_host.failed_list_calls;
+    if (is_in_doubt && m_offset_at_request > 0 && m_requested_offset == m_offset_at_request) {
         // The doubt arose during the call, whose answer doesn't hold the last known record.
         schedule_read_after(milliseconds{0});
         return;
@@ -440,6 +442,7 @@
                      to_fields(m_position, m_host.timers.now()));
     }
     m_in_doubt = m_has_read;
+    ++m_host.failed_list_calls;
     // Before its first complete read a host serves no requests, so it retries without growing
     // backoff.
     const auto grown =
--- a/test/platform/feed_follower_test.cpp
+++ b/test/platform/feed_follower_test.cpp
@@ -265,6 +265,14 @@
     EXPECT_TRUE(has_applied("i-2"));
 }
 
+// Regression: only the call for the other list failed while the store was away.
+TEST_F(feed_follower_test, verifies_its_last_record_after_a_failed_call_for_another_list)
+{
+    start_before_return();
+    ++host.failed_list_calls;
+    EXPECT_TRUE(run_until([this] { return has_applied("i-5"); }));
+}
+
 TEST_F(feed_follower_test, records_that_are_missed_during_a_read_cast_doubt_on_its_answer)
 {
     start_before_return();
