--- a/cmake/cicadaport.cmake
+++ b/cmake/cicadaport.cmake
@@ -190,6 +190,9 @@
   add_test(NAME host_soak COMMAND cicadaport-host-soak --host $<TARGET_FILE:cicadaport-host>
     --folder ${CMAKE_BINARY_DIR}/host-soak --seed 1 --seconds 40)
   set_tests_properties(host_soak PROPERTIES TIMEOUT 120)
+  add_test(NAME host_soak_returns COMMAND cicadaport-host-soak --host $<TARGET_FILE:cicadaport-host>
+    --folder ${CMAKE_BINARY_DIR}/host-soak-returns --shape returns --seed 1 --seconds 25)
+  set_tests_properties(host_soak_returns PROPERTIES TIMEOUT 120)
 endfunction()
 
 # The process that is deployed. Libraries of which it uses nothing are not
