--- a/include/cicadaport/serving/feed_follower.h
+++ b/include/cicadaport/serving/feed_follower.h
@@ -81,6 +81,8 @@
     // Returns whether the known part of the list can belong to another history without a statement
     // of the store.
     bool can_be_verified() const noexcept;
+    // Returns whether the store may have returned unnoticed since records were last requested.
+    bool is_in_doubt() const noexcept;
     // Returns whether the known part of the list must be verified before it is read on.
     bool needs_verification() const noexcept;
     // Decides how the next call verifies the known part, if at all.
@@ -152,8 +154,10 @@
     std::uint64_t m_offset_at_request = 0;
     history::record_digest m_last_record_at_request;
     history::epoch_statement m_epoch;
-    // Whether a call has failed, or records were missed, since the known part was verified.
+    // Whether records were missed since the known part of the list was verified.
     bool m_in_doubt = false;
+    // Number of failed calls for any list when records were last requested.
+    std::uint64_t m_failed_list_calls = 0;
     // Whether another host has announced something else than what is known.
     bool m_is_contradicted = false;
     // Whether the call in progress reads the last known record once more; or is followed by a full
--- a/src/serving/feed_follower.cpp
+++ b/src/serving/feed_follower.cpp
@@ -269,7 +269,7 @@
         m_host.record_unannounced_return(m_feed, evidence);
         return;
     }
-    if (m_in_doubt && can_be_verified() && !m_is_verifying) {
+    if (is_in_doubt() && can_be_verified() && !m_is_verifying) {
         // The doubt arose during the call, whose answer doesn't hold the last known record.
         schedule_read_after(milliseconds{0});
         return;
@@ -405,7 +405,7 @@
                      to_string(m_feed), reason, m_body.size(),
                      to_fields(m_position, m_host.timers.now()));
     }
-    m_in_doubt = m_has_read;
+    ++m_host.failed_list_calls;
     if (m_reading_full_list) {
         // Pages from before and after an interruption may belong to two histories.
         m_full_list.clear();
--- a/src/serving/feed_follower_history.cpp
+++ b/src/serving/feed_follower_history.cpp
@@ -17,12 +17,17 @@
            !m_host.store_history.epoch();
 }
 
+bool feed_follower::is_in_doubt() const noexcept
+{
+    return m_in_doubt || m_failed_list_calls != m_host.failed_list_calls;
+}
+
 bool feed_follower::needs_verification() const noexcept
 {
     if (!can_be_verified()) {
         return false;
     }
-    if (m_in_doubt || m_is_contradicted) {
+    if (is_in_doubt() || m_is_contradicted) {
         return true;
     }
     // The records of the configuration are large, and only the newest one matters.
@@ -37,6 +42,7 @@
     m_is_verifying = is_needed && m_position.last_record;
     m_needs_full_list = is_needed && !m_position.last_record;
     m_in_doubt = false;
+    m_failed_list_calls = m_host.failed_list_calls;
 }
 
 bool feed_follower::is_answer_current()
