serving: hosts tell each other of a return of a store that states no epoch

Cause: a host that starts after a return reads a list of orders that lacks what was lost, knows of no return, and forms tokens from the offsets that are given out again. Change: greetings carry when the sender learned of a return and the largest token that it knows, if the store states no epoch and has returned. Who hears of a later return than its own verifies its lists and orders nothing for the exclusive period; tokens are above the stated one.

--- a/include/cicadaport/orders/order_ledger.h
+++ b/include/cicadaport/orders/order_ledger.h
@@ -57,13 +57,23 @@
     // Records that another host said that it sends the engine an order with this token.
     void record_sent_order(std::uint32_t engine, std::uint64_t token, time_point now);
 
+    // Records that other hosts know tokens up to this one, for any engine.
+    void record_largest_token(std::uint64_t token);
+
+    // Returns the largest token that other hosts have stated; 0 if there is none.
+    std::uint64_t stated_token() const noexcept { return m_stated_token; }
+
+    // Returns the largest token that this host knows of, for any engine; 0 if there is none.
+    std::uint64_t largest_token() const;
+
     // Returns whether the list has been read as a whole in a generation.
     bool has_read(std::uint64_t generation) const noexcept
     {
         return m_read_generation == generation;
     }
 
-    // Returns the largest known token of an order to the engine; 0 if there is none.
+    // Returns the largest known token of an order to the engine; 0 if there is none. Tokens that
+    // were stated for any engine do not count.
     std::uint64_t known_token(std::uint32_t engine) const;
 
     // Returns whether this host may announce an order for the engine.
@@ -94,6 +104,8 @@
 
     std::unordered_map<std::string, record> m_records;
     std::unordered_map<std::uint32_t, sent_orders> m_sent;
+    // The largest token that other hosts have stated for any engine.
+    std::uint64_t m_stated_token = 0;
     std::uint64_t m_generation = 0;
     std::optional<std::uint64_t> m_read_generation;
     std::uint64_t m_known_end = 0;
--- a/include/cicadaport/serving/peer_gossip.h
+++ b/include/cicadaport/serving/peer_gossip.h
@@ -19,7 +19,8 @@
 
 namespace cicadaport::protocol {
 class host_news;
-}
+class store_return;
+} // namespace cicadaport::protocol
 
 namespace cicadaport::serving {
 
@@ -96,6 +97,9 @@
     void greet();
     // Returns a greeting with this host's address, zone and number.
     protocol::host_news make_greeting() const;
+    // Adds the last return of a store that states no epoch.
+    void add_return(protocol::host_news& greeting) const;
+    void handle_return(const protocol::store_return& told, time_point now);
     // Adds the addresses of randomly drawn known hosts.
     void add_known_hosts(protocol::host_news& greeting);
     void receive();
--- a/src/history/store_history.cpp
+++ b/src/history/store_history.cpp
@@ -45,6 +45,15 @@
     begin_generation(now);
 }
 
+bool store_history::record_return_elsewhere(time_point at)
+{
+    if (m_known_since && at <= *m_known_since + max_news_delay) {
+        return false;
+    }
+    m_known_since = at;
+    return true;
+}
+
 void store_history::begin_generation(time_point now)
 {
     ++m_generation;
--- a/src/orders/order_attempt.cpp
+++ b/src/orders/order_attempt.cpp
@@ -89,7 +89,8 @@
     const auto epoch = m_history->epoch().value_or(m_generation);
     auto offset = m_list_end;
     for (auto& each : orders) {
-        const auto known = m_ledger->known_token(each.engine.number);
+        const auto known =
+            std::max(m_ledger->known_token(each.engine.number), m_ledger->stated_token());
         const auto token = history::fencing_token_above(known, epoch, offset++);
         if (!token) {
             return refusal::no_token;
--- a/src/orders/order_ledger.cpp
+++ b/src/orders/order_ledger.cpp
@@ -65,6 +65,22 @@
     return found == m_sent.end() ? 0 : found->second.largest_token;
 }
 
+void order_ledger::record_largest_token(std::uint64_t token)
+{
+    if (token <= history::max_fencing_token) {
+        m_stated_token = std::max(m_stated_token, token);
+    }
+}
+
+std::uint64_t order_ledger::largest_token() const
+{
+    auto out = m_stated_token;
+    for (const auto& [engine, sent] : m_sent) {
+        out = std::max(out, sent.largest_token);
+    }
+    return out;
+}
+
 bool order_ledger::can_announce(const engine_key& engine, time_point now) const
 {
     const auto found = m_records.find(engine.id);
--- a/src/serving/peer_gossip.cpp
+++ b/src/serving/peer_gossip.cpp
@@ -436,6 +436,32 @@
     m_greeting = m_host.timers.call_at(now + greeting_interval, [this] { greet(); });
 }
 
+void peer_gossip::add_return(protocol::host_news& greeting) const
+{
+    const auto& history = m_host.store_history;
+    if (history.epoch() || !history.known_since()) {
+        return;
+    }
+    auto& returned = *greeting.mutable_returned();
+    const auto age = age_of(*history.known_since(), m_host.timers.now());
+    returned.set_age_ms(static_cast<std::uint32_t>(age.count()));
+    returned.set_largest_token(m_host.orders.largest_token());
+}
+
+void peer_gossip::handle_return(const protocol::store_return& told, time_point now)
+{
+    if (m_host.store_history.epoch()) {
+        return;
+    }
+    m_host.orders.record_largest_token(told.largest_token());
+    if (m_host.store_history.record_return_elsewhere(now - milliseconds{told.age_ms()})) {
+        // What this host knows of the lists is verified with their next reads.
+        ++m_host.failed_list_calls;
+        spdlog::info("store_return_heard age_ms={} largest_token={} generation={}", told.age_ms(),
+                     told.largest_token(), m_host.store_history.generation());
+    }
+}
+
 protocol::host_news peer_gossip::make_greeting() const
 {
     protocol::host_news out;
@@ -445,6 +471,7 @@
     out.mutable_own()->set_ip(own.ip);
     out.mutable_own()->set_port(own.port);
     out.set_cut_off(m_host.paths.is_cut_off() || m_host.is_stopping());
+    add_return(out);
     if (m_duty_news) {
         add_duty_news(out, m_duty_news());
     }
@@ -558,6 +585,9 @@
             }
         }
     }
+    if (gossip.has_returned()) {
+        handle_return(gossip.returned(), now);
+    }
     if (gossip.pass_on()) {
         pass_on(gossip, from);
     }
--- a/test/history/store_history_test.cpp
+++ b/test/history/store_history_test.cpp
@@ -128,5 +128,16 @@
     EXPECT_EQ(history.observe(stating(largest), start), relation::newer);
 }
 
+TEST(store_history_test, a_return_that_another_host_learned_of_counts_if_it_is_later)
+{
+    store_history history;
+    EXPECT_TRUE(history.record_return_elsewhere(start));
+    EXPECT_EQ(history.known_since(), start);
+    EXPECT_EQ(history.generation(), 0U) << "this process has read nothing of the ended history";
+    EXPECT_FALSE(history.record_return_elsewhere(start + store_history::max_news_delay));
+    EXPECT_EQ(history.known_since(), start) << "the same return, or news that took its time";
+    EXPECT_TRUE(history.record_return_elsewhere(start + 10s));
+}
+
 } // namespace
 } // namespace cicadaport::history
--- a/test/orders/order_ledger_test.cpp
+++ b/test/orders/order_ledger_test.cpp
@@ -186,5 +186,26 @@
     EXPECT_EQ(attempt.announce({{engine, "decode", 0, {}}}, "host-1", start), refusal::no_token);
 }
 
+// Regression: a host that had started after a return knew no earlier token and repeated some.
+TEST(order_attempt_test, a_host_that_was_told_of_a_return_waits_and_takes_a_larger_token)
+{
+    order_ledger ledger;
+    history::store_history history;
+    ASSERT_TRUE(history.record_return_elsewhere(start - 1s));
+    ledger.record_largest_token(40);
+    order_attempt early{ledger, history};
+    EXPECT_EQ(early.read({3, true, {}}, start), refusal::recent_return);
+    const auto later = start + order_ledger::exclusive_period;
+    order_attempt attempt{ledger, history};
+    ASSERT_FALSE(attempt.read({3, true, {}}, later));
+    planned_order order;
+    order.engine = engine;
+    order.stage = "decode";
+    ASSERT_FALSE(attempt.announce({order}, "host-2", later));
+    EXPECT_GT(attempt.planned().front().token, 40U);
+    ASSERT_FALSE(attempt.acknowledge(3, later));
+    EXPECT_FALSE(attempt.check_sending(attempt.planned().front(), later));
+}
+
 } // namespace
 } // namespace cicadaport::orders
--- a/test/platform/peer_gossip_test.cpp
+++ b/test/platform/peer_gossip_test.cpp
@@ -266,6 +266,16 @@
     EXPECT_FALSE(last.has_epoch()) << "the topic does not reach back as far as streams last";
 }
 
+TEST_F(peer_gossip_test, a_host_learns_of_a_return_that_other_hosts_have_noticed)
+{
+    start(2);
+    hosts[0]->state.orders.record_sent_order(7, 40, hosts[0]->state.timers.now());
+    hosts[0]->state.record_unannounced_return(feed::orders, "test");
+    EXPECT_TRUE(
+        run_until([this] { return hosts[1]->state.store_history.known_since().has_value(); }));
+    EXPECT_EQ(hosts[1]->state.orders.stated_token(), 40U);
+}
+
 // Regression: the first datagram after a suspension made a list current that another host might
 // have read again meanwhile, with a version on which streams had begun.
 TEST_F(unknown_stream_test, has_no_known_origin_after_a_suspension_until_the_list_is_read)
