--- a/include/cicadaport/history/store_history.h
+++ b/include/cicadaport/history/store_history.h
@@ -38,8 +38,10 @@
     // A lower epoch that all answers state for this long is taken for a return: the higher one was
     // an error.
     static constexpr std::chrono::seconds lower_epoch_time{3};
+    // News of another host may take this long, and two hosts learn of one return this far apart.
+    static constexpr std::chrono::seconds max_news_delay{2};
     // Time after a return in which those who write to the store write again what it has lost.
-    static constexpr std::chrono::milliseconds refill_time{2'500};
+    static constexpr std::chrono::milliseconds refill_time{2'200};
 
     enum class relation {
         // The answer states no epoch, or one that can't be parsed.
@@ -61,6 +63,11 @@
     // stated.
     void record_unannounced_return(time_point now);
 
+    // Records that another host has learned of a return at `at`, of which this process may have
+    // read nothing, for instance since it started later. Returns false if it is no later than what
+    // this process knows, up to the time that the news takes.
+    bool record_return_elsewhere(time_point at);
+
     using subscription = std::shared_ptr<const std::function<void()>>;
 
     // Has `action` called after each return that this process learns of, until the result is
@@ -73,9 +80,10 @@
     // Returns the epoch of the known history; empty if the store has stated none.
     std::optional<std::uint64_t> epoch() const noexcept { return m_epoch; }
 
-    // Returns since when this process has known the present history: the time of the last return,
-    // or of the first answer that stated an epoch. Empty if there was neither: a store that states
-    // no epoch and has not returned has one history.
+    // Returns since when this process has known the present history, or could have known it: the
+    // time of the last return that it or another host has learned of, or of the first answer that
+    // stated an epoch. Empty if there was neither: a store that states no epoch and has not
+    // returned has one history.
     std::optional<time_point> known_since() const noexcept { return m_known_since; }
 
 private:
