history: news of a host that noticed a return late begin no return here

Cause: the time of that news moved the time of the return, from which the refill time counts. Change: the time that a process learned of a return by itself is kept apart; the refill time counts from it, the wait before orders from the later of both.

--- a/include/cicadaport/history/store_history.h
+++ b/include/cicadaport/history/store_history.h
@@ -14,6 +14,7 @@
 
 #include "cicadaport/base/boot_clock.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -84,7 +85,16 @@
     // time of the last return that it or another host has learned of, or of the first answer that
     // stated an epoch. Empty if there was neither: a store that states no epoch and has not
     // returned has one history.
-    std::optional<time_point> known_since() const noexcept { return m_known_since; }
+    std::optional<time_point> known_since() const noexcept
+    {
+        return std::max(m_known_since, m_heard_since);
+    }
+
+    // Returns when this process itself learned of the last return; empty if there was none.
+    std::optional<time_point> last_return() const noexcept
+    {
+        return m_generation > 0 ? m_known_since : std::nullopt;
+    }
 
 private:
     void begin_generation(time_point now);
@@ -99,6 +109,8 @@
     time_point m_lower_since{};
     std::uint64_t m_generation = 0;
     std::optional<time_point> m_known_since;
+    // When another host learned of a return that is later than those that were known.
+    std::optional<time_point> m_heard_since;
     std::vector<std::weak_ptr<const std::function<void()>>> m_actions;
 };
 
--- a/src/history/store_history.cpp
+++ b/src/history/store_history.cpp
@@ -47,10 +47,10 @@
 
 bool store_history::record_return_elsewhere(time_point at)
 {
-    if (m_known_since && at <= *m_known_since + max_news_delay) {
+    if (known_since() && at <= *known_since() + max_news_delay) {
         return false;
     }
-    m_known_since = at;
+    m_heard_since = at;
     return true;
 }
 
--- a/src/serving/feed_follower.cpp
+++ b/src/serving/feed_follower.cpp
@@ -234,7 +234,7 @@
     if (has_returned) {
         m_position.announced_end = 0;
         if (!supersedes_earlier_records(m_feed)) {
-            m_refill_timer = m_host.timers.call_at(*m_host.store_history.known_since() +
+            m_refill_timer = m_host.timers.call_at(*m_host.store_history.last_return() +
                                                        history::store_history::refill_time,
                                                    [this] { read_refilled_list(); });
         }
--- a/src/serving/host_state.cpp
+++ b/src/serving/host_state.cpp
@@ -349,9 +349,8 @@
 
 bool host_state::is_store_refilling(time_point now) const noexcept
 {
-    const auto since = store_history.known_since();
-    return store_history.generation() > 0 && since &&
-           now - *since < history::store_history::refill_time;
+    const auto returned = store_history.last_return();
+    return returned && now - *returned < history::store_history::refill_time;
 }
 
 void host_state::log_accounts() const
--- a/test/history/store_history_test.cpp
+++ b/test/history/store_history_test.cpp
@@ -139,5 +139,16 @@
     EXPECT_TRUE(history.record_return_elsewhere(start + 10s));
 }
 
+// Regression: a host that had been cut off noticed a return late, and the others rejected requests
+// without a route once more.
+TEST(store_history_test, news_of_a_host_that_noticed_a_return_late_begin_no_return)
+{
+    store_history history;
+    history.record_unannounced_return(start);
+    EXPECT_TRUE(history.record_return_elsewhere(start + 4s));
+    EXPECT_EQ(history.last_return(), start);
+    EXPECT_EQ(history.known_since(), start + 4s);
+}
+
 } // namespace
 } // namespace cicadaport::history
