transport: a response that ends before its request was received may be truncated

Cause: an orderly end completed any answer without a length. The peer ends its own direction the same way when it is done and when it breaks off; whether it had received the request was not looked at. Change: a success or redirection without a length is complete when its peer has ended it and has acknowledged the whole request (SIOCOUTQ, and nothing unsent). While that is pending the end waits for it; if the connection ends first, the answer has ended early: 502, a stream is broken off or continued, a safe request is tried again. Errors (400 and above) stay final whatever became of the request. The same in http::client. run_interrupted names the failure. Why it works: an end in the middle of an answer leaves unread a part of a request that is longer than the peer's kernel holds, whatever code the kernel gives to which call.

--- a/include/cicadaport/serving/exchange.h
+++ b/include/cicadaport/serving/exchange.h
@@ -221,7 +221,7 @@
     // Logs that no connection to the endpoint could be established.
     void log_unreached(time_point now) const;
     // Logs that the connection ended before the answer did, with the prompt's segments.
-    void log_interrupted_run();
+    void log_interrupted_run(transport::exchange_failure failure);
     // Handles the answer that has been received.
     void handle_answer();
     void handle_failure(transport::exchange_failure failure);
--- a/include/cicadaport/transport/exchange_connection.h
+++ b/include/cicadaport/transport/exchange_connection.h
@@ -23,8 +23,13 @@
     unanswered,
     // The response began but is truncated, or it is not valid HTTP.
     cut_short,
+    // The response has no length and ended in an orderly way, but the peer has not received the
+    // whole request, so that the response may be truncated.
+    ended_early,
 };
 
+std::string_view to_text(exchange_failure failure) noexcept;
+
 // Receives the events of one exchange. No call follows `on_complete()` or
 // `on_failure()`.
 class answer_observer {
@@ -100,6 +105,9 @@
     // Returns whether reading may continue.
     bool take_head();
     void complete();
+    // Ends a response without a length, at the latest when the kernel has given up delivering the
+    // request.
+    void end_unframed_response();
     void fail(exchange_failure failure);
 
     timer_queue& m_timers;
@@ -107,12 +115,14 @@
     std::shared_ptr<tcp_connection> m_connection;
     message_reader m_reader;
     timer_queue::handle m_connect_limit;
+    timer_queue::handle m_delivery_check;
     answer_observer* m_observer = nullptr;
     std::optional<std::chrono::seconds> m_advertised_idle_timeout;
     std::optional<time_point> m_send_deadline;
     time_point m_idle_since{};
     std::size_t m_skipped_bytes = 0;
     std::uint64_t m_exchanges = 0;
+    unsigned m_status = 0;
     bool m_open = false;
     bool m_connected = false;
     bool m_reusable = true;
--- a/include/cicadaport/transport/tcp_connection.h
+++ b/include/cicadaport/transport/tcp_connection.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "cicadaport/http/address.h"
+#include "cicadaport/http/delivery.h"
 #include "cicadaport/transport/timer_queue.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -84,6 +85,10 @@
     // Number of bytes not yet handed to the kernel.
     std::size_t unsent() const noexcept { return m_sending.size() + m_queued.size(); }
 
+    // Returns whether the peer has received all that was passed to `write()`, also after the end of
+    // the connection was reported.
+    http::delivery output_delivery() noexcept;
+
     // Bytes of memory that the connection holds for input and output.
     std::size_t buffer_capacity() const noexcept
     {
@@ -115,8 +120,6 @@
     void wait_for_input();
     void read_input();
     void handle_end_of_file();
-    // Whether both directions of the connection have ended, in whatever way.
-    bool is_hung_up() noexcept;
     void handle_sent(boost::system::error_code error);
     void end(connection_end how);
     void send_queued();
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,7 @@
 #include "cicadaport/http/client.h"
 
 #include "cicadaport/base/safeguards.h"
+#include "cicadaport/http/delivery.h"
 #include "internal/convert.h"
 
 namespace cicadaport::http {
@@ -176,6 +177,7 @@
                 co_return piece;
             }
         }
+        co_await confirm_end();
         give_back();
         co_return std::nullopt;
     }
@@ -190,6 +192,28 @@
     }
 
 private:
+    // Throws if the response is delimited by the end of the connection and may be incomplete.
+    asio::awaitable<void> confirm_end()
+    {
+        if (!m_connection || !m_parser->need_eof() || !depends_on_delivery(m_head.status)) {
+            co_return;
+        }
+        auto& socket = m_connection->stream.socket();
+        const auto limit = std::chrono::steady_clock::now() + m_options.response_timeout;
+        asio::steady_timer timer{socket.get_executor()};
+        auto delivered = get_delivery(socket.native_handle(), 0);
+        while (delivered == delivery::pending && std::chrono::steady_clock::now() < limit) {
+            timer.expires_after(delivery_check_interval);
+            co_await timer.async_wait(as_result);
+            delivered =
+                socket.is_open() ? get_delivery(socket.native_handle(), 0) : delivery::failed;
+        }
+        if (delivered != delivery::complete) {
+            throw exchange_error{verdict::may_have_run,
+                                 "receive: the response ended before the request was received"};
+        }
+    }
+
     // Bytes after the response belong to no request, so the connection must not be
     // reused for the next one.
     bool is_clean() const
--- a/src/serving/exchange_failures.cpp
+++ b/src/serving/exchange_failures.cpp
@@ -111,16 +111,16 @@
     m_host.crashes.handle_interrupted_answer(*m_endpoint, suspected, m_metadata.id);
 }
 
-void exchange::log_interrupted_run()
+void exchange::log_interrupted_run(exchange_failure failure)
 {
     const auto now = m_host.timers.now();
     if (!m_host.response_log_budget.try_acquire(now)) {
         return;
     }
     spdlog::info("run_interrupted id={} route={} endpoint={} incarnation={} attempt={} "
-                 "running_ms={:.0f} events={} prompt={} digest={:x} passed_over={}",
+                 "failure={} running_ms={:.0f} events={} prompt={} digest={:x} passed_over={}",
                  m_metadata.id, m_route->name, m_endpoint->report.id,
-                 m_endpoint->report.incarnation, m_attempts,
+                 m_endpoint->report.incarnation, m_attempts, to_text(failure),
                  fractional_milliseconds{now - m_sent}.count(), m_events.count(),
                  to_text(m_metadata.prompt), suspects().back(),
                  m_host.response_log_budget.take_suppressed_count());
@@ -197,7 +197,7 @@
         return;
     }
     health.record_failure(now);
-    log_interrupted_run();
+    log_interrupted_run(failure);
     report_interrupted_answer();
     if (m_step == step::prefilling) {
         handle_prefill_failure();
--- a/src/transport/exchange_connection.cpp
+++ b/src/transport/exchange_connection.cpp
@@ -22,6 +22,21 @@
 
 } // namespace
 
+std::string_view to_text(exchange_failure failure) noexcept
+{
+    switch (failure) {
+    case exchange_failure::not_sent:
+        return "not_sent";
+    case exchange_failure::unanswered:
+        return "unanswered";
+    case exchange_failure::cut_short:
+        return "cut_short";
+    case exchange_failure::ended_early:
+        break;
+    }
+    return "ended_early";
+}
+
 exchange_connection::exchange_connection(boost::asio::io_context& context, timer_queue& timers,
                                          message_limits limits)
     : m_timers{timers}, m_limits{limits}, m_connection{std::make_shared<tcp_connection>(context)},
@@ -69,6 +84,7 @@
     m_open = false;
     m_reusable = false;
     m_connect_limit.cancel();
+    m_delivery_check.cancel();
     m_connection->abort();
 }
 
@@ -143,6 +159,7 @@
 bool exchange_connection::take_head()
 {
     m_head_taken = true;
+    m_status = m_reader.head().status;
     m_peer_keeps_alive = m_reader.keeps_connection();
     if (!http::is_interim(m_reader.head().status) && m_observer->owns(m_reader.head())) {
         if (const auto idle = idle_time_of(m_reader.head().fields)) {
@@ -184,6 +201,10 @@
         return;
     }
     if (how == connection_end::closed && m_head_taken && !m_skipping) {
+        if (m_reader.ends_with_connection()) {
+            end_unframed_response();
+            return;
+        }
         m_reader.feed_end();
         if (m_reader.complete()) {
             complete();
@@ -195,6 +216,26 @@
                                        : exchange_failure::unanswered);
 }
 
+void exchange_connection::end_unframed_response()
+{
+    const auto keep = shared_from_this();
+    const auto delivered = http::depends_on_delivery(m_status) ? m_connection->output_delivery()
+                                                               : http::delivery::complete;
+    if (delivered == http::delivery::pending) {
+        m_delivery_check = m_timers.call_at(m_timers.now() + http::delivery_check_interval,
+                                            [this] { end_unframed_response(); });
+        return;
+    }
+    m_reader.feed_end();
+    if (delivered == http::delivery::complete && m_reader.complete()) {
+        complete();
+    }
+    else {
+        fail(delivered == http::delivery::failed ? exchange_failure::ended_early
+                                                 : exchange_failure::cut_short);
+    }
+}
+
 void exchange_connection::fail(exchange_failure failure)
 {
     const auto keep = shared_from_this();
--- a/src/transport/tcp_connection.cpp
+++ b/src/transport/tcp_connection.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/write.hpp>
 
 #include <netinet/tcp.h>
-#include <poll.h>
 #include <sys/socket.h>
 
 namespace cicadaport::transport {
@@ -242,18 +241,12 @@
 void tcp_connection::handle_end_of_file()
 {
     // While a write is pending, it may have been told of a reset without its handler having run.
-    m_end_awaits_write = !m_sending.empty() && is_hung_up();
+    m_end_awaits_write = !m_sending.empty() && http::is_hung_up(m_socket.native_handle());
     if (!m_end_awaits_write) {
         end(m_write_was_reset ? connection_end::failed : connection_end::closed);
     }
 }
 
-bool tcp_connection::is_hung_up() noexcept
-{
-    pollfd descriptor{m_socket.native_handle(), 0, 0};
-    return ::poll(&descriptor, 1, 0) > 0 && (descriptor.revents & (POLLHUP | POLLERR)) != 0;
-}
-
 void tcp_connection::end(connection_end how)
 {
     if (m_observer != nullptr) {
@@ -316,6 +309,13 @@
     }
 }
 
+http::delivery tcp_connection::output_delivery() noexcept
+{
+    return !m_socket.is_open() || m_write_failed
+               ? http::delivery::failed
+               : http::get_delivery(m_socket.native_handle(), unsent());
+}
+
 void tcp_connection::stop_sending() noexcept
 {
     error_code ignored;
--- a/test/transport/exchange_connection_test.cpp
+++ b/test/transport/exchange_connection_test.cpp
@@ -248,6 +248,114 @@
     EXPECT_EQ(pool.take(server->address(), reuse_rule::any), first);
 }
 
+// What a peer does after a response to a request that it has not read to its end.
+enum class early_end {
+    reset,
+    // It ends its sending side in an orderly way, and resets the connection.
+    end_and_reset,
+    end_and_read_on,
+    end_and_read_nothing,
+};
+
+struct early_response {
+    std::string name;
+    std::size_t request_bytes;
+    std::string response;
+    early_end end;
+    // Time from the response to the reset.
+    std::chrono::milliseconds reset_after;
+    bool is_complete;
+};
+
+void PrintTo(const early_response& each, std::ostream* out)
+{
+    *out << each.name;
+}
+
+std::vector<early_response> early_responses()
+{
+    using std::chrono::milliseconds;
+    const std::string success = "HTTP/1.1 200 OK\r\nId: mine\r\n";
+    const std::string unframed = success + "\r\nok";
+    const std::string framed = success + "Content-Length: 2\r\n\r\nok";
+    const std::string failure = "HTTP/1.1 413 X\r\nId: mine\r\n\r\nok";
+    std::vector<early_response> out;
+    // Of the first request the process itself holds a part, of the second one only its kernel.
+    for (const auto& [kind, bytes] :
+         {std::pair{"blocked_", 16'000'000}, std::pair{"buffered_", 400'000}}) {
+        const auto size = static_cast<std::size_t>(bytes);
+        const std::string name{kind};
+        for (const auto after : {milliseconds{0}, milliseconds{50}}) {
+            const auto suffix = after.count() == 0 ? "" : "_later";
+            out.push_back(
+                {name + "reset" + suffix, size, unframed, early_end::reset, after, false});
+            out.push_back({name + "end_and_reset" + suffix, size, unframed,
+                           early_end::end_and_reset, after, false});
+        }
+        out.push_back({name + "end_and_nothing_read",
+                       size,
+                       unframed,
+                       early_end::end_and_read_nothing,
+                       {},
+                       false});
+        out.push_back(
+            {name + "end_and_rest_read", size, unframed, early_end::end_and_read_on, {}, true});
+        out.push_back({name + "length_and_end_and_reset", size, framed, early_end::end_and_reset,
+                       milliseconds{50}, true});
+        out.push_back({name + "failure_and_end_and_reset", size, failure, early_end::end_and_reset,
+                       milliseconds{50}, true});
+    }
+    return out;
+}
+
+// Regression: a part of a response without a length was complete when its peer ended it in an
+// orderly way before it had taken the whole request.
+class early_response_test : public ::testing::TestWithParam<early_response> {
+protected:
+    void respond(peer::connection& to)
+    {
+        if (std::exchange(has_responded, true)) {
+            return;
+        }
+        boost::system::error_code ignored;
+        const auto end = GetParam().end;
+        to.stop_reading = end != early_end::end_and_read_on;
+        to.say(GetParam().response);
+        if (end != early_end::reset) {
+            to.socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+        }
+        if (end == early_end::reset || end == early_end::end_and_reset) {
+            reset = timers.call_at(timers.now() + GetParam().reset_after, [&to] { to.reset(); });
+        }
+    }
+
+    boost::asio::io_context context;
+    timer_queue timers{context};
+    timer_queue::handle reset;
+    peer server{context, [this](peer::connection& from) { respond(from); }};
+    bool has_responded = false;
+    exchange_recorder recorder;
+};
+
+TEST_P(early_response_test, is_complete_only_if_its_end_is_known)
+{
+    constexpr int receive_buffer_bytes = 64 * 1024;
+    server.set_receive_buffer(receive_buffer_bytes);
+    exchange_connection::times limits;
+    limits.socket.peer_silence = std::chrono::milliseconds{500};
+    const auto connection =
+        std::make_shared<exchange_connection>(context, timers, message_limits{});
+    connection->connect(server.address(), limits);
+    connection->send(std::string{request} + std::string(GetParam().request_bytes, 'x'), recorder);
+    ASSERT_TRUE(run_until(context, [&] { return recorder.ended(); }));
+    EXPECT_EQ(recorder.complete, GetParam().is_complete);
+    EXPECT_NE(recorder.failure, exchange_failure::not_sent);
+    connection->abandon();
+}
+
+INSTANTIATE_TEST_SUITE_P(endings, early_response_test, ::testing::ValuesIn(early_responses()),
+                         [](const auto& each) { return each.param.name; });
+
 TEST(timer_queue_test, a_deadline_is_set_until_it_has_passed_or_is_cancelled)
 {
     boost::asio::io_context context;
--- a/test/transport/peer.h
+++ b/test/transport/peer.h
@@ -50,6 +50,13 @@
         accept();
     }
 
+    // Bounds what the kernel receives and the test has not read, in bytes, on connections that are
+    // accepted from now on.
+    void set_receive_buffer(int bytes)
+    {
+        m_acceptor.set_option(boost::asio::socket_base::receive_buffer_size{bytes});
+    }
+
     boost::asio::ip::tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
     http::address address() const { return {"127.0.0.1", m_acceptor.local_endpoint().port()}; }
 
