serving: a caller that leaves is noticed while its input is not read

Cause: while more than 64 KB of further requests wait, or memory is scarce, the connection has no read or wait outstanding, so neither the end of the caller's side nor a reset was noticed. What had been read was begun next. Change: while a caller's input is not read, the connection is asked every 100 ms whether its peer has ended (POLLRDHUP, which does not hide behind unread bytes), and before each request that waited is begun. A connection that is read all the time makes no further system call.

--- a/include/cicadaport/http/delivery.h
+++ b/include/cicadaport/http/delivery.h
@@ -27,6 +27,10 @@
 // whatever way.
 bool is_hung_up(int descriptor) noexcept;
 
+// Returns whether the peer of the socket `descriptor` has ended its sending side, or the connection
+// has ended. What the peer sent before may still be unread.
+bool has_peer_ended(int descriptor) noexcept;
+
 // Returns the delivery of what was written to the open TCP socket `descriptor` and of `unsent`
 // bytes that are still to be written. Counts as acknowledged what the kernel can't tell of.
 // Source: tcp(7), SIOCOUTQ.
--- a/include/cicadaport/serving/caller_connection.h
+++ b/include/cicadaport/serving/caller_connection.h
@@ -74,6 +74,8 @@
     // Pauses reading while what has arrived can't be used yet, else resumes it.
     void update_reading();
     void log_paused_reading(std::string_view reason);
+    // Notices within `leave_check_interval` that the caller leaves while its input is not read.
+    void watch_caller();
     void reject_message();
     // Refuses the request whose head has arrived, because what it takes in memory is not available.
     void reject_for_memory();
@@ -120,6 +122,7 @@
     memory_budget::reservation m_memory;
     std::shared_ptr<exchange> m_exchange;
     transport::timer_queue::handle m_timeout;
+    transport::timer_queue::handle m_leave_check;
     connection_progress m_progress;
     bool m_continue_sent = false;
     // When the connection began to wait for the next request.
--- a/include/cicadaport/transport/tcp_connection.h
+++ b/include/cicadaport/transport/tcp_connection.h
@@ -1,8 +1,9 @@
 // One TCP connection on one event loop.
 //
 // Received bytes are buffered until the owner consumes them; bytes to send are
-// queued. A read is always outstanding unless the owner pauses reading, so that a
-// disconnect by the peer is noticed at once.
+// queued. A read is always outstanding unless the owner pauses reading or leaves unread
+// what the peer sends, so that a disconnect by the peer is noticed at once; in those states
+// the owner checks `has_peer_ended()`.
 //
 // Belongs to one event loop. The observer is called until `close()` or
 // `abort()` and never afterwards. It must keep itself alive during its calls. If a call
@@ -79,6 +80,12 @@
 
     void pause_reading() noexcept { m_paused = true; }
     void resume_reading();
+    // Returns whether the end of the connection may stay unnoticed behind bytes that are not read.
+    bool is_reading_held() const noexcept { return m_paused || m_leaves_unread; }
+
+    // Returns whether the peer has ended its sending side or the connection, also if bytes that it
+    // sent before were not read.
+    bool has_peer_ended() noexcept;
 
     void write(std::string bytes);
 
--- a/src/http/delivery.cpp
+++ b/src/http/delivery.cpp
@@ -13,12 +13,22 @@
     return ::ioctl(descriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0;
 }
 
+bool reports_any_of(int descriptor, short events) noexcept
+{
+    pollfd polled{descriptor, events, 0};
+    return ::poll(&polled, 1, 0) > 0 && (polled.revents & events) != 0;
+}
+
 } // namespace
 
 bool is_hung_up(int descriptor) noexcept
 {
-    pollfd polled{descriptor, 0, 0};
-    return ::poll(&polled, 1, 0) > 0 && (polled.revents & (POLLHUP | POLLERR)) != 0;
+    return reports_any_of(descriptor, POLLHUP | POLLERR);
+}
+
+bool has_peer_ended(int descriptor) noexcept
+{
+    return reports_any_of(descriptor, POLLRDHUP | POLLHUP | POLLERR);
 }
 
 delivery get_delivery(int descriptor, std::size_t unsent) noexcept
--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -11,6 +11,9 @@
 constexpr caller_limits default_limits{};
 // Time in which a body must arrive after its head.
 constexpr milliseconds body_timeout{20'000};
+// Time between two checks of a caller whose input is not read for having left.
+constexpr milliseconds leave_check_interval{100};
+
 } // namespace
 
 caller_connection::caller_connection(host_state& host, caller_set& all, connection_slots& slots,
@@ -193,17 +196,42 @@
         return;
     }
     m_connection->pause_reading();
+    watch_caller();
     if (!std::exchange(m_pause_reported, true)) {
         log_paused_reading(reason);
     }
 }
 
+void caller_connection::watch_caller()
+{
+    if (m_leave_check.is_set()) {
+        return;
+    }
+    m_leave_check = m_host.timers.call_at(m_host.timers.now() + leave_check_interval, [this] {
+        const auto keep = shared_from_this();
+        if (m_closing && m_exchange == nullptr) {
+            // The close has a timeout of its own.
+            return;
+        }
+        if (m_connection->has_peer_ended()) {
+            drop();
+        }
+        else if (m_connection->is_reading_held()) {
+            watch_caller();
+        }
+    });
+}
+
 void caller_connection::read_request()
 {
     if (!can_read_request()) {
         update_memory();
         return;
     }
+    if (m_leave_check.is_set() && m_connection->has_peer_ended()) {
+        drop();
+        return;
+    }
     if (!m_request_started) {
         begin_request();
     }
@@ -310,6 +338,7 @@
     // No further request is begun, although its bytes may have been received.
     m_closing = true;
     m_timeout.cancel();
+    m_leave_check.cancel();
     if (m_exchange != nullptr) {
         // It owns itself until its answer has ended, and must not answer to a freed connection.
         std::exchange(m_exchange, nullptr)->on_caller_disconnected();
--- a/src/transport/tcp_connection.cpp
+++ b/src/transport/tcp_connection.cpp
@@ -183,6 +183,11 @@
     return m_socket.is_open() && m_socket.available(ignored) > 0;
 }
 
+bool tcp_connection::has_peer_ended() noexcept
+{
+    return !m_socket.is_open() || http::has_peer_ended(m_socket.native_handle());
+}
+
 void tcp_connection::resume_reading()
 {
     m_paused = false;
--- a/test/platform/caller.h
+++ b/test/platform/caller.h
@@ -10,6 +10,8 @@
 #include <array>
 #include <string>
 
+#include <poll.h>
+
 namespace cicadaport::platform::testing {
 
 using boost::asio::ip::tcp;
@@ -76,8 +78,31 @@
         return receive();
     }
 
+    // Discards what arrives until the end of the connection. Returns whether it is reset, at the
+    // latest a short time after an orderly end.
+    bool ends_with_reset()
+    {
+        boost::system::error_code error;
+        std::array<char, 4096> buffer{};
+        while (!error) {
+            m_socket.read_some(boost::asio::buffer(buffer), error);
+        }
+        constexpr int limit_ms = 3'000;
+        pollfd polled{m_socket.native_handle(), 0, 0};
+        return error != boost::asio::error::eof || ::poll(&polled, 1, limit_ms) > 0;
+    }
+
     void disconnect() { m_socket.close(); }
 
+    // Ends the sending side in an orderly way; answers can still be received.
+    void end_sending() { m_socket.shutdown(tcp::socket::shutdown_send); }
+
+    void reset()
+    {
+        m_socket.set_option(boost::asio::socket_base::linger{true, 0});
+        m_socket.close();
+    }
+
 private:
     boost::asio::io_context m_context;
     tcp::socket m_socket;
