serving: a planned stop drops no request that was read behind a running one

Cause: the head of an answer that was sent after the signal said "Connection: close" whatever had arrived behind it, and the connection then ended in an orderly way. Bytes that arrived while such an answer ran were read and thrown away, so the end showed no reset either. At the end of the stop only the first of several waiting requests was answered. Change: an answer is the last of its connection only if nothing has arrived behind it. Once it says so, the connection reads no more, so that a request that crosses it is reset, and is asked for its peer's end as a paused one is. At the end of the stop the requests that have arrived are refused one by one; nothing is taken on from then on, whatever the grace time.

--- a/include/cicadaport/serving/caller_connection.h
+++ b/include/cicadaport/serving/caller_connection.h
@@ -44,7 +44,8 @@
 
     bool is_answering() const noexcept { return m_exchange != nullptr; }
 
-    // Ends the request in progress, if any, and closes the connection gracefully.
+    // Ends the request in progress, if any, and closes the connection gracefully. Requests that
+    // have arrived whole behind it are refused one by one, in later turns of the event loop.
     void end_now();
 
 private:
@@ -94,6 +95,9 @@
     void set_read_timeout();
     // Sets the time by which the rest of the current phase must have arrived.
     void start_read_timeout(time_point when);
+    // Decides, before an answer is sent, whether it is the last one of the connection because the
+    // host stops.
+    void announce_close_for_stop();
     std::string format_head(unsigned status, const http::field_list& fields,
                             std::string_view framing);
     // Returns whether the connection has a slot; else it was refused.
--- a/include/cicadaport/serving/planned_stop.h
+++ b/include/cicadaport/serving/planned_stop.h
@@ -65,10 +65,12 @@
     // caller stops waiting. Requests of new connections are taken on although they may be cut off
     // when the process ends, since their callers may have been sent here by the balancer. Requests
     // that other hosts relay were not, so those are taken on only if the host outlasts them.
+    // Nothing is taken on once the host ends its work.
     bool admits(time_point now, time_point deadline) const noexcept
     {
         const bool may_be_first = !m_closed_at || now < *m_closed_at + first_request_time;
-        return (may_be_first && now < m_accepts_until + max_admission_delay) || outlasts(deadline);
+        const auto limit = std::min(m_accepts_until + max_admission_delay, m_ends_at);
+        return (may_be_first && now < limit) || outlasts(deadline);
     }
 
 private:
--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -324,12 +324,16 @@
         const auto current = m_exchange;
         current->end_for_stop(m_progress);
     }
-    else if (!m_closing && (m_request_started || !m_connection->input().empty())) {
-        constexpr unsigned unavailable = 503;
-        reject_unfinished(unavailable, "the host is stopping");
-    }
     else if (!m_closing) {
-        close_gracefully();
+        // A request that has arrived whole is refused by its exchange.
+        read_request();
+        if (m_request_started && !m_closing) {
+            constexpr unsigned unavailable = 503;
+            reject_unfinished(unavailable, "the host is stopping");
+        }
+        else if (m_exchange == nullptr && !m_closing && m_connection->input().empty()) {
+            close_gracefully();
+        }
     }
 }
 
--- a/src/serving/caller_connection_answers.cpp
+++ b/src/serving/caller_connection_answers.cpp
@@ -140,10 +140,23 @@
     refuse_for_memory();
 }
 
+void caller_connection::announce_close_for_stop()
+{
+    // A request that has already arrived is still answered.
+    if (m_closing || !m_host.is_stopping() || m_connection->has_input()) {
+        return;
+    }
+    m_closing = true;
+    // A request that crosses the answer must not be read: the reset tells its caller that it was
+    // not taken on.
+    m_connection->leave_unread();
+    watch_caller();
+}
+
 std::string caller_connection::format_head(unsigned status, const http::field_list& fields,
                                            std::string_view framing)
 {
-    m_closing = m_closing || m_host.is_stopping();
+    announce_close_for_stop();
     const auto reason =
         boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(status));
     auto out = fmt::format("HTTP/1.1 {} {}\r\n", status, std::string_view{reason});
--- a/test/platform/planned_stop_test.cpp
+++ b/test/platform/planned_stop_test.cpp
@@ -94,6 +94,109 @@
     wait_for_end();
 }
 
+// Regression: a request that had been read behind such an answer was dropped without an answer.
+TEST_F(planned_stop_test, a_request_that_waits_behind_an_answer_that_begins_later_is_answered)
+{
+    scripted_server replica{[](const received_request& each) {
+        auto reply = signed_answer(each, "x");
+        reply.delay = 600ms;
+        return reply;
+    }};
+    list_replica("i-1", replica.address());
+    settings.grace_time = 8s;
+    start();
+    caller kept{settings.caller_address};
+    kept.send(request("POST", "/once/x", "r1", "", "a") + request("GET", "/safe/x", "r2"));
+    ASSERT_TRUE(eventually([&] { return replica.requests().size() == 1; }));
+    begin_stop();
+    const auto first = kept.receive();
+    EXPECT_EQ(first.status, 200U);
+    EXPECT_EQ(first.field("Connection"), "");
+    const auto second = kept.receive();
+    EXPECT_EQ(second.status, 200U);
+    EXPECT_EQ(second.field("Request-Id"), "r2");
+    EXPECT_EQ(second.field("Connection"), "close");
+    wait_for_end();
+}
+
+// Regression: such a request was read and dropped, and the connection ended in an orderly way.
+TEST_F(planned_stop_test, a_request_that_crosses_an_answer_that_closes_is_reset)
+{
+    scripted_server replica{[](const received_request& each) {
+        auto reply = pausing_stream(each, 1, 3, 600ms);
+        reply.delay = 500ms;
+        return reply;
+    }};
+    list_replica("i-1", replica.address());
+    settings.grace_time = 6s;
+    start();
+    caller kept{settings.caller_address};
+    kept.send(request("POST", "/stream/x", "r1", "", "a"));
+    ASSERT_TRUE(eventually([&] { return replica.requests().size() == 1; }));
+    begin_stop();
+    std::this_thread::sleep_for(800ms);
+    kept.send(request("GET", "/safe/x", "r2"));
+    const auto first = kept.receive();
+    EXPECT_TRUE(first.complete);
+    EXPECT_EQ(first.body, events(1, 3));
+    EXPECT_EQ(first.field("Connection"), "close");
+    EXPECT_TRUE(kept.ends_with_reset());
+    EXPECT_EQ(replica.requests().size(), 1U);
+    wait_for_end();
+}
+
+// Guards against an answer that is the last of its connection running on for nobody.
+TEST_F(planned_stop_test, a_caller_that_leaves_with_a_request_that_is_left_unread_is_noticed)
+{
+    scripted_server replica{[](const received_request& each) {
+        auto reply = pausing_stream(each, 1, 3, 3s);
+        reply.delay = 500ms;
+        return reply;
+    }};
+    list_replica("i-1", replica.address());
+    settings.grace_time = 6s;
+    start();
+    caller leaving{settings.caller_address};
+    leaving.send(request("POST", "/stream/x", "r1", "", "a"));
+    ASSERT_TRUE(eventually([&] { return replica.requests().size() == 1; }));
+    begin_stop();
+    std::this_thread::sleep_for(800ms);
+    leaving.send(request("GET", "/safe/x", "r2"));
+    std::this_thread::sleep_for(50ms);
+    leaving.end_sending();
+    const auto left = std::chrono::steady_clock::now();
+    EXPECT_TRUE(eventually([&] { return replica.abandoned() == 1; }));
+    EXPECT_LT(std::chrono::steady_clock::now() - left, 1s);
+    wait_for_end();
+}
+
+// Regression: all but the first of these requests were dropped without an answer.
+TEST_F(planned_stop_test, requests_that_wait_at_the_end_of_the_stop_are_refused_unsent)
+{
+    scripted_server replica{[](const received_request& each) {
+        auto reply = signed_answer(each, "late");
+        reply.delay = 20s;
+        return reply;
+    }};
+    list_replica("i-1", replica.address());
+    settings.grace_time = 2s;
+    start();
+    caller waiting{settings.caller_address};
+    waiting.send(request("POST", "/once/x", "r1", "", "a") +
+                 request("POST", "/once/x", "r2", "", "b") + request("GET", "/safe/x", "r3"));
+    ASSERT_TRUE(eventually([&] { return replica.requests().size() == 1; }));
+    begin_stop();
+    EXPECT_EQ(waiting.receive().status, 504U) << "it may have run";
+    for (const auto* const id : {"r2", "r3"}) {
+        const auto refused = waiting.receive();
+        EXPECT_EQ(refused.status, 503U);
+        EXPECT_EQ(refused.field("Request-Id"), id);
+        EXPECT_FALSE(refused.field("Retry-After").empty());
+    }
+    EXPECT_EQ(replica.requests().size(), 1U);
+    wait_for_end();
+}
+
 // Regression: such a request was sent to a replica and cut when the host ended.
 TEST_F(planned_stop_test, a_late_request_that_may_outlast_the_host_is_refused_unsent)
 {
--- a/test/serving/planned_stop_test.cpp
+++ b/test/serving/planned_stop_test.cpp
@@ -47,6 +47,14 @@
     EXPECT_TRUE(brief.is_time_to_close(start + 1'200ms, start));
 }
 
+// Guards against requests that waited behind the last answers being taken on when the host ends.
+TEST_F(planned_stop_schedule_test, takes_on_nothing_once_the_host_ends)
+{
+    const planned_stop brief{start, 1s, 2'600ms};
+    EXPECT_TRUE(brief.admits(brief.ends_at() - 1ms, start + 60s));
+    EXPECT_FALSE(brief.admits(brief.ends_at(), start + 60s));
+}
+
 TEST_F(planned_stop_schedule_test, takes_on_late_requests_that_end_before_the_host)
 {
     stop.record_close(start + 2'800ms);
