serving: a line for each caller that left while its input was not read

Cause: such a connection was dropped without a word in the log, so that on-call could not tell it from one that ended in another way. Change: caller_left_while_paused, with what had been sent ahead, within the limit of lines about callers.

--- a/include/cicadaport/serving/caller_connection.h
+++ b/include/cicadaport/serving/caller_connection.h
@@ -77,6 +77,8 @@
     void log_paused_reading(std::string_view reason);
     // Notices within `leave_check_interval` that the caller leaves while its input is not read.
     void watch_caller();
+    // Closes the connection if the caller has left. Returns whether it has.
+    bool drop_if_left();
     void reject_message();
     // Refuses the request whose head has arrived, because what it takes in memory is not available.
     void reject_for_memory();
--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -213,23 +213,34 @@
             // The close has a timeout of its own.
             return;
         }
-        if (m_connection->has_peer_ended()) {
-            drop();
-        }
-        else if (m_connection->is_reading_held()) {
+        if (!drop_if_left() && m_connection->is_reading_held()) {
             watch_caller();
         }
     });
 }
 
+bool caller_connection::drop_if_left()
+{
+    if (!m_connection->has_peer_ended()) {
+        return false;
+    }
+    if (m_host.caller_log_budget.try_acquire(m_host.timers.now())) {
+        spdlog::info("caller_left_while_paused input_bytes={} unread_answer_bytes={} requests={} "
+                     "passed_over={}",
+                     m_connection->input().size(), m_connection->unsent(), m_progress.request_count,
+                     m_host.caller_log_budget.take_suppressed_count());
+    }
+    drop();
+    return true;
+}
+
 void caller_connection::read_request()
 {
     if (!can_read_request()) {
         update_memory();
         return;
     }
-    if (m_leave_check.is_set() && m_connection->has_peer_ended()) {
-        drop();
+    if (m_leave_check.is_set() && drop_if_left()) {
         return;
     }
     if (!m_request_started) {
