--- a/test/fuzz/caller_connection_fuzz.cpp
+++ b/test/fuzz/caller_connection_fuzz.cpp
@@ -1,12 +1,14 @@
 // Plays arbitrary sequences of what a caller, its replica and the event loop can do: whole requests
-// and arbitrary bytes, pauses, half closes, resets, and answers. The caller is at the other end of
-// a pair of local sockets.
+// and arbitrary bytes, pauses, half closes, resets, answers, and a planned stop. The caller is at
+// the other end of a pair of local sockets. Once all callers have left, no request may be begun.
 #include "../../platform/wire.h"
 
 #include "cicadaport/serving/caller_connection.h"
 
 #include <spdlog/spdlog.h>
 
+#include <cstdio>
+#include <cstdlib>
 #include <deque>
 
 #include <sys/socket.h>
@@ -18,6 +20,7 @@
 using boost::asio::ip::tcp;
 
 constexpr int max_turns = 64;
+constexpr std::string_view end_of_head = "\r\n\r\n";
 
 // A replica on loopback that answers when it is told to.
 class replica {
@@ -44,16 +47,24 @@
         for (auto& each : m_connections) {
             char buffer[4'096];
             const auto count = each.socket.read_some(boost::asio::buffer(buffer), error);
-            each.received.append(buffer, error ? 0 : count);
+            const std::string_view arrived{buffer, error ? 0 : count};
+            for (auto at = arrived.find(end_of_head); at != std::string_view::npos;
+                 at = arrived.find(end_of_head, at + 1)) {
+                ++m_requests;
+            }
+            each.received += arrived;
         }
     }
 
+    // Returns the number of requests that have arrived so far.
+    std::size_t requests() const noexcept { return m_requests; }
+
     // Answers, or ends, the first connection on which a request waits.
     void answer(unsigned kind)
     {
         receive();
         for (auto& each : m_connections) {
-            const auto end = each.received.find("\r\n\r\n");
+            const auto end = each.received.find(end_of_head);
             if (end == std::string::npos) {
                 continue;
             }
@@ -63,7 +74,7 @@
                 at < end ? each.received.substr(at + name.size(),
                                                 each.received.find('\r', at) - at - name.size())
                          : std::string{};
-            each.received.erase(0, end + 4);
+            each.received.erase(0, end + end_of_head.size());
             boost::system::error_code ignored;
             constexpr unsigned kinds = 4;
             switch (kind % kinds) {
@@ -101,6 +112,7 @@
     boost::asio::io_context m_context;
     tcp::acceptor m_acceptor{m_context, {boost::asio::ip::make_address("127.0.0.1"), 0}};
     std::deque<connection> m_connections;
+    std::size_t m_requests = 0;
 };
 
 // One host with its callers, for one sequence.
@@ -119,17 +131,17 @@
             "i-1", R"({"service":"s","address":")" + address +
                        R"(","zone":"z","slots":4,"state":"ready","cold-left-ms":0,"sequence":1,)"
                        R"("born":1,"version":"v1"})"});
+        // Short enough for sequences in which reading is paused.
+        m_state.caller_bounds.pipelined_bytes = 200;
+        m_state.caller_bounds.unread_answer_bytes = 400;
         m_state.endpoints.apply(report.value(), m_state.timers.now());
         m_state.handle_listed_replica(*report);
     }
 
     ~host()
     {
-        for (const auto& each : std::deque<std::shared_ptr<serving::caller_connection>>{
-                 m_connections.begin(), m_connections.end()}) {
-            each->end_now();
-        }
-        close(0);
+        expect_nothing_begun_for_nobody();
+        end_now();
         turn(max_turns);
         m_replica.close_all();
         turn(max_turns);
@@ -206,9 +218,41 @@
         m_context.poll_one();
     }
 
-    serving::host_state& state() { return m_state; }
+    void begin_stop()
+    {
+        using std::chrono_literals::operator""s;
+        if (!m_state.stop) {
+            m_state.stop.emplace(m_state.timers.now(), 8s, 1s);
+        }
+    }
+
+    void end_now()
+    {
+        const auto all = m_connections;
+        for (const auto& each : all) {
+            each->end_now();
+        }
+    }
 
 private:
+    // Ends all callers and lets the replica answer all that it has received.
+    void expect_nothing_begun_for_nobody()
+    {
+        constexpr int max_answers = 16;
+        close(0);
+        turn(max_turns);
+        m_replica.receive();
+        const auto begun = m_replica.requests();
+        for (int answers = 0; answers < max_answers; ++answers) {
+            m_replica.answer(0);
+            turn(max_turns);
+        }
+        if (m_replica.requests() != begun) {
+            std::fputs("a request was begun for a caller that has left\n", stderr);
+            std::abort();
+        }
+    }
+
     replica& m_replica;
     platform::wire m_wire{{"127.0.0.1", 1}};
     boost::asio::io_context m_context;
@@ -228,7 +272,7 @@
     while (!bytes.empty()) {
         const auto code = static_cast<unsigned char>(bytes.front());
         bytes.remove_prefix(1);
-        constexpr unsigned operations = 10;
+        constexpr unsigned operations = 12;
         const auto argument = code / operations;
         switch (code % operations) {
         case 0:
@@ -264,6 +308,12 @@
         case 8:
             running.close_last();
             break;
+        case 9:
+            running.begin_stop();
+            break;
+        case 10:
+            running.end_now();
+            break;
         default:
             serving_replica.answer(argument);
             break;
