test: processes of tests draw ports from ranges that they hold

Cause: free_port() of test/authority and that of test/platform drew from ranges that overlap, chosen by the process id, and a port that was free when probed could be drawn by another program before it was used. That the collisions are gone is not shown yet: the authority tests were not run 20 times.

--- a/test/authority/process_fixture.h
+++ b/test/authority/process_fixture.h
@@ -2,6 +2,8 @@
 // disconnect control processes.
 #pragma once
 
+#include "support/port_block.h"
+
 #include "cicadaport/http/client.h"
 #include "cicadaport/scenario/child_process.h"
 
@@ -21,6 +23,8 @@
 
 namespace cicadaport::authority::testing {
 
+using cicadaport::testing::free_port;
+
 // SHA-256 of "operator-key", the key that `call` sends.
 constexpr char operator_key_sha256[] =
     "c9736463f555cdb7d2a78cfd7aa8b8c4f09d906d78f8dab9228eda30a28c2818";
@@ -61,13 +65,6 @@
     std::string m_log_file;
 };
 
-// Returns a port of 127.0.0.1 that is not in use. It is below the system's range
-// of ephemeral ports, because an outgoing connection could take a port of that
-// range before the caller listens on it. The process id selects the block of
-// ports to search, so that test programs that run at the same time rarely share
-// one. Throws std::runtime_error if the block has no free port.
-std::uint16_t free_port();
-
 // Sends one request and returns the response; its status is 0 if there is none.
 http::response call(std::uint16_t port, const std::string& method, const std::string& target,
                     std::string body = {});
@@ -80,32 +77,6 @@
 bool eventually(const std::function<bool()>& condition,
                 std::chrono::milliseconds limit = std::chrono::seconds{60});
 
-inline bool is_free(std::uint16_t port)
-{
-    boost::asio::io_context context;
-    const boost::asio::ip::tcp::endpoint here{boost::asio::ip::make_address("127.0.0.1"), port};
-    boost::asio::ip::tcp::acceptor acceptor{context, here.protocol()};
-    boost::system::error_code error;
-    acceptor.bind(here, error);
-    return !error;
-}
-
-inline std::uint16_t free_port()
-{
-    constexpr unsigned first = 22'000;
-    constexpr unsigned blocks = 28;
-    constexpr unsigned block_size = 256;
-    static unsigned tried = 0;
-    const unsigned block = first + static_cast<unsigned>(::getpid()) % blocks * block_size;
-    for (unsigned i = 0; i < block_size; ++i) {
-        const auto port = static_cast<std::uint16_t>(block + tried++ % block_size);
-        if (is_free(port)) {
-            return port;
-        }
-    }
-    throw std::runtime_error{"no free port in the block that starts at " + std::to_string(block)};
-}
-
 inline boost::asio::awaitable<void> exchange(http::client& client, std::uint16_t port,
                                              http::request message, http::response& out)
 {
--- a/test/authority/process_fixture_test.cpp
+++ b/test/authority/process_fixture_test.cpp
@@ -22,6 +22,21 @@
     EXPECT_LT(free_port(), first_outgoing);
 }
 
+// Regression: test programs that ran at the same time drew the same port, and one of their
+// processes ended with "Address already in use".
+TEST(process_fixture_test, no_two_holders_draw_from_one_range_of_ports)
+{
+    using cicadaport::testing::port_block;
+    port_block one;
+    port_block other;
+    EXPECT_NE(one.first(), other.first());
+    for (unsigned drawn = 0; drawn < 2 * port_block::block_size; ++drawn) {
+        const unsigned port = one.next();
+        EXPECT_GE(port, one.first());
+        EXPECT_LT(port, one.first() + port_block::block_size);
+    }
+}
+
 TEST(process_fixture_test, a_process_whose_port_is_taken_is_seen_as_ended_at_once)
 {
     const auto port = free_port();
--- a/test/platform/host_fixture.h
+++ b/test/platform/host_fixture.h
@@ -4,6 +4,8 @@
 #include "caller.h"
 #include "stand_ins.h"
 
+#include "support/port_block.h"
+
 #include "platform/wire.h"
 
 #include "cicadaport/serving/host_process.h"
@@ -21,6 +23,7 @@
 namespace cicadaport::platform::testing {
 
 using namespace std::chrono_literals;
+using cicadaport::testing::free_port;
 
 constexpr std::string_view configuration_topic = "keyed.op";
 constexpr std::string_view replicas_topic = "keyed.servers";
@@ -37,27 +40,6 @@
     return done();
 }
 
-// Returns a free port below the range that the system uses for outgoing connections.
-inline std::uint16_t free_port()
-{
-    constexpr unsigned first = 20'000;
-    constexpr unsigned count = 12'000;
-    constexpr unsigned stride = 97;
-    static std::atomic<unsigned> last{static_cast<unsigned>(::getpid()) * stride};
-    boost::asio::io_context context;
-    for (unsigned tries = 0; tries < count; ++tries) {
-        const auto port = static_cast<std::uint16_t>(first + ++last % count);
-        boost::system::error_code error;
-        tcp::acceptor probe{context};
-        probe.open(tcp::v4());
-        probe.bind({boost::asio::ip::make_address("127.0.0.1"), port}, error);
-        if (!error) {
-            return port;
-        }
-    }
-    throw std::runtime_error{"no port is free"};
-}
-
 inline std::string request(const std::string& method, const std::string& target,
                            const std::string& id, const std::string& fields = "",
                            const std::string& body = "")
