soak: callers that send ahead and leave, and no excuse for requests behind a close

Change: in the shape of planned stops, one in twenty turns sends eight requests of 12,000 bytes at once and closes the connection within 1 s; a run that begins more than 0.5 s later is a violation. A request that was sent together with one whose answer says "Connection: close" was excused from being lost; now only one behind an answer that was cut is.

--- a/test/platform/soak/stop_judge.h
+++ b/test/platform/soak/stop_judge.h
@@ -20,7 +20,8 @@
 // `max_late_time` after SIGTERM.
 //
 // At all times a request that may not be repeated runs at most once, and not at all if its status
-// promises so; and a success has the replica's whole body.
+// promises so; and a success has the replica's whole body. No run of a request begins more than
+// `gone_slack` after its caller has left, unless its host had an unplanned fault.
 //
 // Pure. Not thread safe.
 class stop_judge {
@@ -31,6 +32,7 @@
     static constexpr milliseconds loss_slack{200};
     static constexpr milliseconds max_late_time{3'000};
     static constexpr milliseconds slack_after_grace{1'000};
+    static constexpr milliseconds gone_slack{500};
 
     // A request that has ended, as its caller saw it.
     struct request {
@@ -45,12 +47,20 @@
         // 0 if there was no complete answer.
         unsigned status = 0;
         bool has_whole_body = false;
-        // Whether the host had announced that it reads no further request of the connection.
-        bool is_behind_close = false;
+        // Whether the answer before it on its connection was cut, so that nothing could follow.
+        bool is_behind_cut = false;
         // Whether the host had an unplanned fault from `contact` before the request to its end.
         bool is_excused = false;
     };
 
+    // A request whose caller closed its connection without waiting for the answer.
+    struct departure {
+        std::string id;
+        time_point left{};
+        // Whether the host had an unplanned fault from `contact` before the request on.
+        bool is_excused = false;
+    };
+
     struct violation {
         request of;
         std::string text;
@@ -65,7 +75,9 @@
     // Records that a replica began to run a request.
     void record_run(const std::string& id, time_point at)
     {
-        ++m_runs[id].count;
+        auto& run = m_runs[id];
+        ++run.count;
+        run.last_began = at;
         record_work(id, at);
     }
 
@@ -82,7 +94,10 @@
 
     void record_request(request ended) { m_requests.push_back(std::move(ended)); }
 
+    void record_departure(departure left) { m_departures.push_back(std::move(left)); }
+
     std::size_t request_count() const { return m_requests.size(); }
+    std::size_t departure_count() const { return m_departures.size(); }
 
     // Returns the number of requests that were in flight at, or sent after, a SIGTERM.
     std::size_t stopped_count() const
@@ -127,6 +142,7 @@
                                        since_stop(each.ended))});
             }
         }
+        add_late_runs(out);
         return out;
     }
 
@@ -134,6 +150,7 @@
     struct run_record {
         std::size_t count = 0;
         time_point began{};
+        time_point last_began{};
         time_point last_at_work{};
         bool broke_off = false;
 
@@ -177,7 +194,24 @@
             return false;
         }
         const bool was_passed_on = run.is_passed_on() && run.began <= of.ended;
-        return was_passed_on || (!of.is_behind_close && of.ended - of.sent > loss_slack);
+        return was_passed_on || (!of.is_behind_cut && of.ended - of.sent > loss_slack);
+    }
+
+    // Adds the runs that began for callers that had left.
+    void add_late_runs(std::vector<violation>& out) const
+    {
+        for (const auto& each : m_departures) {
+            const auto found = m_runs.find(each.id);
+            if (each.is_excused || found == m_runs.end() ||
+                found->second.last_began <= each.left + gone_slack) {
+                continue;
+            }
+            request of;
+            of.id = each.id;
+            const std::chrono::duration<double> late = found->second.last_began - each.left;
+            out.push_back({std::move(of), fmt::format("GONE: began {:.3f} s after its caller left",
+                                                      late.count())});
+        }
     }
 
     // By process.
@@ -185,6 +219,7 @@
     // By request id.
     std::map<std::string, run_record> m_runs;
     std::vector<request> m_requests;
+    std::vector<departure> m_departures;
 };
 
 } // namespace cicadaport::platform::testing
--- a/test/platform/soak/timed_requests.cpp
+++ b/test/platform/soak/timed_requests.cpp
@@ -91,7 +91,8 @@
     return out;
 }
 
-timed_requests::timed_request timed_requests::draw(const fleet_host& host, std::mt19937_64& random)
+timed_requests::timed_request timed_requests::draw(const fleet_host& host, std::mt19937_64& random,
+                                                   std::size_t body_bytes)
 {
     static std::atomic<std::size_t> last{0};
     constexpr double break_off_share = 0.01;
@@ -110,7 +111,7 @@
     out.judged.id = fmt::format("{}-{}{}", host.number(), path, ++last);
     out.judged.may_repeat = path == "safe";
     out.judged.time_limit = draw_time(random, 1'000ms, 10'000ms);
-    out.body = "body";
+    out.body = std::string(body_bytes, 'q');
     const auto prompt = fmt::format("Token-Count: {},80\r\nPrompt-Prefix: f1:300,{:x}:600\r\n",
                                     prompt_tokens, last.load());
     out.head = fmt::format("POST /{}/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {}\r\n"
@@ -142,6 +143,38 @@
     return answer.complete && answer.field("Connection") != "close";
 }
 
+void timed_requests::send_ahead_and_leave(const fleet_host& host, caller& from,
+                                          std::mt19937_64& random)
+{
+    constexpr int requests = 8;
+    constexpr std::size_t body_bytes = 12'000;
+    const auto process = host.process();
+    const auto sent = soak_clock::now();
+    std::string all;
+    std::vector<stop_judge::departure> departures;
+    for (int number = 0; number < requests; ++number) {
+        const auto each = draw(host, random, body_bytes);
+        all += each.head + each.body;
+        departures.push_back({each.judged.id, {}, false});
+    }
+    from.send(all);
+    std::this_thread::sleep_for(draw_time(random, 20ms, 1'000ms));
+    const auto left = soak_clock::now();
+    from.disconnect();
+    std::this_thread::sleep_for(stop_judge::gone_slack);
+    const auto now = soak_clock::now();
+    const bool is_excused =
+        host.process() != process ||
+        !host.is_free_of(host_fault::process, now,
+                         std::chrono::duration_cast<milliseconds>(now - sent + m_contact));
+    const std::lock_guard lock{m_mutex};
+    for (auto& each : departures) {
+        each.left = left;
+        each.is_excused = is_excused;
+        m_judge.record_departure(each);
+    }
+}
+
 void timed_requests::send(fleet_host& host, std::uint64_t seed, const std::atomic<bool>& done)
 {
     std::mt19937_64 random{seed};
@@ -160,6 +193,11 @@
             if (chance(0.3)) {
                 std::this_thread::sleep_for(draw_time(random, 0ms, chance(0.2) ? 3'000ms : 500ms));
             }
+            if (chance(0.05)) {
+                send_ahead_and_leave(host, *kept, random);
+                kept.reset();
+                continue;
+            }
             auto first = draw(host, random);
             auto second = draw(host, random);
             const bool is_pipelined = chance(0.15);
@@ -181,7 +219,7 @@
             first.judged.sent = second.judged.sent = soak_clock::now();
             bool stays = receive(host, *kept, first.judged);
             if (is_pipelined) {
-                second.judged.is_behind_close = !stays;
+                second.judged.is_behind_cut = first.judged.status == 0;
                 stays = receive(host, *kept, second.judged) && stays;
             }
             if (!stays) {
--- a/test/platform/soak/timed_requests.h
+++ b/test/platform/soak/timed_requests.h
@@ -47,7 +47,10 @@
     scripted_response respond_at(soak_time due, const std::string& id,
                                  const scripted_response& reply);
 
-    static timed_request draw(const fleet_host& host, std::mt19937_64& random);
+    static timed_request draw(const fleet_host& host, std::mt19937_64& random,
+                              std::size_t body_bytes = 4);
+    // Sends more requests at once than a host reads ahead, and closes the connection.
+    void send_ahead_and_leave(const fleet_host& host, caller& from, std::mt19937_64& random);
     // Receives the answer for the judge. Returns whether the connection can be reused.
     bool receive(const fleet_host& host, caller& from, stop_judge::request& sent);
 
--- a/test/platform/stop_judge_test.cpp
+++ b/test/platform/stop_judge_test.cpp
@@ -72,10 +72,10 @@
     EXPECT_EQ(rules(cut(1s, 1'201ms)), "LOST");
 }
 
-TEST_F(stop_judge_test, a_request_behind_an_announced_close_is_lost_only_if_it_was_passed_on)
+TEST_F(stop_judge_test, a_request_behind_an_answer_that_was_cut_is_lost_only_if_it_was_passed_on)
 {
     auto behind = cut(1s, 4s);
-    behind.is_behind_close = true;
+    behind.is_behind_cut = true;
     EXPECT_EQ(rules(behind), "");
     run(2s, 3s);
     EXPECT_EQ(rules(behind), "LOSTLOST");
@@ -149,5 +149,21 @@
     EXPECT_EQ(rules(answered), "MIXED") << "the first one only";
 }
 
+TEST_F(stop_judge_test, a_run_that_begins_long_after_its_caller_left_is_one_for_nobody)
+{
+    run(1'501ms, 1'600ms);
+    judge.record_departure({"r", stop + 1s, false});
+    EXPECT_EQ(rules({}), "GONE");
+}
+
+TEST_F(stop_judge_test, a_run_that_begins_soon_after_its_caller_left_or_on_a_faulty_host_is_not)
+{
+    run(1'500ms, 3'000ms);
+    judge.record_departure({"r", stop + 1s, false});
+    judge.record_departure({"r", stop, true});
+    judge.record_departure({"never run", stop, false});
+    EXPECT_EQ(rules({}), "");
+}
+
 } // namespace
 } // namespace cicadaport::platform::testing
