--- a/include/cicadaport/http/delivery.h
+++ b/include/cicadaport/http/delivery.h
@@ -1,4 +1,5 @@
-// Whether the peer of a TCP connection has received what was sent to it.
+// What the kernel knows of the peer of a TCP connection: whether it has received what was sent to
+// it, and whether it has ended the connection.
 //
 // A response without a length ends with its connection. If its peer ends it in an orderly way
 // before it has received the whole request, and resets the connection next, the response is
--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -240,6 +240,7 @@
         update_memory();
         return;
     }
+    // While reading is paused, the caller may have left since its requests were read.
     if (m_leave_check.is_set() && drop_if_left()) {
         return;
     }
